SIGHUP takes on a new configuration: discovery moves, all else stays

Cause: __main__.py installed handlers for SIGTERM and SIGINT only; untended, SIGHUP kills. Nor had discovery.py a way to another address. Mend: a handler before the node can be ready; the whole file is read anew, a bad one is one log line. The new address is asked for its whole list first and only then watched from that list's version. Peers' addresses are taken on too; what needs a restart is named in the log.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -15,7 +15,7 @@
 
 
 async def serve(config: Config) -> None:
-    """Runs the node until SIGTERM, and to the last answer it owes."""
+    """Runs the node until SIGTERM, and to the last answer it owes. SIGHUP reads the configuration anew."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -25,7 +25,14 @@
     def failed(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         node.log_lines.line(f"{context.get('message')}: {context.get('exception')!r}")
 
+    def reload() -> None:
+        try:
+            node.reload(load(os.environ, node.config))
+        except ConfigError as e:
+            node.log_lines.line(f"reload: {e}; the old configuration stays")
+
     loop.set_exception_handler(failed)
+    loop.add_signal_handler(signal.SIGHUP, reload)  # before the node can be ready: untended, it kills
     await node.start()
     # What the start has made lives as long as the node: the collector need not look at it again.
     gc.collect()
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from brackenladder.interface import ListKind, Settings
@@ -28,6 +28,7 @@
     name: str
     listen: Address
     discovery: Address
+    filed_discovery: object  # as it stands in the file, which the environment may override
     seed: int
     connections: int  # descriptors that clients and servers may use together
     peer_listen: Address | None
@@ -55,8 +56,12 @@
     raise ConfigError(f"{what}: not an address of the form host:port")
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Reads `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` override what stands there."""
+def load(environ: Mapping[str, str], last: Config | None = None) -> Config:
+    """Reads `LB_CONFIG`; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` override what stands there.
+
+    At a reload (`last` is the configuration in force) the environment is still that of the start: an
+    address of discovery that has changed in the file holds, and one that has not leaves what is in force.
+    """
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -69,10 +74,14 @@
         raise ConfigError("LB_CONFIG: not JSON") from None
     if not isinstance(table, dict):
         raise ConfigError("LB_CONFIG: not an object")
+    filed = table.get("discovery")
     for key in ("name", "listen", "discovery"):
         table[key] = environ.get(f"LB_{key.upper()}") or table.get(key)
+    if last is not None and filed:
+        same = filed == last.filed_discovery
+        table["discovery"] = f"{last.discovery[0]}:{last.discovery[1]}" if same else filed
     try:
-        return read(table)
+        return replace(read(table), filed_discovery=filed)
     except ValueError as e:
         raise ConfigError(str(e)) from None
 
@@ -100,6 +109,7 @@
         name=name,
         listen=read_address(table.get("listen"), "listen"),
         discovery=read_address(table.get("discovery"), "discovery"),
+        filed_discovery=table.get("discovery"),
         seed=number,
         connections=sockets - RESERVED_SOCKETS,
         peer_listen=read_address(peer_listen, "peer_listen") if peer_listen else None,
--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -128,10 +128,18 @@
 
 
 class Discovery:
-    """The list in hand is of `version`; news goes to `told` before the watch is renewed."""
+    """The list in hand is of `version`; news goes to `told` before the watch is renewed.
+
+    With no version, nothing has been heard from this address: the watch begins with the whole list.
+    """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], version: int, told: Told, log: Log
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        version: int | None,
+        told: Told,
+        log: Log,
     ) -> None:
         self.loop = loop
         self.address = address
@@ -150,7 +158,21 @@
             self.watching.end()
             self.watching = None
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Asks at another address from now on; whatever the old one may still say is not heard.
+
+        Failure prevented: versions are numbered otherwise there, and a watch that goes on from the old
+        number misses changes, or the new list is taken for an old one.
+        """
+        self.close()
+        self.address = address
+        self.version = None
+        self.watch(True)
+
     def renew(self, call: Call) -> None:
+        if self.version is None:
+            call.ask("/v1/endpoints", FETCH_TIME)
+            return
         call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={WAIT_MS}", WAIT_MS / 1000 + ANSWER_TIME)
 
     def watched(self, call: Call, body: bytes | None) -> None:
@@ -185,7 +207,10 @@
         except (ValueError, RecursionError) as e:
             self.log.line(f"discovery: answer dropped: {e}")
             return None
-        if listing.kind == ListKind.CHANGES and listing.version < self.version:
+        if listing.kind == ListKind.CHANGES and self.version is None:
+            self.log.line("discovery: answer dropped: changes of a list that is not known")
+            return None
+        if listing.kind == ListKind.CHANGES and self.version is not None and listing.version < self.version:
             # Failure prevented: an old answer that was overtaken brings drained servers back.
             return Listing(ListKind.CHANGES, self.version, ())
         self.version = listing.version
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from dataclasses import fields, replace
 from hashlib import blake2b
 from time import monotonic_ns, time_ns
 from typing import Any
@@ -32,6 +33,7 @@
     b" content-length x-budget-ms".split()
 )
 KEPT = frozenset((b"host", b"x-call-id", b"idempotency-key"))  # go on, whatever `Connection` names
+RELOADED = ("discovery", "filed_discovery", "peers", "peers_all")  # what a running node takes on
 METHODS = {Effect.SAFE: b"GET", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
 
 
@@ -74,7 +76,7 @@
         half = config.connections // 2
         self.pool = Pool(loop, half, config.connect_timeout, config.idle_time)
         self.callers = Callers(loop, config.connections - half, self)
-        version = config.known.version if config.known else 0
+        version = config.known.version if config.known else None
         self.discovery = Discovery(loop, config.discovery, version, self.told, strays)
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.balancer = Balancer(config.settings, config.seed, self)
@@ -91,6 +93,24 @@
         if not self.config.settings.list_on_request:
             self.discovery.watch(True)
 
+    def reload(self, config: Config) -> None:
+        """Takes on a new configuration: connections, requests and all that was learned stay.
+
+        What only a start can take on is named in the log. `known` and `seed` are of use at a start only.
+        """
+        old, self.config = self.config, replace(self.config, **{f: getattr(config, f) for f in RELOADED})
+        left = [
+            f.name
+            for f in fields(config)
+            if f.name not in (*RELOADED, "known", "seed") and getattr(config, f.name) != getattr(old, f.name)
+        ]
+        if left:
+            self.log_lines.line(f"reload: needs a restart: {', '.join(left)}")
+        if config.discovery != old.discovery:
+            self.discovery.move(config.discovery)
+        self.peers.rename(config.peers, config.peers_all)
+        self.log_lines.line(f"reload: discovery {config.discovery[0]}:{config.discovery[1]}")
+
     async def drain(self) -> None:
         """Answers what has been taken, and ends."""
         await self.callers.drain()
--- a/brackenladder/net/peers.py
+++ b/brackenladder/net/peers.py
@@ -19,13 +19,17 @@
     def __init__(
         self, peers: Sequence[Address], to_all: Address | None, heard: Callable[[int, bytes], None], log: Log
     ) -> None:
-        self.peers = peers
-        self.numbers = {address: number for number, address in enumerate(peers)}
-        self.to_all = to_all
+        self.rename(peers, to_all)
         self.heard = heard
         self.log = log
         self.transport: asyncio.DatagramTransport | None = None
 
+    def rename(self, peers: Sequence[Address], to_all: Address | None) -> None:
+        """Sets the addresses of the tier's nodes, by number."""
+        self.peers = peers
+        self.numbers = {address: number for number, address in enumerate(peers)}
+        self.to_all = to_all
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
 
