An id that another client has open is refused before the module

Cause: node.py, accept: a bad client's copy of an open X-Call-Id goes to a server, which takes it for a mistake. Each copy, and its retries, counts as that server's error: `lost` rises to 0.25, every error adds a sample at twice the target, and the limit sinks from 19 to 6 calls. Checked: every request at n0 traced. Wrong classes, deadlines and missing ids never reach the module; lower tiers' nodes have no failed call in the same seconds, so the errors are not theirs; no server is slow. Mend: ids of requests whose client waits are kept (dropped with the answer or the client); a second one gets 409. One whose client has left, even if its end is still unread in the socket, gives way to the repeat.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import fcntl
+import select
 import socket
 import termios
 from collections import deque
@@ -33,6 +34,7 @@
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     429: b"Too Many Requests",
@@ -250,6 +252,14 @@
         self.owner.held -= sum(message.size for message in self.waiting)
         self.waiting.clear()
 
+    def gone(self) -> bool:
+        """Whether the client's end waits in the socket."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def idle(self) -> bool:
         """Whether no request is open, has begun or waits in the socket."""
         if self.open is not None or self.partial is not None or self.waiting or self.deaf:
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -40,10 +40,11 @@
 class Open:
     """A request that has been taken and not answered, or whose attempt is still out."""
 
-    __slots__ = ("id", "caller", "message", "klass", "deadline", "attempts", "out", "guard")
+    __slots__ = ("id", "name", "caller", "message", "klass", "deadline", "attempts", "out", "guard")
 
     def __init__(self, number: int, caller: Caller, message: Message, klass: int, deadline: int) -> None:
         self.id = number
+        self.name = message.headers[b"x-call-id"]
         self.caller: Caller | None = caller  # None once answered, or once the client has left
         self.message = message
         self.klass = klass
@@ -67,6 +68,7 @@
         self.busy = False
         self.requests: dict[int, Open] = {}
         self.by_caller: dict[Caller, Open] = {}
+        self.by_name: dict[bytes, Open] = {}  # by X-Call-Id; those whose client waits
         self.last_id = 0
         self.guarded = 0
         self.classes = {name.encode(): i for i, name in enumerate(config.classes)}
@@ -228,21 +230,22 @@
         budget = message.headers.get(b"x-budget-ms") or b""
         keyed = effect != Effect.KEYED or message.headers.get(b"idempotency-key")
         tenant = message.headers.get(b"x-caller")
-        if not (
-            message.headers.get(b"x-call-id")
-            and keyed
-            and (tenant or not self.tenants)
-            and budget.isdigit()
-            and len(budget) <= 9
-        ):
+        name = message.headers.get(b"x-call-id")
+        if not (name and keyed and (tenant or not self.tenants) and budget.isdigit() and len(budget) <= 9):
             caller.answer(400)
             return
         if len(self.requests) >= self.config.settings.max_open:
             self.beyond(caller)
             return
+        twin = self.by_name.get(name)
+        if twin is not None and twin.caller is not None and not twin.caller.gone():
+            # Failure prevented: servers take the second one of an id for a mistake. Its errors, which no
+            # server has made, eject servers and close the limit to everybody else.
+            caller.answer(409)
+            return
         left = int(budget) * 1000
         self.last_id += 1
-        request = Open(self.last_id, caller, message, klass, now + left)
+        request = self.by_name[name] = Open(self.last_id, caller, message, klass, now + left)
         self.requests[request.id] = self.by_caller[caller] = request
         request.guard = self.loop.call_later((left + GUARD) / 1e6, self.expire, request)
         repeat = message.headers.get(b"x-again") == b"1"
@@ -286,6 +289,8 @@
         if request.caller is not None:
             del self.by_caller[request.caller]
             request.caller = None
+            if self.by_name.get(request.name) is request:
+                del self.by_name[request.name]
         if request.guard is not None:
             request.guard.cancel()
         if request.out is None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
+from itertools import count
 from typing import Any
 
 import uvloop
@@ -178,10 +179,16 @@
         return await asyncio.wait_for(self.reader.read(), PATIENCE) == b""
 
 
-def call(klass: str = "view", budget: int = 15000, extra: bytes = b"", body: bytes = b"") -> bytes:
-    """A request of a class."""
+CALLS = count()
+
+
+def call(
+    klass: str = "view", budget: int = 15000, extra: bytes = b"", body: bytes = b"", name: bytes = b""
+) -> bytes:
+    """A request of a class, with an id of its own if none is given."""
     method = b"GET" if klass == "view" else b"POST"
-    lines = b"X-Call-Id: 9b1f\r\nX-Caller: acme\r\nX-Budget-Ms: %d\r\n" % budget
+    name = name or b"%016x" % next(CALLS)
+    lines = b"X-Call-Id: %b\r\nX-Caller: acme\r\nX-Budget-Ms: %d\r\n" % (name, budget)
     if klass == "offer":
         lines += b"Idempotency-Key: 5c0f\r\n"
     if method == b"POST":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -63,7 +63,7 @@
             return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(request.body), request.body)
 
         bench = await Bench(server := Server(echo)).start()
-        status, _, answer = await bench.once(call("offer", 9000, b"X-Trace: 7\r\n", body))
+        status, _, answer = await bench.once(call("offer", 9000, b"X-Trace: 7\r\n", body, b"9b1f"))
         assert (status, answer) == (200, body)
         (got,) = server.requests
         assert (got.method, got.target, got.body) == ("POST", "/offer?obj=7f", body)
@@ -101,16 +101,19 @@
 
         bench = await Bench(server := Server(held)).start()
         callers = bench.node.callers
-        large = call("invite", body=b"x" * 60000)
-        (first := await bench.client()).send(large)
+
+        def large():
+            return call("invite", body=b"x" * 60000)
+
+        (first := await bench.client()).send(large())
         await until(lambda: len(server.requests) == 1)
-        (second := await bench.client()).send(large)
+        (second := await bench.client()).send(large())
         await until(lambda: callers.held > 120_000)
-        status, headers, _ = await bench.once(large)
+        status, headers, _ = await bench.once(large())
         assert status == 503 and float(headers["retry-after"]) > 0
         second.writer.transport.abort()
         await until(lambda: callers.held < 120_000)
-        first.send(large)  # waits behind its first
+        first.send(large())  # waits behind its first
         await until(lambda: callers.held > 120_000)
         release.set()
         assert (await first.receive())[0] == 200 and (await first.receive())[0] == 200
@@ -125,7 +128,7 @@
     async def scene():
         bench = await Bench(server := Server()).start()
         extra = b"Connection: X-Trace, keep-alive\r\nX-Trace: 5\r\nConnection: x-call-id\r\nX-Kept: 6\r\n"
-        assert (await bench.once(call(extra=extra)))[0] == 200
+        assert (await bench.once(call(extra=extra, name=b"9b1f")))[0] == 200
         (request,) = server.requests
         assert "x-trace" not in request.headers and "connection" not in request.headers
         assert request.headers["x-kept"] == "6"
@@ -171,7 +174,7 @@
         (call(extra=b"No colon here\r\n"), 400),
         (call().replace(b"X-Budget-Ms: 15000", b"X-Budget-Ms: soon"), 400),
         (call().replace(b"X-Budget-Ms: 15000", b"X-Budget-Ms: -5"), 400),
-        (call().replace(b"X-Call-Id: 9b1f\r\n", b""), 400),
+        (call(name=b"9b1f").replace(b"X-Call-Id: 9b1f\r\n", b""), 400),
         (call().replace(b"X-Caller: acme\r\n", b""), 400),
         (call("offer").replace(b"Idempotency-Key: 5c0f\r\n", b""), 400),
         (call("unknown"), 404),
@@ -661,6 +664,68 @@
     play(scene)
 
 
+# ---- ids that are open already -----------------------------------------------------------------------
+
+
+def test_the_id_of_another_clients_open_request_is_refused_before_the_module():
+    """Failure prevented: servers take it for a mistake, and their errors close the limit to everybody."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def held(request, writer):
+            await release.wait()
+            return OK
+
+        bench = await Bench(server := Server(held)).start()
+        (first := await bench.client()).send(call("invite", name=b"7f01"))
+        await until(lambda: len(server.requests) == 1)
+        for extra in (b"", b"X-Again: 1\r\n"):
+            assert (await bench.once(call("invite", extra=extra, name=b"7f01")))[0] == 409
+        assert len(server.requests) == 1 and bench.node.balancer.controller.in_flight == 1
+        release.set()
+        assert (await first.receive())[0] == 200
+        assert (await bench.once(call("invite", name=b"7f01")))[0] == 200  # it is open no more
+        assert not bench.node.by_name
+
+    play(scene)
+
+
+@pytest.mark.parametrize("seen", [False, True])
+def test_a_repeat_of_a_request_whose_client_has_left_is_served(seen):
+    """Failure prevented: a client whose connection broke asks again under its id and is turned away."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def held(request, writer):
+            if not release.is_set():
+                await release.wait()
+            return OK
+
+        bench = await Bench(server := Server(held), policy_limits={"cancel": False}).start()
+        (first := await bench.client()).send(call("invite", name=b"7f02"))
+        await until(lambda: len(server.requests) == 1)
+        (caller,) = bench.node.callers.callers
+        if seen:
+            first.writer.transport.abort()
+            await until(lambda: not bench.node.by_name)
+        else:  # its end waits in the socket, not yet read
+            caller.transport.pause_reading()
+            first.writer.close()
+            await until(caller.gone)
+        (again := await bench.client()).send(call("invite", extra=b"X-Again: 1\r\n", name=b"7f02"))
+        await until(lambda: len(server.requests) == 2)
+        release.set()
+        assert (await again.receive())[0] == 200
+        if not seen:
+            caller.transport.resume_reading()
+        await until(lambda: not bench.node.requests)
+        assert not bench.node.by_name
+
+    play(scene)
+
+
 # ---- new configurations ------------------------------------------------------------------------------
 
 
