A whole answer is served whatever follows it; a spoilt one ends its attempt at once

Cause: servers.py, Connection.data_received: a parse error behind a whole answer set `complete` back to False, so noise behind a good answer became a reset. The headers of a second copy or an interim answer overwrote the answer's. A head had no bound (1.3 MB read of one that does not end), 3 GB failed only behind 64 KiB. Checked, by a trace of each answer that is not plain: 34 second copies and 28 interim answers were taken well; 17 with 52 bytes of noise behind became resets; bad chunk sizes (31), noise (21), lines without a colon (16), odd status lines (34) and two lengths (4) fail in the parser, as they must. Where the line lies: what is framed by one Content-Length or by chunks alone and has come whole is good, whatever is behind it (seen: noise, or the same again; no body of another length than its head says); everything else is spoilt. A body with a further transfer coding would have been served as it came: spoilt now. A load report's nan, inf or negative number is no report.

--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import fields, replace
 from hashlib import blake2b
+from math import inf
 from time import monotonic_ns, time_ns
 from typing import Any
 
@@ -382,12 +383,13 @@
         """A load report's values in the settings' order; nothing if one is missing or unreadable."""
         values = dict(pair.strip().partition("=")[::2] for pair in text.decode("latin-1").split(","))
         try:
-            return tuple(
+            report = tuple(
                 float(values[name] if name in values else values[plain])
                 for name, plain in self.config.report_names
             )
         except (KeyError, ValueError):
             return ()
+        return report if all(0 <= value < inf for value in report) else ()
 
     def set_timer(self, delay: int, token: int) -> None:
         """Hands `token` back after `delay`."""
--- a/brackenladder/net/servers.py
+++ b/brackenladder/net/servers.py
@@ -18,6 +18,9 @@
 IDLE_MARGIN = 0.3  # seconds before the server would close an idle connection
 SWEEP = 0.5  # seconds between two looks at idle connections
 LARGEST_BODY = 65536
+LARGEST_HEAD = 32768  # bytes of an answer's head, and of all interim answers before it
+LARGEST_LINES = 128  # header lines of the same, and trailers
+LARGEST_ANSWER = LARGEST_HEAD + 8 * LARGEST_BODY  # bytes with the framing of chunks
 
 
 @dataclass
@@ -35,6 +38,10 @@
 Done = Callable[[Outcome, Answer | None], None]
 
 
+class Spoilt(Exception):
+    """An answer that cannot be used, whatever may follow."""
+
+
 class Endpoint:
     """One server's address and this node's connections to it."""
 
@@ -93,6 +100,8 @@
         self.rejected = False
         self.report = b""
         self.complete = self.stray = self.keep = False
+        self.headed = False  # the final answer's head has come whole
+        self.size = self.lines = 0
         if not self.transport.is_closing():
             self.transport.write(data)
         if self.transport.is_closing():
@@ -109,11 +118,13 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.complete = False
             self.stray = True
-        if len(self.body) > LARGEST_BODY:
-            self.finish(Outcome.ERROR, None, reuse=False)
-        elif self.complete:
+        self.size += len(data)
+        if self.size > (LARGEST_ANSWER if self.headed else LARGEST_HEAD):
+            self.stray = True
+        if self.complete:
+            # Failure prevented: a whole answer is thrown away for the noise behind it, and fails a request
+            # that has run. What follows it belongs to nobody, so the connection is of no further use.
             answer = Answer(self.status, self.body, self.content_type, self.rejected, self.report)
             self.finish(outcome_of(answer), answer, self.keep and not self.stray)
         elif self.stray:
@@ -121,8 +132,18 @@
 
     def on_message_begin(self) -> None:
         self.stray = self.complete
+        if not self.complete:  # what an interim answer said is not the final one's
+            self.content_type = self.report = b""
+            self.rejected = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.complete:
+            return
+        self.lines += 1
+        if self.lines > LARGEST_LINES:
+            raise Spoilt
+        if self.headed:  # a trailer
+            return
         key = name.lower()
         if key == b"content-type":
             self.content_type = value
@@ -130,10 +151,20 @@
             self.rejected = value.strip() == b"1"
         elif key == b"x-load-report":
             self.report = value
+        elif key == b"content-length" and int(value) > LARGEST_BODY:
+            raise Spoilt  # here, not when so much has come
+        elif key == b"transfer-encoding" and value.strip().lower() != b"chunked":
+            raise Spoilt  # coded: the body as it comes is not the answer's
+
+    def on_headers_complete(self) -> None:
+        self.headed = self.headed or self.parser.get_status_code() >= 200
 
     def on_body(self, body: bytes) -> None:
-        if not self.stray and len(self.body) <= LARGEST_BODY:
-            self.body += body
+        if self.complete:
+            return
+        self.body += body
+        if len(self.body) > LARGEST_BODY:
+            raise Spoilt
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
