Clients keep their connections for two seconds after SIGTERM

Cause: callers.py, drain: idle connections were closed at once and each answer carried `Connection: close`, so n1 was of use to nobody from 13.5 s on, n0 from 16.5 s on: for a second nobody took anything. Checked: all that was taken was answered; the nodes end by themselves; nothing is lost. Mend: for HANDOVER (2 s) connections stay open to further requests; new ones are taken for 0.5 s as before. Then each closes with its answer. What is taken meanwhile must be answered by the earliest time that a kill may come, less 0.3 s: a request's time is cut to that.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -25,6 +25,7 @@
 BACKLOG = 512
 ACCEPTS = 64  # connections taken in one go
 TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
+HANDOVER = 2.0  # seconds after SIGTERM in which connections stay open to further requests
 SETTLE = 0.2  # seconds in which a connection that was just taken or used may bring its request
 LOOK = 0.02
 
@@ -199,7 +200,7 @@
         self.owner.held -= message.size
         if self.transport.is_closing():
             return
-        close = not message.keep or self.refusing or self.owner.draining
+        close = not message.keep or self.refusing or self.owner.closing
         data = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
             status,
             REASONS[status],
@@ -283,7 +284,8 @@
         self.most = most - self.refusing
         self.handler = handler
         self.callers: set[Caller] = set()
-        self.draining = False
+        self.draining = False  # `/ready` says no
+        self.closing = False  # no connection outlives its answer
         self.held = 0
         self.listener: socket.socket | None = None
         self.listening = False
@@ -380,17 +382,22 @@
         self.loop.call_later(SLOW / 4, self.sweep)
 
     async def drain(self) -> None:
-        """Ends the service: all that was taken is answered, and no connection outlives its answer."""
+        """Ends the service: all that was taken is answered, then no connection outlives its answer.
+
+        Failure prevented: in a rolling restart the clients of a node that closes at once, while the one
+        before it is not back yet, find nobody. They use the connections that they have for a while.
+        """
         self.draining = True
-        stop = self.loop.time() + TAKING
+        start = self.loop.time()
         while self.listener is not None or self.callers:
             now = self.loop.time()
-            if self.listener is not None and now >= stop:
+            if self.listener is not None and now >= start + TAKING:
                 self.stop_listening()
+            self.closing = now >= start + HANDOVER
             for caller in list(self.callers):
                 settled = now - caller.active > SETTLE
                 # A request that has not come whole long after the last connection was taken is not ours.
-                stuck = caller.open is None and now > stop + LINGER
-                if caller.transport is not None and (settled and caller.idle() or stuck):
+                stuck = caller.open is None and now > start + max(TAKING, HANDOVER) + LINGER
+                if self.closing and caller.transport is not None and (settled and caller.idle() or stuck):
                     caller.transport.abort()
             await asyncio.sleep(LOOK)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -26,6 +26,8 @@
 from brackenladder.net.servers import Answer, Endpoint, Exchange, Pool
 
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
+KILL_AFTER = 3_700_000  # after SIGTERM a node has the longest deadline for its end, or so long
+KILL_MARGIN = 300_000
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
 PUSH_RETRY = 0.1  # seconds before an agent that did not answer is asked again
 # Headers that end at this hop or are written anew for the next.
@@ -84,6 +86,7 @@
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.balancer = Balancer(config.settings, config.seed, self)
         self.listed = False
+        self.ends = 1 << 62  # the time by which all that is taken must be answered
 
     async def start(self) -> None:
         """Begins to serve. An OSError if an address cannot be had."""
@@ -115,7 +118,12 @@
         self.log_lines.line(f"reload: discovery {config.discovery[0]}:{config.discovery[1]}")
 
     async def drain(self) -> None:
-        """Answers what has been taken, and ends."""
+        """Answers what has been taken, and ends.
+
+        Failure prevented: what is taken in the meantime is still open when the process is killed.
+        """
+        longest = max(c.deadline for c in self.config.settings.classes)
+        self.ends = self.now() + min(longest, KILL_AFTER) - KILL_MARGIN
         await self.callers.drain()
         self.discovery.close()
         if self.guarded:
@@ -244,7 +252,7 @@
             # server has made, eject servers and close the limit to everybody else.
             caller.answer(409)
             return
-        left = int(budget) * 1000
+        left = min(int(budget) * 1000, max(0, self.ends - now))
         self.last_id += 1
         request = self.by_name[name] = Open(self.last_id, caller, message, klass, now + left)
         self.requests[request.id] = self.by_caller[caller] = request
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1221,6 +1221,7 @@
             return OK
 
         monkeypatch.setattr("brackenladder.net.callers.TAKING", 600.0)  # until the test says so
+        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 0.0)
         bench = await Bench(server := Server(held)).start()
         callers = bench.node.callers
         idle, early = await bench.client(), await bench.client()
@@ -1253,12 +1254,35 @@
     play(scene)
 
 
+def test_clients_keep_their_connections_for_a_while_after_sigterm(monkeypatch):
+    """Failure prevented: the node is of use to nobody long before its end, while others are not back yet."""
+
+    async def scene():
+        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 600.0)  # until the test says so
+        bench = await Bench(server := Server()).start()
+        client, idle = await bench.client(), await bench.client()
+        assert (await idle.ask(call()))[0] == 200
+        drain = asyncio.create_task(bench.node.drain())
+        await until(lambda: bench.node.callers.listener is None)
+        status, headers, _ = await client.ask(call("invite", 15000))
+        assert status == 200 and "connection" not in headers
+        # By then the process may be killed, whatever the client's own patience.
+        assert int(server.requests[-1].headers["x-budget-ms"]) <= 3400
+        assert (await client.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 503
+        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 0.0)
+        assert await idle.ended()
+        await asyncio.wait_for(drain, 20)
+
+    play(scene)
+
+
 def test_a_planned_restart_under_load_loses_nothing(monkeypatch):
     """Failure prevented: a client that uses its connection just as the node ends is reset or left unheard."""
 
     async def scene():
         # Nobody here is idle, however slow the machine, and new ones are taken until the test says so.
         monkeypatch.setattr("brackenladder.net.callers.TAKING", 600.0)
+        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 0.0)
         monkeypatch.setattr("brackenladder.net.callers.SETTLE", 600.0)
         bench = await Bench(Server()).start()
         answers = 0
