A zone's part counts the members that are well; a shrinking list frees ejected ones

Later the list has two servers left, one of them ejected: all calls go to the other, which has only just started. Cause: balance.py, refill: `spill_least` counted ejected members as part of the zone; and EJECT_SHARE was only looked at when a member is ejected, not when the members become fewer. Checked: no cold server held calls back (all tokens at rest); latency at the full one 2 to 3 times the target. Mend: the least share that leaves the zone is taken anew whenever the members that are well change; a list that shrinks readmits what is beyond the share.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -942,14 +942,12 @@
             srv.member = True
         for srv in [e for e in self.ejected if not e.member]:
             self.readmit(srv)
+        while len(self.ejected) > EJECT_SHARE * len(self.members):
+            # Failure prevented: the list shrinks, and one server that works well takes all calls until it
+            # is crowded, beside another that answers most of them.
+            self.readmit(self.ejected[0])
         copies = self.settings.instances * len(self.members) / max(1, len(listed))
         self.controller.resize(len(self.members), copies)
-        if self.zoned and self.members:
-            # Failure prevented: a zone with few servers takes all calls of the one node beside it. At least
-            # what exceeds the zone's part of all members leaves it, were all nodes alike.
-            near = sum(m.zone == self.settings.zone for m in self.members)
-            self.spill_least = max(0.0, 1 - near * self.settings.instances / len(self.members))
-            self.spill = max(self.spill, self.spill_least)
         self.sort_members()
 
     def sort_members(self) -> None:
@@ -963,6 +961,12 @@
                 self.controller.in_flight += -m.in_flight if aside else m.in_flight
                 m.aside = aside
         self.near = [m for m in self.able if m.zone == self.settings.zone]
+        if self.zoned and self.able:
+            # Failure prevented: a zone with few servers, or few that are well, takes all calls of the one
+            # node beside it. At least what exceeds the zone's part of all leaves it, were all nodes alike.
+            part = len(self.near) * self.settings.instances / len(self.able)
+            self.spill_least = max(0.0, 1 - part)
+            self.spill = max(self.spill, self.spill_least)
 
     def draw(self, now: int, r: Request) -> Server | None:
         """Two random members; the one with less in flight takes the call."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -478,6 +478,28 @@
     assert counts == [0, 1]
 
 
+def test_what_is_ejected_counts_no_more_as_its_zones_part():
+    """Failure prevented: of a zone's two servers one fails, and the other drowns beside an idle zone."""
+    entries = [ServerEntry(i, zone=i % 2) for i in range(1, 5)]
+    node, rec = balancer(entries, cross_zone_price=0.04, instances=2)
+    assert node.spill == 0
+    near = node.near[0]
+    node.eject(0, near, silent=False)
+    assert node.spill == pytest.approx(1 / 3)
+    node.readmit(near)
+    assert node.spill_least == 0
+
+
+def test_a_shrinking_list_leaves_no_more_than_a_third_ejected():
+    """Failure prevented: the one member left that is not ejected takes all calls."""
+    node, rec = balancer(4)
+    node.eject(0, node.servers[1], silent=False)
+    node.server_list(1, ListKind.FULL, [ServerEntry(i) for i in (1, 2, 3)])
+    assert [srv.id for srv in node.ejected] == [1]
+    node.server_list(2, ListKind.FULL, [ServerEntry(i) for i in (1, 2)])
+    assert node.ejected == [] and len(node.able) == 2
+
+
 @pytest.mark.usefixtures("wide")
 def test_no_more_than_a_third_of_the_members_is_ejected():
     node, rec = balancer(9)
