Bad clients end at once: strict framing, a time for each request, room without a look at all

Checked and ruled out: two lengths, length with coding, signed or huge lengths, folding, bare line feeds fail in the parser already. `create_task` in take now keeps its reference. What cannot be read is answered at once and ends its connection, the open request is given up as if its client had left; a request has 2.5 s from its first byte, or from the accept. MOST_HELD is an eighth of limits.memory_mb.

--- a/brackenladder/net/callers.py
+++ b/brackenladder/net/callers.py
@@ -17,10 +17,12 @@
 LARGEST_HEAD = 32768
 SLICE = 8192  # bytes parsed in one go
 LARGEST_LINES = 128  # header lines of one request
-MOST_HELD = 32 << 20  # bytes of the whole requests that wait or are open, on all connections
+LARGEST_MESSAGE = LARGEST_HEAD + 8 * LARGEST_BODY  # bytes with the framing of chunks
 PIPELINED = 8  # whole requests that wait on one connection while an earlier one is open
 REFUSING = 16  # connections at most, of the budget, that are open only to be told that it is spent
-SLOW = 10.0  # seconds in which a request that has begun must have come whole
+SLOW = 2.5  # seconds for a request to come whole: from its first byte, or from the accept if it is the first
+SWEEP = 0.25  # seconds between two looks at who is slow
+STALLED = 0.5  # seconds after which an incomplete request may be given up for want of room
 LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
 BACKLOG = 512
 ACCEPTS = 64  # connections taken in one go
@@ -46,6 +48,10 @@
 }
 
 
+# Failure prevented: of two values this node goes by one, and whoever comes behind by the other.
+SINGLE = frozenset((b"host", b"x-call-id", b"idempotency-key", b"x-budget-ms", b"x-caller", b"x-again"))
+
+
 class Message:
     """A request as it came, or why it could not be read (`error`, a status)."""
 
@@ -84,7 +90,10 @@
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self.parser = httptools.HttpRequestParser(self)
         self.partial: Message | None = None
-        self.head = 0
+        self.headed = False  # the head has come whole
+        self.bytes = 0  # of the request that has begun
+        self.asked = False  # a request has come whole
+        self.since = owner.loop.time()  # the accept, or the first byte of the request that has begun
         self.waiting: deque[Message] = deque()
         self.open: Message | None = None
         self.deaf = False  # nothing further is read from this client
@@ -117,30 +126,48 @@
                     message.keep = False
         except httptools.HttpParserError:
             self.reject(400)
-        if self.partial is not None and self.head >= 0:
-            self.head += len(data)
-            if self.head > LARGEST_HEAD:
+        if self.partial is not None:
+            self.bytes += len(data)
+            if not self.headed and self.bytes > LARGEST_HEAD:
                 self.reject(431)
+            elif self.bytes > LARGEST_MESSAGE:
+                self.reject(413)
 
     def on_message_begin(self) -> None:
         self.partial = Message()
-        self.head = 0
+        self.headed = False
+        self.bytes = 0
+        if self.asked:
+            self.since = self.owner.loop.time()
 
     def on_url(self, url: bytes) -> None:
         if self.partial is not None:
             self.partial.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.partial is not None:
+        if self.partial is not None and not self.headed:  # trailers go no further
             key = name.lower()
             self.partial.lines.append((key, name, value))
-            self.partial.headers.setdefault(key, value)
             if len(self.partial.lines) > LARGEST_LINES:
                 self.reject(431)
+            elif key in SINGLE and key in self.partial.headers:
+                self.reject(400)
+            else:
+                self.partial.headers.setdefault(key, value)
 
     def on_headers_complete(self) -> None:
-        self.head = -1
-        if self.partial is not None and b"expect" in self.partial.headers and self.open is None:
+        self.headed = True
+        if self.partial is None:
+            return
+        length = int(self.partial.headers.get(b"content-length", b"0"))
+        coding = self.partial.headers.get(b"transfer-encoding", b"chunked").strip().lower()
+        chunked = b"transfer-encoding" in self.partial.headers
+        if coding != b"chunked" or chunked and self.parser.get_http_version() != "1.1":
+            # Failure prevented: where a body ends is a matter of opinion, and a request hides in it.
+            self.reject(400)
+        elif length > LARGEST_BODY:
+            self.reject(413)
+        elif b"expect" in self.partial.headers and self.open is None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -154,13 +181,15 @@
         message, self.partial = self.partial, None
         if message is None or self.deaf:
             return
+        self.asked = True
         message.method = self.parser.get_method()
         message.keep = self.parser.should_keep_alive()
         message.size = len(message.target) + len(message.body)
         message.size += sum(len(name) + len(value) for _, name, value in message.lines)
-        if self.owner.held + message.size > MOST_HELD:
+        if self.owner.held + message.size > self.owner.most_held:
             # Failure prevented: many clients that send large requests ahead end the process for its memory.
-            self.reject(503)
+            self.deaf = True
+            self.waiting.append(Message(503))
             return
         self.owner.held += message.size
         self.waiting.append(message)
@@ -169,11 +198,19 @@
             self.transport.pause_reading()
 
     def reject(self, status: int) -> None:
-        """Answers with an error and reads no further; the earlier requests are still answered."""
-        if not self.deaf:
-            self.deaf = True
-            self.partial = None
-            self.waiting.append(Message(status))
+        """Answers at once with an error and reads no further, whatever else is open or waits here.
+
+        Failure prevented: a request of the wrong length is passed on before what follows it shows that
+        nothing on this connection can be told apart; or the error waits for as long as that request takes.
+        """
+        if self.deaf:
+            return
+        self.deaf = True
+        self.partial = None
+        self.forget()
+        self.drop()
+        self.open = Message(status)
+        self.answer(status)
 
     def next(self) -> None:
         """Hands on the request that waits, once nothing is in its way."""
@@ -183,10 +220,8 @@
         if self.paused:
             self.paused = False
             self.transport.resume_reading()
-        if self.refusing or message.error == 503:
+        if self.refusing or message.error:
             self.owner.handler.beyond(self)
-        elif message.error:
-            self.answer(message.error)
         else:
             self.owner.handler.message(self, message)
 
@@ -242,11 +277,15 @@
         self.lost = True
         self.owner.callers.discard(self)
         self.forget()
+        self.drop()
+        self.owner.listen()
+
+    def drop(self) -> None:
+        """Gives the open request up: nobody waits for its answer."""
         if self.open is not None:
             self.owner.held -= self.open.size
             self.open = None
             self.owner.handler.left(self)
-        self.owner.listen()
 
     def forget(self) -> None:
         """Throws away the requests that wait: they get no answer."""
@@ -278,7 +317,7 @@
 class Callers:
     """The listener and its connections, within a budget of descriptors."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, handler: Handler) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, most_held: int, handler: Handler) -> None:
         self.loop = loop
         self.refusing = min(REFUSING, most // 4)
         self.most = most - self.refusing
@@ -286,7 +325,9 @@
         self.callers: set[Caller] = set()
         self.draining = False  # `/ready` says no
         self.closing = False  # no connection outlives its answer
+        self.most_held = most_held  # bytes of the whole requests that wait or are open
         self.held = 0
+        self.taking: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
         self.listening = False
 
@@ -300,7 +341,7 @@
         listener.listen(BACKLOG)
         self.listener = listener
         self.listen()
-        self.loop.call_later(SLOW / 4, self.sweep)
+        self.loop.call_later(SWEEP, self.sweep)
 
     def listen(self) -> None:
         """Takes connections while there is room for them."""
@@ -333,7 +374,9 @@
             self.make_room()
         caller = Caller(self, refusing=len(self.callers) >= self.most)
         self.callers.add(caller)
-        self.loop.create_task(self.attach(caller, connection))
+        task = self.loop.create_task(self.attach(caller, connection))
+        self.taking.add(task)  # the loop keeps none: one that nobody holds may be collected half-way
+        task.add_done_callback(self.taking.discard)
 
     def stop_listening(self) -> None:
         """Takes all that waits in the backlog and closes the listener.
@@ -362,24 +405,36 @@
             self.callers.discard(caller)
 
     def make_room(self) -> None:
-        """Closes the connection that has been idle longest; the client may open another."""
-        idle = [c for c in self.callers if c.transport is not None and c.idle()]
-        if idle:
-            longest = min(idle, key=lambda c: c.active)
-            self.callers.discard(longest)
-            longest.transport.abort()
+        """Closes a connection for another: one that never asked, else one that is idle, else one that stalls.
+
+        Of each sort the one that has been so longest. Failure prevented: hundreds that connect and say
+        nothing, or half of something, push out clients that are served.
+        """
+        now = self.loop.time()
+        spare = [
+            c
+            for c in self.callers
+            if c.transport is not None
+            and not (c.open or c.waiting or c.deaf)
+            and (c.partial is None or now - c.since > STALLED)
+        ]
+        for caller in sorted(spare, key=lambda c: (c.partial is not None, c.asked, c.active)):
+            if not caller.unread():
+                self.callers.discard(caller)
+                caller.transport.abort()
+                return
 
     def sweep(self) -> None:
-        """Ends connections whose request has begun long ago and not come whole."""
+        """Ends what has not brought a whole request in its time; a client that has asked may stay idle."""
         now = self.loop.time()
         for caller in list(self.callers):
-            if now - caller.active > SLOW and caller.open is None and not caller.deaf:
-                if caller.partial is not None:
-                    caller.reject(408)
-                    caller.next()
-                elif caller.refusing and caller.transport is not None:
-                    caller.transport.abort()
-        self.loop.call_later(SLOW / 4, self.sweep)
+            if caller.open or caller.waiting or caller.deaf or now - caller.since <= SLOW:
+                continue
+            if caller.partial is not None:
+                caller.reject(408)
+            elif (caller.refusing or not caller.asked) and caller.transport is not None and caller.idle():
+                caller.transport.abort()
+        self.loop.call_later(SWEEP, self.sweep)
 
     async def drain(self) -> None:
         """Ends the service: all that was taken is answered, then no connection outlives its answer.
--- a/brackenladder/net/config.py
+++ b/brackenladder/net/config.py
@@ -14,6 +14,7 @@
 Address = tuple[str, int]
 
 RESERVED_SOCKETS = 32  # the event loop's own, the listener, UDP, discovery, the standard streams
+HELD_SHARE = 8  # an eighth of the memory may hold clients' requests
 LEAST_SOCKETS = RESERVED_SOCKETS + 8
 
 
@@ -31,6 +32,7 @@
     filed_discovery: object  # as it stands in the file, which the environment may override
     seed: int
     connections: int  # descriptors that clients and servers may use together
+    most_held: int  # bytes of clients' requests that may be in memory
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -96,7 +98,8 @@
     except (TypeError, ValueError):
         raise ConfigError("seed: not a hexadecimal number") from None
     fields = Fields(table)
-    sockets = fields.sub("limits", optional=True).whole("sockets", 1024)
+    given = fields.sub("limits", optional=True)
+    sockets, memory = given.whole("sockets", 1024), given.whole("memory_mb", 128)
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: at least {LEAST_SOCKETS} are needed")
     peer_listen, peers_all = table.get("peer_listen"), table.get("peers_all")
@@ -112,6 +115,7 @@
         filed_discovery=table.get("discovery"),
         seed=number,
         connections=sockets - RESERVED_SOCKETS,
+        most_held=(memory << 20) // HELD_SHARE,
         peer_listen=read_address(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(read_address(p, "peers") for p in fields.items("peers")),
         peers_all=read_address(peers_all, "peers_all") if peers_all else None,
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -80,7 +80,7 @@
         self.kinds = {name: i for i, name in enumerate(config.kinds)}
         half = config.connections // 2
         self.pool = Pool(loop, half, config.connect_timeout, config.idle_time)
-        self.callers = Callers(loop, config.connections - half, self)
+        self.callers = Callers(loop, config.connections - half, config.most_held, self)
         version = config.known.version if config.known else None
         self.discovery = Discovery(loop, config.discovery, version, self.told, strays)
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -35,6 +35,15 @@
     return handle
 
 
+HIDDEN = b"0\r\n\r\n" + call("invite")
+
+
+def chunked(coding: bytes) -> bytes:
+    """A request with a chunked body, said to have this coding."""
+    data = call("invite", extra=b"Transfer-Encoding: %b\r\n" % coding, body=b"")
+    return data.replace(b"Content-Length: 0\r\n", b"") + b"2\r\nok\r\n0\r\n\r\n"
+
+
 MANY_LINES = b"GET /view HTTP/1.1\r\n" + b"a: b\r\n" * 1000
 
 
@@ -88,11 +97,10 @@
     play(scene)
 
 
-def test_requests_sent_ahead_are_held_within_a_bound(monkeypatch):
+def test_requests_sent_ahead_are_held_within_a_bound():
     """Failure prevented: many clients that send large requests ahead end the process for its memory."""
 
     async def scene():
-        monkeypatch.setattr("brackenladder.net.callers.MOST_HELD", 150_000)
         release = asyncio.Event()
 
         async def held(request, writer):
@@ -101,6 +109,8 @@
 
         bench = await Bench(server := Server(held)).start()
         callers = bench.node.callers
+        assert callers.most_held == 16 << 20  # an eighth of the memory that is given if none is named
+        callers.most_held = 150_000
 
         def large():
             return call("invite", body=b"x" * 60000)
@@ -184,6 +194,21 @@
         (call("invite", body=b"x" * 65537), 413),
         (b"GET /view HTTP/1.1\r\nX-Long: " + b"x" * 40000, 431),
         (MANY_LINES, 431),
+        (call("invite", extra=b"Content-Length: 60000000\r\n").replace(b"Content-Length: 0\r\n", b""), 413),
+        (call("invite", extra=b"Content-Length: 0\r\n"), 400),
+        (call("invite", extra=b"Transfer-Encoding: chunked\r\n", body=HIDDEN), 400),
+        (call("invite").replace(b"Content-Length: 0", b"Content-Length: +0"), 400),
+        (call("invite").replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
+        (call("invite").replace(b"Content-Length: 0", b"Content-Length: 99999999999999999999"), 400),
+        (chunked(b"gzip, chunked"), 400),
+        (chunked(b"identity"), 400),
+        (chunked(b"chunked").replace(b"HTTP/1.1", b"HTTP/1.0"), 400),
+        (chunked(b"chunked").replace(b"2\r\nok", b"2;" + b"x" * 600000 + b"\r\nok"), 413),
+        (call(extra=b"X-Folded: a\r\n b\r\n"), 400),
+        (call(extra=b"X-Call-Id: other\r\n"), 400),
+        (call(extra=b"X-Budget-Ms: 15000\r\n"), 400),
+        (call("offer", extra=b"Idempotency-Key: other\r\n"), 400),
+        (call("invite", body=b"x" * 390).replace(b"Content-Length: 390", b"Content-Length: 10"), 400),
     ],
 )
 def test_bad_input_gets_its_status_and_harms_nobody(data, status):
@@ -1364,6 +1389,80 @@
     play(scene)
 
 
+def test_what_cannot_be_read_ends_its_connection_whatever_is_open_there():
+    """Failure prevented: the error waits behind a request that takes its time, and the client with it."""
+
+    async def scene():
+        bench = await Bench(server := Server(always(None))).start()
+        (client := await bench.client()).send(call("invite") + call("invite"))
+        await until(lambda: len(server.requests) == 1)
+        client.send(b"nonsense\r\n\r\n")
+        assert (await client.receive())[0] == 400 and await client.ended()
+        await until(lambda: server.closed == 1)
+        assert len(server.requests) == 1 and not bench.node.requests and bench.node.callers.held == 0
+
+    play(scene)
+
+
+def test_trailers_are_not_passed_on():
+    """Failure prevented: what comes behind the body is taken for headers by the next."""
+
+    async def scene():
+        bench = await Bench(server := Server()).start()
+        data = chunked(b"chunked")[:-2] + b"X-Call-Id: 9b1f\r\nX-Trace: 7\r\n\r\n"
+        assert (await bench.once(data))[0] == 200
+        (got,) = server.requests
+        assert got.body == b"ok" and "x-trace" not in got.headers and got.headers["x-call-id"] != "9b1f"
+
+    play(scene)
+
+
+def test_who_never_asks_is_closed_and_who_has_asked_may_stay():
+    """Failure prevented: hundreds that connect and say nothing hold descriptors for good."""
+
+    async def scene():
+        bench = await Bench(Server()).start()
+        silent, asked = await bench.client(), await bench.client()
+        assert (await asked.ask(call()))[0] == 200
+        await until(lambda: len(bench.node.callers.callers) == 2)
+        for caller in bench.node.callers.callers:
+            caller.since -= 2.6  # as if it were so long ago
+        bench.node.callers.sweep()
+        assert await silent.ended()
+        assert (await asked.ask(call()))[0] == 200
+
+    play(scene)
+
+
+def test_room_is_made_by_those_who_never_asked_and_then_by_those_who_stall():
+    """Failure prevented: silent connections, or half requests, push out clients that are served."""
+
+    async def scene():
+        bench = await Bench(Server(), config={"limits": {"sockets": 48}}).start()
+        callers = bench.node.callers
+        served = [await bench.client() for _ in range(callers.most - 2)]
+        for client in served:
+            assert (await client.ask(call()))[0] == 200
+        silent, stalling = await bench.client(), await bench.client()
+        stalling.send(b"GET /view HTTP/1.1\r\n")
+        await until(lambda: any(c.partial for c in callers.callers))
+        for caller in callers.callers:
+            caller.since -= 1.0
+        (new := await bench.client()).send(call())
+        assert await silent.ended() and (await new.receive())[0] == 200
+        bench.node.balancer.request = lambda *args: None  # all stay open
+        for client in (*served, new):
+            client.send(call("invite"))
+        await until(lambda: len(bench.node.by_caller) == len(served) + 1)
+        last = await bench.client()
+        last.send(call("invite"))
+        assert await stalling.ended()
+        await until(lambda: len(bench.node.by_caller) == len(served) + 2)
+        last.writer.close()
+
+    play(scene)
+
+
 def test_a_request_that_never_comes_whole_is_given_up():
     """Failure prevented: clients that send half a request hold descriptors for good."""
 
@@ -1373,7 +1472,11 @@
         client.send(b"GET /view HTTP/1.1\r\nX-Call-Id: 1\r\n")
         await until(lambda: any(c.partial for c in bench.node.callers.callers))
         (caller,) = bench.node.callers.callers
-        caller.active -= 1000  # as if it were long ago
+        for _ in range(2):  # more bytes do not start the time anew
+            client.send(b"X-N: 1\r\n")
+            seen = caller.active
+            await until(lambda seen=seen: caller.active > seen)
+        caller.since -= 2.6  # as if it had come so long ago
         bench.node.callers.sweep()
         assert (await client.receive())[0] == 408 and await client.ended()
 
