A watch waits as long as the fleet is large: 3 to 20 s

Cause: discovery.py, WAIT_MS. A probe each second shows both nodes with the same four servers from 6 s to the end while discovery changes eight times: draining servers turn attempts away, gone ones refuse connections. The watch hangs on a connection on which nothing more comes, and 20 s and 2 s more pass before that is noticed. Mend: 0.5 s for each node of the tier, 3 s at the least, 20 s at the most as before: discovery can do so much for all nodes together, and empty answers to a large fleet would use that up.

--- a/brackenladder/net/discovery.py
+++ b/brackenladder/net/discovery.py
@@ -13,7 +13,8 @@
 from brackenladder.net.listing import Listing, read_listing
 from brackenladder.net.log import Log
 
-WAIT_MS = 20_000  # a watch with no news lasts so long
+LEAST_WAIT_MS, MOST_WAIT_MS = 3_000, 20_000  # a watch with no news lasts so long...
+WAIT_MS_A_NODE = 500  # ...in between: for each node of the tier, since discovery serves them all in turn
 CONNECT_TIMEOUT = 1.0
 ANSWER_TIME = 2.0  # after its wait, a watch that has not been answered has failed
 FETCH_TIME = 6.0
@@ -138,12 +139,16 @@
         loop: asyncio.AbstractEventLoop,
         address: tuple[str, int],
         version: int | None,
+        nodes: int,
         told: Told,
         log: Log,
     ) -> None:
         self.loop = loop
         self.address = address
         self.version = version
+        # Failure prevented: discovery says nothing more on a connection that stays open, and until the wait
+        # is over requests go to servers that have left.
+        self.wait = min(MOST_WAIT_MS, max(LEAST_WAIT_MS, WAIT_MS_A_NODE * nodes))
         self.told = told
         self.log = log
         self.watching: Call | None = None
@@ -173,7 +178,7 @@
         if self.version is None:
             call.ask("/v1/endpoints", FETCH_TIME)
             return
-        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={WAIT_MS}", WAIT_MS / 1000 + ANSWER_TIME)
+        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={self.wait}", self.wait / 1000 + ANSWER_TIME)
 
     def watched(self, call: Call, body: bytes | None) -> None:
         listing = self.read(body)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -82,7 +82,9 @@
         self.pool = Pool(loop, half, config.connect_timeout, config.idle_time)
         self.callers = Callers(loop, config.connections - half, config.most_held, self)
         version = config.known.version if config.known else None
-        self.discovery = Discovery(loop, config.discovery, version, self.told, strays)
+        self.discovery = Discovery(
+            loop, config.discovery, version, config.settings.instances, self.told, strays
+        )
         self.peers = Peers(config.peers, config.peers_all, self.heard, strays)
         self.balancer = Balancer(config.settings, config.seed, self)
         self.listed = False
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -748,7 +748,8 @@
 
     async def scene():
         monkeypatch.setattr("brackenladder.net.discovery.CONNECT_TIMEOUT", 0.2)
-        monkeypatch.setattr("brackenladder.net.discovery.WAIT_MS", 200)
+        monkeypatch.setattr("brackenladder.net.discovery.LEAST_WAIT_MS", 200)
+        monkeypatch.setattr("brackenladder.net.discovery.WAIT_MS_A_NODE", 0)
         monkeypatch.setattr("brackenladder.net.discovery.ANSWER_TIME", 0.2)
         rules = settings()["rules"] | {"ask_within": MOMENT}  # asks again soon
         bench = await Bench(old := Server(), rules=rules).start()
@@ -778,6 +779,19 @@
     play(scene)
 
 
+@pytest.mark.parametrize(("nodes", "wait"), [(1, 3000), (13, 6500), (300, 20000)])
+def test_a_watch_waits_as_long_as_the_fleet_is_large(nodes, wait):
+    """Failure prevented: a small fleet notices after 22 s that discovery is cut off; a large one spends
+    all that discovery can do on empty answers."""
+
+    async def scene():
+        bench = await Bench(Server(), group_size=nodes).start()
+        await until(lambda: len(bench.discovery.requests) == 1)
+        assert bench.discovery.requests[0].target.endswith(f"timeout_ms={wait}")
+
+    play(scene)
+
+
 def test_a_pushed_list_is_watched_by_the_node_itself():
     async def scene():
         bench = await Bench(server := Server(), discovery="push", config={"known": None}).start()
