Rehearsals: stand-ins, faults on a schedule, a checker of the four rules, first slice

Real nodes are started behind stand-in servers, discovery, clients and a relay, which break as a seed says; a pure checker reads their journals and says of each rule whether it held, broke or was not tried. make test, rehearse and demo set up their environment from a fresh clone (make test ended in 'ruff: No such file').

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,25 @@
-.PHONY: test
+# From a fresh clone, with nothing but python3 and make. All is installed into .venv, pinned.
+PYTHON ?= python3
+BIN = .venv/bin
+NEEDS = requirements.txt requirements-tools.txt requirements-dev.txt
+
+.PHONY: test rehearse demo
 # All checks: style, types, tests.
-test:
-	ruff check .
-	ruff format --check .
-	mypy
-	pytest -q
+test: .venv/ready
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+	$(BIN)/pytest -q
+
+# The rolling deploy, rehearsed against two real nodes; a verdict for each of the four rules.
+rehearse: .venv/ready
+	$(BIN)/python -m brackenladder rehearse rolling-deploy
+
+# One node before four stand-in servers, until Ctrl-C.
+demo: .venv/ready
+	$(BIN)/python -m brackenladder demo
+
+.venv/ready: $(NEEDS)
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps $(addprefix -r ,$(NEEDS))
+	touch $@
--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -41,8 +41,22 @@
     await node.drain()
 
 
+def command(arguments: list[str]) -> int:
+    """Runs a command of the tools. They are imported here alone: a node carries nothing of them."""
+    try:
+        from brackenladder.cli.main import main as run_command
+    except ModuleNotFoundError as e:
+        print(
+            f"brackenladder: {arguments[0]}: needs {e.name}: install requirements-tools.txt", file=sys.stderr
+        )
+        return 2
+    return run_command(arguments)
+
+
 def main() -> int:
-    """Starts a node; 2 if it was told what it cannot start with."""
+    """Starts a node; 2 if it was told what it cannot start with. With arguments, a command."""
+    if len(sys.argv) > 1:
+        return command(sys.argv[1:])
     try:
         config = load(os.environ)
     except ConfigError as e:
--- /dev/null
+++ b/brackenladder/cli/main.py
@@ -0,0 +1,34 @@
+"""The command line: which command it is, and how errors end."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import click
+
+from brackenladder.cli.demo import demo
+from brackenladder.cli.rehearse import rehearse
+
+UNUSABLE = 2
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def commands() -> None:
+    """brackenladder: with no command, a node as its environment says."""
+
+
+commands.add_command(demo)
+commands.add_command(rehearse)
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Runs a command; its exit code. What cannot be used is one line and code 2."""
+    try:
+        result = commands.main(list(arguments), prog_name="brackenladder", standalone_mode=False)
+    except click.ClickException as e:
+        click.echo(f"brackenladder: {e.format_message()}", err=True)
+        return UNUSABLE
+    except click.Abort:
+        click.echo("brackenladder: interrupted", err=True)
+        return 1
+    return int(result or 0)
--- /dev/null
+++ b/brackenladder/cli/rehearse.py
@@ -0,0 +1,162 @@
+"""`rehearse`: runs a scenario against real nodes, and says of each rule whether it held."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from brackenladder.rehearsal import report as reports
+from brackenladder.rehearsal.checker import RULES, Report, check
+from brackenladder.rehearsal.nodes import NodeError
+from brackenladder.rehearsal.plan import explained, plan_of
+from brackenladder.rehearsal.runner import Result, RunError
+from brackenladder.rehearsal.runner import rehearse as run
+from brackenladder.rehearsal.scenario import Scenario, ScenarioError, load, shipped
+from brackenladder.rehearsal.timeline import page
+
+SHOWN = 5  # breaks of one rule that are printed; the JSON has more
+COLOURS = {"held": "green", "broke": "bold red", "not tried": "yellow", "not valid": "magenta"}
+
+
+class Progress:
+    """A line that follows the run, and a line for each fault; on a terminal only."""
+
+    def __init__(self, console: Console) -> None:
+        self.console = console
+        self.status = console.status("starting")
+        if console.is_terminal:
+            self.status.start()
+
+    def __call__(self, seconds: float, counts: dict[str, int], text: str) -> None:
+        if not self.console.is_terminal:
+            return
+        if text:
+            self.console.print(f"{seconds:7.2f} s  {text}")
+        figures = ", ".join(f"{count} {name}" for name, count in counts.items())
+        self.status.update(f"{max(0.0, seconds):.1f} s  {figures}")
+
+    def end(self) -> None:
+        self.status.stop()
+
+
+@click.command()
+@click.argument("scenario", required=False)
+@click.option("--seed", type=click.IntRange(min=0), default=1, help="Draws times, targets and requests.")
+@click.option("--node", "command", default="", help="The command of the node, in place of this build's own.")
+@click.option("--json", "json_file", type=click.Path(dir_okay=False), help="Writes the whole report.")
+@click.option("--junit", type=click.Path(dir_okay=False), help="Writes a JUnit report.")
+@click.option("--timeline", type=click.Path(dir_okay=False), help="Writes a page with a lane for each part.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keeps journals and the nodes' logs here.")
+@click.option("--list", "listing", is_flag=True, help="Names the scenarios that come with it.")
+@click.option("--explain", is_flag=True, help="Says what breaks when, and runs nothing.")
+def rehearse(
+    scenario: str | None,
+    seed: int,
+    command: str,
+    json_file: str | None,
+    junit: str | None,
+    timeline: str | None,
+    keep: str | None,
+    listing: bool,
+    explain: bool,
+) -> int:
+    """Runs SCENARIO (a name or FILE.toml) against real nodes and checks the four rules.
+
+    Exit code 0: every rule that was tried held. 1: a rule broke, a node crashed, or the stand-ins ran
+    too late to tell. 2: the scenario cannot be used.
+    """
+    if listing:
+        for name in shipped():
+            click.echo(f"{name:24} {load(name).about}")
+        return 0
+    if not scenario:
+        raise click.UsageError("rehearse: name a scenario, or --list")
+    try:
+        read = load(scenario)
+        plan = plan_of(read, seed)
+    except ScenarioError as e:
+        text = str(e)
+        raise click.ClickException(text if scenario in text else f"{scenario}: {text}") from None
+    if explain:
+        click.echo("\n".join(explained(read, plan)))
+        return 0
+    for file in (json_file, junit, timeline):
+        if file is not None and not Path(file).absolute().parent.is_dir():
+            raise click.ClickException(f"{file}: no such folder")
+    console = Console(highlight=False, stderr=False)
+    progress = Progress(console)
+    with tempfile.TemporaryDirectory(prefix="rehearsal-") as temporary:
+        folder = Path(keep) if keep else Path(temporary)
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            if any(folder.glob("*.jsonl")):
+                raise click.ClickException(f"{keep}: holds the journals of another run")
+            result = asyncio.run(run(read, seed, command, folder, progress))
+        except OSError as e:
+            raise click.ClickException(f"{e.filename or folder}: {e.strerror}") from None
+        except NodeError as e:
+            click.echo(f"brackenladder: rehearse: {e}{last_words(folder)}", err=True)
+            return 1
+        except RunError as e:
+            click.echo(f"brackenladder: rehearse: not valid: {e}", err=True)
+            return 1
+        finally:
+            progress.end()
+    report = check(result.events, reports.terms_of(read))
+    name = Path(scenario).stem
+    if json_file:
+        Path(json_file).write_bytes(reports.as_json(name, read, result, report))
+    if junit:
+        Path(junit).write_bytes(reports.as_junit(name, report, result))
+    if timeline:
+        Path(timeline).write_text(page(read, result, report))
+    show(console, read, result, report)
+    return 0 if reports.passed(report, result) else 1
+
+
+def last_words(folder: Path) -> str:
+    """The last line of the nodes' logs, if there is one."""
+    lines = [
+        line for log in sorted(folder.glob("*.log")) for line in log.read_text(errors="replace").splitlines()
+    ]
+    return f": {lines[-1]}" if lines else ""
+
+
+def show(console: Console, scenario: Scenario, result: Result, report: Report) -> None:
+    """The verdict table, and what broke."""
+    table = Table(title=f"{scenario.title}, seed {result.plan.seed}", title_justify="left")
+    for heading in ("rule", "verdict", "chances", "broken", "within slack", "meaning"):
+        table.add_column(
+            heading, justify="right" if heading in ("chances", "broken", "within slack") else "left"
+        )
+    for rule in RULES:
+        ruling = report.rulings[rule]
+        table.add_row(
+            rule,
+            f"[{COLOURS[ruling.verdict]}]{ruling.verdict}[/]",
+            str(ruling.chances),
+            str(ruling.broken),
+            str(ruling.edges),
+            reports.MEANINGS[rule],
+        )
+    console.print(table)
+    for rule in RULES:
+        for finding in report.rulings[rule].evidence[:SHOWN]:
+            at = (finding.t - result.begin) / 1e6
+            console.print(
+                f"{rule}: {at:.3f} s {finding.node} {finding.server} {finding.id}: {finding.text}",
+                markup=False,
+            )
+    for name, codes in result.crashed.items():
+        console.print(f"{name} crashed: exit code {', '.join(map(str, codes))}")
+    for note in reports.notes(scenario, result):
+        console.print(note)
+    if "not valid" in report.verdicts.values():
+        console.print(f"not valid: the stand-in '{report.late}' ran {report.lag / 1000:.0f} ms late")
+    counts = ", ".join(f"{count} {name}" for name, count in result.counts.items())
+    console.print(f"{counts}; {result.seconds:.1f} s; worst lag {report.lag / 1000:.1f} ms")
--- /dev/null
+++ b/brackenladder/rehearsal/nodes.py
@@ -0,0 +1,249 @@
+"""The nodes under rehearsal: real processes, told what the deployment page says and nothing more."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import shlex
+import signal
+import socket
+import sys
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from brackenladder.rehearsal.events import Journal, NodeEnded, NodeSignal, NodeUp, now
+from brackenladder.rehearsal.plan import node_name
+from brackenladder.rehearsal.scenario import Scenario
+
+READY_TIME = 20.0  # seconds for a node to be ready
+LOOK = 0.03  # seconds between two looks at it
+TERM_MARGIN = 0.7  # seconds after the longest deadline until SIGKILL follows SIGTERM
+LONGEST_TERM = 3.0  # of the longest deadline, what counts there
+EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
+GROUPS = {"all": "all", "zone": "zone", "pod": "cell"}
+SIGNALS = {"kill": signal.SIGKILL, "term": signal.SIGTERM, "hup": signal.SIGHUP}
+
+
+class NodeError(Exception):
+    """A node that does not come up; the text says which and why."""
+
+
+def settings_of(scenario: Scenario, number: int) -> dict[str, Any]:
+    """The settings object that a node is given, in its published names; times in microseconds."""
+    s = scenario
+    micro = 1_000_000
+    ratio = 1 / len(s.tenants)
+    return {
+        "callers": {"marks_retry": True},
+        "classes": [
+            {
+                "name": c.name,
+                "effect": EFFECTS[c.effect],
+                "group": GROUPS[c.group] if c.effect == "keyed" else "all",
+                "goal_time": round(c.aim_ms * 1000),
+                "hard_limit": round(c.deadline_ms * 1000),
+                "late_value": 0.2,
+                "stream": False,
+                "window": round(c.window_s * micro),
+                "worth": 1.0,
+            }
+            for c in s.classes
+        ],
+        "dcs": list(s.zones),
+        "deductions": {"cross_zone": 0.01, "peer": 0.01, "probe": 0.03, "waste": 0.04, "late_fail": 0.05},
+        "discovery": s.discovery.how,
+        "domain_type": "chain",
+        "extra": {"passes_deadline": True},
+        "goal": {"whole": 0.4, "worst_class": 0.1, "worst_tenant": 0.4, "worst_window": 0.1},
+        "group_size": s.nodes,
+        "kinds": ["std"],
+        "layers": ["rehearsal"],
+        "over_share_worth": 0.05,
+        "policy_limits": {
+            "cancel": True,
+            "conn_idle": round(s.servers.idle_s * micro),
+            "connect_timeout": round(s.limits.connect_ms * 1000),
+            "max_attempts": s.limits.attempts,
+            "max_open": 20_000,
+            "max_retry_after": 2 * micro,
+            "peers": True,
+            "probing": True,
+            "retry_after": True,
+            "second_copies": False,
+            "streams_per_conn": 1,
+        },
+        "report": {"columns": ["mean_ms", "concurrent", "err_ps"], "how": "on_probe"},
+        "rules": {
+            "answer_slack": round(s.rules.answer_ms * 1000),
+            "ask_within": 10 * micro,
+            "cold": round(s.servers.warm_s * micro),
+            "fall_multiple": s.rules.fall_multiple,
+            "start_capacity": s.servers.cold_share,
+            "stop_sending_within": round(s.rules.drain_ms * 1000),
+            "tip_after": round(s.rules.fall_s * micro),
+        },
+        "self_index": number,
+        "tenants": [
+            {"name": name, "quota_rps": s.clients.rate * ratio * 1.5, "share": ratio} for name in s.tenants
+        ],
+        "tick": 5000,
+        "tier": 0,
+        "weights": "off",
+        "worth_by": "request",
+        "zone": number % len(s.zones),
+    }
+
+
+def own_address(rng: Random) -> str:
+    """A loopback host that nothing else uses, so that ports found free there stay free."""
+    for _ in range(50):
+        host = f"127.{rng.randrange(16, 250)}.{rng.randrange(1, 250)}.{rng.randrange(1, 250)}"
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, 0))
+            except OSError:
+                break  # a system with one loopback address
+            return host
+    return "127.0.0.1"
+
+
+def free_port(host: str, kind: socket.SocketKind) -> int:
+    with socket.socket(type=kind) as sock:
+        sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
+class NodeProcess:
+    """One node: its configuration, its process, and what was done to it."""
+
+    def __init__(
+        self, scenario: Scenario, number: int, command: str, folder: Path, journal: Journal, rng: Random
+    ) -> None:
+        self.scenario = scenario
+        self.number = number
+        self.name = node_name(number)
+        self.command = shlex.split(command) if command else [sys.executable, "-m", "brackenladder"]
+        self.folder = folder
+        self.journal = journal
+        self.rng = rng
+        host = own_address(rng)
+        self.listen = f"{host}:{free_port(host, socket.SOCK_STREAM)}"
+        self.datagrams = f"{host}:{free_port(host, socket.SOCK_DGRAM)}"
+        self.discovery: list[str] = []
+        self.peers: list[str] = []
+        self.known: list[dict[str, Any]] = []
+        self.source = 0
+        self.process: asyncio.subprocess.Process | None = None
+        self.signalled = ""
+        self.crashed: list[int] = []  # exit codes that nobody asked for
+        self.starts = 0
+
+    def write(self) -> Path:
+        """Writes the configuration file: in whole, then into its place."""
+        s = self.scenario
+        table = {
+            "name": self.name,
+            "listen": self.listen,
+            "discovery": self.discovery[self.source],
+            "seed": f"{self.rng.getrandbits(64):016x}",
+            "limits": {"cores": 1.0, "memory_mb": s.limits.memory_mb, "sockets": s.limits.sockets},
+            "peer_listen": self.datagrams,
+            "peers": self.peers[:-1],
+            "peers_all": self.peers[-1],
+            "known": {"version": 0, "full": True, "servers": self.known},
+            "settings": settings_of(s, self.number),
+        }
+        path = self.folder / f"{self.name}.json"
+        fresh = path.with_suffix(".new")
+        fresh.write_text(json.dumps(table))
+        fresh.rename(path)
+        return path
+
+    async def start(self) -> None:
+        """Starts the process and waits until it is ready. A NodeError if it never is."""
+        path = self.write()
+        self.signalled = ""
+        self.starts += 1
+        environ = dict(os.environ) | {
+            "LB_NAME": self.name,
+            "LB_LISTEN": self.listen,
+            "LB_DISCOVERY": self.discovery[self.source],
+            "LB_CONFIG": str(path),
+        }
+        log = (self.folder / f"{self.name}.log").open("ab")
+        try:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command, env=environ, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
+            )
+        except OSError as e:
+            raise NodeError(f"{self.command[0]}: {e.strerror}") from None
+        finally:
+            log.close()
+        self.watcher = asyncio.create_task(self.watch(self.process))
+        until = asyncio.get_running_loop().time() + READY_TIME
+        while not await self.ready():
+            if self.process.returncode is not None:
+                raise NodeError(
+                    f"{self.name} ended with status {self.process.returncode} before it was ready"
+                )
+            if asyncio.get_running_loop().time() > until:
+                raise NodeError(f"{self.name} was not ready after {READY_TIME:g} s")
+            await asyncio.sleep(LOOK)
+        self.journal.add(NodeUp(now(), self.name))
+
+    async def ready(self) -> bool:
+        host, _, port = self.listen.rpartition(":")
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET /ready HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return line.split(b" ")[1:2] == [b"200"]
+
+    async def watch(self, process: asyncio.subprocess.Process) -> None:
+        """Notes the process's end."""
+        code = await process.wait()
+        wanted = self.signalled == "kill" or (self.signalled == "term" and code == 0)
+        if not wanted:
+            self.crashed.append(code)
+        self.journal.add(NodeEnded(now(), self.name, code, wanted))
+
+    def signal(self, name: str) -> None:
+        """Sends kill, term or hup, and notes it before."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        if name != "hup":
+            self.signalled = name
+        self.journal.add(NodeSignal(now(), self.name, name))
+        self.process.send_signal(SIGNALS[name])
+
+    async def ended(self, time: float) -> bool:
+        """Waits for the process's end, so long at most."""
+        if self.process is None:
+            return True
+        try:
+            async with asyncio.timeout(time):
+                await self.watcher
+        except TimeoutError:
+            return False
+        return True
+
+    async def terminate(self) -> None:
+        """SIGTERM, and SIGKILL when its time is over."""
+        longest = max(c.deadline_ms for c in self.scenario.classes) / 1000
+        self.signal("term")
+        if not await self.ended(min(longest, LONGEST_TERM) + TERM_MARGIN):
+            self.signal("kill")
+            await self.ended(READY_TIME)
+
+    async def end(self) -> None:
+        """The run is over: the process is killed, whatever it does."""
+        if self.process is not None and self.process.returncode is None:
+            self.signalled = "kill"
+            self.process.kill()
+            await self.watcher
--- /dev/null
+++ b/brackenladder/rehearsal/plan.py
@@ -0,0 +1,295 @@
+"""What a run will do, from a scenario and a seed: pure, and the same for the same two.
+
+All times are microseconds from the run's start.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from itertools import accumulate, count
+from random import Random
+
+import msgspec
+
+from brackenladder.rehearsal.scenario import (
+    DATAGRAM_FAULTS,
+    DISCOVERY_FAULTS,
+    NODE_FAULTS,
+    SERVER_FAULTS,
+    FaultTable,
+    Scenario,
+    ScenarioError,
+)
+
+MICRO = 1_000_000
+DEPLOY_AT_ONCE = 0.2  # a deploy takes down this part of the fleet at a time
+DRAINING = 2 * MICRO  # how long a server of a deploy drains before it ends
+APART = MICRO // 2  # between two faults at one server
+BOOT = MICRO  # from the end of a server to the start of its successor
+
+
+class ServerPlan(msgspec.Struct, frozen=True):
+    """A server: `id` is the same at every node and after a restart."""
+
+    id: str
+    zone: str
+    cell: int
+    cores: int
+    speed: float
+    born: int  # -1: it stood before the run; else the time of its first start
+    place: int  # servers of one place have one address, one after another
+    process: int  # which stand-in process hosts it
+
+
+class Step(msgspec.Struct, frozen=True):
+    """A fault at one target. `successor`: the server that takes a replaced or drained one's part."""
+
+    at: int
+    length: int
+    kind: str
+    target: str
+    successor: str = ""
+    share: float = 1.0
+    count: int = 0
+
+    @property
+    def end(self) -> int:
+        return self.at + self.length
+
+
+class RequestPlan(msgspec.Struct, frozen=True):
+    """A client's request. `budgets`: one a try; `leave`: the client's patience if it leaves early, or 0."""
+
+    at: int
+    id: str
+    node: int
+    klass: int
+    tenant: int
+    object: str
+    budgets: tuple[int, ...]
+    waits: tuple[int, ...]
+    leave: int
+    drop: bool
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """The whole run."""
+
+    seed: int
+    length: int
+    servers: tuple[ServerPlan, ...]
+    steps: tuple[Step, ...]
+    requests: tuple[RequestPlan, ...]
+
+
+def node_name(number: int) -> str:
+    return f"n{number}"
+
+
+def plan_of(scenario: Scenario, seed: int) -> Plan:
+    """The plan; a ScenarioError if the faults ask for more targets than there are."""
+    servers = fleet(scenario, Random(f"fleet {seed}"))
+    steps, born = faults(scenario, servers, Random(f"faults {seed}"))
+    return Plan(
+        seed=seed,
+        length=micro(scenario.length_s),
+        servers=(*servers, *born),
+        steps=tuple(sorted(steps, key=lambda s: (s.at, s.kind, s.target))),
+        requests=requests(scenario, Random(f"requests {seed}")),
+    )
+
+
+def micro(seconds: float) -> int:
+    return round(seconds * MICRO)
+
+
+def fleet(scenario: Scenario, rng: Random) -> list[ServerPlan]:
+    """The servers that stand at the start."""
+    s, zones = scenario.servers, scenario.zones
+    pods = -(-s.count // len(zones)) // s.pod + 1  # of one zone, at most
+    return [
+        ServerPlan(
+            id=f"s{i}-{rng.getrandbits(24):06x}",
+            zone=zones[i % len(zones)],
+            cell=(i % len(zones)) * pods + (i // len(zones)) // s.pod,
+            cores=s.cores,
+            speed=round(rng.uniform(*s.speed), 3),
+            born=-1,
+            place=i,
+            process=i % s.processes,
+        )
+        for i in range(s.count)
+    ]
+
+
+def faults(scenario: Scenario, servers: list[ServerPlan], rng: Random) -> tuple[list[Step], list[ServerPlan]]:
+    """The faults' steps, and the servers that are born in the run."""
+    steps: list[Step] = []
+    born: list[ServerPlan] = []
+    alive = {s.id: s for s in servers}  # those that no fault has ended or will end
+    numbers = count(len(servers))
+    for i, fault in sorted(enumerate(scenario.faults), key=lambda pair: pair[1].at_s):
+        at = micro(fault.at_s) + round(rng.random() * micro(fault.jitter_s))
+        length = micro(fault.for_s)
+        # Two faults at one server at one time would cross: the first one's end undoes the second.
+        taken = {s.target for s in steps if s.at - APART < at + length and at < s.end + APART}
+        free = [s for s in alive.values() if s.id not in taken]
+        picked = targets(scenario, fault, free, rng, f"faults[{i}].pick")
+        batch = max(1, round(DEPLOY_AT_ONCE * len(alive)))
+        waves = -(-len(picked) // batch)
+        for k, target in enumerate(picked):
+            step = Step(at, length, fault.kind, target, share=fault.share, count=fault.count)
+            if fault.kind in ("replace", "drain", "drain-answering", "deploy"):
+                old = alive.pop(target)
+                new = heir(scenario, old, f"s{next(numbers)}-{rng.getrandbits(24):06x}", rng)
+                if fault.kind == "replace":
+                    new = msgspec.structs.replace(new, place=old.place, born=step.end)
+                    step = msgspec.structs.replace(step, successor=new.id)
+                elif fault.kind == "deploy":
+                    # In batches over the fault's length; a successor starts when its server has ended.
+                    start = at + k // batch * length // waves + round(rng.random() * MICRO / 4)
+                    new = msgspec.structs.replace(
+                        new, place=next_place(servers, born), born=start + DRAINING + BOOT
+                    )
+                    step = Step(start, DRAINING, "drain", target, successor=new.id)
+                else:
+                    steps.append(step)
+                    continue
+                born.append(new)
+            elif fault.kind == "restart":
+                del alive[target]  # one end for each process, lest two faults cross
+            steps.append(step)
+    return steps, born
+
+
+def next_place(servers: list[ServerPlan], born: list[ServerPlan]) -> int:
+    return 1 + max(s.place for s in (*servers, *born))
+
+
+def heir(scenario: Scenario, old: ServerPlan, name: str, rng: Random) -> ServerPlan:
+    """A successor in the old one's pod."""
+    speed = round(rng.uniform(*scenario.servers.speed), 3)
+    return msgspec.structs.replace(old, id=name, speed=speed)
+
+
+def targets(
+    scenario: Scenario, fault: FaultTable, alive: list[ServerPlan], rng: Random, key: str
+) -> list[str]:
+    """The names that a fault falls on, drawn from the seed."""
+    if fault.kind in DISCOVERY_FAULTS:
+        return ["discovery"]
+    if fault.kind in DATAGRAM_FAULTS:
+        return ["relay"]
+    zones = scenario.zones
+    if fault.kind in NODE_FAULTS:
+        names = [node_name(i) for i in range(scenario.nodes) if fault.zone in ("", zones[i % len(zones)])]
+    else:
+        names = [s.id for s in alive if fault.zone in ("", s.zone)]
+    whole = len(names)
+    if fault.pick == "all":
+        wanted = whole
+    elif fault.pick < 1:
+        wanted = max(1, round(fault.pick * whole))
+    else:
+        wanted = int(fault.pick)
+    if wanted > whole or not whole:
+        raise ScenarioError(f"{key}: {wanted} wanted, {whole} left that can be picked")
+    return rng.sample(names, wanted)
+
+
+def requests(scenario: Scenario, rng: Random) -> tuple[RequestPlan, ...]:
+    """Arrivals at random times (a Poisson process) up to the run's end."""
+    clients, classes = scenario.clients, scenario.classes
+    bounds = list(accumulate(c.share for c in classes))
+    out: list[RequestPlan] = []
+    time = 0.0
+    while True:
+        time += rng.expovariate(clients.rate)
+        if time >= scenario.length_s:
+            return tuple(out)
+        klass = min(bisect_right(bounds, rng.random() * bounds[-1]), len(classes) - 1)
+        deadline = classes[klass].deadline_ms * 1000
+        tries = range(clients.retries + 1)
+        budgets = tuple(int(deadline * rng.uniform(*clients.budget)) // 1000 * 1000 for _ in tries)
+        waits = tuple(round(rng.uniform(*clients.wait_ms) * 1000) for _ in tries)
+        leaves = rng.random() < clients.leave
+        out.append(
+            RequestPlan(
+                at=micro(time),
+                id=f"{rng.getrandbits(64):016x}",
+                node=rng.randrange(scenario.nodes),
+                klass=klass,
+                tenant=rng.randrange(len(scenario.tenants)),
+                object=f"{rng.getrandbits(64):016x}",
+                budgets=budgets,
+                waits=waits,
+                leave=round(rng.uniform(0.01, 0.5) * budgets[0]) if leaves else 0,
+                drop=rng.random() < clients.drop,
+            )
+        )
+
+
+WORDS = {
+    "stall": "answers nothing",
+    "stall-head": "stops in the head of each answer",
+    "stall-body": "stops partway through the body of each answer",
+    "drip": "answers byte by byte",
+    "reset-early": "resets connections before a request is whole",
+    "reset-late": "resets connections after a request's last byte",
+    "reset-answer": "resets connections partway through the answer",
+    "reject": "turns requests away unseen (503 with X-Rejected)",
+    "error": "answers 500",
+    "closed": "closes its port",
+    "backlog": "takes no connections: its backlog is full",
+    "restart": "dies, and comes back cold under its id",
+    "replace": "dies; another comes up cold at its address",
+    "drain": "drains, then ends",
+    "drain-answering": "drains as it writes an answer, then ends",
+    "half-list": "gives whole lists with half of the servers",
+    "old-list": "gives an old version of the list",
+    "silence": "says nothing",
+    "datagrams-late": "delivers datagrams late",
+    "datagrams-twice": "delivers datagrams twice",
+    "datagrams-swapped": "delivers datagrams in another order",
+    "datagrams-lost": "loses datagrams",
+    "node-kill": "is killed, and starts again",
+    "node-term": "gets SIGTERM, and starts again once it has ended",
+    "node-move": "is moved to another discovery by SIGHUP",
+    "silent-clients": "gets connections that say nothing",
+}
+
+
+def explained(scenario: Scenario, plan: Plan) -> list[str]:
+    """The run in words, a line for each step."""
+    zones = {s.id: s.zone for s in plan.servers}
+    lines = [
+        f"{scenario.title}: {scenario.nodes} nodes, {scenario.servers.count} servers in"
+        f" {' and '.join(scenario.zones)}, {len(plan.requests)} requests in {scenario.length_s:g} s,"
+        f" seed {plan.seed}"
+    ]
+    for step in plan.steps:
+        where = f" ({zones[step.target]})" if step.target in zones else ""
+        text = f"{step.at / MICRO:7.2f} s  {step.target}{where} {WORDS[step.kind]}"
+        if step.kind == "silent-clients":
+            text += f": {step.count}"
+        if step.share < 1:
+            text += f", {step.share:.0%} of them"
+        text += f", {step.length / MICRO:g} s"
+        if step.successor:
+            born = next(s.born for s in plan.servers if s.id == step.successor)
+            text += f"; {step.successor} starts cold at {born / MICRO:.2f} s"
+        lines.append(text)
+    return lines
+
+
+__all__ = [
+    "MICRO",
+    "SERVER_FAULTS",
+    "Plan",
+    "RequestPlan",
+    "ServerPlan",
+    "Step",
+    "explained",
+    "node_name",
+    "plan_of",
+]
--- /dev/null
+++ b/brackenladder/rehearsal/report.py
@@ -0,0 +1,125 @@
+"""A run's report: the terms it was judged by, JSON, JUnit and a table's rows."""
+
+from __future__ import annotations
+
+from typing import Any
+from xml.etree import ElementTree
+
+import msgspec
+
+from brackenladder.rehearsal.checker import RULES, ClassTerms, Finding, Report, Terms
+from brackenladder.rehearsal.events import Datagram, Fault
+from brackenladder.rehearsal.runner import Result
+from brackenladder.rehearsal.scenario import Scenario
+
+MEANINGS = {
+    "lost": "one final answer, in time, and nothing after it",
+    "effect": "nothing repeated or refused that may have run, no two attempts at once",
+    "drain": "nothing new to a server that drains or is gone",
+    "cold": "no cold server pushed over",
+}
+
+
+def terms_of(scenario: Scenario) -> Terms:
+    """The figures that a scenario's runs are judged by."""
+    rules = scenario.rules
+    return Terms(
+        classes=tuple(ClassTerms(c.effect, c.group, round(c.window_s * 1e6)) for c in scenario.classes),
+        attempts=scenario.limits.attempts,
+        drain=round(rules.drain_ms * 1000),
+        multiple=rules.fall_multiple,
+        fall=round(rules.fall_s * 1e6),
+        answer=round(rules.answer_ms * 1000),
+        slack=round(rules.slack_ms * 1000),
+        lag=round(rules.lag_ms * 1000),
+    )
+
+
+def passed(report: Report, result: Result) -> bool:
+    """Whether nothing broke, no node crashed and the run is valid."""
+    return not result.crashed and not {"broke", "not valid"} & set(report.verdicts.values())
+
+
+def told(finding: Finding, begin: int) -> dict[str, Any]:
+    """A finding as the report gives it: `at_s` from the run's start."""
+    return {
+        "what": finding.what,
+        "at_s": round((finding.t - begin) / 1e6, 3),
+        "node": finding.node,
+        "server": finding.server,
+        "request": finding.id,
+        "text": finding.text,
+    }
+
+
+def as_json(name: str, scenario: Scenario, result: Result, report: Report) -> bytes:
+    """The whole report. Only `verdicts` is the same for each run of a seed."""
+    table = {
+        "scenario": name,
+        "title": scenario.title,
+        "seed": result.plan.seed,
+        "passed": passed(report, result),
+        "verdicts": {rule: report.verdicts[rule] for rule in RULES},
+        "rules": {
+            rule: {
+                "meaning": MEANINGS[rule],
+                "chances": report.rulings[rule].chances,
+                "broken": report.rulings[rule].broken,
+                "edges": report.rulings[rule].edges,
+                "evidence": [told(f, result.begin) for f in report.rulings[rule].evidence],
+                "edge_cases": [told(f, result.begin) for f in report.rulings[rule].edge_cases],
+            }
+            for rule in RULES
+        },
+        "notes": notes(scenario, result),
+        "crashed": result.crashed,
+        "lag_ms": report.lag / 1000,
+        "lag_of": report.late,
+        "seconds": round(result.seconds, 3),
+        "largest_process_mb": round(result.memory_kb / 1024, 1),
+        "requests": result.counts,
+        "events": len(result.events),
+    }
+    return msgspec.json.format(msgspec.json.encode(table), indent=1) + b"\n"
+
+
+def notes(scenario: Scenario, result: Result) -> list[str]:
+    """What a reader should know of what was put to the test, beside the rules."""
+    lines: list[str] = []
+    asked = [f for f in scenario.faults if f.kind.startswith("datagrams")]
+    if asked:
+        passed_on = [e for e in result.events if isinstance(e, Datagram)]
+        touched = sum(e.fate != "passed" for e in passed_on)
+        if not passed_on:
+            lines.append("nothing to lose: the nodes sent one another no datagrams")
+        else:
+            lines.append(f"{touched} of {len(passed_on)} datagrams between nodes were touched")
+    happened = sum(isinstance(e, Fault) for e in result.events)
+    lines.append(f"{happened} of {len(result.plan.steps)} faults happened")
+    return lines
+
+
+def as_junit(name: str, report: Report, result: Result) -> bytes:
+    """A test case a rule, and one for the nodes' lives."""
+    verdicts = report.verdicts
+    failures = sum(v == "broke" for v in verdicts.values()) + bool(result.crashed)
+    suite = ElementTree.Element(
+        "testsuite",
+        name=f"rehearse {name}",
+        tests=str(len(RULES) + 1),
+        failures=str(failures),
+        errors=str(sum(v == "not valid" for v in verdicts.values())),
+        skipped=str(sum(v == "not tried" for v in verdicts.values())),
+        time=f"{result.seconds:.3f}",
+    )
+    kinds = {"broke": "failure", "not valid": "error", "not tried": "skipped"}
+    for rule in RULES:
+        case = ElementTree.SubElement(suite, "testcase", classname=f"rehearse.{name}", name=rule)
+        ruling = report.rulings[rule]
+        if ruling.verdict in kinds:
+            child = ElementTree.SubElement(case, kinds[ruling.verdict], message=ruling.verdict)
+            child.text = "\n".join(f"{f.node} {f.server} {f.id}: {f.text}" for f in ruling.evidence)
+    case = ElementTree.SubElement(suite, "testcase", classname=f"rehearse.{name}", name="nodes")
+    if result.crashed:
+        ElementTree.SubElement(case, "failure", message=f"crashed: {result.crashed}")
+    return b"<?xml version='1.0' encoding='utf-8'?>\n" + ElementTree.tostring(suite)
--- /dev/null
+++ b/brackenladder/rehearsal/standins/network.py
@@ -0,0 +1,357 @@
+"""Stand-in discovery, one address a node, and the relay of the datagrams between nodes."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from random import Random
+from typing import Any, cast
+
+import httptools
+import msgspec
+
+from brackenladder.rehearsal.events import Asked, Changed, Datagram, Told, Untold, now
+from brackenladder.rehearsal.plan import ServerPlan, Step, node_name
+from brackenladder.rehearsal.scenario import DATAGRAM_FAULTS, DISCOVERY_FAULTS
+from brackenladder.rehearsal.standins.process import Host, listener, named, reset
+
+LONGEST_WAIT = 60.0  # seconds of a watch
+LARGEST_REQUEST = 16 << 10  # bytes of a call's head
+LARGEST_DATAGRAM = 256
+FIRST_VERSION = (41, 7001)  # of each source; versions of one say nothing of the other's
+PASSING = (0.001, 0.010)  # seconds that a datagram takes
+LATE = 0.5  # and a late one
+SWAPPED = 0.05  # and one that others overtake
+
+
+class Call(asyncio.Protocol):
+    """A node's connection to discovery."""
+
+    def __init__(self, source: Source, node: str) -> None:
+        self.source = source
+        self.node = node
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.parser = httptools.HttpRequestParser(self)
+        self.url = b""
+        self.bytes = 0
+        self.call = 0
+        self.since = -1
+        self.timer: asyncio.TimerHandle | None = None
+        self.open = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.bytes += len(data)
+        try:
+            if self.bytes > LARGEST_REQUEST:
+                raise httptools.HttpParserError
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            reset(self.transport)
+
+    def on_message_begin(self) -> None:
+        self.url = b""
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_message_complete(self) -> None:
+        self.bytes = 0
+        path, _, query = self.url.decode("latin-1").partition("?")
+        given = dict(pair.partition("=")[::2] for pair in query.split("&"))
+        if path != "/v1/endpoints":
+            self.transport.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            return
+        since, wait = given.get("since", "-1"), given.get("timeout_ms", "0")
+        self.since = int(since) if since.isdigit() else -1
+        self.call = next(self.source.network.calls)
+        self.open = True
+        self.source.host.journal.add(Asked(now(), self.node, self.call, self.since))
+        if self.source.silent(self.node):
+            return
+        self.source.waiting.add(self)
+        time = min(int(wait) / 1000 if wait.isdigit() else 0.0, LONGEST_WAIT)
+        if self.since >= 0:
+            self.timer = self.source.host.loop.call_later(time, self.source.answer, self, True)
+        self.source.answer(self, self.since < 0)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.source.waiting.discard(self)
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.open:
+            self.open = False
+            self.source.host.journal.add(Untold(now(), self.node, self.call))
+
+
+class Source:
+    """One discovery: what it knows, in versions, and the calls that wait for more."""
+
+    def __init__(self, network: Network, number: int) -> None:
+        self.network = network
+        self.host = network.host
+        self.number = number
+        self.version = FIRST_VERSION[number]
+        self.lines: dict[str, dict[str, Any]] = {}
+        self.changed: dict[str, int] = {}  # the version in which each line changed last
+        self.history: list[tuple[int, str, dict[str, Any]]] = []
+        self.frozen: tuple[int, list[dict[str, Any]]] | None = None  # an old version that is given instead
+        self.half: set[str] | None = None  # ids that whole lists leave out
+        self.waiting: set[Call] = set()
+        self.snapshots: list[tuple[int, list[dict[str, Any]]]] = []
+
+    def silent(self, node: str) -> bool:
+        """Whether calls of a node go without an answer now."""
+        if self.network.step("silence") is not None:
+            return True
+        return self.number == 0 and node in self.network.moved
+
+    def put(self, *lines: dict[str, Any]) -> None:
+        """Takes note of new states of servers; a version for all of them."""
+        self.snapshots.append((self.version, self.whole()))
+        self.version += 1
+        for line in lines:
+            self.lines[line["id"]] = line
+            self.changed[line["id"]] = self.version
+            self.host.journal.add(
+                Changed(now(), self.number, self.version, line["id"], line["state"], line["started_ms"])
+            )
+        self.tell()
+
+    def whole(self) -> list[dict[str, Any]]:
+        """The whole list: whoever is gone is not on it."""
+        return [line for line in self.lines.values() if line["state"] != "gone"]
+
+    def tell(self) -> None:
+        for call in list(self.waiting):
+            self.answer(call, False)
+
+    def answer(self, call: Call, now_or_never: bool) -> None:
+        """Answers a call if there is news for it, or if its wait is over."""
+        if not call.open or call not in self.waiting:
+            return
+        if self.frozen is not None:
+            version, lines = self.frozen
+            if call.since != version:
+                self.write(call, version, True, lines)
+            elif now_or_never:
+                self.write(call, version, False, [])
+        elif (
+            call.since < 0
+            or call.since > self.version
+            or (self.half is not None and call.since < self.version)
+        ):
+            lines = [line for line in self.whole() if self.half is None or line["id"] not in self.half]
+            self.write(call, self.version, True, lines)
+        elif call.since < self.version or now_or_never:
+            changed = [line for line in self.lines.values() if self.changed[line["id"]] > call.since]
+            self.write(call, self.version, False, changed)
+
+    def write(self, call: Call, version: int, full: bool, lines: list[dict[str, Any]]) -> None:
+        body = msgspec.json.encode({"version": version, "full": full, "servers": lines})
+        if call.timer is not None:
+            call.timer.cancel()
+        self.waiting.discard(call)
+        call.open = False
+        seen = tuple((line["id"], line["state"], line["started_ms"]) for line in lines)
+        call.transport.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+            % (len(body), body)
+        )
+        # Noted after the write: from this moment on the node can know.
+        self.host.journal.add(Told(now(), call.node, call.call, self.number, version, full, seen))
+
+    # ---- faults ---------------------------------------------------------------------------------------
+
+    def begin(self, step: Step) -> None:
+        if step.kind == "half-list":
+            rng = Random(f"half {self.host.brief.seed} {step.at}")
+            names = sorted(line["id"] for line in self.whole())
+            self.half = set(rng.sample(names, len(names) // 2))
+            self.version += 1
+            self.tell()
+        elif step.kind == "old-list":
+            self.frozen = self.snapshots[0] if self.snapshots else (self.version, self.whole())
+            self.tell()
+
+    def end(self, step: Step) -> None:
+        if step.kind == "half-list" and self.half is not None:
+            # The lines that were left out are news again to whoever was given the half.
+            self.version += 1
+            for name in self.half:
+                self.changed[name] = self.version
+            self.half = None
+            self.tell()
+        elif step.kind == "old-list":
+            self.frozen = None
+            self.tell()
+
+
+class Relay(asyncio.DatagramProtocol):
+    """A node's address as its peers know it: what comes goes on to the node, from its sender's address."""
+
+    def __init__(self, network: Network, node: int) -> None:
+        self.network = network
+        self.node = node  # -1: every node of the tier
+        self.transport: asyncio.DatagramTransport = cast(asyncio.DatagramTransport, None)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        self.network.pass_on(self.node, data, (addr[0], addr[1]))
+
+
+class Network:
+    """Discovery, twice (a node may be moved to the second), and the relay."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.calls = count(1)
+        self.moved: set[str] = set()
+        self.sources = [Source(self, 0), Source(self, 1)]
+        self.relays: dict[int, Relay] = {}
+        self.rng = Random(f"network {host.brief.seed}")
+        self.delays = Random(f"late {host.brief.seed}")
+        self.peers: dict[tuple[str, int], int] = {}  # a node's own address for datagrams, to its number
+        self.plans = {s.id: s for s in host.plan.servers}
+        self.servers: list[asyncio.Server] = []
+        self.last: dict[str, int] = {}
+
+    async def open(self) -> dict[str, Any]:
+        self.prepare()
+        nodes = range(self.host.scenario.nodes)
+        report: dict[str, Any] = {"discovery": [[], []], "peers": []}
+        for source in self.sources:
+            for node in nodes:
+                sock = listener()
+                name = node_name(node)
+                self.servers.append(
+                    await self.host.loop.create_server(lambda s=source, n=name: Call(s, n), sock=sock)  # type: ignore[misc]
+                )
+                report["discovery"][source.number].append(named(sock))
+        for node in (*nodes, -1):
+            relay = self.relays[node] = Relay(self, node)
+            await self.host.loop.create_datagram_endpoint(lambda r=relay: r, local_addr=("127.0.0.1", 0))  # type: ignore[misc]
+            host, port = relay.transport.get_extra_info("sockname")[:2]
+            report["peers"].append(f"{host}:{port}")
+        return report
+
+    def order(self, order: dict[str, Any]) -> None:
+        """`servers`: where they are; `nodes`: where their datagrams go; `moved`: a node's other discovery."""
+        if "moved" in order:
+            name = order["moved"]
+            self.moved.add(name)
+            for call in [c for c in self.sources[0].waiting if c.node == name]:
+                self.sources[0].waiting.discard(call)
+
+    def prepare(self) -> None:
+        """The list as it stands at the start, from the addresses that the brief gives."""
+        for source in self.sources:
+            for plan in self.host.plan.servers:
+                if plan.born < 0:
+                    source.lines[plan.id] = self.line(plan, "ready", -1)
+                    source.changed[plan.id] = source.version
+                    self.host.journal.add(Changed(now(), source.number, source.version, plan.id, "ready", 0))
+        for name, address in self.host.brief.address.items():
+            kind, _, number = name.partition(" ")
+            if kind == "datagrams":
+                host, _, port = address.rpartition(":")
+                self.peers[(host, int(port))] = int(number)
+
+    def line(self, plan: ServerPlan, state: str, born: int) -> dict[str, Any]:
+        return {
+            "id": plan.id,
+            "addr": self.host.brief.address[f"place {plan.place}"],
+            "zone": plan.zone,
+            "kind": "std",
+            "cell": plan.cell,
+            "state": state,
+            "weight": 1.0,
+            "started_ms": self.host.started_ms(born),
+        }
+
+    def start(self) -> None:
+        for plan in self.host.plan.servers:
+            if plan.born >= 0:
+                self.know(plan.born, plan, "ready", plan.born)
+        for step in self.host.plan.steps:
+            server = self.plans.get(step.target)
+            if step.kind in ("restart", "replace"):
+                assert server is not None
+                self.know(step.at, server, "gone", server.born)
+                if step.kind == "restart":
+                    self.know(step.end, server, "ready", step.end)
+            elif step.kind in ("drain", "drain-answering"):
+                assert server is not None
+                self.know(step.at, server, "draining", server.born, late=step.kind == "drain")
+                self.know(step.end, server, "gone", server.born)
+            elif step.kind in DISCOVERY_FAULTS:
+                self.host.at(step.at, self.begin, step)
+                self.host.at(step.end, self.end, step)
+            elif step.kind in DATAGRAM_FAULTS:
+                self.host.at(step.at, self.host.fault, step)
+
+    def know(self, at: int, plan: ServerPlan, state: str, born: int, late: bool = True) -> None:
+        """Discovery learns of a change some time after it, and of a server's changes in their order."""
+        low, high = self.host.scenario.discovery.late_ms
+        time = at + (round(self.delays.uniform(low, high) * 1000) if late else 0)
+        time = self.last[plan.id] = max(time, self.last.get(plan.id, 0) + 1)
+        self.host.at(time, self.learn, self.line(plan, state, born))
+
+    def learn(self, line: dict[str, Any]) -> None:
+        for source in self.sources:
+            source.put(line)
+
+    def step(self, *kinds: str) -> Step | None:
+        """The fault of these kinds that is on now."""
+        time = self.host.time()
+        for step in self.host.plan.steps:
+            if step.kind in kinds and step.at <= time < step.end:
+                return step
+        return None
+
+    def begin(self, step: Step) -> None:
+        self.host.fault(step)
+        for source in self.sources:
+            source.begin(step)
+            if step.kind == "silence":
+                source.waiting.clear()
+
+    def end(self, step: Step) -> None:
+        for source in self.sources:
+            source.end(step)
+
+    # ---- datagrams ------------------------------------------------------------------------------------
+
+    def pass_on(self, target: int, data: bytes, sender: tuple[str, int]) -> None:
+        """Carries a datagram as the fault of the moment lets it."""
+        source = self.peers.get(sender)
+        if source is None or len(data) > LARGEST_DATAGRAM:
+            return
+        for address, number in self.peers.items():
+            if number != source and target in (-1, number):
+                self.carry(source, number, address, data)
+
+    def carry(self, source: int, number: int, address: tuple[str, int], data: bytes) -> None:
+        step = self.step(*DATAGRAM_FAULTS)
+        fate, delays = "passed", [self.rng.uniform(*PASSING)]
+        if step is not None and self.rng.random() < step.share:
+            fate = step.kind.removeprefix("datagrams-")
+            if fate == "late":
+                delays = [LATE]
+            elif fate == "twice":
+                delays *= 2
+            elif fate == "swapped":
+                delays = [self.rng.choice((0.0, SWAPPED))]
+            else:
+                delays = []
+        self.host.journal.add(Datagram(now(), node_name(source), node_name(number), len(data), fate))
+        for delay in delays:
+            self.host.loop.call_later(delay, self.relays[source].transport.sendto, data, address)
+
+    async def finish(self) -> None:
+        for server in self.servers:
+            server.close()
