--- a/tests/rehearsal/playing.py
+++ b/tests/rehearsal/playing.py
@@ -1,8 +1,8 @@
 """Runs short rehearsals for the tests.
 
 Scaled down: a few seconds, four servers that warm within 3 s, requests of some milliseconds. The slack on
-limits of time, and the lag that is borne, are a second instead of 50 ms, since the machines that run the tests may
-stop for a while. Verdicts that need the real slack come from `benchmarks/`, not from here.
+limits of time, and the lag that is borne, are a second instead of 50 ms, since the machines that run tests
+may stop for a while. Verdicts that need the real slack come from whole runs, not from here.
 """
 
 from __future__ import annotations
