--- a/brackenladder/rehearsal/nodes.py
+++ b/brackenladder/rehearsal/nodes.py
@@ -9,10 +9,12 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Any
 
+from brackenladder.rehearsal.checker import ASK_WITHIN
 from brackenladder.rehearsal.events import Journal, NodeEnded, NodeSignal, NodeUp, now
 from brackenladder.rehearsal.plan import node_name
 from brackenladder.rehearsal.scenario import Scenario
@@ -77,7 +79,7 @@
         "report": {"columns": ["mean_ms", "concurrent", "err_ps"], "how": "on_probe"},
         "rules": {
             "answer_slack": round(s.rules.answer_ms * 1000),
-            "ask_within": 10 * micro,
+            "ask_within": ASK_WITHIN,
             "cold": round(s.servers.warm_s * micro),
             "fall_multiple": s.rules.fall_multiple,
             "start_capacity": s.servers.cold_share,
@@ -142,6 +144,7 @@
         self.peers: list[str] = []
         self.known: list[dict[str, Any]] = []
         self.source = 0
+        self.ward: Callable[[int, bool], None] = lambda pid, runs: None  # hears of each process
         self.process: asyncio.subprocess.Process | None = None
         self.signalled = ""
         self.crashed: list[int] = []  # exit codes that nobody asked for
@@ -182,12 +185,18 @@
         log = (self.folder / f"{self.name}.log").open("ab")
         try:
             self.process = await asyncio.create_subprocess_exec(
-                *self.command, env=environ, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
+                *self.command,
+                env=environ,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,  # Ctrl-C is for the runner, which ends its nodes itself
             )
         except OSError as e:
             raise NodeError(f"{self.command[0]}: {e.strerror}") from None
         finally:
             log.close()
+        self.ward(self.process.pid, True)
         self.watcher = asyncio.create_task(self.watch(self.process))
         until = asyncio.get_running_loop().time() + READY_TIME
         while not await self.ready():
@@ -215,6 +224,7 @@
     async def watch(self, process: asyncio.subprocess.Process) -> None:
         """Notes the process's end."""
         code = await process.wait()
+        self.ward(process.pid, False)
         wanted = self.signalled == "kill" or (self.signalled == "term" and code == 0)
         if not wanted:
             self.crashed.append(code)
--- a/brackenladder/rehearsal/runner.py
+++ b/brackenladder/rehearsal/runner.py
@@ -56,6 +56,7 @@
             *(sys.executable, "-m", "brackenladder.rehearsal.standins", self.role),
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
+            start_new_session=True,
             limit=LARGEST_REPORT,
         )
         self.tell({"role": self.role, "name": self.name} | brief)
@@ -166,6 +167,7 @@
         address |= {f"datagrams {node.number}": node.datagrams for node in self.nodes}
         network, report = await self.open("network", 0, address)
         for node in self.nodes:
+            node.ward = lambda pid, runs: network.tell({"ward": pid, "runs": runs})
             node.discovery = [source[node.number] for source in report["discovery"]]
             node.peers = report["peers"]
             node.known = [
--- a/brackenladder/rehearsal/standins/process.py
+++ b/brackenladder/rehearsal/standins/process.py
@@ -9,10 +9,12 @@
 import asyncio
 import gc
 import os
+import signal
 import socket
 import struct
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -72,6 +74,7 @@
         self.begin = 0  # microseconds of the events' clock
         self.wall = 0  # milliseconds of Unix time at that moment
         self.worst = 0
+        self.wards: set[int] = set()  # processes that must not outlive the runner
 
     def at(self, time: int, action: Callable[..., None], *args: Any) -> None:
         """Calls `action` at a time of the plan, never before it; at once if it is over."""
@@ -95,6 +98,13 @@
             self.worst = lag
             self.journal.add(Lag(now(), self.brief.name, lag))
 
+    def order(self, order: dict[str, Any], part: Part) -> None:
+        """Keeps the runner's wards; the rest is the part's."""
+        if "ward" in order:
+            (self.wards.add if order["runs"] else self.wards.discard)(order["ward"])
+        elif "start" not in order:
+            part.order(order)
+
     async def beat(self) -> None:
         """Measures the lag: how much later than asked this process runs."""
         flushed = now()
@@ -158,7 +168,10 @@
     host = Host(msgspec.json.decode(await reader.readline(), type=Brief), loop)
     part = make(host)
     report({"ready": await part.open()})
-    order = msgspec.json.decode(await reader.readline() or b"{}")
+    order: dict[str, Any] = {}
+    while "start" not in order and (line := await reader.readline()):
+        order = msgspec.json.decode(line)
+        host.order(order, part)
     if "start" in order:
         host.begin, host.wall = order["start"], order["wall"]
         gc.collect()
@@ -167,9 +180,13 @@
         part.start()
         beat = loop.create_task(host.beat())
         while line := await reader.readline():
-            part.order(msgspec.json.decode(line))
+            host.order(msgspec.json.decode(line), part)
         beat.cancel()
         await part.finish()
+    # Failure prevented: a runner that is killed outright leaves its nodes behind.
+    for pid in host.wards:
+        with suppress(ProcessLookupError):
+            os.kill(pid, signal.SIGKILL)
     host.journal.close()
 
 
--- a/tests/rehearsal/test_runner.py
+++ b/tests/rehearsal/test_runner.py
@@ -6,8 +6,10 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -85,6 +87,28 @@
         assert p.wait(PATIENCE) is not None
 
 
+def test_nodes_end_with_a_runner_that_is_killed_outright(tmp_path: Path) -> None:
+    """Failure prevented: they go on serving on their ports, and whoever starts next finds them."""
+    script = (
+        "import asyncio, sys; from pathlib import Path; sys.path.insert(0, 'tests');"
+        "from brackenladder.rehearsal.runner import stand; from rehearsal.playing import small;"
+        f"asyncio.run(stand(small(nodes=2), '', Path({str(tmp_path)!r}), lambda a: print(a, flush=True)))"
+    )
+    with subprocess.Popen([sys.executable, "-c", script], stdout=subprocess.PIPE, text=True) as runner:
+        assert runner.stdout is not None
+        host, _, port = runner.stdout.readline().strip().rpartition(":")
+        with socket.create_connection((host, int(port)), PATIENCE):
+            runner.kill()
+    until = time.monotonic() + PATIENCE
+    while True:
+        try:
+            socket.create_connection((host, int(port)), PATIENCE).close()
+        except ConnectionRefusedError:
+            break
+        assert time.monotonic() < until
+        time.sleep(0.02)
+
+
 @pytest.mark.parametrize(
     ("command", "told"),
     [
