--- a/brackenladder/rehearsal/events.py
+++ b/brackenladder/rehearsal/events.py
@@ -120,6 +120,15 @@
     id: str
 
 
+class Begun(Event, frozen=True, tag="begun", gc=False):
+    """The first bytes of an answer that goes out in parts were written, `bytes` of them."""
+
+    server: str
+    attempt: int
+    id: str
+    bytes: int
+
+
 class Replied(Event, frozen=True, tag="replied", gc=False):
     """The last byte of an attempt's answer was written. `how`: served, error, or rejected (never ran)."""
 
@@ -236,6 +245,7 @@
     | Down
     | Arrived
     | Partial
+    | Begun
     | Replied
     | Closed
     | Asked
--- a/brackenladder/rehearsal/standins/servers.py
+++ b/brackenladder/rehearsal/standins/servers.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from brackenladder.rehearsal.events import Arrived, Closed, Down, Partial, Replied, Up, now
+from brackenladder.rehearsal.events import Arrived, Begun, Closed, Down, Partial, Replied, Up, now
 from brackenladder.rehearsal.plan import MICRO, ServerPlan, Step
 from brackenladder.rehearsal.standins.process import Host, listener, named, reset
 
@@ -285,6 +285,7 @@
         cut = {"stall": 0, "stall-head": head // 2, "drip": 0}.get(step.kind, middle)
         write = attempt.connection.transport.write
         if cut:
+            self.note(Begun(now(), self.plan.id, attempt.number, attempt.id, cut))
             write(data[:cut])
         if step.kind == "reset-answer":
             self.loop.call_later(CUT, self.cut, attempt)
@@ -305,6 +306,8 @@
         if self.part.host.time() >= step.end or len(data) == 1:
             self.rest(attempt, data)
         else:
+            if data.startswith(b"HTTP"):
+                self.note(Begun(now(), self.plan.id, attempt.number, attempt.id, 1))
             attempt.connection.transport.write(data[:1])
             self.loop.call_later(DRIP, self.drip, attempt, data[1:], step)
 
--- a/tests/rehearsal/test_rehearse.py
+++ b/tests/rehearsal/test_rehearse.py
@@ -10,7 +10,7 @@
 from rehearsal.conftest import Runs
 
 from brackenladder.rehearsal.checker import RULES
-from brackenladder.rehearsal.events import Arrived, Closed, Datagram, Fault, Partial, Replied, Told, Up
+from brackenladder.rehearsal.events import Arrived, Begun, Closed, Datagram, Fault, Partial, Replied, Told, Up
 from brackenladder.rehearsal.plan import plan_of
 from brackenladder.rehearsal.report import notes
 
@@ -99,6 +99,23 @@
     assert "broke" not in report.verdicts.values()  # what it held is the client's to retry
 
 
+@pytest.mark.parametrize("case", ["stall-head", "stall-body", "drip", "reset-answer"])
+def test_answers_that_break_off_had_begun(case: str, runs: Runs) -> None:
+    """Each on an attempt that had come whole, and before its end."""
+    result, _, _ = runs[case]
+    arrived = {e.attempt: e.t for e in result.events if isinstance(e, Arrived)}
+    ends = {e.attempt: e.t for e in result.events if isinstance(e, Replied | Closed)}
+    begun = [e for e in result.events if isinstance(e, Begun)]
+    assert begun
+    for event in begun:
+        assert arrived[event.attempt] <= event.t <= ends.get(event.attempt, event.t)
+    whole = len(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 512\r\n\r\n")
+    if case == "stall-head":
+        assert all(0 < e.bytes < whole for e in begun)
+    elif case != "drip":
+        assert all(whole < e.bytes < whole + 512 for e in begun)
+
+
 # ---- the faults do to the node what their names say ---------------------------------------------------
 
 
