--- /dev/null
+++ b/brackenladder/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1: the front towards callers and the side towards servers."""
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -16,14 +16,14 @@
 from typing import Any
 
 from brackenladder.balance import Balancer
+from brackenladder.http.callers import Caller, Callers, Message
+from brackenladder.http.servers import Answer, Endpoint, Exchange, Pool
 from brackenladder.interface import Effect, ListKind, Outcome, ServerEntry, State
-from brackenladder.net.callers import Caller, Callers, Message
 from brackenladder.net.config import Config
 from brackenladder.net.discovery import Discovery
 from brackenladder.net.listing import Line, Listing
 from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
 from brackenladder.net.peers import Peers
-from brackenladder.net.servers import Answer, Endpoint, Exchange, Pool
 
 GUARD = 10_000  # after the deadline: a request that the module has left open is failed
 KILL_AFTER = 3_700_000  # after SIGTERM a node has the longest deadline for its end, or so long
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,10 +13,10 @@
 import pytest
 from loopback import MOMENT, OK, Bench, Client, Discovery, Server, call, play, settings, until
 
+from brackenladder.http.servers import Connection, Exchange
 from brackenladder.interface import ListKind, Outcome
 from brackenladder.net.config import ConfigError, load, read
 from brackenladder.net.node import number_of
-from brackenladder.net.servers import Connection, Exchange
 
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
@@ -1290,8 +1290,8 @@
             await release.wait()
             return OK
 
-        monkeypatch.setattr("brackenladder.net.callers.TAKING", 600.0)  # until the test says so
-        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 0.0)
+        monkeypatch.setattr("brackenladder.http.callers.TAKING", 600.0)  # until the test says so
+        monkeypatch.setattr("brackenladder.http.callers.HANDOVER", 0.0)
         bench = await Bench(server := Server(held)).start()
         callers = bench.node.callers
         idle, early = await bench.client(), await bench.client()
@@ -1300,7 +1300,7 @@
         await until(lambda: len(server.requests) == 1)
         drain = asyncio.create_task(bench.node.drain())
         assert await idle.ended()  # idle ones end while new ones are still taken
-        monkeypatch.setattr("brackenladder.net.callers.SETTLE", 600.0)
+        monkeypatch.setattr("brackenladder.http.callers.SETTLE", 600.0)
         late = await bench.client()
         late.send(call("invite"))
         await until(lambda: len(server.requests) == 2)
@@ -1328,7 +1328,7 @@
     """Failure prevented: the node is of use to nobody long before its end, while others are not back yet."""
 
     async def scene():
-        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 600.0)  # until the test says so
+        monkeypatch.setattr("brackenladder.http.callers.HANDOVER", 600.0)  # until the test says so
         bench = await Bench(server := Server()).start()
         client, idle = await bench.client(), await bench.client()
         assert (await idle.ask(call()))[0] == 200
@@ -1339,7 +1339,7 @@
         # By then the process may be killed, whatever the client's own patience.
         assert int(server.requests[-1].headers["x-budget-ms"]) <= 3400
         assert (await client.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 503
-        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 0.0)
+        monkeypatch.setattr("brackenladder.http.callers.HANDOVER", 0.0)
         assert await idle.ended()
         await asyncio.wait_for(drain, 20)
 
@@ -1351,9 +1351,9 @@
 
     async def scene():
         # Nobody here is idle, however slow the machine, and new ones are taken until the test says so.
-        monkeypatch.setattr("brackenladder.net.callers.TAKING", 600.0)
-        monkeypatch.setattr("brackenladder.net.callers.HANDOVER", 0.0)
-        monkeypatch.setattr("brackenladder.net.callers.SETTLE", 600.0)
+        monkeypatch.setattr("brackenladder.http.callers.TAKING", 600.0)
+        monkeypatch.setattr("brackenladder.http.callers.HANDOVER", 0.0)
+        monkeypatch.setattr("brackenladder.http.callers.SETTLE", 600.0)
         bench = await Bench(Server()).start()
         answers = 0
         last = 0
@@ -1481,7 +1481,7 @@
 
 def test_silent_clients_in_every_place_make_room_at_once(monkeypatch):
     """Failure prevented: nobody is let in until the slow ones are swept; requests wait beyond their time."""
-    monkeypatch.setattr("brackenladder.net.callers.SLOW", 1000.0)  # no sweep will help
+    monkeypatch.setattr("brackenladder.http.callers.SLOW", 1000.0)  # no sweep will help
 
     async def scene():
         bench = await Bench(Server(), config={"limits": {"sockets": 48}}).start()
