The core comes out of net/node.py: calls, attempts and timers that name no header

RPC is to share calls, limits, retries and draining with HTTP, and net/node.py mixed them with HTTP's messages. core/ now hosts the Balancer over a Call that a front derives and an Upstream that makes attempts; http/front.py and http/upstream.py hold what was HTTP. Behaviour is meant to be the same to the byte; tests changed only in where they reach in.

--- /dev/null
+++ b/brackenladder/core/call.py
@@ -0,0 +1,102 @@
+"""What passes between a front, the core and an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from enum import Enum
+from typing import Protocol
+
+from brackenladder.interface import Outcome
+
+
+class Failure(Enum):
+    """Why a call was not served, with no promise about effects."""
+
+    GIVEN_UP = 0  # by the module
+    EXPIRED = 1  # by the guard: the module had left it open
+    FAULT = 2  # of this node
+
+
+class Call:
+    """A call that a front has taken, of a class and a tenant, with `left` microseconds of its client's time.
+
+    A front derives its own, which carries the payload and passes the conclusion on. Exactly one of `served`,
+    `refused` and `failed` is called, once, unless the client has left before.
+    """
+
+    __slots__ = ("id", "klass", "tenant", "left", "repeat", "deadline", "open", "attempts", "out", "guard")
+
+    def __init__(self, klass: int, tenant: int, left: int, repeat: bool) -> None:
+        self.id = 0
+        self.klass = klass
+        self.tenant = tenant
+        self.left = left
+        self.repeat = repeat
+        self.deadline = 0
+        self.open = True  # the client waits
+        self.attempts = 0
+        self.out: Attempt | None = None
+        self.guard: asyncio.TimerHandle | None = None
+
+    def released(self) -> None:
+        """Nothing more is owed: called before the conclusion, or alone if the client has left."""
+
+    def served(self, answer: object) -> None:
+        """Concludes with what the upstream gave with its outcome."""
+        raise NotImplementedError
+
+    def refused(self, retry_after: int) -> None:
+        """Concludes: a retry is harmless, after so many microseconds if more than 0."""
+        raise NotImplementedError
+
+    def failed(self, why: Failure) -> None:
+        """Concludes: nothing is promised."""
+        raise NotImplementedError
+
+
+class Attempt(Protocol):
+    """An attempt that an upstream makes; its `done` is called exactly once after `start`."""
+
+    def start(self, timeout: float) -> None:
+        """Begins; the whole attempt may take `timeout` seconds. May end at once."""
+
+    def stop(self, outcome: Outcome) -> None:
+        """Gives it up: it ends with this outcome, unless it has ended."""
+
+
+Done = Callable[[Outcome, object, Sequence[float]], None]  # outcome, answer, load report
+Probed = Callable[[bool, Sequence[float]], None]  # whether the server is well, load report
+
+
+class Upstream(Protocol):
+    """The side towards the servers of one pool. It chooses no server and repeats nothing."""
+
+    def attempt(self, server: int, call: Call, expires: int, done: Done) -> Attempt | None:
+        """An attempt at a server, to be started; None if nothing may be sent there.
+
+        Nothing is written once the call is no longer open, or after `expires` of the core's clock.
+        """
+
+    def probe(self, server: int, done: Probed) -> None:
+        """Asks a server how it is."""
+
+    def close_idle(self, server: int) -> None:
+        """Closes the connections to a server that carry nothing."""
+
+
+class Directory(Protocol):
+    """The source of the server list."""
+
+    def watch(self, on: bool) -> None:
+        """Begins or ends the watch."""
+
+    def fetch(self) -> None:
+        """Asks for the whole list once."""
+
+
+class Messenger(Protocol):
+    """The way to the other nodes of the tier."""
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Sends a short message to a peer, or to all (-1)."""
--- /dev/null
+++ b/brackenladder/core/host.py
@@ -0,0 +1,216 @@
+"""Hosts a Balancer: owns the clock, the timers, the calls and their attempts, and makes no decision."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Sequence
+from time import monotonic_ns, time_ns
+from typing import Any
+
+from brackenladder.balance import Balancer
+from brackenladder.core.call import Call, Directory, Failure, Messenger, Upstream
+from brackenladder.interface import ListKind, Outcome, ServerEntry, Settings
+
+GUARD = 10_000  # after the deadline: a call that the module has left open is failed
+
+
+class Host:
+    """Implements `Actions` for the Balancer of one pool, and hands it all events."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        loop: asyncio.AbstractEventLoop,
+        upstream: Upstream,
+        log: Callable[[str], None],
+    ) -> None:
+        self.settings = settings
+        self.loop = loop
+        self.upstream = upstream
+        self.log_line = log
+        self.directory: Directory
+        self.messenger: Messenger
+        self.origin = time_ns() - monotonic_ns()
+        self.events: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
+        self.busy = False
+        self.calls: dict[int, Call] = {}
+        self.last_id = 0
+        self.guarded = 0
+        self.ends = 1 << 62  # the time by which all that is taken must be concluded
+        self.balancer = Balancer(settings, seed, self)
+
+    def now(self) -> int:
+        """Unix time at the start plus what has passed since, in microseconds: it never goes back."""
+        return (self.origin + monotonic_ns()) // 1000
+
+    # ---- events ---------------------------------------------------------------------------------------
+
+    def post(self, event: Callable[..., None], *args: Any) -> None:
+        """Hands the module an event, after the one it is handling, if any."""
+        self.events.append((event, args))
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                event, args = self.events.popleft()
+                try:
+                    event(self.now(), *args)
+                except Exception as e:  # one event's failure must not end the node or other calls
+                    self.log_line(f"{event.__name__}: {type(e).__name__}: {e}")
+                    if event in (self.balancer.request, self.balancer.outcome):
+                        call = self.release(args[0])
+                        if call is not None:
+                            call.failed(Failure.FAULT)
+        finally:
+            self.busy = False
+
+    def start(self) -> None:
+        """The module begins to run."""
+        self.post(self.balancer.start)
+
+    def servers(self, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
+        """News of the servers, once the upstream has taken note of them."""
+        self.post(self.balancer.server_list, kind, entries)
+
+    def heard(self, peer: int, data: bytes) -> None:
+        """A peer's message."""
+        self.post(self.balancer.peer_message, peer, data)
+
+    def full(self) -> bool:
+        """Whether there is no room for a further call."""
+        return len(self.calls) >= self.settings.max_open
+
+    def take(self, call: Call) -> None:
+        """A call begins; its conclusion may come before this returns."""
+        now = self.now()
+        left = min(call.left, max(0, self.ends - now))
+        self.last_id += 1
+        call.id = self.last_id
+        call.deadline = now + left
+        self.calls[call.id] = call
+        call.guard = self.loop.call_later((left + GUARD) / 1e6, self.expire, call)
+        self.post(self.balancer.request, call.id, call.klass, call.tenant, left, call.repeat)
+
+    def left(self, call: Call) -> None:
+        """The client has gone: nothing is owed."""
+        if self.release(call.id) is not None:
+            self.post(self.balancer.client_left, call.id)
+
+    def expire(self, call: Call) -> None:
+        """The guard: a call still open after its deadline. The module should have concluded it."""
+        self.guarded += 1
+        self.log_line(f"guard: request {call.id} was still open at its deadline")
+        if self.release(call.id) is not None:
+            call.failed(Failure.EXPIRED)
+        self.post(self.balancer.client_left, call.id)
+
+    def release(self, number: int) -> Call | None:
+        """Ends what is owed for a call; the call, if it was open."""
+        call = self.calls.get(number)
+        if call is None or not call.open:
+            return None
+        call.open = False
+        if call.guard is not None:
+            call.guard.cancel()
+        if call.out is None:
+            del self.calls[number]
+        call.released()
+        return call
+
+    # ---- Actions --------------------------------------------------------------------------------------
+
+    def send(self, request: int, server: int, timeout: int) -> None:
+        """Starts the call's next attempt. What may not be sent ends as NOT_SENT, after this event."""
+        call = self.calls.get(request)
+        number = 0
+        attempt = None
+        if call is not None:
+            number = call.attempts
+            call.attempts += 1
+            if call.open and call.out is None and number < self.settings.max_attempts:
+                began = self.now()
+                expires = min(began + timeout, call.deadline)
+
+                def done(outcome: Outcome, answer: object, report: Sequence[float]) -> None:
+                    self.ended(call, number, server, began, outcome, answer, report)
+
+                attempt = self.upstream.attempt(server, call, expires, done)
+        if call is None or attempt is None:
+            self.post(self.balancer.outcome, request, number, server, Outcome.NOT_SENT, 0, False, ())
+            return
+        call.out = attempt
+        attempt.start(max(0, expires - began) / 1e6)
+
+    def ended(
+        self,
+        call: Call,
+        number: int,
+        server: int,
+        began: int,
+        outcome: Outcome,
+        answer: object,
+        report: Sequence[float],
+    ) -> None:
+        """An attempt's end: an answer goes to the client at once, then the module hears of it."""
+        call.out = None
+        if outcome == Outcome.OK and self.release(call.id) is not None:
+            call.served(answer)
+        final = not call.open
+        if final:
+            self.calls.pop(call.id, None)
+        latency = self.now() - began
+        self.post(self.balancer.outcome, call.id, number, server, outcome, latency, final, report)
+
+    def cancel(self, request: int, attempt: int) -> None:
+        """Gives an attempt up; its outcome follows after this event."""
+        call = self.calls.get(request)
+        if call is not None and call.out is not None and attempt == call.attempts - 1:
+            call.out.stop(Outcome.CANCELLED)
+
+    def refuse(self, request: int, retry_after: int) -> None:
+        """Concludes a call: a retry is harmless."""
+        call = self.release(request)
+        if call is not None:
+            call.refused(retry_after)
+
+    def fail(self, request: int) -> None:
+        """Concludes a call: nothing is promised."""
+        call = self.release(request)
+        if call is not None:
+            call.failed(Failure.GIVEN_UP)
+
+    def probe(self, server: int) -> None:
+        """Asks a server how it is."""
+        began = self.now()
+
+        def done(ok: bool, report: Sequence[float]) -> None:
+            self.post(self.balancer.probed, server, ok, self.now() - began, report)
+
+        self.upstream.probe(server, done)
+
+    def set_timer(self, delay: int, token: int) -> None:
+        """Hands `token` back after `delay`."""
+        self.loop.call_later(max(0, delay) / 1e6, self.post, self.balancer.timer, token)
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Sends a message to a peer, or to all."""
+        self.messenger.tell(peer, data)
+
+    def watch(self, on: bool) -> None:
+        """Begins or ends the watch on the server list."""
+        self.directory.watch(on)
+
+    def fetch(self) -> None:
+        """Asks for the whole server list."""
+        self.directory.fetch()
+
+    def close(self, server: int) -> None:
+        """Closes the idle connections to a server."""
+        self.upstream.close_idle(server)
+
+    def log(self, text: str) -> None:
+        """Writes a line to the log."""
+        self.log_line(text)
--- /dev/null
+++ b/brackenladder/http/front.py
@@ -0,0 +1,132 @@
+"""The front that speaks HTTP: requests to calls, conclusions to answers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import cast
+
+from brackenladder.core.call import Call, Failure
+from brackenladder.core.host import Host
+from brackenladder.http.callers import Caller, Callers, Message
+from brackenladder.http.servers import Answer
+from brackenladder.interface import Effect
+from brackenladder.net.log import Log
+
+FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
+METHODS = {Effect.SAFE: b"GET", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
+STATUS = {Failure.GIVEN_UP: 502, Failure.EXPIRED: 504, Failure.FAULT: 500}
+
+
+class HttpCall(Call):
+    """A request, and the connection that its answer goes to."""
+
+    __slots__ = ("front", "name", "caller", "message")
+
+    def __init__(
+        self, front: Front, caller: Caller, message: Message, klass: int, tenant: int, left: int, repeat: bool
+    ) -> None:
+        super().__init__(klass, tenant, left, repeat)
+        self.front = front
+        self.name = message.headers[b"x-call-id"]
+        self.caller = caller
+        self.message = message
+
+    def released(self) -> None:
+        front = self.front
+        del front.by_caller[self.caller]
+        if front.by_name.get(self.name) is self:
+            del front.by_name[self.name]
+
+    def served(self, answer: object) -> None:
+        whole = cast(Answer, answer)
+        kind = whole.content_type
+        self.caller.answer(200, whole.body, b"Content-Type: %b\r\n" % kind if kind else b"")
+
+    def refused(self, retry_after: int) -> None:
+        self.caller.answer(503, headers=advice(retry_after))
+
+    def failed(self, why: Failure) -> None:
+        self.caller.answer(STATUS[why])
+
+
+class Front:
+    """Takes what the callers' connections read, as their `Handler`."""
+
+    def __init__(self, host: Host, classes: Sequence[str], tenants: Sequence[str], log: Log) -> None:
+        self.host = host
+        self.log = log
+        self.callers: Callers
+        self.listed = False  # a server list has come
+        self.classes = {name.encode(): i for i, name in enumerate(classes)}
+        self.tenants = {name.encode(): i for i, name in enumerate(tenants)}
+        self.by_caller: dict[Caller, HttpCall] = {}
+        self.by_name: dict[bytes, HttpCall] = {}  # by X-Call-Id
+
+    def message(self, caller: Caller, message: Message) -> None:
+        """A client's request, whole.
+
+        Failure prevented: an exception here would close the connection with no answer.
+        """
+        try:
+            self.accept(caller, message)
+        except Exception as e:  # whatever it is, it is this request's failure alone
+            self.log.line(f"request: {type(e).__name__}: {e}")
+            caller.answer(500)
+
+    def accept(self, caller: Caller, message: Message) -> None:
+        """Checks a request and hands it to the core."""
+        path = message.target.partition(b"?")[0]
+        klass = self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
+        if klass is None:
+            if path != b"/ready":
+                caller.answer(404)
+            elif message.method != b"GET":
+                caller.answer(405, headers=b"Allow: GET\r\n")
+            else:
+                caller.answer(200 if self.listed and not self.callers.draining else 503)
+            return
+        effect = self.host.settings.classes[klass].effect
+        if message.method != METHODS[effect]:
+            caller.answer(405, headers=b"Allow: %b\r\n" % METHODS[effect])
+            return
+        headers = message.headers
+        budget = headers.get(b"x-budget-ms") or b""
+        keyed = effect != Effect.KEYED or headers.get(b"idempotency-key")
+        tenant = headers.get(b"x-caller")
+        name = headers.get(b"x-call-id")
+        if not (name and keyed and (tenant or not self.tenants) and budget.isdigit() and len(budget) <= 9):
+            caller.answer(400)
+            return
+        if self.host.full():
+            self.beyond(caller)
+            return
+        twin = self.by_name.get(name)
+        if twin is not None and not twin.caller.gone():
+            # Failure prevented: servers take the second one of an id for a mistake. Its errors, which no
+            # server has made, eject servers and close the limit to everybody else.
+            caller.answer(409)
+            return
+        number = self.tenants.get(tenant or b"", len(self.tenants))
+        repeat = headers.get(b"x-again") == b"1"
+        call = HttpCall(self, caller, message, klass, number, int(budget) * 1000, repeat)
+        self.by_caller[caller] = self.by_name[name] = call
+        self.host.take(call)
+
+    def beyond(self, caller: Caller) -> None:
+        """Refuses a request for which the node itself has no room; the module never hears of it.
+
+        Failure prevented: a client that is not told when to come back does so at once.
+        """
+        s = self.host.settings
+        caller.answer(503, headers=advice(min(FULL_ADVICE, s.max_retry_after) if s.retry_after else 0))
+
+    def left(self, caller: Caller) -> None:
+        """A client closed its connection with its request open."""
+        call = self.by_caller.get(caller)
+        if call is not None:
+            self.host.left(call)
+
+
+def advice(wait: int) -> bytes:
+    """The header that tells a client when to come back, if there is anything to tell."""
+    return b"Retry-After: %.3f\r\n" % (wait / 1e6) if wait > 0 else b""
--- /dev/null
+++ b/brackenladder/http/upstream.py
@@ -0,0 +1,144 @@
+"""The upstream that speaks HTTP: attempts and probes to bytes, answers to outcomes and reports."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from math import inf
+from typing import cast
+
+from brackenladder.core.call import Attempt, Call, Done, Probed
+from brackenladder.http.callers import Message
+from brackenladder.http.front import HttpCall
+from brackenladder.http.servers import Answer, Endpoint, Exchange, Pool
+from brackenladder.interface import ListKind, Outcome, State
+from brackenladder.net.listing import Line
+
+# Headers that end at this hop or are written anew for the next.
+HOP = frozenset(
+    b"connection keep-alive proxy-connection proxy-authorization te trailer transfer-encoding upgrade expect"
+    b" content-length x-budget-ms".split()
+)
+KEPT = frozenset((b"host", b"x-call-id", b"idempotency-key"))  # go on, whatever `Connection` names
+
+
+class HttpUpstream:
+    """The servers of a pool by number, their addresses and connections."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        most: int,
+        connect_timeout: float,
+        idle_time: float,
+        report_names: Sequence[tuple[str, str]],
+        inline_reports: bool,
+        now: Callable[[], int],
+    ) -> None:
+        self.pool = Pool(loop, most, connect_timeout, idle_time)
+        self.connect_timeout = connect_timeout
+        self.report_names = report_names
+        self.inline_reports = inline_reports
+        self.now = now
+
+    # ---- the list -------------------------------------------------------------------------------------
+
+    def update(self, kind: ListKind, latest: Mapping[int, Line]) -> None:
+        """Takes note of a list or its changes, each server once."""
+        endpoints = self.pool.endpoints
+        if kind != ListKind.CHANGES:
+            for number, endpoint in endpoints.items():
+                if number not in latest:
+                    endpoint.retire()
+        for number, line in latest.items():
+            self.place(number, line)
+        for number in [n for n, e in endpoints.items() if not e.ready and not e.busy]:
+            del endpoints[number]
+
+    def place(self, number: int, line: Line) -> None:
+        """Takes note of a server's address and state; connections to an old process are of no use."""
+        endpoint = self.pool.endpoints.get(number)
+        if line.state != State.READY:
+            if endpoint is not None:
+                endpoint.retire()
+            return
+        same = endpoint is not None and (endpoint.host, endpoint.port, endpoint.started) == (
+            line.host,
+            line.port,
+            line.started,
+        )
+        if endpoint is None or not same:
+            if endpoint is not None:
+                endpoint.retire()
+            endpoint = self.pool.endpoints[number] = Endpoint(line.host, line.port, line.started)
+        endpoint.ready = True
+
+    # ---- Upstream -------------------------------------------------------------------------------------
+
+    def attempt(self, server: int, call: Call, expires: int, done: Done) -> Attempt | None:
+        """An exchange with a server; None if it is not ready."""
+        endpoint = self.pool.endpoints.get(server)
+        if endpoint is None or not endpoint.ready:
+            return None
+        message = cast(HttpCall, call).message
+
+        def compose() -> bytes | None:
+            left = expires - self.now()
+            return head_of(message, left // 1000) if call.open and left > 0 else None
+
+        def ended(outcome: Outcome, answer: Answer | None) -> None:
+            inline = self.inline_reports and answer is not None
+            done(outcome, answer, self.report(answer.report) if inline and answer is not None else ())
+
+        return Exchange(self.pool, endpoint, compose, ended)
+
+    def probe(self, server: int, done: Probed) -> None:
+        """Asks a server for its load report, or whether it is well where there are no reports."""
+        endpoint = self.pool.endpoints.get(server)
+        path = b"/status/load" if self.report_names else b"/health"
+
+        def ended(outcome: Outcome, answer: Answer | None) -> None:
+            ok = answer is not None and answer.status == 200
+            done(ok, self.report(answer.body or answer.report) if answer is not None and ok else ())
+
+        if endpoint is None or not endpoint.ready:
+            done(False, ())
+            return
+        request = b"GET %b HTTP/1.1\r\nHost: %b:%d\r\n\r\n" % (path, endpoint.host.encode(), endpoint.port)
+        Exchange(self.pool, endpoint, lambda: request, ended).start(self.connect_timeout)
+
+    def close_idle(self, server: int) -> None:
+        """Closes the connections to a server that carry nothing."""
+        endpoint = self.pool.endpoints.get(server)
+        if endpoint is not None:
+            endpoint.close_idle()
+
+    def report(self, text: bytes) -> tuple[float, ...]:
+        """A load report's values in the settings' order; nothing if one is missing or unreadable."""
+        values = dict(pair.strip().partition("=")[::2] for pair in text.decode("latin-1").split(","))
+        try:
+            report = tuple(
+                float(values[name] if name in values else values[plain]) for name, plain in self.report_names
+            )
+        except (KeyError, ValueError):
+            return ()
+        return report if all(0 <= value < inf for value in report) else ()
+
+
+def hop_headers(message: Message) -> frozenset[bytes]:
+    """The headers that end here: the usual ones and those that the client's `Connection` names."""
+    if b"connection" not in message.headers:
+        return HOP
+    named = [value for key, _, value in message.lines if key == b"connection"]
+    return HOP | {name.strip().lower() for name in b",".join(named).split(b",")} - KEPT
+
+
+def head_of(message: Message, budget: int) -> bytes:
+    """The request as it goes on to a server."""
+    lines = [b"%b %b HTTP/1.1" % (message.method, message.target)]
+    hop = hop_headers(message)
+    lines += [b"%b: %b" % (name, value) for key, name, value in message.lines if key not in hop]
+    lines.append(b"X-Budget-Ms: %d" % budget)
+    if message.body or message.method != b"GET":
+        lines.append(b"Content-Length: %d" % len(message.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -222,8 +222,8 @@
         }
         self.node = Node(read(table | self.config), asyncio.get_running_loop())
         await self.node.start()
-        assert self.node.callers.listener is not None
-        self.port = self.node.callers.listener.getsockname()[1]
+        assert self.node.front.callers.listener is not None
+        self.port = self.node.front.callers.listener.getsockname()[1]
         return self
 
     async def client(self) -> Client:
