--- /dev/null
+++ b/brackenladder/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""MessagePack-RPC: the codec, and what comes on it."""
