--- a/brackenladder/core/call.py
+++ b/brackenladder/core/call.py
@@ -25,7 +25,19 @@
     `refused` and `failed` is called, once, unless the client has left before.
     """
 
-    __slots__ = ("id", "klass", "tenant", "left", "repeat", "deadline", "open", "attempts", "out", "guard")
+    __slots__ = (
+        "id",
+        "klass",
+        "tenant",
+        "left",
+        "repeat",
+        "deadline",
+        "open",
+        "attempts",
+        "out",
+        "guard",
+        "once",
+    )
 
     def __init__(self, klass: int, tenant: int, left: int, repeat: bool) -> None:
         self.id = 0
@@ -38,6 +50,7 @@
         self.attempts = 0
         self.out: Attempt | None = None
         self.guard: asyncio.TimerHandle | None = None
+        self.once = False  # nobody waits for an answer: one attempt, and its end is the call's
 
     def released(self) -> None:
         """Nothing more is owed: called before the conclusion, or alone if the client has left."""
--- a/brackenladder/core/host.py
+++ b/brackenladder/core/host.py
@@ -130,7 +130,8 @@
         if call is not None:
             number = call.attempts
             call.attempts += 1
-            if call.open and call.out is None and number < self.settings.max_attempts:
+            most = 1 if call.once else self.settings.max_attempts
+            if call.open and call.out is None and number < most:
                 began = self.now()
                 expires = min(began + timeout, call.deadline)
 
@@ -158,6 +159,8 @@
         call.out = None
         if outcome == Outcome.OK and self.release(call.id) is not None:
             call.served(answer)
+        elif call.once:
+            self.release(call.id)
         final = not call.open
         if final:
             self.calls.pop(call.id, None)
--- a/brackenladder/net/node.py
+++ b/brackenladder/net/node.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping, Sequence
 from dataclasses import fields, replace
 from hashlib import blake2b
+from typing import Protocol
 
 from brackenladder.core.host import Host
 from brackenladder.http.callers import Callers
@@ -24,7 +26,7 @@
 
 
 class Node:
-    """Puts the parts together, and maps the list's names to the core's numbers."""
+    """Puts the parts together."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.config = config
@@ -32,8 +34,6 @@
         self.log_lines = Log(config.name, LINES_A_SECOND)
         # Apart, so that whoever sends garbage cannot use up the lines that tell of faults.
         strays = Log(config.name, STRAYS_A_SECOND)
-        self.zones = {name: i for i, name in enumerate(config.zones)}
-        self.kinds = {name: i for i, name in enumerate(config.kinds)}
         half = config.connections // 2
         self.upstream = HttpUpstream(
             loop,
@@ -46,6 +46,7 @@
         )
         self.host = Host(config.settings, config.seed, loop, self.upstream, self.log_lines.line)
         self.front = Front(self.host, config.classes, config.tenants, self.log_lines)
+        self.roster = Roster(self.host, self.upstream, config.zones, config.kinds)
         self.front.callers = Callers(loop, config.connections - half, config.most_held, self.front)
         version = config.known.version if config.known else None
         self.discovery = Discovery(
@@ -100,13 +101,37 @@
         """News from discovery, or a call to it that failed."""
         if listing is None:
             if self.config.settings.list_on_request:
-                self.host.servers(ListKind.FAILED, ())
+                self.roster.told(None)
             else:
                 self.loop.call_later(PUSH_RETRY, self.discovery.watch, True)
             return
+        self.front.listed = True
+        self.roster.told(listing)
+
+
+class Listed(Protocol):
+    """An upstream that is told of its pool's servers."""
+
+    def update(self, kind: ListKind, latest: Mapping[int, Line]) -> None:
+        """Takes note of a list or its changes, each server once."""
+
+
+class Roster:
+    """Maps the list's names to the core's numbers, and tells upstream and core of its news."""
+
+    def __init__(self, host: Host, upstream: Listed, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self.host = host
+        self.upstream = upstream
+        self.zones = {name: i for i, name in enumerate(zones)}
+        self.kinds = {name: i for i, name in enumerate(kinds)}
+
+    def told(self, listing: Listing | None) -> None:
+        """A list or its changes; None if a call to discovery failed."""
+        if listing is None:
+            self.host.servers(ListKind.FAILED, ())
+            return
         latest = {number_of(line.id): line for line in listing.lines}  # a server twice: the last holds
         self.upstream.update(listing.kind, latest)
-        self.front.listed = True
         self.host.servers(listing.kind, [self.entry(number, line) for number, line in latest.items()])
 
     def entry(self, number: int, line: Line) -> ServerEntry:
--- /dev/null
+++ b/brackenladder/node/__init__.py
@@ -0,0 +1,1 @@
+"""Puts one node together from its configuration and the operator file."""
--- /dev/null
+++ b/brackenladder/node/operator.py
@@ -0,0 +1,122 @@
+"""The operator file: what the platform's own configuration does not say. Imported only where there is one.
+
+Each subsystem owns one table; one that is absent is off. A fault is one line `TABLE.KEY: what is wrong`.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+LARGEST_FILE = 1 << 20  # bytes
+
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+Positive = Annotated[float, Meta(gt=0, le=3_600_000)]
+Address = Annotated[str, Meta(pattern=r"^[^\s:]+:[0-9]{1,5}$|^\[[0-9a-fA-F:]+\]:[0-9]{1,5}$")]
+
+
+class OperatorError(Exception):
+    """The file cannot be used; the text is one line."""
+
+
+class FixedServer(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A server of a pool that has no discovery."""
+
+    id: Annotated[str, Meta(min_length=1, max_length=128)]
+    addr: Address
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+
+
+class MethodTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A method: its class and where in the params the rest stands, as `0.key`."""
+
+    klass: str = msgspec.field(name="class")
+    tenant: str = ""
+    budget: str = ""
+    key: str = ""
+    notify: bool = False
+
+
+class RpcTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """`[rpc]`: the MessagePack-RPC front and its pool."""
+
+    listen: Address
+    discovery: Address | None = None
+    servers: tuple[FixedServer, ...] = ()
+    methods: Annotated[dict[str, MethodTable], Meta(min_length=1)]
+    tenant: str = ""
+    budget_ms: Positive = 3000
+    pipeline: Count = 32
+    server_connections: Count = 4
+    sockets: Annotated[int, Meta(ge=8)] = 256
+    client_calls: Count = 1024
+    client_unread_kb: Count = 1024
+    message_kb: Annotated[int, Meta(ge=1, le=16384)] = 64
+    nesting: Annotated[int, Meta(ge=1, le=128)] = 32
+
+
+class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The whole file."""
+
+    rpc: RpcTable | None = None
+
+
+def load(path: str) -> Operator:
+    """Reads the file. An OperatorError if it cannot be used."""
+    try:
+        with open(path, "rb") as file:
+            data = file.read(LARGEST_FILE + 1)
+    except OSError as e:
+        raise OperatorError(f"{path}: {e.strerror}") from None
+    if len(data) > LARGEST_FILE:
+        raise OperatorError(f"{path}: over {LARGEST_FILE} bytes")
+    return parse(data)
+
+
+def parse(data: bytes) -> Operator:
+    """An Operator from TOML."""
+    try:
+        table = tomllib.loads(data.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as e:
+        raise OperatorError(f"not TOML: {e}") from None
+    try:
+        operator = msgspec.convert(table, Operator)
+    except msgspec.ValidationError as e:
+        raise OperatorError(method_at(table) or told(str(e))) from None
+    if operator.rpc is not None and (operator.rpc.discovery is None) == (not operator.rpc.servers):
+        raise OperatorError("rpc.servers: either this or rpc.discovery")
+    return operator
+
+
+def method_at(table: dict[str, Any]) -> str:
+    """What is wrong with the first method that cannot be read: converting the whole does not name it."""
+    rpc = table.get("rpc")
+    methods = rpc.get("methods") if isinstance(rpc, dict) else None
+    for name, entry in methods.items() if isinstance(methods, dict) else ():
+        try:
+            msgspec.convert(entry, MethodTable)
+        except msgspec.ValidationError as e:
+            text = told(str(e))
+            inner = text.startswith("klass") or ":" in text.partition(" ")[0]
+            return f"rpc.methods.{name}.{text}" if inner else f"rpc.methods.{name}: {text}"
+    return ""
+
+
+def told(text: str) -> str:
+    """msgspec's message with the key first."""
+    what, _, place = text.partition(" - at `")
+    key = re.sub(r"^\$\.?", "", place.rstrip("`"))
+    for pattern, words in (
+        (r"Object contains unknown field `(.*)`", "not a known key"),
+        (r"Object missing required field `(.*)`", "missing"),
+    ):
+        named = re.fullmatch(pattern, what)
+        if named:
+            return f"{key}.{named[1]}: {words}".lstrip(".")
+    return f"{key}: {what}" if key else what
--- /dev/null
+++ b/brackenladder/rpc/front.py
@@ -0,0 +1,299 @@
+"""The front that speaks MessagePack-RPC: requests and notifications to calls, conclusions to responses."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+from brackenladder.core.call import Call, Failure
+from brackenladder.core.host import Host
+from brackenladder.rpc.codec import NIL, PACK, Bounds, Message, Notification, Reader, Request, response
+from brackenladder.rpc.methods import Methods
+
+BACKLOG = 512
+ACCEPTS = 64  # connections taken in one go
+FULL_ADVICE = 500_000  # microseconds after which there may be room again
+STALLED = 2.0  # seconds without a byte read by the client, with its buffer full, after which it is closed
+TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
+HANDOVER = 2.0  # seconds after SIGTERM in which connections stay open to further calls
+LOOK = 0.02
+TEXTS = {
+    Failure.GIVEN_UP: "not served; it may have run",
+    Failure.EXPIRED: "not served in time; it may have run",
+    Failure.FAULT: "a fault of the balancer; it may have run",
+}
+
+
+@dataclass(frozen=True)
+class FrontLimits:
+    """What one client may hold. `calls`: open calls; `unread`: bytes of answers that it has not taken."""
+
+    bounds: Bounds
+    calls: int
+    unread: int
+    connections: int
+
+
+class Reply:
+    """What a server answered: the error and the result as they came."""
+
+    __slots__ = ("raw_error", "raw_result")
+
+    def __init__(self, raw_error: bytes, raw_result: bytes) -> None:
+        self.raw_error = raw_error
+        self.raw_result = raw_result
+
+
+class RpcCall(Call):
+    """A call or a notification (`msgid` None), with the params' bytes as they came."""
+
+    __slots__ = ("client", "msgid", "method", "raw", "last_error")
+
+    def __init__(
+        self, client: Client, msgid: int | None, method: str, raw: bytes, klass: int, tenant: int, left: int
+    ) -> None:
+        super().__init__(klass, tenant, left, repeat=False)
+        self.client = client
+        self.msgid = msgid
+        self.method = method
+        self.raw = raw
+        self.once = msgid is None
+        self.last_error = b""  # a server's, which goes to the client as it came if nothing better does
+
+    def released(self) -> None:
+        if self.msgid is None:
+            self.client.notified.discard(self)
+        elif self.client.calls.get(self.msgid) is self:
+            del self.client.calls[self.msgid]
+
+    def served(self, answer: object) -> None:
+        reply = cast(Reply, answer)
+        self.reply(reply.raw_error, reply.raw_result)
+
+    def refused(self, retry_after: int) -> None:
+        seconds = max(0, retry_after) / 1e6
+        self.reply(PACK(["refused", seconds, "not served; it has not run, and may be sent again"]), NIL)
+
+    def failed(self, why: Failure) -> None:
+        self.reply(self.last_error or PACK(["failed", TEXTS[why]]), NIL)
+
+    def reply(self, raw_error: bytes, raw_result: bytes) -> None:
+        if self.msgid is not None:
+            self.client.send(response(self.msgid, raw_error, raw_result))
+        self.client.settle()
+
+
+class Client(asyncio.Protocol):
+    """A client's connection: calls in any number within the bound, answers in any order."""
+
+    def __init__(self, front: RpcFront) -> None:
+        self.front = front
+        self.reader = Reader(front.limits.bounds)
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.calls: dict[int, RpcCall] = {}  # open ones, by msgid
+        self.notified: set[RpcCall] = set()
+        self.ending = False  # nothing more is read; it is closed once all is answered
+        self.full = False  # the client does not take its answers
+        self.stall: asyncio.TimerHandle | None = None
+        self.waiting: list[Message] = []  # read, with no room to take them
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=self.front.limits.unread)
+
+    def data_received(self, data: bytes) -> None:
+        if self.ending:
+            return
+        self.waiting += self.reader.feed(data)
+        self.work()
+
+    def work(self) -> None:
+        """Takes what was read, as far as there is room; what is left waits, and nothing more is read."""
+        while (
+            self.waiting and len(self.calls) + len(self.notified) < self.front.limits.calls and not self.full
+        ):
+            self.front.message(self, self.waiting.pop(0))
+        if self.waiting or self.full:
+            self.transport.pause_reading()
+        elif self.reader.broken:
+            self.end(f"broken off: {self.reader.broken}")
+        elif not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def send(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+    def settle(self) -> None:
+        """After an answer: room for what waits, or the end."""
+        if self.waiting:
+            self.front.loop.call_soon(self.work)
+        elif self.ending and not self.calls:
+            self.transport.close()
+
+    def end(self, why: str) -> None:
+        """Reads nothing more; closes once every call that was taken has its answer."""
+        if not self.ending:
+            self.ending = True
+            if why:
+                self.front.log(f"rpc client: {why}")
+            self.transport.pause_reading()
+            if not self.calls and not self.waiting:
+                self.transport.close()
+
+    def eof_received(self) -> bool:
+        """The client sends no more; its answers still go out."""
+        self.end("")
+        return not self.transport.is_closing()
+
+    def pause_writing(self) -> None:
+        self.full = True
+        self.transport.pause_reading()
+        self.stall = self.front.loop.call_later(STALLED, self.transport.abort)
+
+    def resume_writing(self) -> None:
+        self.full = False
+        if self.stall is not None:
+            self.stall.cancel()
+        self.work()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ending = True
+        self.waiting.clear()
+        if self.stall is not None:
+            self.stall.cancel()
+        self.front.clients.discard(self)
+        for call in list(self.calls.values()):
+            self.front.host.left(call)
+        self.front.listen()
+
+
+class RpcFront:
+    """The listener and its connections."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        host: Host,
+        methods: Methods,
+        limits: FrontLimits,
+        log: Callable[[str], None],
+    ) -> None:
+        self.loop = loop
+        self.host = host
+        self.methods = methods
+        self.limits = limits
+        self.log = log
+        self.clients: set[Client] = set()
+        self.listener: socket.socket | None = None
+        self.listening = False
+        self.taking: set[asyncio.Task[None]] = set()
+
+    def start(self, address: tuple[str, int]) -> None:
+        """Binds and listens. An OSError if the address cannot be had."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+        self.listener = listener
+        self.listen()
+
+    def listen(self) -> None:
+        """Takes connections while there is room for them."""
+        if self.listener is None:
+            return
+        room = len(self.clients) < self.limits.connections
+        if room and not self.listening:
+            self.loop.add_reader(self.listener.fileno(), self.accept)
+        elif not room and self.listening:
+            self.loop.remove_reader(self.listener.fileno())
+        self.listening = room
+
+    def accept(self) -> None:
+        """Takes what waits in the backlog."""
+        for _ in range(ACCEPTS):
+            if self.listener is None or len(self.clients) >= self.limits.connections:
+                break
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:  # none waits, or the one that waited has gone
+                break
+            connection.setblocking(False)
+            client = Client(self)
+            self.clients.add(client)
+            task = self.loop.create_task(self.attach(client, connection))
+            self.taking.add(task)
+            task.add_done_callback(self.taking.discard)
+        self.listen()
+
+    async def attach(self, client: Client, connection: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: client, connection)
+        except OSError:  # gone already
+            connection.close()
+            self.clients.discard(client)
+
+    def message(self, client: Client, message: Message) -> None:
+        """A message that came whole. Whatever is wrong with it is told to its sender, who goes on."""
+        if isinstance(message, Request):
+            self.request(client, message)
+        elif isinstance(message, Notification):
+            self.notification(client, message)
+        else:
+            client.end("a response, which nobody waits for")
+
+    def request(self, client: Client, message: Request) -> None:
+        if message.msgid in client.calls:
+            # The first call stands: its answer is the one that goes out under this msgid.
+            self.log(f"rpc client: msgid {message.msgid} used again while its call is open")
+            client.send(response(message.msgid, PACK(["failed", "this msgid has a call open"]), NIL))
+            return
+        method = self.methods.get(message.method)
+        read = self.methods.read(method, message.params) if method is not None else ""
+        if method is None or isinstance(read, str):
+            text = read or f"no method '{message.method}'"
+            client.send(response(message.msgid, PACK(["refused", 0, text]), NIL))
+            return
+        if self.host.full():
+            s = self.host.settings
+            wait = min(FULL_ADVICE, s.max_retry_after) / 1e6 if s.retry_after else 0
+            client.send(response(message.msgid, PACK(["refused", wait, "no room"]), NIL))
+            return
+        call = RpcCall(
+            client, message.msgid, message.method, message.raw, method.klass, read.tenant, read.budget
+        )
+        client.calls[message.msgid] = call
+        self.host.take(call)
+
+    def notification(self, client: Client, message: Notification) -> None:
+        method = self.methods.get(message.method)
+        read = self.methods.read(method, message.params) if method is not None else ""
+        if method is None or isinstance(read, str) or not self.methods.may_notify(method):
+            self.log(f"rpc client: notification '{message.method}' dropped: not allowed")
+            return
+        if self.host.full():
+            return
+        call = RpcCall(client, None, message.method, message.raw, method.klass, read.tenant, read.budget)
+        client.notified.add(call)
+        self.host.take(call)
+
+    async def drain(self) -> None:
+        """Ends the service: what was taken is answered; connections serve further calls for a while."""
+        start = self.loop.time()
+        while self.listener is not None or self.clients:
+            now = self.loop.time()
+            if self.listener is not None and now >= start + TAKING:
+                if self.listening:
+                    self.loop.remove_reader(self.listener.fileno())
+                self.listener.close()
+                self.listener = None
+            if now >= start + HANDOVER:
+                for client in list(self.clients):
+                    if client.transport is not None:
+                        client.end("")
+            await asyncio.sleep(LOOK)
--- /dev/null
+++ b/tests/rpc/standins.py
@@ -0,0 +1,184 @@
+"""What the RPC pool meets on loopback: servers that answer as a test says, and a client."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+from loopback import PATIENCE, Discovery, settings, until
+
+from brackenladder.net.config import read
+from brackenladder.net.log import LINES_A_SECOND, Log
+from brackenladder.node.operator import MethodTable, RpcTable
+from brackenladder.node.rpc import RpcPool
+
+Handle = Callable[["Server", Any, Any], None]  # server, connection, message
+
+
+def answer(msgid: int, error: Any = None, result: Any = None) -> bytes:
+    return msgpack.packb([1, msgid, error, result])
+
+
+class Connection(asyncio.Protocol):
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.unpacker = msgpack.Unpacker(strict_map_key=False)
+        self.ended = False
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.server.connections.append(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.unpacker.feed(data)
+        for message in self.unpacker:
+            self.server.messages.append((self, message))
+            if self.server.handle is not None:
+                self.server.handle(self, message)
+
+    def reply(self, msgid: int, error: Any = None, result: Any = None) -> None:
+        self.transport.write(answer(msgid, error, result))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ended = True
+
+
+def echo(connection: Connection, message: Any) -> None:
+    if message[0] == 0:
+        connection.reply(message[1], None, message[3])
+
+
+class Server:
+    """`handle` gets each message; None: nothing is answered until the test does."""
+
+    def __init__(self, handle: Callable[[Connection, Any], None] | None = echo) -> None:
+        self.handle = handle
+        self.messages: list[tuple[Connection, Any]] = []
+        self.connections: list[Connection] = []
+
+    async def start(self) -> Server:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: Connection(self), "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    @property
+    def calls(self) -> list[Any]:
+        """Requests in the order of their coming."""
+        return [message for _, message in self.messages if message[0] == 0]
+
+    def entry(self, name: str, state: str = "ready", **changes: Any) -> dict[str, Any]:
+        return {
+            "id": name,
+            "addr": f"127.0.0.1:{self.port}",
+            "zone": "here",
+            "kind": "std",
+            "cell": 0,
+            "state": state,
+            "weight": 1.0,
+            "started_ms": 0,
+        } | changes
+
+
+class Client:
+    """A client that knows nothing of the balancer."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.unpacker = msgpack.Unpacker(strict_map_key=False)
+        self.last = 0
+
+    async def open(self) -> Client:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        return self
+
+    def call(self, method: str, *params: Any, msgid: int | None = None) -> int:
+        self.last = self.last + 1 if msgid is None else msgid
+        self.writer.write(msgpack.packb([0, self.last, method, list(params)]))
+        return self.last
+
+    def notify(self, method: str, *params: Any) -> None:
+        self.writer.write(msgpack.packb([2, method, list(params)]))
+
+    async def receive(self) -> list[Any]:
+        """The next response: [1, msgid, error, result]."""
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                try:
+                    return self.unpacker.unpack()
+                except msgpack.OutOfData:
+                    data = await self.reader.read(65536)
+                    if not data:
+                        raise EOFError from None
+                    self.unpacker.feed(data)
+
+    async def ask(self, method: str, *params: Any) -> list[Any]:
+        """Error and result of a call."""
+        msgid = self.call(method, *params)
+        kind, number, error, result = await self.receive()
+        assert (kind, number) == (1, msgid)
+        return [error, result]
+
+    async def ended(self) -> bool:
+        """Waits for the connection's end; whether nothing more came."""
+        async with asyncio.timeout(PATIENCE):
+            return await self.reader.read() == b""
+
+
+METHODS = {
+    "view": MethodTable(klass="view", budget="1"),
+    "invite": MethodTable(klass="invite", budget="1"),
+    "offer": MethodTable(klass="offer", key="0.key", budget="1"),
+    "ping": MethodTable(klass="invite", notify=True),
+}
+
+
+class Bench:
+    """The RPC pool of a node, with servers `s0`, `s1`, ... behind it and a discovery that knows them."""
+
+    def __init__(self, *servers: Server, table: dict[str, Any] | None = None, **changes: Any) -> None:
+        self.servers = servers
+        self.table = table or {}
+        self.changes = changes
+        self.discovery = Discovery()
+
+    async def start(self) -> Bench:
+        await self.discovery.start()
+        for server in self.servers:
+            await server.start()
+        config = read(
+            {
+                "name": "n0",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "limits": {"sockets": 1024},
+                "settings": settings(**self.changes),
+            }
+        )
+        given = {
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{self.discovery.port}",
+            "methods": METHODS,
+        }
+        self.pool = RpcPool(
+            RpcTable(**(given | self.table)), config, asyncio.get_running_loop(), Log("n0", LINES_A_SECOND)
+        )
+        await self.pool.start()
+        if "servers" not in self.table:
+            self.discovery.say(41, True, *(s.entry(f"s{i}") for i, s in enumerate(self.servers)))
+            await until(lambda: len(self.pool.upstream.endpoints) == len(self.servers))
+        listener = self.pool.front.listener
+        assert listener is not None
+        self.port = listener.getsockname()[1]
+        return self
+
+    def wide(self) -> Bench:
+        """Lifts the module's own limit, which begins at a few calls: what is tested is the protocol's."""
+        controller = self.pool.host.balancer.controller
+        controller.limit = controller.pass_limit = 1e6
+        return self
+
+    async def client(self) -> Client:
+        return await Client(self.port).open()
