--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -12,8 +12,8 @@
 
 import uvloop
 
-from brackenladder.net.config import Config, ConfigError, load
-from brackenladder.net.node import Node
+from brackenladder.node.config import Config, ConfigError, load
+from brackenladder.node.node import Node
 
 
 class Pool(Protocol):
--- a/brackenladder/net/discovery.py
+++ b/brackenladder/discovery/watch.py
@@ -9,10 +9,10 @@
 
 import httptools
 
+from brackenladder.discovery.listing import Listing, read_listing
 from brackenladder.interface import ListKind
 from brackenladder.membership.withdrawn import Withdrawn
-from brackenladder.net.listing import Listing, read_listing
-from brackenladder.net.log import Log
+from brackenladder.node.log import Log
 
 LEAST_WAIT_MS, MOST_WAIT_MS = 3_000, 20_000  # a watch with no news lasts so long...
 WAIT_MS_A_NODE = 500  # ...in between: for each node of the tier, since discovery serves them all in turn
--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -10,7 +10,7 @@
 from brackenladder.http.callers import Caller, Callers, Message
 from brackenladder.http.servers import Answer
 from brackenladder.interface import Effect
-from brackenladder.net.log import Log
+from brackenladder.node.log import Log
 
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
 METHODS = {Effect.SAFE: b"GET", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
--- a/brackenladder/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real node: the decision module on sockets."""
--- a/brackenladder/net/node.py
+++ b/brackenladder/node/node.py
@@ -9,15 +9,15 @@
 from typing import Protocol
 
 from brackenladder.core.host import Host
+from brackenladder.discovery.listing import Line, Listing
+from brackenladder.discovery.watch import Discovery
 from brackenladder.http.callers import Callers
 from brackenladder.http.front import Front
 from brackenladder.http.upstream import HttpUpstream
 from brackenladder.interface import ListKind, ServerEntry
-from brackenladder.net.config import Config
-from brackenladder.net.discovery import Discovery
-from brackenladder.net.listing import Line, Listing
-from brackenladder.net.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
-from brackenladder.net.peers import Peers
+from brackenladder.node.config import Config
+from brackenladder.node.log import LINES_A_SECOND, STRAYS_A_SECOND, Log
+from brackenladder.peers.datagrams import Peers
 
 KILL_AFTER = 3_700_000  # after SIGTERM a node has the longest deadline for its end, or so long
 KILL_MARGIN = 300_000
--- a/brackenladder/node/rpc.py
+++ b/brackenladder/node/rpc.py
@@ -6,12 +6,12 @@
 from dataclasses import replace
 
 from brackenladder.core.host import Host
+from brackenladder.discovery.listing import Line, Listing
+from brackenladder.discovery.watch import Discovery
 from brackenladder.interface import ListKind, State
-from brackenladder.net.config import RESERVED_SOCKETS, Config, ConfigError, read_address
-from brackenladder.net.discovery import Discovery
-from brackenladder.net.listing import Line, Listing
-from brackenladder.net.log import STRAYS_A_SECOND, Log
-from brackenladder.net.node import KILL_AFTER, KILL_MARGIN, Roster
+from brackenladder.node.config import RESERVED_SOCKETS, Config, ConfigError, read_address
+from brackenladder.node.log import STRAYS_A_SECOND, Log
+from brackenladder.node.node import KILL_AFTER, KILL_MARGIN, Roster
 from brackenladder.node.operator import RpcTable
 from brackenladder.rpc.codec import Bounds
 from brackenladder.rpc.front import FrontLimits, RpcFront
--- /dev/null
+++ b/brackenladder/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The way to the other nodes of a tier."""
--- a/brackenladder/net/peers.py
+++ b/brackenladder/peers/datagrams.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, cast
 
-from brackenladder.net.log import Log
+from brackenladder.node.log import Log
 
 LARGEST = 256  # bytes in one message
 
--- a/brackenladder/rpc/upstream.py
+++ b/brackenladder/rpc/upstream.py
@@ -16,8 +16,8 @@
 from typing import cast
 
 from brackenladder.core.call import Attempt, Call, Done, Probed
+from brackenladder.discovery.listing import Line
 from brackenladder.interface import ListKind, Outcome, State
-from brackenladder.net.listing import Line
 from brackenladder.rpc.codec import MOST_MSGID, NIL, Bounds, Reader, Response, notification, request
 from brackenladder.rpc.front import Reply, RpcCall
 
--- a/tests/core/test_host.py
+++ b/tests/core/test_host.py
@@ -332,7 +332,8 @@
             "msgid",
             "status",
             "msgpack",
-            "brackenladder.net",
+            "brackenladder.discovery",
+            "brackenladder.peers",
             "brackenladder.rpc",
         ):
             assert word not in text, (path.name, word)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,8 +10,8 @@
 
 import uvloop
 
-from brackenladder.net.config import read
-from brackenladder.net.node import Node
+from brackenladder.node.config import read
+from brackenladder.node.node import Node
 
 PATIENCE = 20.0  # seconds; only a failure waits so long
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/tests/membership/test_withdrawn.py
+++ b/tests/membership/test_withdrawn.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from brackenladder.discovery.listing import Line, Listing
 from brackenladder.interface import ListKind, State
 from brackenladder.membership.withdrawn import KEPT, Withdrawn
-from brackenladder.net.listing import Line, Listing
 
 
 def line(name: str, state: State = State.READY, started: int = 0) -> Line:
--- a/tests/rpc/standins.py
+++ b/tests/rpc/standins.py
@@ -9,8 +9,8 @@
 import msgpack
 from loopback import PATIENCE, Discovery, settings, until
 
-from brackenladder.net.config import read
-from brackenladder.net.log import LINES_A_SECOND, Log
+from brackenladder.node.config import read
+from brackenladder.node.log import LINES_A_SECOND, Log
 from brackenladder.node.operator import MethodTable, RpcTable
 from brackenladder.node.rpc import RpcPool
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,8 +15,8 @@
 
 from brackenladder.http.servers import Connection, Exchange
 from brackenladder.interface import ListKind, Outcome
-from brackenladder.net.config import ConfigError, load, read
-from brackenladder.net.node import number_of
+from brackenladder.node.config import ConfigError, load, read
+from brackenladder.node.node import number_of
 
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
@@ -749,10 +749,10 @@
     """Failure prevented: a call that is never answered is waited for, and the list stays as it was."""
 
     async def scene():
-        monkeypatch.setattr("brackenladder.net.discovery.CONNECT_TIMEOUT", 0.2)
-        monkeypatch.setattr("brackenladder.net.discovery.LEAST_WAIT_MS", 200)
-        monkeypatch.setattr("brackenladder.net.discovery.WAIT_MS_A_NODE", 0)
-        monkeypatch.setattr("brackenladder.net.discovery.ANSWER_TIME", 0.2)
+        monkeypatch.setattr("brackenladder.discovery.watch.CONNECT_TIMEOUT", 0.2)
+        monkeypatch.setattr("brackenladder.discovery.watch.LEAST_WAIT_MS", 200)
+        monkeypatch.setattr("brackenladder.discovery.watch.WAIT_MS_A_NODE", 0)
+        monkeypatch.setattr("brackenladder.discovery.watch.ANSWER_TIME", 0.2)
         rules = settings()["rules"] | {"ask_within": MOMENT}  # asks again soon
         bench = await Bench(old := Server(), rules=rules).start()
         await Server.start(new := Server())
