node/ is the one place that puts a node together; an RPC application's error is an answer

Cause: a server's own error was taken for its failure: a safe call ran three times and was then answered 'it has not run'. Now an error passes as it came, after one attempt, and counts as a success, unless it is ['rejected', ...], a lower node's ['refused', ...] or ['failed', ...], or matches the method's 'failures' (operator file, exact values or paths, checked at load). The core knows of each call whether an attempt may have run, and a refusal says 'has not run' only of what cannot have.

Pool = Host + upstream + source of the list, Listener = a front that feeds pools; HTTP's and RPC's listening and draining are one file (sockets/listener.py), the list's sources one each (asked, agent, fixed). SIGHUP reaches RPC's discovery too: the operator file is read anew. The list's form is in membership/, which is pure and below the sockets that use it.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -7,75 +7,58 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from brackenladder.node.config import Config, ConfigError, load
 from brackenladder.node.node import Node
 
+if TYPE_CHECKING:
+    from brackenladder.node.operator import Operator
 
-class Pool(Protocol):
-    """A pool beside HTTP's, with a front of its own."""
 
-    async def start(self) -> None:
-        """Begins to serve."""
-
-    async def drain(self) -> None:
-        """Answers what has been taken, and ends."""
-
-
-def extended(config: Config, path: str | None) -> tuple[Config, Callable[[Node], list[Pool]]]:
-    """The configuration and what the operator file adds; its code is imported only where it is asked for."""
+def operator_of(path: str | None, config: Config) -> Operator | None:
+    """The operator file, checked against the configuration; its code is imported only if there is one."""
     if path is None:
-        return config, lambda node: []
+        return None
     try:
-        from brackenladder.node.operator import OperatorError
+        from brackenladder.node.operator import OperatorError, checked
         from brackenladder.node.operator import load as load_operator
     except ModuleNotFoundError as e:
         raise ConfigError(f"an operator file needs {e.name}: install requirements-operator.txt") from None
     try:
-        operator = load_operator(path)
+        return checked(load_operator(path), config)
     except OperatorError as e:
         raise ConfigError(f"operator file: {e}") from None
-    table = operator.rpc
-    if table is None:
-        return config, lambda node: []
-    from brackenladder.node.rpc import RpcPool, methods_of, without
-
-    methods_of(table, config)  # before anything listens
-    return without(config, table), lambda node: [RpcPool(table, config, node.loop, node.log_lines)]
 
 
-async def serve(config: Config, pools: Callable[[Node], list[Pool]]) -> None:
-    """Runs the node until SIGTERM, and to the last answer it owes. SIGHUP reads the configuration anew."""
+async def serve(config: Config, operator: Operator | None, path: str | None) -> None:
+    """Runs the node until SIGTERM, and to the last answer it owes. SIGHUP reads its files anew."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)  # a second one changes nothing
-    node = Node(config, loop)
+    node = Node(config, loop, operator)
 
     def failed(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
-        node.log_lines.line(f"{context.get('message')}: {context.get('exception')!r}")
+        node.log.line(f"{context.get('message')}: {context.get('exception')!r}")
 
     def reload() -> None:
         try:
-            node.reload(load(os.environ, node.config))
+            new = load(os.environ, node.config)
+            node.reload(new, operator_of(path, new))
         except ConfigError as e:
-            node.log_lines.line(f"reload: {e}; the old configuration stays")
+            node.log.line(f"reload: {e}; the old configuration stays")
 
     loop.set_exception_handler(failed)
     loop.add_signal_handler(signal.SIGHUP, reload)  # before the node can be ready: untended, it kills
-    further = pools(node)
     await node.start()
-    for pool in further:
-        await pool.start()
     # What the start has made lives as long as the node: the collector need not look at it again.
     gc.collect()
     gc.freeze()
     await stop.wait()
-    await asyncio.gather(node.drain(), *(pool.drain() for pool in further))
+    await node.drain()
 
 
 def command(arguments: list[str]) -> int:
@@ -101,13 +84,15 @@
     if len(arguments) not in (0, 1, 3) or (len(arguments) == 3 and arguments[1] != "--operator"):
         print("brackenladder: run: takes --operator FILE and nothing else", file=sys.stderr)
         return 2
+    path = arguments[2] if len(arguments) == 3 else None
     try:
-        config, pools = extended(load(os.environ), arguments[2] if len(arguments) == 3 else None)
+        config = load(os.environ)
+        operator = operator_of(path, config)
     except ConfigError as e:
         print(f"brackenladder: {e}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config, pools))
+        uvloop.run(serve(config, operator, path))
     except OSError as e:
         print(f"brackenladder: cannot listen: {e.strerror}", file=sys.stderr)
         return 1
--- a/brackenladder/core/call.py
+++ b/brackenladder/core/call.py
@@ -37,6 +37,7 @@
         "out",
         "guard",
         "once",
+        "in_doubt",
     )
 
     def __init__(self, klass: int, tenant: int, left: int, repeat: bool) -> None:
@@ -50,6 +51,7 @@
         self.attempts = 0
         self.out: Attempt | None = None
         self.guard: asyncio.TimerHandle | None = None
+        self.in_doubt = False  # an attempt may have run
         self.once = False  # nobody waits for an answer: one attempt, and its end is the call's
 
     def released(self) -> None:
@@ -60,7 +62,10 @@
         raise NotImplementedError
 
     def refused(self, retry_after: int) -> None:
-        """Concludes: a retry is harmless, after so many microseconds if more than 0."""
+        """Concludes: a retry is harmless, after so many microseconds if more than 0.
+
+        That says nothing of whether the call has run: `in_doubt` does.
+        """
         raise NotImplementedError
 
     def failed(self, why: Failure) -> None:
@@ -99,7 +104,7 @@
 
 
 class Directory(Protocol):
-    """The source of the server list."""
+    """The source of the server list, as the module sees it."""
 
     def watch(self, on: bool) -> None:
         """Begins or ends the watch."""
--- a/brackenladder/core/host.py
+++ b/brackenladder/core/host.py
@@ -5,12 +5,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Sequence
-from time import monotonic_ns, time_ns
 from typing import Any
 
 from brackenladder.balance import Balancer
 from brackenladder.core.call import Call, Directory, Failure, Messenger, Upstream
-from brackenladder.interface import ListKind, Outcome, ServerEntry, Settings
+from brackenladder.core.clock import Clock
+from brackenladder.interface import NEVER_RAN, ListKind, Outcome, ServerEntry, Settings
 
 GUARD = 10_000  # after the deadline: a call that the module has left open is failed
 
@@ -25,6 +25,7 @@
         loop: asyncio.AbstractEventLoop,
         upstream: Upstream,
         log: Callable[[str], None],
+        clock: Clock,
     ) -> None:
         self.settings = settings
         self.loop = loop
@@ -32,7 +33,7 @@
         self.log_line = log
         self.directory: Directory
         self.messenger: Messenger
-        self.origin = time_ns() - monotonic_ns()
+        self.now = clock.now
         self.events: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self.busy = False
         self.calls: dict[int, Call] = {}
@@ -41,10 +42,6 @@
         self.ends = 1 << 62  # the time by which all that is taken must be concluded
         self.balancer = Balancer(settings, seed, self)
 
-    def now(self) -> int:
-        """Unix time at the start plus what has passed since, in microseconds: it never goes back."""
-        return (self.origin + monotonic_ns()) // 1000
-
     # ---- events ---------------------------------------------------------------------------------------
 
     def post(self, event: Callable[..., None], *args: Any) -> None:
@@ -157,6 +154,8 @@
     ) -> None:
         """An attempt's end: an answer goes to the client at once, then the module hears of it."""
         call.out = None
+        if outcome not in NEVER_RAN:
+            call.in_doubt = True
         if outcome == Outcome.OK and self.release(call.id) is not None:
             call.served(answer)
         elif call.once:
@@ -177,6 +176,7 @@
         """Concludes a call: a retry is harmless."""
         call = self.release(request)
         if call is not None:
+            call.in_doubt = call.in_doubt or call.out is not None
             call.refused(retry_after)
 
     def fail(self, request: int) -> None:
--- /dev/null
+++ b/brackenladder/discovery/sources.py
@@ -0,0 +1,88 @@
+"""Where a pool's list comes from: discovery that is asked, an agent that is pushed to, or a fixed list."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from brackenladder.discovery.watch import Discovery, Told
+from brackenladder.interface import ListKind
+from brackenladder.membership.listing import Line, Listing
+
+PUSH_RETRY = 0.1  # seconds before an agent that did not answer is asked again
+
+Address = tuple[str, int]
+
+
+class Asked(Discovery):
+    """Discovery, which the module asks as it sees fit; it begins with the list that was known."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        known: Listing | None,
+        nodes: int,
+        told: Told,
+        log: Callable[[str], None],
+    ) -> None:
+        super().__init__(loop, address, known.version if known else None, nodes, told, log)
+        self.known = known
+
+    def start(self) -> None:
+        """Tells of the list that was known, if there was one."""
+        if self.known is not None:
+            self.told(self.known)
+
+
+class Agent(Asked):
+    """An agent on the node's own machine, which answers at once with what was pushed to it.
+
+    It is watched by the node itself, for as long as the pool runs: the module does not ask there.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        known: Listing | None,
+        nodes: int,
+        told: Told,
+        log: Callable[[str], None],
+    ) -> None:
+        super().__init__(loop, address, known, nodes, self.heard, log)
+        self.pass_on = told
+
+    def start(self) -> None:
+        super().start()
+        self.watch(True)
+
+    def heard(self, listing: Listing | None) -> None:
+        """News go on; a call that failed is made again."""
+        if listing is None:
+            self.loop.call_later(PUSH_RETRY, self.watch, True)
+        else:
+            self.pass_on(listing)
+
+
+class Fixed:
+    """A list that stands in the operator file: there is nothing to ask for."""
+
+    def __init__(self, lines: Sequence[Line], told: Told) -> None:
+        self.listing = Listing(ListKind.FULL, 1, tuple(lines))
+        self.told = told
+
+    def start(self) -> None:
+        self.told(self.listing)
+
+    def watch(self, on: bool) -> None:
+        """There are no changes."""
+
+    def fetch(self) -> None:
+        """The list is known."""
+
+    def move(self, address: Address) -> None:
+        """It has no address."""
+
+    def close(self) -> None:
+        """Nothing is out."""
--- a/brackenladder/discovery/watch.py
+++ b/brackenladder/discovery/watch.py
@@ -9,10 +9,9 @@
 
 import httptools
 
-from brackenladder.discovery.listing import Listing, read_listing
 from brackenladder.interface import ListKind
+from brackenladder.membership.listing import Listing, read_listing
 from brackenladder.membership.withdrawn import Withdrawn
-from brackenladder.node.log import Log
 
 LEAST_WAIT_MS, MOST_WAIT_MS = 3_000, 20_000  # a watch with no news lasts so long...
 WAIT_MS_A_NODE = 500  # ...in between: for each node of the tier, since discovery serves them all in turn
@@ -142,7 +141,7 @@
         version: int | None,
         nodes: int,
         told: Told,
-        log: Log,
+        log: Callable[[str], None],
     ) -> None:
         self.loop = loop
         self.address = address
@@ -213,10 +212,10 @@
         try:
             listing = read_listing(json.loads(body))
         except (ValueError, RecursionError) as e:
-            self.log.line(f"discovery: answer dropped: {e}")
+            self.log(f"discovery: answer dropped: {e}")
             return None
         if listing.kind == ListKind.CHANGES and self.version is None:
-            self.log.line("discovery: answer dropped: changes of a list that is not known")
+            self.log("discovery: answer dropped: changes of a list that is not known")
             return None
         if listing.kind == ListKind.CHANGES and self.version is not None and listing.version < self.version:
             # Failure prevented: an old answer that was overtaken brings drained servers back.
--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import cast
 
 from brackenladder.core.call import Call, Failure
@@ -10,7 +10,7 @@
 from brackenladder.http.callers import Caller, Callers, Message
 from brackenladder.http.servers import Answer
 from brackenladder.interface import Effect
-from brackenladder.node.log import Log
+from brackenladder.sockets.listener import Address
 
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
 METHODS = {Effect.SAFE: b"GET", Effect.KEYED: b"POST", Effect.UNSAFE: b"POST"}
@@ -23,7 +23,14 @@
     __slots__ = ("front", "name", "caller", "message")
 
     def __init__(
-        self, front: Front, caller: Caller, message: Message, klass: int, tenant: int, left: int, repeat: bool
+        self,
+        front: HttpFront,
+        caller: Caller,
+        message: Message,
+        klass: int,
+        tenant: int,
+        left: int,
+        repeat: bool,
     ) -> None:
         super().__init__(klass, tenant, left, repeat)
         self.front = front
@@ -49,19 +56,34 @@
         self.caller.answer(STATUS[why])
 
 
-class Front:
-    """Takes what the callers' connections read, as their `Handler`."""
+class HttpFront:
+    """Takes what the callers' connections read, as their `Handler`. `listed`: a server list has come."""
 
-    def __init__(self, host: Host, classes: Sequence[str], tenants: Sequence[str], log: Log) -> None:
+    def __init__(
+        self,
+        host: Host,
+        classes: Sequence[str],
+        tenants: Sequence[str],
+        listed: Callable[[], bool],
+        log: Callable[[str], None],
+    ) -> None:
         self.host = host
         self.log = log
         self.callers: Callers
-        self.listed = False  # a server list has come
+        self.listed = listed
         self.classes = {name.encode(): i for i, name in enumerate(classes)}
         self.tenants = {name.encode(): i for i, name in enumerate(tenants)}
         self.by_caller: dict[Caller, HttpCall] = {}
         self.by_name: dict[bytes, HttpCall] = {}  # by X-Call-Id
 
+    def start(self, address: Address) -> None:
+        """Binds and listens. An OSError if the address cannot be had."""
+        self.callers.start(address)
+
+    async def drain(self) -> None:
+        """Answers what was taken, and ends."""
+        await self.callers.drain()
+
     def message(self, caller: Caller, message: Message) -> None:
         """A client's request, whole.
 
@@ -70,7 +92,7 @@
         try:
             self.accept(caller, message)
         except Exception as e:  # whatever it is, it is this request's failure alone
-            self.log.line(f"request: {type(e).__name__}: {e}")
+            self.log(f"request: {type(e).__name__}: {e}")
             caller.answer(500)
 
     def accept(self, caller: Caller, message: Message) -> None:
@@ -83,7 +105,7 @@
             elif message.method != b"GET":
                 caller.answer(405, headers=b"Allow: GET\r\n")
             else:
-                caller.answer(200 if self.listed and not self.callers.draining else 503)
+                caller.answer(200 if self.listed() and not self.callers.draining else 503)
             return
         effect = self.host.settings.classes[klass].effect
         if message.method != METHODS[effect]:
--- a/brackenladder/http/upstream.py
+++ b/brackenladder/http/upstream.py
@@ -8,11 +8,11 @@
 from typing import cast
 
 from brackenladder.core.call import Attempt, Call, Done, Probed
-from brackenladder.discovery.listing import Line
 from brackenladder.http.callers import Message
 from brackenladder.http.front import HttpCall
 from brackenladder.http.servers import Answer, Endpoint, Exchange, Pool
 from brackenladder.interface import ListKind, Outcome, State
+from brackenladder.membership.listing import Line
 
 # Headers that end at this hop or are written anew for the next.
 HOP = frozenset(
--- a/brackenladder/membership/withdrawn.py
+++ b/brackenladder/membership/withdrawn.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from brackenladder.discovery.listing import Listing
 from brackenladder.interface import ListKind, State
+from brackenladder.membership.listing import Listing
 
 KEPT = 60.0  # seconds that a withdrawal holds against older lists; no drain lasts so long
 
--- a/brackenladder/node/config.py
+++ b/brackenladder/node/config.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from brackenladder.discovery.listing import Listing, read_listing
 from brackenladder.interface import ListKind, Settings
+from brackenladder.membership.listing import Listing, read_listing
 from brackenladder.settings import COLUMNS, Fields, settings_of
 
 Address = tuple[str, int]
--- /dev/null
+++ b/brackenladder/node/http.py
@@ -0,0 +1,52 @@
+"""HTTP's pool and listener, from the platform's configuration."""
+
+from __future__ import annotations
+
+import asyncio
+
+from brackenladder.core.call import Messenger
+from brackenladder.core.clock import Clock
+from brackenladder.discovery.sources import Agent, Asked
+from brackenladder.http.callers import Callers
+from brackenladder.http.front import HttpFront
+from brackenladder.http.upstream import HttpUpstream
+from brackenladder.node.config import Config
+from brackenladder.node.log import Log
+from brackenladder.node.pool import Pool
+
+
+def http_pool(
+    config: Config, loop: asyncio.AbstractEventLoop, messenger: Messenger, clock: Clock, log: Log, strays: Log
+) -> Pool:
+    """Half of the connections are the servers'."""
+    settings = config.settings
+    upstream = HttpUpstream(
+        loop,
+        config.connections // 2,
+        config.connect_timeout,
+        config.idle_time,
+        config.report_names,
+        config.inline_reports,
+        clock.now,
+    )
+    source = Asked if settings.list_on_request else Agent
+    return Pool(
+        settings,
+        config.seed,
+        loop,
+        upstream,
+        lambda told: source(loop, config.discovery, config.known, settings.instances, told, strays.line),
+        messenger,
+        config.zones,
+        config.kinds,
+        log.line,
+        clock,
+    )
+
+
+def http_front(config: Config, loop: asyncio.AbstractEventLoop, pool: Pool, log: Log) -> HttpFront:
+    """The other half are the clients'."""
+    front = HttpFront(pool.host, config.classes, config.tenants, lambda: pool.listed, log.line)
+    most = config.connections - config.connections // 2
+    front.callers = Callers(loop, most, config.most_held, front)
+    return front
--- a/brackenladder/node/operator.py
+++ b/brackenladder/node/operator.py
@@ -12,6 +12,8 @@
 import msgspec
 from msgspec import Meta
 
+from brackenladder.node.config import Config
+
 LARGEST_FILE = 1 << 20  # bytes
 
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
@@ -41,6 +43,7 @@
     budget: str = ""
     key: str = ""
     notify: bool = False
+    failures: Annotated[tuple[Any, ...], Meta(max_length=64)] = ()  # checked with the method's paths
 
 
 class RpcTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -67,6 +70,22 @@
     rpc: RpcTable | None = None
 
 
+def moved(operator: Operator, discovery: str) -> Operator:
+    """The same, with RPC's discovery at another address."""
+    assert operator.rpc is not None
+    rpc = msgspec.structs.replace(operator.rpc, discovery=discovery)
+    return msgspec.structs.replace(operator, rpc=rpc)
+
+
+def checked(operator: Operator, config: Config) -> Operator:
+    """The same, if the node of this configuration can take it on; a ConfigError otherwise."""
+    if operator.rpc is not None:
+        from brackenladder.node.rpc import check
+
+        check(operator.rpc, config)
+    return operator
+
+
 def load(path: str) -> Operator:
     """Reads the file. An OperatorError if it cannot be used."""
     try:
--- /dev/null
+++ b/brackenladder/node/pool.py
@@ -0,0 +1,134 @@
+"""A pool: one Balancer in its host, one upstream, one source of the server list.
+
+    Listener: client's bytes --Call--> Host (asks the Balancer) --attempt--> upstream --> a server's bytes
+                                         ^
+                        source --Listing--> Roster (numbers for names), which tells upstream and Host
+
+Several listeners may feed one pool. A call is concluded once by its Host: served, refused or failed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from hashlib import blake2b
+from typing import Protocol
+
+from brackenladder.core.call import Directory, Messenger, Upstream
+from brackenladder.core.clock import Clock
+from brackenladder.core.host import Host
+from brackenladder.interface import ListKind, ServerEntry, Settings
+from brackenladder.membership.listing import Line, Listing
+
+KILL_AFTER = 3_700_000  # after SIGTERM a node has the longest deadline for its end, or so long
+KILL_MARGIN = 300_000
+
+Told = Callable[[Listing | None], None]
+
+
+class Source(Directory, Protocol):
+    """Where the list comes from."""
+
+    def start(self) -> None:
+        """The pool runs: from now on it is told of lists."""
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Asks at another address from now on."""
+
+    def close(self) -> None:
+        """Ends all that is out."""
+
+
+class PoolUpstream(Upstream, Protocol):
+    """An upstream that is told of its pool's servers."""
+
+    def update(self, kind: ListKind, latest: Mapping[int, Line]) -> None:
+        """Takes note of a list or its changes, each server once."""
+
+
+class NoMessenger:
+    """Of a pool whose settings allow no messages between nodes."""
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Not allowed."""
+
+
+class Pool:
+    """`source` makes the source of its list, which tells `told`."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        loop: asyncio.AbstractEventLoop,
+        upstream: PoolUpstream,
+        source: Callable[[Told], Source],
+        messenger: Messenger,
+        zones: Sequence[str],
+        kinds: Sequence[str],
+        log: Callable[[str], None],
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.upstream = upstream
+        self.host = Host(settings, seed, loop, upstream, log, clock)
+        self.roster = Roster(self.host, upstream, zones, kinds)
+        self.source = source(self.told)
+        self.host.directory = self.source
+        self.host.messenger = messenger
+        self.listed = False  # a server list has come
+
+    def start(self) -> None:
+        """The module begins to run, and hears of the servers."""
+        self.host.start()
+        self.source.start()
+
+    def told(self, listing: Listing | None) -> None:
+        """News of the list; None if a call to its source failed."""
+        self.listed = self.listed or listing is not None
+        self.roster.told(listing)
+
+    def last_orders(self) -> None:
+        """The node is to end: what it takes from now on must be concluded before it is killed.
+
+        Failure prevented: what is taken in the meantime is still open when the process is killed.
+        """
+        longest = max(c.deadline for c in self.settings.classes)
+        self.host.ends = self.host.now() + min(longest, KILL_AFTER) - KILL_MARGIN
+
+
+class Roster:
+    """Maps the list's names to the core's numbers, and tells upstream and core of its news."""
+
+    def __init__(
+        self, host: Host, upstream: PoolUpstream, zones: Sequence[str], kinds: Sequence[str]
+    ) -> None:
+        self.host = host
+        self.upstream = upstream
+        self.zones = {name: i for i, name in enumerate(zones)}
+        self.kinds = {name: i for i, name in enumerate(kinds)}
+
+    def told(self, listing: Listing | None) -> None:
+        """A list or its changes; None if a call to discovery failed."""
+        if listing is None:
+            self.host.servers(ListKind.FAILED, ())
+            return
+        latest = {number_of(line.id): line for line in listing.lines}  # a server twice: the last holds
+        self.upstream.update(listing.kind, latest)
+        self.host.servers(listing.kind, [self.entry(number, line) for number, line in latest.items()])
+
+    def entry(self, number: int, line: Line) -> ServerEntry:
+        return ServerEntry(
+            number,
+            line.state,
+            line.cell,
+            self.zones.setdefault(line.zone, len(self.zones)),
+            self.kinds.setdefault(line.kind, len(self.kinds)),
+            line.weight,
+            line.started,
+        )
+
+
+def number_of(name: str) -> int:
+    """A server's number: the same at every node, since all copies share one shuffle of the numbers."""
+    return int.from_bytes(blake2b(name.encode(errors="surrogatepass"), digest_size=8).digest(), "big")
--- a/brackenladder/node/rpc.py
+++ b/brackenladder/node/rpc.py
@@ -1,18 +1,18 @@
-"""The RPC pool of a node: its core, front, upstream and server list."""
+"""RPC's pool and listener, from the operator file."""
 
 from __future__ import annotations
 
 import asyncio
 from dataclasses import replace
 
-from brackenladder.core.host import Host
-from brackenladder.discovery.listing import Line, Listing
-from brackenladder.discovery.watch import Discovery
-from brackenladder.interface import ListKind, State
+from brackenladder.core.clock import Clock
+from brackenladder.discovery.sources import Asked, Fixed
+from brackenladder.interface import State
+from brackenladder.membership.listing import Line
 from brackenladder.node.config import RESERVED_SOCKETS, Config, ConfigError, read_address
-from brackenladder.node.log import STRAYS_A_SECOND, Log
-from brackenladder.node.node import KILL_AFTER, KILL_MARGIN, Roster
+from brackenladder.node.log import Log
 from brackenladder.node.operator import RpcTable
+from brackenladder.node.pool import NoMessenger, Pool, Source, Told
 from brackenladder.rpc.codec import Bounds
 from brackenladder.rpc.front import FrontLimits, RpcFront
 from brackenladder.rpc.methods import MethodError, Methods, compiled
@@ -22,91 +22,91 @@
 LEAST_HTTP = 8  # descriptors that are left to HTTP's connections at the least
 
 
-class NoDirectory:
-    """The source of a fixed list: there is nothing to ask for."""
+def bounds_of(table: RpcTable) -> Bounds:
+    return Bounds(message=table.message_kb << 10, nesting=table.nesting)
 
-    def watch(self, on: bool) -> None:
-        """There are no changes."""
 
-    def fetch(self) -> None:
-        """The list is known."""
-
-
-class NoMessenger:
-    """RPC pools send no messages between nodes: the pool's settings allow none."""
-
-    def tell(self, peer: int, data: bytes) -> None:
-        """Not allowed."""
+def rpc_pool(
+    table: RpcTable, config: Config, loop: asyncio.AbstractEventLoop, clock: Clock, log: Log, strays: Log
+) -> Pool:
+    """Half of the table's sockets are the servers'. There are no probes and no messages between nodes."""
+    settings = replace(
+        config.settings, probes=False, peers=False, list_on_request=table.discovery is not None
+    )
+    limits = UpstreamLimits(
+        bounds_of(table),
+        table.pipeline,
+        table.server_connections,
+        table.sockets // 2,
+        config.connect_timeout,
+        max(config.idle_time - IDLE_MARGIN, config.idle_time / 2),
+    )
 
+    def source(told: Told) -> Source:
+        if table.discovery is None:
+            return Fixed([fixed(s.id, s.addr, s.zone, s.kind, s.cell) for s in table.servers], told)
+        address = read_address(table.discovery, "rpc.discovery")
+        return Asked(loop, address, None, settings.instances, told, strays.line)
+
+    return Pool(
+        settings,
+        config.seed ^ 1,
+        loop,
+        RpcUpstream(loop, limits, strays.line),
+        source,
+        NoMessenger(),
+        config.zones,
+        config.kinds,
+        log.line,
+        clock,
+    )
 
-class RpcPool:
-    """Serves RPC calls with a Balancer of their own, beside HTTP's."""
 
-    def __init__(self, table: RpcTable, config: Config, loop: asyncio.AbstractEventLoop, log: Log) -> None:
-        self.table = table
-        self.loop = loop
-        self.log_lines = log
-        self.listen = read_address(table.listen, "rpc.listen")
-        self.settings = replace(
-            config.settings, probes=False, peers=False, list_on_request=table.discovery is not None
-        )
-        strays = Log(config.name, STRAYS_A_SECOND)
-        bounds = Bounds(message=table.message_kb << 10, nesting=table.nesting)
-        half = table.sockets // 2
-        self.upstream = RpcUpstream(
-            loop,
-            UpstreamLimits(
-                bounds,
-                table.pipeline,
-                table.server_connections,
-                half,
-                config.connect_timeout,
-                max(config.idle_time - IDLE_MARGIN, config.idle_time / 2),
-            ),
-            strays.line,
-        )
-        self.host = Host(self.settings, config.seed ^ 1, loop, self.upstream, log.line)
-        methods = methods_of(table, config)
-        limits = FrontLimits(bounds, table.client_calls, table.client_unread_kb << 10, table.sockets - half)
-        self.front = RpcFront(loop, self.host, methods, limits, strays.line)
-        self.roster = Roster(self.host, self.upstream, config.zones, config.kinds)
-        self.discovery: Discovery | None = None
-        self.host.messenger = NoMessenger()
-        if table.discovery is None:
-            self.host.directory = NoDirectory()
-        else:
-            address = read_address(table.discovery, "rpc.discovery")
-            self.discovery = Discovery(loop, address, None, self.settings.instances, self.roster.told, strays)
-            self.host.directory = self.discovery
-
-    async def start(self) -> None:
-        """Begins to serve. An OSError if the address cannot be had."""
-        self.front.start(self.listen)
-        self.host.start()
-        if self.table.servers:
-            lines = tuple(fixed(s.id, s.addr, s.zone, s.kind, s.cell) for s in self.table.servers)
-            self.roster.told(Listing(ListKind.FULL, 1, lines))
-
-    async def drain(self) -> None:
-        """Answers what has been taken, and ends."""
-        longest = max(c.deadline for c in self.settings.classes)
-        self.host.ends = self.host.now() + min(longest, KILL_AFTER) - KILL_MARGIN
-        await self.front.drain()
-        if self.discovery is not None:
-            self.discovery.close()
+def rpc_front(
+    table: RpcTable, config: Config, loop: asyncio.AbstractEventLoop, pool: Pool, strays: Log
+) -> RpcFront:
+    """The other half are the clients'."""
+    limits = FrontLimits(
+        bounds_of(table),
+        table.client_calls,
+        table.client_unread_kb << 10,
+        table.sockets - table.sockets // 2,
+    )
+    return RpcFront(loop, pool.host, methods_of(table, config), limits, strays.line)
 
 
 def fixed(name: str, addr: str, zone: str, kind: str, cell: int) -> Line:
-    host, port = read_address(addr, f"rpc.servers: {name}")
+    host, port = read_address(addr, f"operator file: rpc.servers: {name}")
     return Line(name, host, port, zone, kind, cell, State.READY, 1.0, 0)
 
 
+def check(table: RpcTable, config: Config) -> None:
+    """A ConfigError if the node cannot take the table on, before anything listens."""
+    read_address(table.listen, "operator file: rpc.listen")
+    if table.discovery is not None:
+        read_address(table.discovery, "operator file: rpc.discovery")
+    for i, server in enumerate(table.servers):
+        fixed(server.id, server.addr, server.zone, server.kind, server.cell)
+        if server.id in {s.id for s in table.servers[:i]}:
+            raise ConfigError(f"operator file: rpc.servers: {server.id}: stands twice")
+    methods_of(table, config)
+    without(config, table)
+
+
 def methods_of(table: RpcTable, config: Config) -> Methods:
     """The methods, checked against the settings' classes. A ConfigError names the key."""
     try:
         compiled_ = {
             name: compiled(
-                name, m.klass, m.tenant, m.budget, m.key, m.notify, config.classes, config.settings.classes
+                name,
+                m.klass,
+                m.tenant,
+                m.budget,
+                m.key,
+                m.notify,
+                m.failures,
+                config.classes,
+                config.settings.classes,
             )
             for name, m in table.methods.items()
         }
--- a/brackenladder/peers/datagrams.py
+++ b/brackenladder/peers/datagrams.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable, Sequence
 from typing import Any, cast
 
-from brackenladder.node.log import Log
-
 LARGEST = 256  # bytes in one message
 
 Address = tuple[str, int]
@@ -17,7 +15,11 @@
     """Sends to the tier's nodes by number and hands on what comes from them."""
 
     def __init__(
-        self, peers: Sequence[Address], to_all: Address | None, heard: Callable[[int, bytes], None], log: Log
+        self,
+        peers: Sequence[Address],
+        to_all: Address | None,
+        heard: Callable[[int, bytes], None],
+        log: Callable[[str], None],
     ) -> None:
         self.rename(peers, to_all)
         self.heard = heard
@@ -37,16 +39,16 @@
         """Sends a message to one peer, or to all (-1). A longer one than the network takes is not sent."""
         address = self.to_all if peer < 0 else self.peers[peer] if peer < len(self.peers) else None
         if self.transport is None or address is None or len(data) > LARGEST:
-            self.log.line(f"message of {len(data)} bytes to peer {peer} not sent")
+            self.log(f"message of {len(data)} bytes to peer {peer} not sent")
             return
         self.transport.sendto(data, address)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         number = self.numbers.get((addr[0], addr[1]))
         if number is None or len(data) > LARGEST:
-            self.log.line("stray or oversized datagram dropped")
+            self.log("stray or oversized datagram dropped")
             return
         self.heard(number, data)
 
     def error_received(self, exc: Exception) -> None:
-        self.log.line(f"peers: {exc}")
+        self.log(f"peers: {exc}")
--- a/brackenladder/rpc/front.py
+++ b/brackenladder/rpc/front.py
@@ -3,23 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
 
-from brackenladder.core.call import Call, Failure
+from brackenladder.core.call import Failure
 from brackenladder.core.host import Host
+from brackenladder.rpc.call import Reply, RpcCall
 from brackenladder.rpc.codec import NIL, PACK, Bounds, Message, Notification, Reader, Request, response
-from brackenladder.rpc.methods import Methods
+from brackenladder.rpc.methods import Method, Methods, Read
+from brackenladder.sockets.listener import HANDOVER, Address, Listener
 
-BACKLOG = 512
-ACCEPTS = 64  # connections taken in one go
 FULL_ADVICE = 500_000  # microseconds after which there may be room again
 STALLED = 2.0  # seconds without a byte read by the client, with its buffer full, after which it is closed
-TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
-HANDOVER = 2.0  # seconds after SIGTERM in which connections stay open to further calls
-LOOK = 0.02
+NOT_RUN = "not served; it has not run, and may be sent again"
+DOUBT = "not served; it may have run, and sending it again does no harm"
 TEXTS = {
     Failure.GIVEN_UP: "not served; it may have run",
     Failure.EXPIRED: "not served in time; it may have run",
@@ -37,31 +35,14 @@
     connections: int
 
 
-class Reply:
-    """What a server answered: the error and the result as they came."""
+class ClientCall(RpcCall):
+    """A call or a notification, and the connection that its answer goes to."""
 
-    __slots__ = ("raw_error", "raw_result")
+    __slots__ = ("client",)
 
-    def __init__(self, raw_error: bytes, raw_result: bytes) -> None:
-        self.raw_error = raw_error
-        self.raw_result = raw_result
-
-
-class RpcCall(Call):
-    """A call or a notification (`msgid` None), with the params' bytes as they came."""
-
-    __slots__ = ("client", "msgid", "method", "raw", "last_error")
-
-    def __init__(
-        self, client: Client, msgid: int | None, method: str, raw: bytes, klass: int, tenant: int, left: int
-    ) -> None:
-        super().__init__(klass, tenant, left, repeat=False)
+    def __init__(self, client: Client, msgid: int | None, name: str, raw: bytes, method: Method, read: Read):
+        super().__init__(msgid, name, raw, method, read)
         self.client = client
-        self.msgid = msgid
-        self.method = method
-        self.raw = raw
-        self.once = msgid is None
-        self.last_error = b""  # a server's, which goes to the client as it came if nothing better does
 
     def released(self) -> None:
         if self.msgid is None:
@@ -74,8 +55,7 @@
         self.reply(reply.raw_error, reply.raw_result)
 
     def refused(self, retry_after: int) -> None:
-        seconds = max(0, retry_after) / 1e6
-        self.reply(PACK(["refused", seconds, "not served; it has not run, and may be sent again"]), NIL)
+        self.reply(PACK(["refused", max(0, retry_after) / 1e6, DOUBT if self.in_doubt else NOT_RUN]), NIL)
 
     def failed(self, why: Failure) -> None:
         self.reply(self.last_error or PACK(["failed", TEXTS[why]]), NIL)
@@ -93,8 +73,8 @@
         self.front = front
         self.reader = Reader(front.limits.bounds)
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
-        self.calls: dict[int, RpcCall] = {}  # open ones, by msgid
-        self.notified: set[RpcCall] = set()
+        self.calls: dict[int, ClientCall] = {}  # open ones, by msgid
+        self.notified: set[ClientCall] = set()
         self.ending = False  # nothing more is read; it is closed once all is answered
         self.full = False  # the client does not take its answers
         self.stall: asyncio.TimerHandle | None = None
@@ -188,55 +168,29 @@
         self.limits = limits
         self.log = log
         self.clients: set[Client] = set()
-        self.listener: socket.socket | None = None
-        self.listening = False
-        self.taking: set[asyncio.Task[None]] = set()
+        self.listener = Listener(loop, self.room, self.client, self.gone)
 
-    def start(self, address: tuple[str, int]) -> None:
+    def start(self, address: Address) -> None:
         """Binds and listens. An OSError if the address cannot be had."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(BACKLOG)
-        self.listener = listener
+        self.listener.start(address)
         self.listen()
 
+    def room(self) -> bool:
+        return len(self.clients) < self.limits.connections
+
     def listen(self) -> None:
         """Takes connections while there is room for them."""
-        if self.listener is None:
-            return
-        room = len(self.clients) < self.limits.connections
-        if room and not self.listening:
-            self.loop.add_reader(self.listener.fileno(), self.accept)
-        elif not room and self.listening:
-            self.loop.remove_reader(self.listener.fileno())
-        self.listening = room
-
-    def accept(self) -> None:
-        """Takes what waits in the backlog."""
-        for _ in range(ACCEPTS):
-            if self.listener is None or len(self.clients) >= self.limits.connections:
-                break
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:  # none waits, or the one that waited has gone
-                break
-            connection.setblocking(False)
-            client = Client(self)
-            self.clients.add(client)
-            task = self.loop.create_task(self.attach(client, connection))
-            self.taking.add(task)
-            task.add_done_callback(self.taking.discard)
-        self.listen()
+        self.listener.turn(self.room())
 
-    async def attach(self, client: Client, connection: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(lambda: client, connection)
-        except OSError:  # gone already
-            connection.close()
-            self.clients.discard(client)
+    def client(self) -> Client:
+        """The protocol of a connection that is being taken."""
+        client = Client(self)
+        self.clients.add(client)
+        return client
+
+    def gone(self, client: asyncio.Protocol) -> None:
+        """Its connection had ended before it was ours."""
+        self.clients.discard(cast(Client, client))
 
     def message(self, client: Client, message: Message) -> None:
         """A message that came whole. Whatever is wrong with it is told to its sender, who goes on."""
@@ -264,9 +218,7 @@
             wait = min(FULL_ADVICE, s.max_retry_after) / 1e6 if s.retry_after else 0
             client.send(response(message.msgid, PACK(["refused", wait, "no room"]), NIL))
             return
-        call = RpcCall(
-            client, message.msgid, message.method, message.raw, method.klass, read.tenant, read.budget
-        )
+        call = ClientCall(client, message.msgid, message.method, message.raw, method, read)
         client.calls[message.msgid] = call
         self.host.take(call)
 
@@ -278,22 +230,19 @@
             return
         if self.host.full():
             return
-        call = RpcCall(client, None, message.method, message.raw, method.klass, read.tenant, read.budget)
+        call = ClientCall(client, None, message.method, message.raw, method, read)
         client.notified.add(call)
         self.host.take(call)
 
     async def drain(self) -> None:
         """Ends the service: what was taken is answered; connections serve further calls for a while."""
-        start = self.loop.time()
-        while self.listener is not None or self.clients:
-            now = self.loop.time()
-            if self.listener is not None and now >= start + TAKING:
-                if self.listening:
-                    self.loop.remove_reader(self.listener.fileno())
-                self.listener.close()
-                self.listener = None
-            if now >= start + HANDOVER:
-                for client in list(self.clients):
-                    if client.transport is not None:
-                        client.end("")
-            await asyncio.sleep(LOOK)
+
+        def look(since: float) -> bool:
+            for client in list(self.clients) if since >= HANDOVER else ():
+                if client.transport is not None:
+                    client.end("")
+            return bool(self.clients)
+
+        await self.listener.drain(
+            lambda: self.listener.stop(self.limits.connections - len(self.clients)), look
+        )
--- a/brackenladder/rpc/methods.py
+++ b/brackenladder/rpc/methods.py
@@ -18,15 +18,31 @@
     """A method's entry that cannot be used: `KEY: what is wrong`."""
 
 
+@dataclass(frozen=True)
+class FailurePattern:
+    """An error that means that the server failed: `value` stands at `path` (empty: it is the whole error)."""
+
+    path: Path
+    value: Any
+
+
 @dataclass(frozen=True)
 class Method:
-    """A method: its class, and where in the params the rest stands (an empty path: nowhere)."""
+    """A method: its class, and where in the params the rest stands (an empty path: nowhere).
+
+    `failures`: the errors that are a server's failure and not the application's answer.
+    """
 
     klass: int
     tenant: Path
     budget: Path
     key: Path
     notify: bool
+    failures: tuple[FailurePattern, ...] = ()
+
+    def fails(self, error: Any) -> bool:
+        """Whether this error says that the server has failed; the call may have run."""
+        return any(same(at(error, pattern.path), pattern.value) for pattern in self.failures)
 
 
 @dataclass(frozen=True)
@@ -37,8 +53,9 @@
     budget: int
 
 
-def path_of(text: str, where: str) -> Path:
-    """`0.key` as (0, "key"): places in arrays and names in maps, the first a place in the params."""
+def path_of(text: str, where: str, in_params: bool = True) -> Path:
+    """`0.key` as (0, "key"): places in arrays and names in maps, the first a place in the params, if it is
+    of them."""
     if not text:
         return ()
     steps = text.split(".")
@@ -47,7 +64,7 @@
     if not all(steps):
         raise MethodError(f"{where}: a path with an empty step")
     path = tuple(int(step) if step.isascii() and step.isdigit() else step for step in steps)
-    if not isinstance(path[0], int):
+    if in_params and not isinstance(path[0], int):
         raise MethodError(f"{where}: begins with a name; params are an array, so the first step is a number")
     return path
 
@@ -65,6 +82,28 @@
     return value
 
 
+def same(value: Any, wanted: Any) -> bool:
+    """Whether a value is the one that the operator wrote: 1 is 1.0 but not true; raw bytes count as text."""
+    if isinstance(value, bytes):
+        value = value.decode(errors="replace")
+    if isinstance(value, list) and isinstance(wanted, list):
+        return len(value) == len(wanted) and all(map(same, value, wanted))
+    return isinstance(value, bool) == isinstance(wanted, bool) and bool(value == wanted)
+
+
+def failure_of(entry: Any, where: str) -> FailurePattern:
+    """An entry of `failures`: an exact value, or `{ at = "PATH", is = VALUE }`. A MethodError otherwise."""
+    if not isinstance(entry, dict):
+        if not isinstance(entry, (str, int, float, list)):
+            raise MethodError(f"{where}: neither a value nor {{ at = PATH, is = VALUE }}")
+        return FailurePattern((), entry)
+    if set(entry) != {"at", "is"} or not isinstance(entry["at"], str) or not entry["at"]:
+        raise MethodError(f"{where}: takes at = PATH and is = VALUE, and nothing else")
+    if not isinstance(entry["is"], (str, int, float, list)):
+        raise MethodError(f"{where}.is: neither text, a number, true or false nor an array")
+    return FailurePattern(path_of(entry["at"], f"{where}.at", in_params=False), entry["is"])
+
+
 class Methods:
     """All methods of the operator file."""
 
@@ -118,6 +157,7 @@
     budget: str,
     key: str,
     notify: bool,
+    failures: Sequence[Any],
     classes: Sequence[str],
     settings: Sequence[ClassSettings],
 ) -> Method:
@@ -134,4 +174,5 @@
         budget=path_of(budget, f"{where}.budget"),
         key=path_of(key, f"{where}.key"),
         notify=notify,
+        failures=tuple(failure_of(entry, f"{where}.failures[{i}]") for i, entry in enumerate(failures)),
     )
--- a/brackenladder/rpc/upstream.py
+++ b/brackenladder/rpc/upstream.py
@@ -16,12 +16,11 @@
 from typing import cast
 
 from brackenladder.core.call import Attempt, Call, Done, Probed
-from brackenladder.discovery.listing import Line
 from brackenladder.interface import ListKind, Outcome, State
-from brackenladder.rpc.codec import MOST_MSGID, NIL, Bounds, Reader, Response, notification, request
-from brackenladder.rpc.front import Reply, RpcCall
+from brackenladder.membership.listing import Line
+from brackenladder.rpc.call import Reply, RpcCall, outcome_of
+from brackenladder.rpc.codec import MOST_MSGID, Bounds, Reader, Response, notification, request
 
-REJECTED = "rejected"
 SWEEP = 0.25  # seconds between two looks at connections that say nothing
 
 
@@ -179,14 +178,14 @@
         """Writes a call, whose last byte is with the system once `paused` is False."""
         call = exchange.call
         if call.msgid is None:
-            self.transport.write(notification(call.method, call.raw))
+            self.transport.write(notification(call.name, call.raw))
             exchange.end(Outcome.CANCELLED)  # it may have run, and nobody will say
             return
         msgid = self.msgid()
         self.out[msgid] = exchange
         exchange.link, exchange.msgid = self, msgid
         self.unwhole = exchange
-        self.transport.write(request(msgid, call.method, call.raw))
+        self.transport.write(request(msgid, call.name, call.raw))
 
     def msgid(self) -> int:
         """The next one that no call of this connection has, open or given up."""
@@ -260,15 +259,10 @@
             self.end(Outcome.CONNECT_FAILED if outcome == Outcome.TIMEOUT else Outcome.NOT_SENT)
 
     def answered(self, message: Response) -> None:
-        reply = Reply(message.raw_error, message.raw_result)
-        error = message.error
-        if message.raw_error == NIL:
-            self.end(Outcome.OK, reply)
-        elif isinstance(error, list) and error[:1] in ([REJECTED], [REJECTED.encode()]):
-            self.end(Outcome.REJECTED)
-        else:
+        outcome = outcome_of(message.error, self.call.method)
+        if outcome == Outcome.ERROR:
             self.call.last_error = message.raw_error
-            self.end(Outcome.ERROR, reply)
+        self.end(outcome, Reply(message.raw_error, message.raw_result))
 
     def end(self, outcome: Outcome, reply: Reply | None = None) -> None:
         if self.over:
--- /dev/null
+++ b/brackenladder/sockets/__init__.py
@@ -0,0 +1,1 @@
+"""What the protocols' packages share of sockets; it knows no protocol."""
--- a/tests/membership/test_withdrawn.py
+++ b/tests/membership/test_withdrawn.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from brackenladder.discovery.listing import Line, Listing
 from brackenladder.interface import ListKind, State
+from brackenladder.membership.listing import Line, Listing
 from brackenladder.membership.withdrawn import KEPT, Withdrawn
 
 
