--- a/benchmarks/http_path.py
+++ b/benchmarks/http_path.py
@@ -1,9 +1,9 @@
-"""Instructions of HTTP's path for one request: `.venv/bin/python benchmarks/http_path.py [OTHER_CHECKOUT]`.
+"""Instructions of HTTP's path: `PYTHONPATH=. .venv/bin/python benchmarks/http_path.py [OTHER_CHECKOUT]`.
 
 A client's bytes go in at the front and a server's at the upstream, in one process whose transports are
-stand-ins: what is left is the node's own work. `perf stat` counts the instructions of whole runs, which vary
-by less than 1% whatever else the machine does; the slope between two numbers of requests is a request's share.
-Without `perf` it is CPU time. `--drive N FILE` writes a profile.
+stand-ins: what is left is the node's own work. `perf stat` counts the instructions of whole runs, which
+vary by less than 1% whatever else the machine does; the slope between two numbers of requests is a
+request's share. Without `perf` it is CPU time. `--drive N FILE` writes a profile.
 """
 
 from __future__ import annotations
--- a/benchmarks/rpc.py
+++ b/benchmarks/rpc.py
@@ -1,8 +1,9 @@
-"""MessagePack-RPC through one node, and the same client asking a server: `.venv/bin/python benchmarks/rpc.py`.
+"""MessagePack-RPC through one node, and asking a server: `PYTHONPATH=. .venv/bin/python benchmarks/rpc.py`.
 
-Calls a second at pipeline 1, 8 and 32 (node and server in turn, medians of the rounds), the node's CPU for a
-call, and its memory with 10,000 calls open and after they have ended. The module's limit is lifted in the node:
-it would refuse what a closed loop of one client adds, and the question is what a call costs. Give it the cores.
+Calls a second at pipeline 1, 8 and 32 (node and server in turn, medians of the rounds), the node's CPU
+for a call, and its memory with 10,000 calls open and after they have ended. The module's limit is lifted
+in the node: it would refuse what a closed loop of one client adds, and the question is what a call costs.
+Give it the cores.
 """
 
 from __future__ import annotations
