--- a/benchmarks/rpc.py
+++ b/benchmarks/rpc.py
@@ -211,10 +211,9 @@
                 spent.append(micros)
                 other += lost
                 direct.append((await rate(ports[0], pipeline, server_pid))[0])
+            print(f"pipeline {pipeline}: calls a second through the node {spread(through)},", flush=True)
             print(
-                f"pipeline {pipeline}: calls a second through the node {spread(through)}, directly"
-                f" {spread(direct)}; microseconds of the node's CPU a call {spread(spent)}; {other} not served",
-                flush=True,
+                f"  directly {spread(direct)}; the node's CPU a call {spread(spent)} us; {other} not served"
             )
     finally:
         node.send_signal(signal.SIGKILL)
