--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -57,6 +57,7 @@
 RATIO_MOST = 8.0  # a round-trip counts as so many times the mean at most
 SMOOTH_ALL = 0.02  # the same for averages over the whole subset
 SILENT_FACTOR = 4  # a member is silent after this many mean round-trips without any outcome
+NO_NEWS = (Outcome.CANCELLED, Outcome.NOT_SENT)  # ends that tell nothing of the server
 EJECT_SHARE = 0.34  # of the members, at most
 EJECT_FAILS = 3  # least failures in a row, or of recent calls, before ejection
 EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
@@ -410,10 +411,6 @@
             slowness *= (now - self.quiet_since) / mean_rtt
         return slowness
 
-    def load(self, now: int, mean_rtt: float) -> float:
-        """Calls in flight, this one included, in expected time: the draw's measure."""
-        return (self.in_flight + 1) * self.slowness(now, mean_rtt)
-
 
 class Tenant:
     """What this copy knows of one tenant: its part of the quota, and what came lately."""
@@ -772,7 +769,7 @@
         if not srv.aside:
             ctl.note(now, -1)
         srv.quiet_since = now
-        if outcome in (Outcome.CANCELLED, Outcome.NOT_SENT):
+        if outcome in NO_NEWS:
             # Failure prevented: a client leaves during a trial, and no other trial ever follows.
             srv.trial_out = False
             return
@@ -995,9 +992,10 @@
             return pool[0] if self.may_send(now, pool[0]) else None
         mean = min(self.mean_rtt)
         for _ in range(3):
-            a = self.pick(now, pool, mean)
-            b = self.pick(now, pool, mean, a)
-            if b.load(now, mean) < a.load(now, mean):
+            a, slow_a = self.pick(now, pool, mean)
+            b, slow_b = self.pick(now, pool, mean, a)
+            # Calls in flight, this one included, in expected time: the draw's measure.
+            if (b.in_flight + 1) * slow_b < (a.in_flight + 1) * slow_a:
                 a, b = b, a
             b_silent = self.is_silent(now, b)
             if not self.is_silent(now, a) and self.may_send(now, a):
@@ -1009,8 +1007,10 @@
                 return a
         return None
 
-    def pick(self, now: int, pool: list[Server], mean: float, other: Server | None = None) -> Server:
-        """A random member but `other`. One slower than the mean is passed over as often as it is slower.
+    def pick(
+        self, now: int, pool: list[Server], mean: float, other: Server | None = None
+    ) -> tuple[Server, float]:
+        """A random member but `other`, and its slowness. One slower than the mean is passed over as often.
 
         Failure prevented: of few members two slow ones are drawn together each few calls, and what one of
         them gets keeps it crowded. After a few passes whoever comes is taken.
@@ -1018,10 +1018,14 @@
         while True:
             for _ in range(PICK_TRIES):
                 srv = pool[int(self.rng.random() * len(pool))]
-                if srv is not other and self.rng.random() * srv.slowness(now, mean) < 1:
-                    return srv
+                if srv is other:
+                    continue
+                chance = self.rng.random()
+                slowness = srv.slowness(now, mean)
+                if chance * slowness < 1:
+                    return srv, slowness
             if srv is not other:
-                return srv
+                return srv, slowness
 
     def draw_in_group(self, now: int, r: Request) -> Server | None:
         """A keyed request that may have run goes only to the servers that would discard its repeat."""
--- a/brackenladder/core/host.py
+++ b/brackenladder/core/host.py
@@ -87,7 +87,9 @@
     def take(self, call: Call) -> None:
         """A call begins; its conclusion may come before this returns."""
         now = self.now()
-        left = min(call.left, max(0, self.ends - now))
+        left = call.left
+        if now + left > self.ends:
+            left = max(0, self.ends - now)
         self.last_id += 1
         call.id = self.last_id
         call.deadline = now + left
@@ -175,12 +177,13 @@
     ) -> None:
         """An attempt's end: an answer goes to the client at once, then the module hears of it."""
         call.out = None
-        if outcome not in NEVER_RAN:
-            call.in_doubt = True
-        if outcome == Outcome.OK and self.release(call.id) is not None:
-            call.served(answer)
-        elif call.once:
-            self.release(call.id)
+        if outcome == Outcome.OK:
+            if self.release(call.id) is not None:
+                call.served(answer)
+        else:
+            call.in_doubt = call.in_doubt or outcome not in NEVER_RAN
+            if call.once:
+                self.release(call.id)
         final = not call.open
         if final:
             self.calls.pop(call.id, None)
--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -71,6 +71,9 @@
         self.log = log
         self.callers: Callers
         self.ready = ready
+        # Looked up for every request: an enumeration's members are slow as keys.
+        self.methods = [METHODS[c.effect] for c in host.settings.classes]
+        self.keyed = [c.effect == Effect.KEYED for c in host.settings.classes]
         self.classes = {name.encode(): i for i, name in enumerate(classes)}
         self.tenants = {name.encode(): i for i, name in enumerate(tenants)}
         self.by_caller: dict[Caller, HttpCall] = {}
@@ -107,13 +110,12 @@
             else:
                 caller.answer(200 if self.ready() and not self.callers.draining else 503)
             return
-        effect = self.host.settings.classes[klass].effect
-        if message.method != METHODS[effect]:
-            caller.answer(405, headers=b"Allow: %b\r\n" % METHODS[effect])
+        if message.method != self.methods[klass]:
+            caller.answer(405, headers=b"Allow: %b\r\n" % self.methods[klass])
             return
         headers = message.headers
         budget = headers.get(b"x-budget-ms") or b""
-        keyed = effect != Effect.KEYED or headers.get(b"idempotency-key")
+        keyed = not self.keyed[klass] or headers.get(b"idempotency-key")
         tenant = headers.get(b"x-caller")
         name = headers.get(b"x-call-id")
         if not (name and keyed and (tenant or not self.tenants) and budget.isdigit() and len(budget) <= 9):
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from brackenladder.balance import Balancer
+from brackenladder.balance import Balancer, Server
 from brackenladder.interface import ClassSettings, Effect, Group, ListKind, Outcome, ServerEntry, Settings
 
 SEC = 1_000_000
@@ -71,3 +71,8 @@
     final = outcome == Outcome.OK
     node.outcome(now, request, attempt, server, outcome, latency, final, ())
     return recorder.take("send", "refuse", "fail")
+
+
+def load(server: Server, now: int, mean: float) -> float:
+    """What the draw compares."""
+    return (server.in_flight + 1) * server.slowness(now, mean)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from support import BASE, KEYED, SAFE, SEC, UNSAFE, ask, balancer, end
+from support import BASE, KEYED, SAFE, SEC, UNSAFE, ask, balancer, end, load
 
 from brackenladder import balance
 from brackenladder.balance import Balancer
@@ -393,8 +393,8 @@
     slow, quick = node.members
     slow.in_flight, slow.quiet_since = 1, 0
     quick.in_flight, quick.quiet_since = 2, 900_000
-    assert slow.load(300_000, 250_000.0) < quick.load(1_000_000, 250_000.0)
-    assert slow.load(1_000_000, 250_000.0) > quick.load(1_000_000, 250_000.0)
+    assert load(slow, 300_000, 250_000.0) < load(quick, 1_000_000, 250_000.0)
+    assert load(slow, 1_000_000, 250_000.0) > load(quick, 1_000_000, 250_000.0)
 
 
 @pytest.mark.usefixtures("wide")
@@ -462,7 +462,7 @@
     node, rec = balancer(4)
     node.servers[1].fail_rate = 0.25
     node.servers[1].quiet_since = 0
-    assert node.servers[1].load(0, 100_000.0) == pytest.approx(3 * node.servers[2].load(0, 100_000.0))
+    assert load(node.servers[1], 0, 100_000.0) == pytest.approx(3 * load(node.servers[2], 0, 100_000.0))
 
 
 def test_a_slow_member_does_not_speak_for_the_subset():
@@ -604,7 +604,7 @@
         server = ask(node, rec, now, i)[2]
         end(node, rec, now, i, 0, server, Outcome.OK, 300_000 if server % 2 == 0 else 100_000)
     node.server_list(now, ListKind.CHANGES, [ServerEntry(9, kind=0), ServerEntry(10, kind=1)])
-    assert node.servers[10].load(now, 1e6) > 1.5 * node.servers[9].load(now, 1e6)
+    assert load(node.servers[10], now, 1e6) > 1.5 * load(node.servers[9], now, 1e6)
 
 
 def test_a_keyed_repeat_finds_its_group_beyond_the_subset():
