--- a/brackenladder/http/callers.py
+++ b/brackenladder/http/callers.py
@@ -134,7 +134,7 @@
         self.headed = False
         self.bytes = 0
         if self.asked:
-            self.since = self.owner.loop.time()
+            self.since = self.active  # its first byte has just come
 
     def on_url(self, url: bytes) -> None:
         if self.partial is not None:
--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from typing import cast
+from typing import Any
 
 from brackenladder.core.call import Call, Failure
 from brackenladder.core.host import Host
 from brackenladder.http.callers import Caller, Callers, Message
-from brackenladder.http.servers import Answer
 from brackenladder.interface import Effect
 from brackenladder.sockets.listener import Address
 
@@ -45,7 +44,7 @@
             del front.by_name[self.name]
 
     def served(self, answer: object) -> None:
-        whole = cast(Answer, answer)
+        whole: Any = answer  # an Answer, as HTTP's upstream gives it
         kind = whole.content_type
         self.caller.answer(200, whole.body, b"Content-Type: %b\r\n" % kind if kind else b"")
 
--- a/brackenladder/http/upstream.py
+++ b/brackenladder/http/upstream.py
@@ -5,11 +5,10 @@
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
 from math import inf
-from typing import cast
+from typing import Any
 
 from brackenladder.core.call import Attempt, Call, Done, Probed
 from brackenladder.http.callers import Message
-from brackenladder.http.front import HttpCall
 from brackenladder.http.servers import Answer, Endpoint, Exchange, Pool
 from brackenladder.interface import ListKind, Outcome, State
 from brackenladder.membership.listing import Line
@@ -80,7 +79,8 @@
         endpoint = self.pool.endpoints.get(server)
         if endpoint is None or not endpoint.ready:
             return None
-        message = cast(HttpCall, call).message
+        http_call: Any = call  # an HttpCall, as HTTP's front feeds this pool
+        message: Message = http_call.message
 
         def compose() -> bytes | None:
             left = expires - self.now()
