The fleet in virtual time, first slice: rehearse NAME --in model

Need: what many nodes do together cannot be seen on sockets. A deterministic event queue, servers, clients and discovery in virtual time; in every node the core's own Host with its Balancer, unchanged; the rehearsal's plan and checker. The same seed gives the same events in processes with other hash seeds; no false alarm in 16 runs; planted faults (cold servers flooded, repeats, deaf to drains) are convicted.

--- a/brackenladder/cli/rehearse.py
+++ b/brackenladder/cli/rehearse.py
@@ -48,6 +48,13 @@
 @click.argument("scenario", required=False)
 @click.option("--seed", type=click.IntRange(min=0), default=1, help="Draws times, targets and requests.")
 @click.option("--node", "command", default="", help="The command of the node, in place of this build's own.")
+@click.option(
+    "--in",
+    "where",
+    type=click.Choice(["sockets", "model"]),
+    default="sockets",
+    help="Real nodes on sockets, or the decision modules in virtual time.",
+)
 @click.option("--json", "json_file", type=click.Path(dir_okay=False), help="Writes the whole report.")
 @click.option("--junit", type=click.Path(dir_okay=False), help="Writes a JUnit report.")
 @click.option("--timeline", type=click.Path(dir_okay=False), help="Writes a page with a lane for each part.")
@@ -58,6 +65,7 @@
     scenario: str | None,
     seed: int,
     command: str,
+    where: str,
     json_file: str | None,
     junit: str | None,
     timeline: str | None,
@@ -89,6 +97,9 @@
         if file is not None and not Path(file).absolute().parent.is_dir():
             raise click.ClickException(f"{file}: no such folder")
     console = Console(highlight=False, stderr=False)
+    if where == "model":
+        result = in_model(console, read, seed, command, keep)
+        return told(console, scenario, read, result, json_file, junit, timeline)
     progress = Progress(console)
     with tempfile.TemporaryDirectory(prefix="rehearsal-") as temporary:
         folder = Path(keep) if keep else Path(temporary)
@@ -107,6 +118,34 @@
             return 1
         finally:
             progress.end()
+    return told(console, scenario, read, result, json_file, junit, timeline)
+
+
+def in_model(console: Console, scenario: Scenario, seed: int, command: str, keep: str | None) -> Result:
+    """The run in virtual time; what it passes over is named."""
+    from brackenladder.fleet.model import passed_over, play
+    from brackenladder.fleet.queue import Standstill
+
+    if command or keep:
+        raise click.ClickException("--node and --keep go with sockets: a model has no processes")
+    for text in passed_over(scenario):
+        console.print(f"passed over in the model: {text}", markup=False)
+    try:
+        return play(scenario, seed)
+    except Standstill as e:
+        raise click.ClickException(str(e)) from None
+
+
+def told(
+    console: Console,
+    scenario: str,
+    read: Scenario,
+    result: Result,
+    json_file: str | None,
+    junit: str | None,
+    timeline: str | None,
+) -> int:
+    """Judges a run, and reports it in every form that was asked for."""
     report = check(result.events, reports.terms_of(read))
     name = Path(scenario).stem
     if json_file:
--- /dev/null
+++ b/brackenladder/core/roster.py
@@ -0,0 +1,53 @@
+"""The list's names as the core's numbers: what a list says, for upstream and module."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from hashlib import blake2b
+from typing import Protocol
+
+from brackenladder.core.host import Host
+from brackenladder.interface import ListKind, ServerEntry
+from brackenladder.membership.listing import Line, Listing
+
+
+class Listed(Protocol):
+    """An upstream that is told of its pool's servers."""
+
+    def update(self, kind: ListKind, latest: Mapping[int, Line]) -> None:
+        """Takes note of a list or its changes, each server once."""
+
+
+class Roster:
+    """Maps the list's names to the core's numbers, and tells upstream and core of its news."""
+
+    def __init__(self, host: Host, upstream: Listed, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self.host = host
+        self.upstream = upstream
+        self.zones = {name: i for i, name in enumerate(zones)}
+        self.kinds = {name: i for i, name in enumerate(kinds)}
+
+    def told(self, listing: Listing | None) -> None:
+        """A list or its changes; None if a call to discovery failed."""
+        if listing is None:
+            self.host.servers(ListKind.FAILED, ())
+            return
+        latest = {number_of(line.id): line for line in listing.lines}  # a server twice: the last holds
+        self.upstream.update(listing.kind, latest)
+        self.host.servers(listing.kind, [self.entry(number, line) for number, line in latest.items()])
+
+    def entry(self, number: int, line: Line) -> ServerEntry:
+        return ServerEntry(
+            number,
+            line.state,
+            line.cell,
+            self.zones.setdefault(line.zone, len(self.zones)),
+            self.kinds.setdefault(line.kind, len(self.kinds)),
+            line.weight,
+            line.started,
+        )
+
+
+def number_of(name: str) -> int:
+    """A server's number: the same at every node, since all copies share one shuffle of the numbers."""
+    return int.from_bytes(blake2b(name.encode(errors="surrogatepass"), digest_size=8).digest(), "big")
--- /dev/null
+++ b/brackenladder/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Whole fleets in virtual time: the real decision modules, and a model of all that is around them."""
--- /dev/null
+++ b/tests/fleet/test_model.py
@@ -0,0 +1,129 @@
+"""A scenario in virtual time: the same for a seed, no false alarm, planted faults convicted."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import subprocess
+import sys
+
+import pytest
+
+from brackenladder.balance import Balancer
+from brackenladder.core.host import Host
+from brackenladder.fleet.model import Fleet, passed_over, play
+from brackenladder.interface import Outcome
+from brackenladder.rehearsal.checker import check
+from brackenladder.rehearsal.events import ENCODER, Answered, Sent
+from brackenladder.rehearsal.report import terms_of
+from brackenladder.rehearsal.scenario import load, parse
+
+
+def judged(name: str, seed: int = 1):
+    scenario = load(name)
+    result = play(scenario, seed)
+    return result, check(result.events, terms_of(scenario))
+
+
+@pytest.mark.parametrize("name", ["rolling-deploy", "cold-restart", "refuse", "late-list"])
+@pytest.mark.parametrize("seed", range(4))
+def test_no_false_alarm(name, seed):
+    result, report = judged(name, seed)
+    assert report.breaks == () and not result.crashed
+    assert report.verdicts["lost"] == "held"
+    if name == "rolling-deploy":
+        assert set(report.verdicts.values()) == {"held"}
+
+
+def digest(name: str, seed: int) -> str:
+    return hashlib.sha256(ENCODER.encode_lines(play(load(name), seed).events)).hexdigest()
+
+
+def test_a_seed_gives_the_same_events_to_the_byte_in_every_process():
+    script = (
+        "import sys; sys.path.insert(0, 'tests'); from fleet.test_model import digest;"
+        "print(digest('refuse', 3))"
+    )
+    seen = {
+        subprocess.run(
+            [sys.executable, "-c", script],
+            env=dict(os.environ) | {"PYTHONHASHSEED": seed, "PYTHONPATH": "."},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.strip()
+        for seed in ("1", "77")
+    }
+    assert seen == {digest("refuse", 3)} != {digest("refuse", 4)}
+
+
+def floods(self, now, r):
+    """A cold server looks idle, and gets everything."""
+    cold = [srv for srv in self.able if srv.cold_until > now]
+    return cold[0] if cold and r.ran_on is None else DRAW(self, now, r)
+
+
+def repeats(self, now, request, attempt, server, outcome, latency, final, report):
+    """Takes what may have run for what cannot have."""
+    never = Outcome.CONNECT_FAILED if outcome == Outcome.RESET else outcome
+    return SOUND(self, now, request, attempt, server, never, latency, final, report)
+
+
+SOUND, DRAW = Balancer.outcome, Balancer.draw
+
+
+@pytest.mark.parametrize(
+    ("what", "put", "name", "rule"),
+    [
+        ("draw", floods, "cold-restart", "cold"),
+        ("outcome", repeats, "rolling-deploy", "effect"),
+    ],
+)
+def test_a_module_with_a_planted_fault_is_convicted(what, put, name, rule, monkeypatch):
+    monkeypatch.setattr(Balancer, what, put)
+    verdicts = [judged(name, seed)[1].verdicts for seed in range(3)]
+    assert any(v[rule] == "broke" for v in verdicts)
+    assert all(v[other] != "broke" for v in verdicts for other in v if other != rule)
+
+
+def test_a_node_that_sends_to_drained_servers_is_convicted(monkeypatch):
+    from brackenladder.core.roster import Roster
+
+    sound = Roster.told
+    monkeypatch.setattr(
+        Roster, "told", lambda self, listing: sound(self, listing) if listing.kind else None
+    )  # changes pass unheard; the list at the start does not
+    assert judged("rolling-deploy")[1].verdicts["drain"] == "broke"
+
+
+def test_a_node_that_forgets_a_call_answers_at_its_deadline_by_the_guard(monkeypatch):
+    monkeypatch.setattr(Balancer, "request", lambda *args: None)
+    scenario = load("refuse")
+    fleet = Fleet(scenario, 1)
+    result = fleet.go()
+    assert set(result.crashed) == {"n0", "n1"}  # the guard is a fault of the run
+    answers = {e.id: e for e in result.events if isinstance(e, Answered)}
+    sent = {e.id: e for e in result.events if isinstance(e, Sent)}
+    assert answers and all(e.t <= sent[e.id].t + sent[e.id].budget + 20_000 for e in answers.values())
+
+
+def test_more_nodes_than_a_machine_has_room_for():
+    """Scaled down: 32 nodes, the most that a scenario may name, before 60 servers."""
+    text = b'title = "fleet"\nlength_s = 2\nnodes = 32\n[servers]\ncount = 60\n[clients]\nrate = 900\n'
+    scenario = parse(text, "here")
+    result = play(scenario, 1)
+    assert check(result.events, terms_of(scenario)).breaks == ()
+    assert result.counts["served"] > 900
+
+
+def test_what_is_not_played_is_named():
+    assert passed_over(load("refuse")) == [
+        "faults of kind 'backlog'",
+        "faults of kind 'reset-early'",
+        "clients.drop: connections are not modelled",
+    ]
+    assert any("transport" in text for text in passed_over(load("refuse-rpc")))
+
+
+def test_the_host_is_the_nodes_own():
+    assert isinstance(Fleet(load("refuse"), 1).nodes[0].host, Host)
--- a/tests/rpc/test_given_up.py
+++ b/tests/rpc/test_given_up.py
@@ -7,8 +7,8 @@
 from loopback import MOMENT, play, until
 from rpc.standins import Bench, Server
 
+from brackenladder.core.roster import number_of
 from brackenladder.interface import Outcome
-from brackenladder.node.pool import number_of
 
 
 class Twice:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,10 +12,10 @@
 import pytest
 from loopback import MOMENT, OK, Bench, Client, Discovery, Server, call, cut_off, play, settings, until
 
+from brackenladder.core.roster import number_of
 from brackenladder.http.servers import Connection, Exchange
 from brackenladder.interface import ListKind, Outcome
 from brackenladder.node.config import ConfigError, load, read
-from brackenladder.node.pool import number_of
 
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
