--- a/brackenladder/fleet/servers.py
+++ b/brackenladder/fleet/servers.py
@@ -121,12 +121,16 @@
         warm = min(1.0, (self.queue.now - self.cold_since) / (t.warm_s * MICRO))
         return self.plan.speed * (t.cold_share + (1 - t.cold_share) * warm)
 
+    def work_of(self, visitor: Visitor) -> int:
+        """Microseconds on a standard core; the stand-ins draw the same for this request."""
+        low, high = self.work_ms[visitor.klass]
+        return round(1000 * Random(f"work {visitor.id}").uniform(low, high))
+
     def arrive(self, visitor: Visitor, first: int) -> Attempt | None:
         """A request's last byte has come; None if nobody listens."""
         if not self.alive or self.fault("closed") is not None:
             return None
-        low, high = self.work_ms[visitor.klass]
-        work = round(1000 * Random(f"work {visitor.id}").uniform(low, high))
+        work = self.work_of(visitor)
         attempt = Attempt(self.number(), visitor, work)
         self.open.add(attempt)
         self.note(Arrived(self.queue.now, first, self.plan.id, attempt.number, visitor.id, work, False))
