A door for operators, servers held back, pauses, and sockets that are handed down

The node knew no second address, could not be replaced while it serves (the address was taken: a crash), and a pause broke the rule on lost requests.

Ruled out: that the crash was the node's second address; it was the clients' (exit 1, cannot listen).

--- a/brackenladder/http/callers.py
+++ b/brackenladder/http/callers.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from brackenladder.operations.pause import Service
 from brackenladder.sockets.listener import HANDOVER, LINGER, TAKING, Address, Guest, Listener
 
 LARGEST_BODY = 65536
@@ -221,7 +222,7 @@
             self.paused = False
             self.transport.resume_reading()
         handler = self.owner.handler
-        if self.refusing or message.error:
+        if self.refusing or message.error or self.owner.turning_away:
             handler.beyond(self)
         else:
             handler.message(self, message)
@@ -302,6 +303,7 @@
         self.handler = handler
         self.draining = False  # `/ready` says no
         self.closing = False  # no connection outlives its answer
+        self.turning_away = False  # whatever still comes is refused
         self.most_held = most_held  # bytes of the whole requests that wait or are open
         self.held = 0
         self.listener = Listener(loop, most, self.caller)
@@ -315,6 +317,11 @@
         self.listener.start(address)
         self.loop.call_later(SWEEP, self.sweep)
 
+    def adopt(self, number: int) -> None:
+        """Listens on a socket that was handed down. An OSError if it is no such socket."""
+        self.listener.adopt(number)
+        self.loop.call_later(SWEEP, self.sweep)
+
     def caller(self) -> Caller:
         """The protocol of a connection that is being taken."""
         if len(self.callers) >= self.most:
@@ -333,22 +340,43 @@
                 caller.transport.abort()
         self.loop.call_later(SWEEP, self.sweep)
 
+    def attend(self, service: Service) -> None:
+        """An operator's pause: connections end at their answers, at last also those that bring nothing."""
+        self.draining = service >= Service.PAUSED
+        self.closing = service >= Service.CLOSING
+        self.turning_away = service >= Service.REFUSING
+        if service < Service.REFUSING:
+            return
+        now = self.loop.time()
+        for caller in list(self.callers):
+            if caller.transport is None:
+                continue
+            if now - caller.active > SETTLE and caller.idle():
+                caller.transport.abort()
+            elif service >= Service.ENDING and caller.partial is not None and not caller.open:
+                caller.reject(408)
+
     async def drain(self) -> None:
         """Ends the service: all that was taken is answered, then no connection outlives its answer.
 
         Failure prevented: in a rolling restart the clients of a node that closes at once, while the one
         before it is not back yet, find nobody. They use the connections that they have for a while.
         """
-        self.draining = True
+        self.draining = not self.listener.shared  # the node goes on, in its successor
 
         def look(since: float) -> None:
             now = self.loop.time()
-            self.closing = since >= HANDOVER
+            # Whoever connects anew to a shared socket finds the successor.
+            self.closing = self.closing or since >= HANDOVER or self.listener.shared
             for caller in list(self.callers):
                 settled = now - caller.active > SETTLE
                 # A request that has not come whole long after the last connection was taken is not ours.
                 stuck = caller.open is None and since > max(TAKING, HANDOVER) + LINGER
-                if self.closing and caller.transport is not None and (settled and caller.idle() or stuck):
+                if (
+                    since >= HANDOVER
+                    and caller.transport is not None
+                    and (settled and caller.idle() or stuck)
+                ):
                     caller.transport.abort()
 
         await self.listener.drain(look)
--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -9,6 +9,7 @@
 from brackenladder.core.host import Host
 from brackenladder.http.callers import Caller, Callers, Message
 from brackenladder.interface import Effect
+from brackenladder.operations.pause import Service
 from brackenladder.sockets.listener import Address
 
 FULL_ADVICE = 500_000  # after so long there may be room again for a client that found none
@@ -84,6 +85,14 @@
         """Binds and listens. An OSError if the address cannot be had."""
         self.callers.start(address)
 
+    def adopt(self, number: int) -> None:
+        """Listens on a socket that was handed down. An OSError if it is no such socket."""
+        self.callers.adopt(number)
+
+    def attend(self, service: Service) -> None:
+        """An operator's pause."""
+        self.callers.attend(service)
+
     async def drain(self) -> None:
         """Answers what was taken, and ends."""
         await self.callers.drain()
--- a/brackenladder/node/config.py
+++ b/brackenladder/node/config.py
@@ -13,9 +13,10 @@
 
 Address = tuple[str, int]
 
+DOOR_SOCKETS = 20  # the door's places, its listener, and files of its own
 RESERVED_SOCKETS = 32  # the event loop's own, the listener, UDP, discovery, the standard streams
 HELD_SHARE = 8  # an eighth of the memory may hold clients' requests
-LEAST_SOCKETS = RESERVED_SOCKETS + 8
+LEAST_CONNECTIONS = 8
 
 
 class ConfigError(Exception):
@@ -46,6 +47,9 @@
     idle_time: float  # seconds after which a server closes an idle connection
     inline_reports: bool
     report_names: tuple[tuple[str, str], ...]  # a load report's values: the settings' word, the plain one
+    door: Address | None = None  # where operators call
+    passed: int | None = None  # the descriptor of a listening socket that was handed down
+    folder: str | None = None  # private to the node's processes
 
 
 def read_address(text: object, what: str) -> Address:
@@ -77,17 +81,31 @@
     if not isinstance(table, dict):
         raise ConfigError("LB_CONFIG: not an object")
     filed = table.get("discovery")
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen", "discovery", "operator"):
         table[key] = environ.get(f"LB_{key.upper()}") or table.get(key)
     if last is not None and filed:
         same = filed == last.filed_discovery
         table["discovery"] = f"{last.discovery[0]}:{last.discovery[1]}" if same else filed
     try:
-        return replace(read(table), filed_discovery=filed)
+        return replace(
+            read(table),
+            filed_discovery=filed,
+            passed=descriptor(environ.get("LB_PASSED_SOCKET")),
+            folder=environ.get("TMPDIR") or None,
+        )
     except ValueError as e:
         raise ConfigError(str(e)) from None
 
 
+def descriptor(text: str | None) -> int | None:
+    """The number of a descriptor that was handed down, if one was."""
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit() and len(text) < 7):
+        raise ConfigError("LB_PASSED_SOCKET: not a descriptor")
+    return int(text)
+
+
 def read(table: dict[str, Any]) -> Config:
     """A Config from the decoded file. What is missing or impossible is a ValueError or a ConfigError."""
     name, seed = table.get("name"), table.get("seed", "0")
@@ -100,8 +118,10 @@
     fields = Fields(table)
     given = fields.sub("limits", optional=True)
     sockets, memory = given.whole("sockets", 1024), given.whole("memory_mb", 128)
-    if sockets < LEAST_SOCKETS:
-        raise ConfigError(f"limits.sockets: at least {LEAST_SOCKETS} are needed")
+    door = table.get("operator")
+    reserved = RESERVED_SOCKETS + (DOOR_SOCKETS if door else 0)
+    if sockets < reserved + LEAST_CONNECTIONS:
+        raise ConfigError(f"limits.sockets: at least {reserved + LEAST_CONNECTIONS} are needed")
     peer_listen, peers_all = table.get("peer_listen"), table.get("peers_all")
     settings = fields.sub("settings")
     limits = settings.sub("policy_limits")
@@ -114,12 +134,13 @@
         discovery=read_address(table.get("discovery"), "discovery"),
         filed_discovery=table.get("discovery"),
         seed=number,
-        connections=sockets - RESERVED_SOCKETS,
+        connections=sockets - reserved,
         most_held=(memory << 20) // HELD_SHARE,
         peer_listen=read_address(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(read_address(p, "peers") for p in fields.items("peers")),
         peers_all=read_address(peers_all, "peers_all") if peers_all else None,
         known=read_listing(known, ListKind.CACHED) if known else None,
+        door=read_address(door, "operator") if door else None,
         settings=settings_of(settings.table),
         classes=tuple(c.text("name") for c in settings.tables("classes")),
         tenants=tuple(t.text("name") for t in settings.tables("tenants", optional=True)),
--- a/brackenladder/node/node.py
+++ b/brackenladder/node/node.py
@@ -14,8 +14,11 @@
 from brackenladder.peers.datagrams import Peers
 
 if TYPE_CHECKING:
+    from brackenladder.node.operations import Operations
     from brackenladder.node.operator import Operator, RpcTable
 
+LIST_TIME = 3.0  # seconds for the list to come before clients of a passed socket are taken
+LIST_LOOK = 0.01
 RELOADED = ("discovery", "filed_discovery", "peers", "peers_all")  # what a running node takes on
 
 
@@ -41,7 +44,20 @@
         self.http = http_pool(config, loop, self.peers, self.clock, self.log, self.strays)
         self.front = http_front(config, loop, self.http, self.ready, self.log)
         self.pools = {"http": self.http}
-        self.listeners = {"http": Listener(self.front, config.listen)}
+        self.listeners = {"http": Listener(self.front, config.listen, config.passed)}
+        self.taking = False  # the listeners listen
+        self.operations: Operations | None = None
+        if config.door is not None:
+            from brackenladder.node.operations import Operations
+
+            self.operations = Operations(
+                loop,
+                self.http,
+                lambda: [listener.front for listener in self.listeners.values()],
+                lambda: self.taking and self.ready(),
+                config.folder,
+                self.log.line,
+            )
         if rpc is not None:
             self.add_rpc(rpc)
 
@@ -64,11 +80,29 @@
     async def start(self) -> None:
         """Begins to serve. An OSError if an address cannot be had."""
         if self.config.settings.peers and self.config.peer_listen is not None:
-            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
-        for listener in self.listeners.values():
-            listener.start()
+            # The process that this one replaces, or that replaces it, has the same address.
+            shared = True if self.config.passed is not None else None
+            await self.loop.create_datagram_endpoint(
+                lambda: self.peers, local_addr=self.config.peer_listen, reuse_port=shared
+            )
+        if self.operations is not None and self.config.door is not None:
+            self.operations.start(self.config.door)
+        if self.config.passed is None:
+            self.listen()
         for pool in self.pools.values():
             pool.start()
+        if self.config.passed is not None:
+            # Failure prevented: it takes what its predecessor could have served, and has no list yet.
+            deadline = self.loop.time() + LIST_TIME
+            while not self.ready() and self.loop.time() < deadline:
+                await asyncio.sleep(LIST_LOOK)
+            self.listen()
+
+    def listen(self) -> None:
+        """Takes clients from now on. An OSError if an address cannot be had."""
+        for listener in self.listeners.values():
+            listener.start()
+        self.taking = True
 
     def reload(self, config: Config, operator: Operator | None = None) -> None:
         """Takes on a new configuration: connections, requests and all that was learned stay.
@@ -110,6 +144,8 @@
 
     async def drain(self) -> None:
         """Answers what has been taken, and ends."""
+        if self.operations is not None:
+            self.operations.end()
         for pool in self.pools.values():
             pool.last_orders()
         await asyncio.gather(*(listener.front.drain() for listener in self.listeners.values()))
--- a/brackenladder/node/pool.py
+++ b/brackenladder/node/pool.py
@@ -74,6 +74,7 @@
         self.host.directory = self.source
         self.host.messenger = messenger
         self.listed = False  # a server list has come
+        self.admit: Callable[[Listing], Listing] | None = None  # what operators lay over the list
 
     def start(self) -> None:
         """The module begins to run, and hears of the servers."""
@@ -83,7 +84,7 @@
     def told(self, listing: Listing | None) -> None:
         """News of the list; None if a call to its source failed."""
         self.listed = self.listed or listing is not None
-        self.roster.told(listing)
+        self.roster.told(self.admit(listing) if self.admit is not None and listing is not None else listing)
 
     def last_orders(self) -> None:
         """The node is to end: what it takes from now on must be concluded before it is killed.
--- a/brackenladder/rpc/front.py
+++ b/brackenladder/rpc/front.py
@@ -9,6 +9,7 @@
 
 from brackenladder.core.call import Failure
 from brackenladder.core.host import Host
+from brackenladder.operations.pause import Service
 from brackenladder.rpc.call import Reply, RpcCall
 from brackenladder.rpc.codec import NIL, PACK, Bounds, Message, Notification, Reader, Request, response
 from brackenladder.rpc.methods import Method, Methods, Read
@@ -180,6 +181,7 @@
         self.methods = methods
         self.limits = limits
         self.log = log
+        self.service = Service.SERVING
         self.listener = Listener(loop, limits.connections, lambda: Client(self))
 
     @property
@@ -190,6 +192,10 @@
         """Binds and listens. An OSError if the address cannot be had."""
         self.listener.start(address)
 
+    def adopt(self, number: int) -> None:
+        """Listens on a socket that was handed down. An OSError if it is no such socket."""
+        self.listener.adopt(number)
+
     def message(self, client: Client, message: Message) -> None:
         """A message that came whole. Whatever is wrong with it is told to its sender, who goes on."""
         if isinstance(message, Request):
@@ -211,10 +217,11 @@
             text = read or f"no method '{message.method.encode(errors='replace').decode()}'"
             client.send(response(message.msgid, PACK(["refused", 0, text]), NIL))
             return
-        if self.host.full():
+        if self.host.full() or self.service >= Service.REFUSING:
             s = self.host.settings
             wait = min(FULL_ADVICE, s.max_retry_after) / 1e6 if s.retry_after else 0
-            client.send(response(message.msgid, PACK(["refused", wait, "no room"]), NIL))
+            text = "no room" if self.service < Service.REFUSING else "this node pauses"
+            client.send(response(message.msgid, PACK(["refused", wait, text]), NIL))
             return
         call = ClientCall(client, message.msgid, message.method, message.raw, method, read)
         client.calls[message.msgid] = call
@@ -226,24 +233,37 @@
         if method is None or isinstance(read, str) or not self.methods.may_notify(method):
             self.log(f"rpc client: notification {message.method!r} dropped: not allowed")
             return
-        if self.host.full():
+        if self.host.full() or self.service >= Service.REFUSING:
             return
         call = ClientCall(client, None, message.method, message.raw, method, read)
         client.notified.add(call)
         self.host.take(call)
 
+    def attend(self, service: Service) -> None:
+        """An operator's pause."""
+        self.service = service
+        if service >= Service.REFUSING:
+            self.close_idle(service >= Service.ENDING)
+
+    def close_idle(self, all_of_them: bool) -> None:
+        """Closes connections on which nothing is on its way; the others once what they brought is answered.
+
+        Failure prevented: a connection is closed while a call is on its way, which gets no answer.
+        """
+        now = self.loop.time()
+        for client in list(self.clients):
+            if client.transport is None:
+                continue
+            if now - client.active > SETTLE and client.idle():
+                client.transport.close()
+            elif all_of_them:
+                client.end("")
+
     async def drain(self) -> None:
         """Ends the service: what was taken is answered; connections serve further calls for a while."""
 
         def look(since: float) -> None:
-            """Failure prevented: a connection is closed while a call is on its way, which gets no answer."""
-            now = self.loop.time()
-            for client in list(self.clients) if since >= HANDOVER else ():
-                if client.transport is None:
-                    continue
-                if now - client.active > SETTLE and client.idle():
-                    client.transport.close()
-                elif since >= HANDOVER + LINGER:
-                    client.end("")
+            if since >= HANDOVER:
+                self.close_idle(since >= HANDOVER + LINGER)
 
         await self.listener.drain(look)
--- a/brackenladder/sockets/listener.py
+++ b/brackenladder/sockets/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import fcntl
 import select
 import socket
@@ -73,6 +74,7 @@
         self.make = make
         self.guests: set[Guest] = set()
         self.sock: socket.socket | None = None
+        self.shared = False  # the socket is also our predecessor's, and our successor's
         self.on = False
         self.look: asyncio.TimerHandle | None = None  # at who may have become spare
         self.taking: set[asyncio.Task[None]] = set()
@@ -88,6 +90,16 @@
         self.sock = sock
         self.listen()
 
+    def adopt(self, number: int) -> None:
+        """Listens on a socket that was handed down as a descriptor. An OSError if it is no such socket."""
+        sock = socket.socket(fileno=number)
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(errno.EINVAL, "the passed descriptor is no listening socket")
+        sock.setblocking(False)
+        self.sock = sock
+        self.shared = True
+        self.listen()
+
     def listen(self) -> None:
         """Takes connections while there is room for them, or while room can be made.
 
@@ -177,7 +189,7 @@
             self.guests.discard(guest)
 
     def stop(self) -> None:
-        """Takes all that waits in the backlog and closes.
+        """Takes all that waits in the backlog and closes. What waits on a shared socket is the successor's.
 
         Failure prevented: whoever connects between the last accept and the close is reset, so nothing is
         done in between.
@@ -188,7 +200,7 @@
         sock, self.sock = self.sock, None
         waiting: list[socket.socket] = []
         with suppress(OSError):  # none waits any more
-            while len(self.guests) + len(waiting) < self.most:
+            while not self.shared and len(self.guests) + len(waiting) < self.most:
                 waiting.append(sock.accept()[0])
         sock.close()
         for connection in waiting:
@@ -203,7 +215,7 @@
         start = self.loop.time()
         while self.sock is not None or self.guests:
             since = self.loop.time() - start
-            if since >= TAKING:
+            if since >= TAKING or self.shared:
                 self.stop()
             look(since)
             await asyncio.sleep(LOOK)
--- /dev/null
+++ b/brackenladder/storage/__init__.py
@@ -0,0 +1,1 @@
+"""What a node keeps in files."""
