--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -276,3 +276,31 @@
             await scene()
 
     uvloop.run(limited())
+
+
+HELD: list[socket.socket] = []
+
+
+def node_table(discovery: int, given: dict, listen: str = "127.0.0.1:0", *servers: dict) -> dict:
+    known = {"version": 1, "full": True, "servers": list(servers)}
+    table = {"name": "n0", "listen": listen, "discovery": f"127.0.0.1:{discovery}", "seed": "1f"}
+    return table | {"limits": {"sockets": 256}, "known": known, "settings": given}
+
+
+def free_port() -> int:
+    """A port that nobody else is given: it stays bound, which does not keep a node from listening there."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    s.bind(("127.0.0.1", 0))
+    HELD.append(s)
+    return s.getsockname()[1]
+
+
+async def connected(client: Client) -> None:
+    """Connects as soon as the node listens."""
+    while True:
+        try:
+            await client.open()
+            return
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/operations/test_decisions.py
@@ -0,0 +1,117 @@
+"""The operators' decisions, with times that the test moves."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brackenladder.interface import ListKind, State
+from brackenladder.membership.listing import Line, Listing
+from brackenladder.operations.calls import CallError, OperatorCall, read_call
+from brackenladder.operations.maintenance import FORGOTTEN, MOST_HELD, Hold, Maintenance, TooMany
+from brackenladder.operations.pause import Pause, Service
+
+
+def line(name: str, state: State = State.READY, started: int = 0) -> Line:
+    return Line(name, "127.0.0.1", 1, "east", "std", 0, state, 1.0, started)
+
+
+def told(maintenance: Maintenance, *lines: Line, kind: ListKind = ListKind.FULL) -> dict[str, Line]:
+    return {entry.id: entry for entry in maintenance.admit(Listing(kind, 1, lines)).lines}
+
+
+def holding(*names: str, now: int = 10) -> Maintenance:
+    maintenance = Maintenance()
+    told(maintenance, *(line(n) for n in "abc"))
+    for name in names:
+        maintenance.suspend(name, now)
+    return maintenance
+
+
+@pytest.mark.parametrize(
+    ("text", "call"),
+    [
+        (b"STATUS", OperatorCall("STATUS")),
+        (b" SUSPEND  s-1\r\n", OperatorCall("SUSPEND", "s-1")),
+        (b"", "no call"),
+        (b"status", "unknown call"),
+        (b"PAUSE now", "PAUSE takes nothing"),
+        (b"RESTORE", "RESTORE takes one server"),
+        (b"SUSPEND a b", "SUSPEND takes one server"),
+        (b"SUSPEND \xff", "not UTF-8"),
+    ],
+)
+def test_a_line_is_a_call_or_is_named(text, call):
+    if isinstance(call, str):
+        with pytest.raises(CallError, match=call):
+            read_call(text)
+    else:
+        assert read_call(text) == call
+
+
+@pytest.mark.parametrize("kind", [ListKind.FULL, ListKind.CHANGES])
+def test_a_held_server_drains_whatever_the_list_says(kind):
+    maintenance = holding("a")
+    for said in (line("a"), line("a", started=50)):
+        assert told(maintenance, said, line("b"), kind=kind) == {
+            "a": Line(*(vars(said) | {"state": State.DRAINING}).values()),
+            "b": line("b"),
+        }
+    assert told(maintenance, line("a", State.GONE), kind=kind)["a"].state == State.GONE
+    assert maintenance.knows("a")  # it can be given back while the list has lost it
+
+
+def test_two_calls_out_need_one_call_back_and_a_stranger_is_none_of_ours():
+    maintenance = holding("a", "a")
+    maintenance.restore("a", 20)
+    assert maintenance.holds["a"] == Hold(10, 20) and not maintenance.held("a")
+    maintenance.restore("b", 30)
+    assert "b" not in maintenance.holds and maintenance.knows("b") and not maintenance.knows("z")
+
+
+@pytest.mark.parametrize(
+    ("started", "counts"),
+    [(0, 20), (9, 20), (10, 10), (15, 15), (25, 25)],  # held from 10 to 20
+)
+def test_a_server_given_back_is_as_cold_as_it_may_be(started, counts):
+    """Failure prevented: the list is late with the new start, and a cold server gets a warm one's load."""
+    maintenance = holding("a")
+    maintenance.restore("a", 20)
+    assert told(maintenance, line("a", started=started))["a"].started == counts
+    (entry,) = maintenance.news_of(["a", "gone"], 7).lines
+    assert entry.state == State.READY and entry.started == counts
+
+
+def test_holds_are_bounded_and_old_ones_forgotten():
+    maintenance = holding(*(f"s{i}" for i in range(MOST_HELD)))
+    with pytest.raises(TooMany):
+        maintenance.suspend("one more", 11)
+    maintenance.suspend("s0", 11)  # held already
+    maintenance.restore("s0", 12)
+    maintenance.suspend("one more", 12 + FORGOTTEN)
+    assert "s0" not in maintenance.holds
+
+
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=12))
+def test_processes_agree_after_any_calls(calls):
+    """The one that is told, and the one that reads what was noted, make the same of the list."""
+    first, second = holding(), holding()
+    for now, (name, hold) in enumerate(calls, 10):
+        (first.suspend if hold else first.restore)(name, now)
+        changed = second.take_over(first.holds)
+        assert set(changed) <= {name}
+    lines = [line(n, started=i * 5) for i, n in enumerate("abc")]
+    assert told(first, *lines) == told(second, *lines)
+    assert {n for n in "abc" if first.held(n)} == {n for n, on in dict(calls).items() if on}
+
+
+def test_a_pause_goes_step_by_step_and_a_second_call_does_not_begin_it_anew():
+    pause = Pause()
+    assert pause.service(5.0) == Service.SERVING
+    pause.begin(10.0)
+    pause.begin(11.0)
+    steps = {10.0: Service.PAUSED, 10.7: Service.CLOSING, 11.9: Service.REFUSING, 13.5: Service.ENDING}
+    assert {at: pause.service(at) for at in steps} == steps
+    pause.end()
+    assert pause.service(14.0) == Service.SERVING
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,7 +10,22 @@
 from dataclasses import replace
 
 import pytest
-from loopback import MOMENT, OK, Bench, Client, Discovery, Server, call, cut_off, play, settings, until
+from loopback import (
+    MOMENT,
+    OK,
+    Bench,
+    Client,
+    Discovery,
+    Server,
+    call,
+    connected,
+    cut_off,
+    free_port,
+    node_table,
+    play,
+    settings,
+    until,
+)
 
 from brackenladder.core.roster import number_of
 from brackenladder.http.servers import Connection, Exchange
@@ -22,9 +37,6 @@
 BROKEN = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops"
 
 
-HELD: list[socket.socket] = []
-
-
 def always(*answers: bytes | None):
     """A handle that gives these answers in turn, the last one for good."""
     left = list(answers)
@@ -1169,31 +1181,6 @@
         read(node_table(0, settings(policy_limits={"max_attempts": None})))
 
 
-def node_table(discovery: int, given: dict, listen: str = "127.0.0.1:0", *servers: dict) -> dict:
-    known = {"version": 1, "full": True, "servers": list(servers)}
-    table = {"name": "n0", "listen": listen, "discovery": f"127.0.0.1:{discovery}", "seed": "1f"}
-    return table | {"limits": {"sockets": 256}, "known": known, "settings": given}
-
-
-def free_port() -> int:
-    """A port that nobody else is given: it stays bound, which does not keep a node from listening there."""
-    s = socket.socket()
-    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    s.bind(("127.0.0.1", 0))
-    HELD.append(s)
-    return s.getsockname()[1]
-
-
-async def connected(client: Client) -> None:
-    """Connects as soon as the node listens."""
-    while True:
-        try:
-            await client.open()
-            return
-        except ConnectionRefusedError:
-            await asyncio.sleep(0.01)
-
-
 async def spawn(tmp_path, table: dict, environ: dict | None = None) -> asyncio.subprocess.Process:
     file = tmp_path / "config.json"
     file.write_text(json.dumps(table))
