Large bodies are held whole within their room, large answers are relayed as they come

Change: http/bulk.py (pure) gives a large body room for its whole length before it is read on, first come first served, and says when a request has come too slowly (a rate, not one time for all); http/relay.py passes an answer over 64 KiB on at the pace of the slower side, concluding the call at its first bytes. Not taken: bodies passed on as they come, which hold a server's connection for as long as a client takes.

--- a/brackenladder/http/callers.py
+++ b/brackenladder/http/callers.py
@@ -8,17 +8,19 @@
 
 import httptools
 
+from brackenladder.http.bulk import LARGE, LARGEST_BODY, LEAST_RATE, Claim, Room, next_step, too_slow
+from brackenladder.http.relay import Relay
 from brackenladder.operations.pause import Service
 from brackenladder.sockets.listener import HANDOVER, LINGER, TAKING, Address, Guest, Listener
 
-LARGEST_BODY = 65536
 LARGEST_HEAD = 32768
-SLICE = 8192  # bytes parsed in one go
+SLICE = 8192  # bytes parsed in one go while a head may be among them...
+BODY_SLICE = 65536  # ...and in the middle of a body
 LARGEST_LINES = 128  # header lines of one request
-LARGEST_MESSAGE = LARGEST_HEAD + 8 * LARGEST_BODY  # bytes with the framing of chunks
+FRAMING = 8  # times the bytes of a body may come, with the framing of chunks
 PIPELINED = 8  # whole requests that wait on one connection while an earlier one is open
 REFUSING = 16  # connections at most, of the budget, that are open only to be told that it is spent
-SLOW = 2.5  # seconds for a request to come whole: from its first byte, or from the accept if it is the first
+FLUSH = 30.0  # seconds in which a client may take the end of a large last answer
 SWEEP = 0.25  # seconds between two looks at who is slow
 SETTLE = 0.2  # seconds in which a connection that was just taken or used may bring its request
 
@@ -47,7 +49,19 @@
 class Message:
     """A request as it came, or why it could not be read (`error`, a status)."""
 
-    __slots__ = ("error", "method", "target", "lines", "headers", "body", "keep", "size")
+    __slots__ = (
+        "error",
+        "method",
+        "target",
+        "lines",
+        "headers",
+        "parts",
+        "length",
+        "announced",
+        "keep",
+        "size",
+        "claim",
+    )
 
     def __init__(self, error: int = 0) -> None:
         self.error = error
@@ -55,9 +69,12 @@
         self.target = b""
         self.lines: list[tuple[bytes, bytes, bytes]] = []  # headers: lower-case name, name, value
         self.headers: dict[bytes, bytes] = {}  # by lower-case name; of several the first
-        self.body = b""
+        self.parts: list[bytes] = []  # of the body
+        self.length = 0  # of the body, in bytes
+        self.announced = 0  # by Content-Length
         self.keep = error == 0
         self.size = 0  # bytes that count as held while it waits or is open
+        self.claim: Claim | None = None  # the room of a large body, counted apart
 
 
 class Handler(Protocol):
@@ -88,6 +105,8 @@
         self.open: Message | None = None
         self.deaf = False  # nothing further is read from this client
         self.full = False  # it does not read its answers
+        self.relay: Relay | None = None  # of a large answer that is on its way
+        self.chunks = True  # the client understands them
         self.paused = False
         self.lost = False
 
@@ -101,13 +120,13 @@
 
     def data_received(self, data: bytes) -> None:
         self.active = self.owner.loop.time()
-        if len(data) <= SLICE:
-            if not self.deaf:
-                self.feed(data)
-        else:
-            for start in range(0, len(data), SLICE):
-                if not self.deaf:
-                    self.feed(data[start : start + SLICE])
+        start = 0
+        while start < len(data) and not self.deaf:
+            size = SLICE
+            if self.partial is not None and self.headed:
+                size = max(SLICE, min(BODY_SLICE, self.partial.announced - self.partial.length))
+            self.feed(data if len(data) <= size else data[start : start + size])
+            start += size
         if self.waiting and self.open is None:
             self.next()
 
@@ -127,7 +146,7 @@
             self.bytes += len(data)
             if not self.headed and (self.bytes > LARGEST_HEAD or len(self.partial.lines) > LARGEST_LINES):
                 self.reject(431)
-            elif self.bytes > LARGEST_MESSAGE:
+            elif self.bytes > LARGEST_HEAD + FRAMING * (LARGE + self.partial.length):
                 self.reject(413)
 
     def on_message_begin(self) -> None:
@@ -167,29 +186,57 @@
         if coding is not None and not (chunked and self.parser.get_http_version() == "1.1"):
             # Failure prevented: where a body ends is a matter of opinion, and a request hides in it.
             self.reject(400)
-        elif b"content-length" in headers and int(headers[b"content-length"]) > LARGEST_BODY:
-            self.reject(413)
-        elif b"expect" in headers and self.open is None:
+        elif b"content-length" in headers:
+            self.partial.announced = int(headers[b"content-length"])
+            if self.partial.announced > LARGE:
+                self.claim(self.partial, self.partial.announced)
+        if not self.deaf and b"expect" in headers and self.open is None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         message = self.partial
-        if message is not None and not self.deaf:
-            message.body += body
-            if len(message.body) > LARGEST_BODY:
-                self.reject(413)
+        if message is None or self.deaf:
+            return
+        message.parts.append(body)
+        message.length += len(body)
+        room = LARGE if message.claim is None else message.claim.asked
+        if message.length > room and message.claim not in self.owner.claims:
+            self.claim(message, next_step(room) if room < LARGEST_BODY else LARGEST_BODY + 1)
+
+    def claim(self, message: Message, size: int) -> None:
+        """Asks for a large body's room; it is not read on until there is some."""
+        room = self.owner.room
+        if not room.possible(size):
+            self.reject(413)
+            return
+        if message.claim is None:
+            message.claim = Claim()
+        if not room.ask(message.claim, size, self.active):
+            self.owner.claims[message.claim] = self
+            self.transport.pause_reading()
+
+    def granted(self) -> None:
+        """There is room for the body that is being read."""
+        self.since = max(self.since, self.owner.loop.time() - self.bytes / LEAST_RATE)
+        if not self.paused and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def on_message_complete(self) -> None:
         message, self.partial = self.partial, None
-        if message is None or self.deaf:
+        if message is None:
+            return
+        if self.deaf:
+            self.owner.release(message)
             return
         self.asked = True
         message.method = self.parser.get_method()
         message.keep = self.parser.should_keep_alive()
-        message.size += len(message.target) + len(message.body)
+        self.chunks = self.parser.get_http_version() == "1.1"
+        message.size += len(message.target) + (message.length if message.claim is None else 0)
         if self.owner.held + message.size > self.owner.most_held:
             # Failure prevented: many clients that send large requests ahead end the process for its memory.
             self.deaf = True
+            self.owner.release(message)
             self.waiting.append(Message(503))
             return
         self.owner.held += message.size
@@ -207,8 +254,11 @@
         if self.deaf:
             return
         self.deaf = True
-        self.partial = None
+        self.abandon()
         self.forget()
+        if self.relay is not None and self.open is not None:
+            self.open.keep = False  # half of its answer is out: an error would be taken for the rest
+            return
         self.drop()
         self.open = Message(status)
         self.answer(status)
@@ -220,7 +270,8 @@
         self.open = message = self.waiting.popleft()
         if self.paused:
             self.paused = False
-            self.transport.resume_reading()
+            if self.partial is None or self.partial.claim not in self.owner.claims:
+                self.transport.resume_reading()
         handler = self.owner.handler
         if self.refusing or message.error or self.owner.turning_away:
             handler.beyond(self)
@@ -235,6 +286,7 @@
         if message is None:
             return
         self.owner.held -= message.size
+        self.owner.release(message)
         if self.transport.is_closing():
             return
         close = not message.keep or self.refusing or self.owner.closing
@@ -252,6 +304,34 @@
         elif self.waiting:
             self.owner.loop.call_soon(self.next)
 
+    def head(self, status: int, headers: bytes, close: bool) -> None:
+        """The head of an answer that a relay brings. The request stays open until it is through."""
+        message = self.open
+        if message is None or self.transport.is_closing():
+            return
+        self.owner.release(message)  # nothing is sent again any more
+        message.parts.clear()
+        message.keep = message.keep and not close and not self.refusing and not self.owner.closing
+        ending = b"" if message.keep else b"Connection: close\r\n"
+        self.active = self.owner.loop.time()
+        self.transport.write(b"%b%b%b\r\n" % (STATUS_LINES[status], headers, ending))
+
+    def passed_on(self) -> None:
+        """The relay has brought the whole answer."""
+        message, self.open = self.open, None
+        self.active = self.owner.loop.time()
+        if message is None:
+            return
+        self.owner.held -= message.size
+        if not message.keep:
+            self.finish()
+        elif self.waiting:
+            self.owner.loop.call_soon(self.next)
+
+    def cut(self) -> None:
+        """The answer that has begun will not come whole."""
+        self.transport.abort()
+
     def finish(self) -> None:
         """Closes after the last answer.
 
@@ -263,19 +343,31 @@
         if self.transport.is_closing():
             return
         self.transport.write_eof()
-        self.owner.loop.call_later(LINGER, self.transport.abort)
+        self.owner.loop.call_later(LINGER, self.leave, self.owner.loop.time() + FLUSH)
+
+    def leave(self, latest: float) -> None:
+        """Failure prevented: a client that takes a large answer slowly loses the end of it."""
+        if self.transport.get_write_buffer_size() and self.owner.loop.time() < latest:
+            self.owner.loop.call_later(LINGER, self.leave, latest)
+        else:
+            self.transport.abort()
 
     def pause_writing(self) -> None:
         self.full = True
+        if self.relay is not None:
+            self.relay.full(True)
 
     def resume_writing(self) -> None:
         self.full = False
+        if self.relay is not None:
+            self.relay.full(False)
         self.next()
 
     # ---- ends -----------------------------------------------------------------------------------------
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
+        self.abandon()
         self.forget()
         self.drop()
         self.owner.listener.left(self)
@@ -284,19 +376,33 @@
         """Gives the open request up: nobody waits for its answer."""
         if self.open is not None:
             self.owner.held -= self.open.size
+            self.owner.release(self.open)
             self.open = None
-            self.owner.handler.left(self)
+            if self.relay is not None:
+                self.relay.stop()
+            else:
+                self.owner.handler.left(self)
+
+    def abandon(self) -> None:
+        """Gives up the request that has begun and not come whole."""
+        message, self.partial = self.partial, None
+        if message is not None:
+            self.owner.release(message)
 
     def forget(self) -> None:
         """Throws away the requests that wait: they get no answer."""
-        self.owner.held -= sum(message.size for message in self.waiting)
+        for message in self.waiting:
+            self.owner.held -= message.size
+            self.owner.release(message)
         self.waiting.clear()
 
 
 class Callers:
     """The listener and its connections, within a budget of descriptors."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, most_held: int, handler: Handler) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, most: int, most_held: int, most_bulk: int, handler: Handler
+    ) -> None:
         self.loop = loop
         self.refusing = min(REFUSING, most // 4)
         self.most = most - self.refusing
@@ -306,6 +412,8 @@
         self.turning_away = False  # whatever still comes is refused
         self.most_held = most_held  # bytes of the whole requests that wait or are open
         self.held = 0
+        self.room = Room(most_bulk)  # for large bodies
+        self.claims: dict[Claim, Caller] = {}  # those that wait for room
         self.listener = Listener(loop, most, self.caller)
 
     @property
@@ -328,14 +436,36 @@
             self.listener.make_room()
         return Caller(self, refusing=len(self.callers) >= self.most)
 
+    def release(self, message: Message) -> None:
+        """A large body's room is free again: whoever waits for it is read on."""
+        claim, message.claim = message.claim, None
+        if claim is None:
+            return
+        self.claims.pop(claim, None)
+        self.grant(self.room.release(claim))
+
+    def grant(self, claims: list[Claim]) -> None:
+        for claim in claims:
+            caller = self.claims.pop(claim, None)
+            if caller is not None:
+                caller.granted()
+
     def sweep(self) -> None:
         """Ends what has not brought a whole request in its time; a client that has asked may stay idle."""
         now = self.loop.time()
+        for claim in self.room.overdue(now):
+            caller = self.claims.get(claim)
+            if caller is not None:
+                caller.reject(503)
         for caller in list(self.callers):
-            if caller.open or caller.waiting or caller.deaf or now - caller.since <= SLOW:
+            if caller.open or caller.waiting or caller.deaf:
                 continue
-            if caller.partial is not None:
-                caller.reject(408)
+            message = caller.partial
+            if not too_slow(now - caller.since, caller.headed, message.length if message is not None else 0):
+                continue
+            if message is not None:
+                if message.claim not in self.claims:
+                    caller.reject(408)
             elif (caller.refusing or not caller.asked) and caller.transport is not None and caller.idle():
                 caller.transport.abort()
         self.loop.call_later(SWEEP, self.sweep)
--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -47,7 +47,11 @@
     def served(self, answer: object) -> None:
         whole: Any = answer  # an Answer, as HTTP's upstream gives it
         kind = whole.content_type
-        self.caller.answer(200, whole.body, b"Content-Type: %b\r\n" % kind if kind else b"")
+        headers = b"Content-Type: %b\r\n" % kind if kind else b""
+        if whole.relay is None:
+            self.caller.answer(200, whole.body, headers)
+        else:
+            whole.relay.begin(self.caller, 200, headers, whole.body)
 
     def refused(self, retry_after: int) -> None:
         self.caller.answer(503, headers=advice(retry_after))
--- a/brackenladder/http/servers.py
+++ b/brackenladder/http/servers.py
@@ -13,6 +13,9 @@
 
 import httptools
 
+from brackenladder.http.bulk import LARGE
+from brackenladder.http.relay import LARGEST_ANSWER as LONGEST
+from brackenladder.http.relay import Relay
 from brackenladder.interface import Outcome
 
 OK = Outcome.OK  # an enumeration's members are slow to look up, and this one is for every answer
@@ -21,10 +24,9 @@
 AFTER_ANSWER = 0.05  # a close within so many seconds of an answer tells nothing of the time to idle
 LEAST_IDLE = 0.1  # seconds that connections may idle, however soon servers close them
 IDLE_REGAIN = 1.02  # what was learned of it fades by so much at each look
-LARGEST_BODY = 65536
 LARGEST_HEAD = 32768  # bytes of an answer's head, and of all interim answers before it
 LARGEST_LINES = 128  # header lines of the same, and trailers
-LARGEST_ANSWER = LARGEST_HEAD + 8 * LARGEST_BODY  # bytes with the framing of chunks
+LARGEST_ANSWER = LARGEST_HEAD + 8 * LARGE  # bytes of one that is not relayed, with the framing of chunks
 
 
 @dataclass(slots=True)
@@ -36,9 +38,10 @@
     content_type: bytes
     rejected: bool
     report: bytes
+    relay: Relay | None = None  # brings the rest of the body, if this is not all of it
 
 
-Compose = Callable[[], bytes | None]
+Compose = Callable[[], Sequence[bytes] | None]
 Done = Callable[[Outcome, Answer | None, Sequence[float]], None]  # outcome, answer, load report
 Report = Callable[[Answer], Sequence[float]]  # what an answer says of its server's load
 
@@ -80,6 +83,7 @@
         self.endpoint = endpoint
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
+        self.relay: Relay | None = None
         self.unsent = False  # part of the request is still in this process
         self.counted = False
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
@@ -98,7 +102,7 @@
     def resume_writing(self) -> None:
         self.unsent = False
 
-    def begin(self, exchange: Exchange, data: bytes) -> None:
+    def begin(self, exchange: Exchange, data: Sequence[bytes]) -> None:
         """Writes the exchange's request."""
         self.exchange = exchange
         self.status = 0
@@ -109,8 +113,10 @@
         self.complete = self.stray = self.keep = False
         self.headed = False  # the final answer's head has come whole
         self.size = self.lines = 0
-        if not self.transport.is_closing():
-            self.transport.write(data)
+        self.length: int | None = None
+        for part in data:
+            if not self.transport.is_closing():
+                self.transport.write(part)
         if self.transport.is_closing():
             # It was lost before the write or by it, so the server cannot have got the whole request.
             self.unsent = True
@@ -118,7 +124,7 @@
 
     def data_received(self, data: bytes) -> None:
         exchange = self.exchange
-        if exchange is None:
+        if exchange is None and self.relay is None:
             # Failure prevented: bytes that nobody asked for would be taken for the next answer.
             self.close()
             return
@@ -126,6 +132,10 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.stray = True
+        if self.relay is not None:
+            if self.complete or self.stray:
+                self.relayed()
+            return
         self.size += len(data)
         if self.size > (LARGEST_ANSWER if self.headed else LARGEST_HEAD):
             self.stray = True
@@ -160,20 +170,63 @@
             self.rejected = value.strip() == b"1"
         elif key == b"x-load-report":
             self.report = value
-        elif key == b"content-length" and int(value) > LARGEST_BODY:
-            raise Spoilt  # here, not when so much has come
+        elif key == b"content-length":
+            self.length = int(value)
         elif key == b"transfer-encoding" and value.strip().lower() != b"chunked":
             raise Spoilt  # coded: the body as it comes is not the answer's
 
     def on_headers_complete(self) -> None:
-        self.headed = self.headed or self.parser.get_status_code() >= 200
+        if self.parser.get_status_code() < 200:
+            self.length = None
+            return
+        self.headed = True
+        if self.length is not None and self.length > LARGE:
+            self.large()
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
             return
+        if self.relay is not None:
+            self.relay.data(body)
+            return
         self.body += body
-        if len(self.body) > LARGEST_BODY:
+        if len(self.body) > LARGE:
+            self.large()
+
+    def large(self) -> None:
+        """An answer that is not held whole. The exchange ends here; what is left is the relay's.
+
+        Failure prevented: many large answers at a time end the process for its memory.
+        """
+        status, exchange = self.parser.get_status_code(), self.exchange
+        if status != 200:  # it says all that is wanted of it
+            self.status, self.body, self.complete = status, b"", True
+            return
+        too_long = self.length is not None and self.length > LONGEST
+        if exchange is None or not exchange.relays or too_long:
             raise Spoilt
+        self.relay = Relay(self.pool.loop, self, self.length)
+        body, self.body = self.body, b""
+        self.exchange = None
+        exchange.end(OK, Answer(status, body, self.content_type, False, self.report, self.relay))
+        if self.relay is not None and self.relay.caller is None:  # nobody waits for it any more
+            self.relay = None
+            raise Spoilt
+
+    def relayed(self) -> None:
+        """The relay's end, whole or not."""
+        relay, self.relay = self.relay, None
+        if relay is None:
+            return
+        if not self.complete:
+            relay.stop()
+            return
+        relay.whole()
+        if self.keep and not self.stray and self.endpoint.ready and not self.transport.is_closing():
+            self.transport.resume_reading()
+            self.pool.keep(self)
+        else:
+            self.close()
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
@@ -194,6 +247,8 @@
 
     def broken(self) -> None:
         """The connection ended; whether the request may have run depends on what was written."""
+        if self.relay is not None:
+            self.relayed()
         if self.exchange is not None:
             self.finish(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET, None, reuse=False)
 
@@ -222,19 +277,37 @@
     """One request to one server, which ends exactly once by calling `done`.
 
     `compose` is asked for the bytes just before they are written; None says that nothing may be written.
-    `report`: how an answer's load report is read, if it is wanted.
+    `report`: how an answer's load report is read, if it is wanted. `relays`: a large answer ends it as well.
     """
 
-    __slots__ = ("pool", "endpoint", "compose", "done", "report", "over", "connection", "connecting", "timer")
+    __slots__ = (
+        "pool",
+        "endpoint",
+        "compose",
+        "done",
+        "report",
+        "relays",
+        "over",
+        "connection",
+        "connecting",
+        "timer",
+    )
 
     def __init__(
-        self, pool: Pool, endpoint: Endpoint, compose: Compose, done: Done, report: Report | None = None
+        self,
+        pool: Pool,
+        endpoint: Endpoint,
+        compose: Compose,
+        done: Done,
+        report: Report | None = None,
+        relays: bool = False,
     ) -> None:
         self.pool = pool
         self.endpoint = endpoint
         self.compose = compose
         self.done = done
         self.report = report
+        self.relays = relays
         self.over = False
         self.connection: Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
--- a/brackenladder/http/upstream.py
+++ b/brackenladder/http/upstream.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from brackenladder.core.call import Attempt, Call, Done, Probed
+from brackenladder.http.bulk import LARGE
 from brackenladder.http.callers import Message
 from brackenladder.http.servers import Answer, Endpoint, Exchange, Pool
 from brackenladder.interface import ListKind, Outcome, State
@@ -82,11 +83,11 @@
         http_call: Any = call  # an HttpCall, as HTTP's front feeds this pool
         message: Message = http_call.message
 
-        def compose() -> bytes | None:
+        def compose() -> Sequence[bytes] | None:
             left = expires - self.now()
             return head_of(message, left // 1000) if call.open and left > 0 else None
 
-        return Exchange(self.pool, endpoint, compose, done, self.read_inline)
+        return Exchange(self.pool, endpoint, compose, done, self.read_inline, relays=True)
 
     def probe(self, server: int, done: Probed) -> None:
         """Asks a server for its load report, or whether it is well where there are no reports."""
@@ -101,7 +102,7 @@
             done(False, ())
             return
         request = b"GET %b HTTP/1.1\r\nHost: %b:%d\r\n\r\n" % (path, endpoint.host.encode(), endpoint.port)
-        Exchange(self.pool, endpoint, lambda: request, ended).start(self.connect_timeout)
+        Exchange(self.pool, endpoint, lambda: (request,), ended).start(self.connect_timeout)
 
     def close_idle(self, server: int) -> None:
         """Closes the connections to a server that carry nothing."""
@@ -127,16 +128,18 @@
     return HOP | {name.strip().lower() for name in b",".join(named).split(b",")} - KEPT
 
 
-def head_of(message: Message, budget: int) -> bytes:
-    """The request as it goes on to a server."""
+def head_of(message: Message, budget: int) -> Sequence[bytes]:
+    """The request as it goes on to a server, in one piece unless its body is large."""
     hop = hop_headers(message) if b"connection" in message.headers else HOP
     lines = [b"%b: %b" % (name, value) for key, name, value in message.lines if key not in hop]
-    if message.body or message.method != b"GET":
-        lines.append(b"Content-Length: %d" % len(message.body))
-    return b"%b %b HTTP/1.1\r\n%b\r\nX-Budget-Ms: %d\r\n\r\n%b" % (
+    if message.length or message.method != b"GET":
+        lines.append(b"Content-Length: %d" % message.length)
+    small = message.length <= LARGE
+    head = b"%b %b HTTP/1.1\r\n%b\r\nX-Budget-Ms: %d\r\n\r\n%b" % (
         message.method,
         message.target,
         b"\r\n".join(lines),
         budget,
-        message.body,
+        b"".join(message.parts) if small else b"",
     )
+    return (head,) if small else (head, *message.parts)
--- a/brackenladder/node/config.py
+++ b/brackenladder/node/config.py
@@ -15,6 +15,7 @@
 
 DOOR_SOCKETS = 20  # the door's places, its listener, and files of its own
 RESERVED_SOCKETS = 32  # the event loop's own, the listener, UDP, discovery, the standard streams
+BULK_SHARE = 0.43  # of the memory may hold large bodies
 HELD_SHARE = 8  # an eighth of the memory may hold clients' requests
 LEAST_CONNECTIONS = 8
 
@@ -34,6 +35,7 @@
     seed: int
     connections: int  # descriptors that clients and servers may use together
     most_held: int  # bytes of clients' requests that may be in memory
+    most_bulk: int  # and of large bodies, counted apart
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -136,6 +138,7 @@
         seed=number,
         connections=sockets - reserved,
         most_held=(memory << 20) // HELD_SHARE,
+        most_bulk=int((memory << 20) * BULK_SHARE),
         peer_listen=read_address(peer_listen, "peer_listen") if peer_listen else None,
         peers=tuple(read_address(p, "peers") for p in fields.items("peers")),
         peers_all=read_address(peers_all, "peers_all") if peers_all else None,
--- a/brackenladder/node/http.py
+++ b/brackenladder/node/http.py
@@ -51,5 +51,5 @@
     """The other half are the clients'. `ready`: what `/ready` says until the node ends."""
     front = HttpFront(pool.host, config.classes, config.tenants, ready, log.line)
     most = config.connections - config.connections // 2
-    front.callers = Callers(loop, most, config.most_held, front)
+    front.callers = Callers(loop, most, config.most_held, config.most_bulk, front)
     return front
