--- a/brackenladder/http/callers.py
+++ b/brackenladder/http/callers.py
@@ -125,7 +125,7 @@
             size = SLICE
             if self.partial is not None and self.headed:
                 size = max(SLICE, min(BODY_SLICE, self.partial.announced - self.partial.length))
-            self.feed(data if len(data) <= size else data[start : start + size])
+            self.feed(data if len(data) <= size and not start else data[start : start + size])
             start += size
         if self.waiting and self.open is None:
             self.next()
