--- a/brackenladder/http/servers.py
+++ b/brackenladder/http/servers.py
@@ -114,6 +114,7 @@
         self.headed = False  # the final answer's head has come whole
         self.size = self.lines = 0
         self.length: int | None = None
+        self.chunked = False
         for part in data:
             if not self.transport.is_closing():
                 self.transport.write(part)
@@ -139,6 +140,25 @@
         self.size += len(data)
         if self.size > (LARGEST_ANSWER if self.headed else LARGEST_HEAD):
             self.stray = True
+        self.conclude()
+
+    def eof_received(self) -> None:
+        """The server has ended the connection in order, which also ends an answer that has no other end.
+
+        Failure prevented: a served request counts as one that may have run, and fails or runs again. A server
+        that dies resets its connections, so what is cut off that way is not taken for whole.
+        """
+        open_ended = self.headed and self.length is None and not self.chunked
+        if not open_ended or self.complete or (self.exchange is None and self.relay is None):
+            return
+        self.status, self.keep, self.complete = self.parser.get_status_code(), False, True
+        if self.relay is not None:
+            self.relayed()
+        else:
+            self.conclude()
+
+    def conclude(self) -> None:
+        """Ends the exchange if its answer is whole, or cannot be used."""
         if self.complete:
             # Failure prevented: a whole answer is thrown away for the noise behind it, and fails a request
             # that has run. What follows it belongs to nobody, so the connection is of no further use.
@@ -172,12 +192,14 @@
             self.report = value
         elif key == b"content-length":
             self.length = int(value)
-        elif key == b"transfer-encoding" and value.strip().lower() != b"chunked":
-            raise Spoilt  # coded: the body as it comes is not the answer's
+        elif key == b"transfer-encoding":
+            self.chunked = value.strip().lower() == b"chunked"
+            if not self.chunked:
+                raise Spoilt  # coded: the body as it comes is not the answer's
 
     def on_headers_complete(self) -> None:
         if self.parser.get_status_code() < 200:
-            self.length = None
+            self.length, self.chunked = None, False
             return
         self.headed = True
         if self.length is not None and self.length > LARGE:
