--- /dev/null
+++ b/tests/http/test_large.py
@@ -0,0 +1,249 @@
+"""Large bodies and answers through a node, byte for byte, and what breaks half-way."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import struct
+from contextlib import suppress
+
+import pytest
+from loopback import PATIENCE, Bench, Client, Server, call, play, until
+
+RANDOM = random.Random(7)
+SIZES = [65_536, 65_537, 300_000, 3_000_000]
+
+
+def noise(size: int) -> bytes:
+    return RANDOM.randbytes(size)
+
+
+def chunks(body: bytes, size: int = 50_000) -> bytes:
+    parts = [body[i : i + size] for i in range(0, len(body), size)]
+    return b"".join(b"%x;x=y\r\n%b\r\n" % (len(p), p) for p in parts) + b"0\r\nX-Trailer: t\r\n\r\n"
+
+
+def framed(body: bytes, how: str) -> bytes:
+    """An answer; one that is framed by the connection's end is ended by the server."""
+    if how == "chunks":
+        return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(body)
+    length = b"Content-Length: %d\r\n" % len(body) if how == "length" else b""
+    return b"HTTP/1.1 200 OK\r\n%b\r\n%b" % (length, body)
+
+
+async def answer_of(client: Client) -> tuple[int, dict[str, str], bytes]:
+    """One answer, by length or by chunks."""
+    reader = client.reader
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *lines = head[:-4].split("\r\n")
+    headers = {k.lower(): v for k, _, v in (line.partition(": ") for line in lines)}
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    else:
+        assert headers["transfer-encoding"] == "chunked"
+        body = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+    return int(first.split(" ")[1]), headers, body
+
+
+@pytest.mark.parametrize("how", ["length", "chunks", "pieces"])
+@pytest.mark.parametrize("size", SIZES)
+def test_a_large_body_arrives_as_it_was_sent(size, how):
+    """Failure prevented: a slice of it is read twice, or what follows it is taken for a part of it."""
+
+    async def scene():
+        bench = await Bench(server := Server()).start()
+        body, client = noise(size), await bench.client()
+        data = call("invite", body=body)
+        if how == "chunks":
+            head = call("invite").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            data = head + chunks(body)
+        if how == "pieces":
+            for start in range(0, len(data), 20_011):
+                client.send(data[start : start + 20_011])
+                await asyncio.sleep(0)
+        else:
+            client.send(data + call())  # the next request follows at once
+            assert (await client.receive())[0] == 200
+        assert (await client.receive())[0] == 200
+        got = [r.body for r in server.requests if r.method == "POST"]
+        assert got == [body]
+        callers = bench.node.front.callers
+        assert callers.held == callers.room.used == 0
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ["length", "chunks", "end"])
+@pytest.mark.parametrize("size", [1000, *SIZES])
+def test_a_large_answer_arrives_as_the_server_made_it(size, how):
+    """Failure prevented: an answer that ends with its connection counts as cut off."""
+
+    async def scene():
+        body = noise(size)
+
+        async def handle(request, writer):
+            if request.method == "GET":
+                return framed(b"small", "length")
+            writer.write(framed(body, how))
+            if how == "end":
+                writer.close()
+            return None
+
+        bench = await Bench(Server(handle)).start()
+        client = await bench.client()
+        client.send(call("invite"))
+        status, headers, got = await answer_of(client)
+        assert (status, got) == (200, body)
+        client.send(call())  # the client's connection stays, whatever the server's did
+        assert (await answer_of(client))[2] == b"small"
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ["length", "chunks", "end"])
+def test_an_answer_that_breaks_off_cannot_be_taken_for_a_whole_one(how):
+    async def scene():
+        async def handle(request, writer):
+            writer.write(framed(noise(400_000), how)[:300_000])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")  # as of a process that dies: a reset
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            return None
+
+        bench = await Bench(Server(handle)).start()
+        client = await bench.client()
+        client.send(call("invite"))
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await answer_of(client)
+        await until(lambda: not bench.node.front.callers.callers)
+
+    play(scene)
+
+
+def test_a_client_that_reads_slowly_holds_the_server_back_and_not_the_memory():
+    """Failure prevented: many large answers at a time end the process for its memory."""
+
+    async def scene():
+        body = noise(32 << 20)
+
+        async def handle(request, writer):
+            return framed(body, "length")
+
+        bench = await Bench(Server(handle)).start()
+        client = await bench.client()
+        client.writer.transport.pause_reading()
+        client.send(call("invite"))
+        await until(lambda: any(c.relay and c.full for c in bench.node.front.callers.callers))
+        (caller,) = bench.node.front.callers.callers
+        assert caller.transport.get_write_buffer_size() < 1 << 20
+        drain = asyncio.create_task(bench.node.drain())  # the end waits for what is on its way
+        await until(lambda: bench.node.front.callers.closing)
+        client.writer.transport.resume_reading()
+        status, _, got = await asyncio.wait_for(answer_of(client), PATIENCE)
+        assert status == 200 and got == body
+        client.writer.close()
+        await asyncio.wait_for(drain, PATIENCE)
+
+    play(scene)
+
+
+def test_a_client_that_leaves_half_way_ends_the_servers_side():
+    async def scene():
+        async def handle(request, writer):
+            with suppress(ConnectionError):
+                while True:
+                    writer.write(noise(100_000) if writer.transport.get_write_buffer_size() else head)
+                    await writer.drain()
+            return None
+
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n" + noise(100_000)
+        bench = await Bench(server := Server(handle)).start()
+        client = await bench.client()
+        client.send(call("invite"))
+        await until(lambda: any(c.relay for c in bench.node.front.callers.callers))
+        client.writer.transport.abort()
+        await until(lambda: not bench.node.front.callers.callers and bench.pool.upstream.pool.open == 0)
+        server.server.close()
+
+    play(scene)
+
+
+def test_garbage_behind_a_request_does_not_get_into_its_answer():
+    """Failure prevented: the error for what cannot be read stands in the middle of a large answer."""
+
+    async def scene():
+        gate, body = asyncio.Event(), noise(300_000)
+
+        async def handle(request, writer):
+            writer.write(framed(body, "length")[:200_000])
+            await gate.wait()
+            return framed(body, "length")[200_000:]
+
+        bench = await Bench(Server(handle)).start()
+        client = await bench.client()
+        client.send(call("invite"))
+        await until(lambda: any(c.relay for c in bench.node.front.callers.callers))
+        client.send(b"nonsense\r\n\r\n")
+        await until(lambda: any(c.deaf for c in bench.node.front.callers.callers))
+        gate.set()
+        assert (await answer_of(client))[2] == body and await client.ended()
+
+    play(scene)
+
+
+def test_a_body_waits_for_room_and_is_refused_when_none_comes():
+    async def scene():
+        gate = asyncio.Event()
+
+        async def handle(request, writer):
+            await gate.wait()
+            return framed(b"", "length")
+
+        bench = await Bench(server := Server(handle)).start()
+        callers = bench.node.front.callers
+        callers.room.most = 300_000
+        first, second, third = [await bench.client() for _ in range(3)]
+        first.send(call("invite", body=noise(200_000)))
+        await until(lambda: len(server.requests) == 1)
+        second.send(call("invite", body=noise(150_000)))
+        third.send(call("invite", body=noise(150_000)))
+        await until(lambda: len(callers.claims) == 2)
+        for claim in callers.claims:
+            claim.since -= 6 if callers.claims[claim].partial is not None else 0
+            break  # the first of them has waited too long
+        status, headers, _ = await next_answer(second, third)
+        assert status == 503 and headers["connection"] == "close"
+        gate.set()
+        assert (await first.receive())[0] == 200
+        await until(lambda: len(server.requests) == 2 and callers.room.used == 0)
+
+    play(scene)
+
+
+async def next_answer(*clients: Client):
+    """The first answer that any of them gets."""
+    tasks = [asyncio.create_task(answer_of(c)) for c in clients]
+    done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED, timeout=PATIENCE)
+    for task in set(tasks) - done:
+        task.add_done_callback(lambda t: t.cancelled() or t.exception())
+    return done.pop().result()
+
+
+def test_a_failure_with_a_large_body_is_a_failure():
+    """Failure prevented: it counts as a reset, which may have run."""
+
+    async def scene():
+        async def handle(request, writer):
+            return b"HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 200000\r\n\r\n" + noise(200_000)
+
+        bench = await Bench(Server(handle)).start()
+        assert (await bench.once(call("invite")))[0] == 503
+
+    play(scene)
