A successor begins with the list that its predecessor had

Change: written once a second into the node's folder where a socket is handed down, taken while fresh.

--- a/brackenladder/discovery/sources.py
+++ b/brackenladder/discovery/sources.py
@@ -8,6 +8,7 @@
 from brackenladder.discovery.watch import Discovery, Told
 from brackenladder.interface import ListKind
 from brackenladder.membership.listing import Line, Listing
+from brackenladder.membership.withdrawn import Withdrawn
 
 PUSH_RETRY = 0.1  # seconds before an agent that did not answer is asked again
 
@@ -34,6 +35,12 @@
         if self.known is not None:
             self.told(self.known)
 
+    def begin_with(self, listing: Listing) -> None:
+        """A list that is newer than the one that was known. Before `start` only."""
+        self.known = listing
+        self.version = listing.version
+        self.withdrawn = Withdrawn(listing.version)
+
 
 class Agent(Asked):
     """An agent on the node's own machine, which answers at once with what was pushed to it.
@@ -69,12 +76,16 @@
     """A list that stands in the operator file: there is nothing to ask for."""
 
     def __init__(self, lines: Sequence[Line], told: Told) -> None:
-        self.listing = Listing(ListKind.FULL, 1, tuple(lines))
+        self.version: int | None = 1
+        self.listing = Listing(ListKind.FULL, self.version, tuple(lines))
         self.told = told
 
     def start(self) -> None:
         self.told(self.listing)
 
+    def begin_with(self, listing: Listing) -> None:
+        """The operator file's list holds."""
+
     def watch(self, on: bool) -> None:
         """There are no changes."""
 
--- a/brackenladder/node/node.py
+++ b/brackenladder/node/node.py
@@ -14,6 +14,7 @@
 from brackenladder.peers.datagrams import Peers
 
 if TYPE_CHECKING:
+    from brackenladder.node.handover import Handover
     from brackenladder.node.operations import Operations
     from brackenladder.node.operator import Operator, RpcTable
 
@@ -47,6 +48,7 @@
         self.listeners = {"http": Listener(self.front, config.listen, config.passed)}
         self.taking = False  # the listeners listen
         self.operations: Operations | None = None
+        self.handover: Handover | None = None
         if config.door is not None:
             from brackenladder.node.operations import Operations
 
@@ -58,9 +60,21 @@
                 config.folder,
                 self.log.line,
             )
+            if config.passed is not None and config.folder is not None:
+                self.add_handover(config.folder)
         if rpc is not None:
             self.add_rpc(rpc)
 
+    def add_handover(self, folder: str) -> None:
+        from brackenladder.node.handover import Handover
+
+        assert self.operations is not None
+        maintenance = self.operations.maintenance
+        self.handover = Handover(self.loop, self.http, maintenance, folder, self.log.line)
+        listing = self.handover.look()
+        if listing is not None:
+            self.http.source.begin_with(listing)
+
     def add_rpc(self, table: RpcTable) -> None:
         from brackenladder.node.rpc import rpc_front, rpc_pool
 
@@ -91,6 +105,8 @@
             self.listen()
         for pool in self.pools.values():
             pool.start()
+        if self.handover is not None:
+            self.handover.begin()
         if self.config.passed is not None:
             # Failure prevented: it takes what its predecessor could have served, and has no list yet.
             deadline = self.loop.time() + LIST_TIME
@@ -146,6 +162,8 @@
         """Answers what has been taken, and ends."""
         if self.operations is not None:
             self.operations.end()
+        if self.handover is not None:
+            self.handover.end()
         for pool in self.pools.values():
             pool.last_orders()
         await asyncio.gather(*(listener.front.drain() for listener in self.listeners.values()))
--- a/brackenladder/node/pool.py
+++ b/brackenladder/node/pool.py
@@ -29,9 +29,14 @@
 class Source(Directory, Protocol):
     """Where the list comes from."""
 
+    version: int | None  # of the list in hand
+
     def start(self) -> None:
         """The pool runs: from now on it is told of lists."""
 
+    def begin_with(self, listing: Listing) -> None:
+        """A list that is newer than the one it would begin with. Before `start` only."""
+
     def move(self, address: tuple[str, int]) -> None:
         """Asks at another address from now on."""
 
--- a/tests/node/test_operations.py
+++ b/tests/node/test_operations.py
@@ -126,9 +126,11 @@
     play(scene)
 
 
-async def start_node(folder: Path, discovery: int, sock: socket.socket, door: int, server: Server):
+async def start_node(folder: Path, discovery: int, sock: socket.socket, door: int, *servers: Server):
     """A node as a process that is handed a listening socket."""
-    table = node_table(discovery, settings(), "127.0.0.1:1", server.entry("s0"))
+    table = node_table(discovery, settings(), "127.0.0.1:1", *(s.entry("s0") for s in servers))
+    if not servers:
+        del table["known"]
     (folder / "config.json").write_text(json.dumps(table))
     environ = os.environ | {
         "LB_CONFIG": str(folder / "config.json"),
@@ -178,7 +180,9 @@
             await until_yes(doors[0])
             asking = asyncio.create_task(client(port))
             await until(lambda: len(served) > 5)
-            new = await start_node(tmp_path, discovery.port, sock, doors[1], server)
+            # The new one's list is what the old one leaves it: discovery says nothing.
+            await until((tmp_path / "brackenladder-handover.json").exists)
+            new = await start_node(tmp_path, discovery.port, sock, doors[1])
             await until_yes(doors[1])
             old.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(old.wait(), 20) == 0
--- a/tests/storage/test_holds.py
+++ b/tests/storage/test_holds.py
@@ -1,4 +1,4 @@
-"""The file that the processes of one node share."""
+"""The files that the processes of one node share."""
 
 from __future__ import annotations
 
@@ -6,7 +6,10 @@
 
 import pytest
 
+from brackenladder.interface import ListKind, State
+from brackenladder.membership.listing import Line, read_listing
 from brackenladder.operations.maintenance import Hold
+from brackenladder.storage import handover
 from brackenladder.storage.holds import LARGEST_FILE, HoldsError, HoldsFile
 
 HOLDS = {"s-1": Hold(10), "s-2": Hold(20, 30)}
@@ -47,3 +50,27 @@
     with pytest.raises(HoldsError, match="No such file"):
         file.write(HOLDS)
     assert list(tmp_path.iterdir()) == []
+
+
+LINES = [
+    Line("a", "10.0.0.1", 5000, "east", "std", 2, State.READY, 1.5, 7_000),
+    Line("b", "::1", 5000, "west", "", 0, State.DRAINING, 1.0, 0),
+]
+
+
+def test_a_successor_is_left_the_list_while_it_is_fresh(tmp_path):
+    assert handover.read(str(tmp_path), 0) is None
+    handover.write(str(tmp_path), 1_000_000, 41, LINES)
+    listing = read_listing(handover.read(str(tmp_path), 2_000_000), ListKind.CACHED)
+    assert (listing.version, list(listing.lines)) == (41, LINES)
+    for now in (0, 1_000_001 + handover.FRESH):  # a clock that went back, a file of long ago
+        assert handover.read(str(tmp_path), now) is None
+
+
+@pytest.mark.parametrize("text", ["", "[]", "[" * 100_000, '{"format": 2}', '{"format": 1, "at": "x"}'])
+def test_a_predecessors_file_that_cannot_be_used_is_one_line(tmp_path, text):
+    (tmp_path / handover.NAME).write_text(text)
+    with pytest.raises(handover.HandoverError, match="not a file of a predecessor's"):
+        handover.read(str(tmp_path), 0)
+    with pytest.raises(handover.HandoverError, match="No such file"):
+        handover.write(str(tmp_path / "none"), 0, 1, LINES)
