--- a/tests/http/test_large.py
+++ b/tests/http/test_large.py
@@ -32,6 +32,13 @@
     return b"HTTP/1.1 200 OK\r\n%b\r\n%b" % (length, body)
 
 
+def always(answer: bytes):
+    async def handle(request, writer):
+        return answer
+
+    return handle
+
+
 async def answer_of(client: Client) -> tuple[int, dict[str, str], bytes]:
     """One answer, by length or by chunks."""
     reader = client.reader
@@ -121,7 +128,7 @@
         client = await bench.client()
         client.send(call("invite"))
         with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
-            await answer_of(client)
+            await asyncio.wait_for(answer_of(client), PATIENCE)
         await until(lambda: not bench.node.front.callers.callers)
 
     play(scene)
@@ -158,19 +165,47 @@
     async def scene():
         async def handle(request, writer):
             with suppress(ConnectionError):
-                while True:
-                    writer.write(noise(100_000) if writer.transport.get_write_buffer_size() else head)
-                    await writer.drain()
+                writer.write(head)
+                await gate.wait()
             return None
 
-        head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n" + noise(100_000)
+        gate, head = asyncio.Event(), framed(noise(200_000), "length")[:100_000]
         bench = await Bench(server := Server(handle)).start()
         client = await bench.client()
         client.send(call("invite"))
         await until(lambda: any(c.relay for c in bench.node.front.callers.callers))
         client.writer.transport.abort()
         await until(lambda: not bench.node.front.callers.callers and bench.pool.upstream.pool.open == 0)
-        server.server.close()
+        assert len(server.requests) == 1
+        gate.set()
+
+    play(scene)
+
+
+def test_a_client_that_takes_the_end_of_a_last_answer_slowly_gets_it(monkeypatch):
+    """Failure prevented: the connection is reset while the end of the answer is still in this process."""
+    monkeypatch.setattr("brackenladder.http.callers.LINGER", 0.01)
+
+    async def scene():
+        body = noise(66_000)  # over what is relayed, and under what a transport holds
+        bench = await Bench(Server(always(framed(body, "length")))).start()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", bench.port))
+        client = Client(bench.port)
+        client.reader, client.writer = await asyncio.open_connection(sock=sock)
+        client.writer.transport.pause_reading()
+        await until(lambda: len(bench.node.front.callers.callers) == 1)
+        (caller,) = bench.node.front.callers.callers
+        await until(lambda: caller.transport is not None)
+        caller.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(call("invite", extra=b"Connection: close\r\n"))
+        await until(lambda: caller.deaf and caller.relay is None)
+        assert caller.transport.get_write_buffer_size()
+        await asyncio.sleep(0.1)  # ten times the wait for the client to read
+        client.writer.transport.resume_reading()
+        assert (await answer_of(client))[2] == body
 
     play(scene)
 
--- a/tests/node/test_node_of_pools.py
+++ b/tests/node/test_node_of_pools.py
@@ -10,6 +10,7 @@
 from brackenladder.interface import ListKind
 from brackenladder.membership.listing import Listing
 from brackenladder.node.operator import Operator
+from brackenladder.operations.pause import Service
 
 
 def operator(bench: Bench, **changes) -> Operator:
@@ -64,3 +65,24 @@
         assert (await client.ask(ready))[0] == 200
 
     play(scene)
+
+
+def test_a_pause_reaches_the_clients_of_rpc():
+    """Failure prevented: an operator takes the node out of service, and RPC clients go on."""
+
+    async def scene():
+        bench = await Bench(server := Server()).start()
+        front = bench.node.listeners["rpc"].front
+        client = await bench.client()
+        assert await client.ask("view", 1) == [None, [1]]
+        front.attend(Service.REFUSING)
+        error, _ = await client.ask("view", 2)
+        assert error[0] == "refused" and error[2] == "this node pauses" and len(server.calls) == 1
+        for guest in front.clients:
+            guest.active -= 1  # as if it had been quiet for so long
+        front.attend(Service.REFUSING)
+        await until(lambda: not front.clients)
+        front.attend(Service.SERVING)
+        assert await (await bench.client()).ask("view", 3) == [None, [3]]
+
+    play(scene)
--- a/tests/node/test_operations.py
+++ b/tests/node/test_operations.py
@@ -27,6 +27,7 @@
 
 from brackenladder.operations.pause import Service
 from brackenladder.sockets.door import PLACES
+from brackenladder.sockets.listener import Guest, Listener
 
 READY = b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n"
 
@@ -197,6 +198,32 @@
     play(scene)
 
 
+def test_what_waits_on_a_shared_socket_is_left_to_the_successor():
+    """Failure prevented: the one that ends takes clients on, and turns them away or makes them wait."""
+
+    async def scene():
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            sock.setblocking(False)
+            listener = Listener(loop, 8, lambda: Guest(loop.time()))
+            listener.adopt(os.dup(sock.fileno()))
+            first = await Client(sock.getsockname()[1]).open()
+            await until(lambda: any(g.transport for g in listener.guests))
+            listener.turn(False)  # as if it had no time to look
+            waiting = await Client(sock.getsockname()[1]).open()
+            looked = []
+            drain = asyncio.create_task(listener.drain(looked.append))
+            await until(lambda: len(looked) > 1)
+            assert listener.sock is None and len(listener.guests) == 1
+            connection, _ = sock.accept()  # the successor's
+            connection.close()
+            drain.cancel()
+            first.writer.close()
+            waiting.writer.close()
+
+    play(scene)
+
+
 @pytest.mark.parametrize("teller", [0, 1])
 def test_a_held_server_is_held_by_both_processes(tmp_path, teller):
     """Failure prevented: operators tell one process, and the other sends to the server."""
--- a/tests/operations/test_decisions.py
+++ b/tests/operations/test_decisions.py
@@ -63,7 +63,8 @@
 
 
 def test_two_calls_out_need_one_call_back_and_a_stranger_is_none_of_ours():
-    maintenance = holding("a", "a")
+    maintenance = holding("a")
+    maintenance.suspend("a", 15)
     maintenance.restore("a", 20)
     assert maintenance.holds["a"] == Hold(10, 20) and not maintenance.held("a")
     maintenance.restore("b", 30)
