Experiments in virtual time, with rivals and an oracle beside the module

Change: fleet/rivals/ (random, round robin, least of two, a cluster in Envoy's manner, an oracle) behind the module's own contract; core.Host takes what decides as an argument; 'experiment FILE.toml' plays a grid of scenario keys, the module's constants by name and other checkouts over seeds and cores, keeps runs in one SQLite file, continues, and compares pairs with a bootstrap interval.

--- a/brackenladder/cli/main.py
+++ b/brackenladder/cli/main.py
@@ -7,6 +7,7 @@
 import click
 
 from brackenladder.cli.demo import demo
+from brackenladder.cli.experiment import experiment
 from brackenladder.cli.rehearse import rehearse
 
 UNUSABLE = 2
@@ -18,6 +19,7 @@
 
 
 commands.add_command(demo)
+commands.add_command(experiment)
 commands.add_command(rehearse)
 
 
--- a/brackenladder/core/host.py
+++ b/brackenladder/core/host.py
@@ -10,7 +10,7 @@
 from brackenladder.balance import Balancer
 from brackenladder.core.call import Call, Directory, Failure, Messenger, Upstream
 from brackenladder.core.clock import Clock
-from brackenladder.interface import NEVER_RAN, ListKind, Outcome, ServerEntry, Settings
+from brackenladder.interface import NEVER_RAN, Actions, Events, ListKind, Outcome, ServerEntry, Settings
 
 OK = Outcome.OK  # an enumeration's members are slow to look up, and this one is for every attempt
 GUARD = 10_000  # microseconds after the deadline: a call that the module has left open is failed
@@ -18,7 +18,10 @@
 
 
 class Host:
-    """Implements `Actions` for the Balancer of one pool, and hands it all events."""
+    """Implements `Actions` for the Balancer of one pool, and hands it all events.
+
+    `module`: makes what decides; another one than the Balancer in experiments only.
+    """
 
     def __init__(
         self,
@@ -28,6 +31,7 @@
         upstream: Upstream,
         log: Callable[[str], None],
         clock: Clock,
+        module: Callable[[Settings, int, Actions], Events] = Balancer,
     ) -> None:
         self.settings = settings
         self.loop = loop
@@ -45,7 +49,7 @@
         self.guarded = 0
         self.guards: dict[int, list[int]] = {}  # calls by the step of time at which they must be over
         self.ends = 1 << 62  # the time by which all that is taken must be concluded
-        self.balancer = Balancer(settings, seed, self)
+        self.balancer = module(settings, seed, self)
 
     # ---- events ---------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/brackenladder/fleet/compare.py
@@ -0,0 +1,84 @@
+"""Two sides of an experiment, paired by all else: the mean difference and what chance would make of it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import numpy as np
+
+from brackenladder.fleet.experiment import Cell, Value
+
+RESAMPLES = 4000
+LEVEL = 0.95
+LEAST_PAIRS = 5
+
+
+class CompareError(Exception):
+    """The sides cannot be compared; the text is one line."""
+
+
+@dataclass(frozen=True)
+class Difference:
+    """B less A over the pairs; `low` to `high` is the bootstrap's interval of its mean."""
+
+    pairs: int
+    a: float
+    b: float
+    mean: float
+    low: float
+    high: float
+
+    @property
+    def seen(self) -> bool:
+        """Whether the interval leaves 0 out."""
+        return self.low > 0 or self.high < 0
+
+
+def side(text: str) -> dict[str, str]:
+    """`key=value[,key=value]`, which names a side."""
+    pairs = [part.partition("=") for part in text.split(",")]
+    if not all(key and sign for key, sign, _ in pairs):
+        raise CompareError(f"'{text}': not of the form key=value[,key=value]")
+    return {key: value for key, _, value in pairs}
+
+
+def chosen(cell: Cell, wanted: Mapping[str, str]) -> tuple[tuple[str, Value], ...] | None:
+    """What is left of a cell that a side names; None if it does not."""
+    values = dict(cell)
+    if any(key not in values or str(values[key]) != value for key, value in wanted.items()):
+        return None
+    return tuple((key, value) for key, value in cell if key not in wanted)
+
+
+def paired(
+    rows: Iterable[tuple[Cell, int, dict[str, float], dict[str, str]]], a: str, b: str
+) -> list[tuple[dict[str, float], dict[str, float]]]:
+    """The figures of runs that differ in nothing but the side."""
+    sides: tuple[dict[object, dict[str, float]], ...] = ({}, {})
+    wanted = (side(a), side(b))
+    if set(wanted[0]) != set(wanted[1]):
+        raise CompareError(f"'{a}' and '{b}' name different keys")
+    for cell, seed, figures, _ in rows:
+        for found, want in zip(sides, wanted, strict=True):
+            rest = chosen(cell, want)
+            if rest is not None:
+                found[rest, seed] = figures
+    for text, found in zip((a, b), sides, strict=True):
+        if not found:
+            raise CompareError(f"'{text}': no run of it")
+    pairs = [(sides[0][key], sides[1][key]) for key in sides[0] if key in sides[1]]
+    if len(pairs) < LEAST_PAIRS:
+        raise CompareError(f"{len(pairs)} pairs, {LEAST_PAIRS} at least")
+    return pairs
+
+
+def difference(pairs: list[tuple[float, float]]) -> Difference:
+    """The same for the same pairs: the resamples are drawn from one fixed stream."""
+    table = np.array(pairs, dtype=float)
+    apart = table[:, 1] - table[:, 0]
+    rng = np.random.default_rng(len(pairs))
+    means = np.sort(rng.choice(apart, (RESAMPLES, len(apart))).mean(axis=1))
+    low, high = np.quantile(means, [(1 - LEVEL) / 2, (1 + LEVEL) / 2])
+    a, b = table.mean(axis=0)
+    return Difference(len(pairs), float(a), float(b), float(apart.mean()), float(low), float(high))
--- /dev/null
+++ b/brackenladder/fleet/experiment.py
@@ -0,0 +1,171 @@
+"""An experiment: a scenario, what is varied in it, and seeds. Pure: the file's text in, runs out.
+
+title = "How many members?"
+scenario = "rolling-deploy"          # a shipped name, or a file beside this one
+seeds = 20                           # 1 to 20; or a list
+[grid]                               # every combination is played with every seed
+policy = ["module", "oracle"]
+"module.SUBSET_MOST" = [12, 24]      # constants of the module, by name
+"clients.rate" = [60, 110]           # keys of the scenario
+checkout = ["", "../other"]          # another build of the module beside this one
+"""
+
+from __future__ import annotations
+
+import hashlib
+import tomllib
+from collections.abc import Iterable, Iterator, Mapping
+from itertools import product
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from brackenladder.fleet.variants import OWN
+from brackenladder.rehearsal.scenario import Scenario, impossible, told
+
+LARGEST_FILE = 1 << 20  # bytes
+MOST_RUNS = 100_000
+MOST_VALUES = 1000  # of one key
+MOST_MEMORY = 4 << 30  # bytes that one run may be expected to take
+BYTES_A_REQUEST = 6_000  # of a run, seen
+
+Value = str | int | float | bool
+Cell = tuple[tuple[str, Value], ...]  # key and value, in the file's order
+
+
+class ExperimentError(Exception):
+    """An experiment that cannot be run; the text is one line that names the place."""
+
+
+class Experiment(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The whole file."""
+
+    title: str
+    scenario: str
+    seeds: (
+        Annotated[int, Meta(ge=1, le=MOST_RUNS)]
+        | Annotated[tuple[Annotated[int, Meta(ge=0)], ...], Meta(min_length=1, max_length=MOST_RUNS)]
+    ) = 10
+    grid: dict[str, Annotated[tuple[Value, ...], Meta(min_length=1, max_length=MOST_VALUES)]] = {}
+
+    def all_seeds(self) -> list[int]:
+        return list(range(1, self.seeds + 1)) if isinstance(self.seeds, int) else list(self.seeds)
+
+    def cells(self) -> Iterator[Cell]:
+        """Every combination of the grid."""
+        for values in product(*self.grid.values()):
+            yield tuple(zip(self.grid, values, strict=True))
+
+    def runs(self) -> int:
+        number = len(self.all_seeds())
+        for values in self.grid.values():
+            number *= len(values)
+        return number
+
+
+def parse(data: bytes, where: str) -> Experiment:
+    """An experiment from TOML; `where` names the file in errors."""
+    try:
+        table = tomllib.loads(data.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as e:
+        raise ExperimentError(f"{where}: not TOML: {e}") from None
+    try:
+        experiment = msgspec.convert(flat(table), Experiment)
+    except msgspec.ValidationError as e:
+        raise ExperimentError(f"{where}: {told(str(e))}") from None
+    for key, values in experiment.grid.items():
+        if len(set(map(repr, values))) < len(values):
+            raise ExperimentError(f"{where}: grid.{key}: a value stands twice")
+    if len(set(experiment.all_seeds())) < len(experiment.all_seeds()):
+        raise ExperimentError(f"{where}: seeds: one stands twice")
+    if experiment.runs() > MOST_RUNS:
+        raise ExperimentError(f"{where}: grid: {experiment.runs()} runs, {MOST_RUNS} at most")
+    return experiment
+
+
+def flat(table: Mapping[str, Any]) -> dict[str, Any]:
+    """The grid's keys with their dots: `a.b = []` and `"a.b" = []` are the same."""
+    grid: dict[str, Any] = {}
+
+    def walk(prefix: str, node: Mapping[str, Any]) -> None:
+        for key, value in node.items():
+            if isinstance(value, dict):
+                walk(f"{prefix}{key}.", value)
+            else:
+                grid[prefix + key] = value
+
+    given = table.get("grid", {})
+    if not isinstance(given, dict):
+        return dict(table)
+    walk("", given)
+    return dict(table) | {"grid": grid}
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One cell, ready to be played with a seed."""
+
+    scenario: Scenario
+    policy: str
+    checkout: str
+    constants: dict[str, float]
+
+
+def run_of(base: Scenario, cell: Cell, where: str) -> Run:
+    """A cell's scenario and who decides in it. An ExperimentError names the key."""
+    table = msgspec.to_builtins(base)
+    policy, checkout, constants = OWN, "", {}
+    for key, value in cell:
+        if key == "policy":
+            policy = str(value)
+        elif key == "checkout":
+            checkout = str(value)
+        elif key.startswith("module."):
+            if isinstance(value, bool | str):
+                raise ExperimentError(f"{where}: grid.{key}: not a number")
+            constants[key.removeprefix("module.")] = value
+        else:
+            put(table, key, value, where)
+    try:
+        scenario = msgspec.convert(table, Scenario)
+    except msgspec.ValidationError as e:
+        raise ExperimentError(f"{where}: grid.{told(str(e))}") from None
+    wrong = impossible(scenario)
+    if wrong:
+        raise ExperimentError(f"{where}: grid.{wrong}")
+    memory = scenario.clients.rate * scenario.length_s * BYTES_A_REQUEST
+    if memory > MOST_MEMORY:
+        raise ExperimentError(f"{where}: grid.clients.rate: one run would take {memory / 2**30:.0f} GB")
+    return Run(scenario, policy, checkout, constants)
+
+
+def put(table: dict[str, Any], key: str, value: Value, where: str) -> None:
+    """Sets a scenario's key, `servers.count` or `faults.0.pick`."""
+    node: Any = table
+    *path, last = key.split(".")
+    for part in path:
+        if isinstance(node, list) and part.isdigit() and int(part) < len(node):
+            node = node[int(part)]
+        elif isinstance(node, dict) and part in node:
+            node = node[part]
+        else:
+            raise ExperimentError(f"{where}: grid.{key}: the scenario has no '{part}'")
+    if not isinstance(node, dict) or last not in node:
+        raise ExperimentError(f"{where}: grid.{key}: the scenario has no '{last}'")
+    node[last] = value
+
+
+def digest_of(base: Scenario, modules: Iterable[bytes]) -> str:
+    """Of what decides the results, so that a results file is not continued with another scenario or module.
+
+    `modules`: the texts of all modules that play.
+    """
+    digest = hashlib.sha256(msgspec.json.encode(base, order="deterministic"))
+    for text in modules:
+        digest.update(hashlib.sha256(text).digest())
+    return digest.hexdigest()[:16]
+
+
+def name_of(cell: Cell) -> str:
+    """A cell as it is written: `policy=oracle clients.rate=60`."""
+    return " ".join(f"{key}={value}" for key, value in cell) or "all"
--- /dev/null
+++ b/brackenladder/fleet/jobs.py
@@ -0,0 +1,61 @@
+"""An experiment's runs over all cores."""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+from collections.abc import Iterator
+from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from time import perf_counter
+
+import msgspec
+
+from brackenladder.fleet.experiment import Cell, Run
+from brackenladder.fleet.figures import figures_of
+from brackenladder.fleet.model import play
+from brackenladder.fleet.variants import variant
+from brackenladder.rehearsal.checker import check
+from brackenladder.rehearsal.report import terms_of
+
+AHEAD = 4  # runs handed out for each worker: an experiment that is stopped loses no more
+
+
+class Done(msgspec.Struct, frozen=True):
+    """A run that has ended."""
+
+    cell: Cell
+    seed: int
+    figures: dict[str, float]
+    verdicts: dict[str, str]
+    seconds: float
+    faults: int
+
+
+def one(cell: Cell, run: Run, seed: int) -> Done:
+    """Plays a run."""
+    began = perf_counter()
+    result = play(run.scenario, seed, variant(run.policy, run.checkout, run.constants))
+    report = check(result.events, terms_of(run.scenario))
+    figures = figures_of(run.scenario, result, report)
+    verdicts = {str(rule): str(verdict) for rule, verdict in report.verdicts.items()}
+    return Done(cell, seed, figures, verdicts, perf_counter() - began, len(result.crashed))
+
+
+def played(jobs: Iterator[tuple[Cell, Run, int]], workers: int = 0) -> Iterator[Done]:
+    """All of them, as they end; in no order that could be relied on."""
+    number = workers or os.cpu_count() or 1
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(number, mp_context=context) as pool:
+        out: set[Future[Done]] = set()
+        try:
+            for cell, run, seed in jobs:
+                out.add(pool.submit(one, cell, run, seed))
+                if len(out) >= AHEAD * number:
+                    done, out = wait(out, return_when=FIRST_COMPLETED)
+                    yield from (future.result() for future in done)
+            while out:
+                done, out = wait(out, return_when=FIRST_COMPLETED)
+                yield from (future.result() for future in done)
+        finally:
+            for future in out:
+                future.cancel()
--- a/brackenladder/fleet/model.py
+++ b/brackenladder/fleet/model.py
@@ -7,10 +7,14 @@
 from itertools import count
 from random import Random
 from time import perf_counter
+from typing import cast
 
-from brackenladder.core.host import GUARD
-from brackenladder.fleet.nodes import NET, FleetCall, Node
+from brackenladder.balance import Balancer
+from brackenladder.core.host import GUARD, Host
+from brackenladder.core.roster import number_of
+from brackenladder.fleet.nodes import NET, FleetCall, Module, Node
 from brackenladder.fleet.queue import Queue
+from brackenladder.fleet.rivals.oracle import Oracle
 from brackenladder.fleet.servers import Server
 from brackenladder.interface import ListKind, State
 from brackenladder.membership.listing import Line, Listing
@@ -34,6 +38,7 @@
 
 BEGIN = 1_000_000_000_000_000  # of the run, in the queue's time: Unix time, so that starts can be told
 PATIENCE = 1_000_000  # of a client beyond its time, as the stand-ins have it
+NEVER = 1 << 60  # microseconds until a server that has gone serves
 SETTLE = 10 * MICRO  # after the schedule's end, for all that is open
 
 PLAYED = frozenset(
@@ -107,11 +112,29 @@
         """Lost."""
 
 
+class TrueState:
+    """What the oracle at a node is shown."""
+
+    def __init__(self, fleet: Fleet, host: Host) -> None:
+        self.host = host
+        self.servers = {number_of(name): server for name, server in fleet.standing.items()}
+
+    def wait(self, server: int) -> int:
+        standing = self.servers[server]
+        return standing.time_to_core() if standing.alive else NEVER
+
+    def work(self, request: int, server: int) -> int:
+        call = cast(FleetCall, self.host.calls[request])
+        standing = self.servers[server]
+        return round(standing.work_for(call.klass, call.name) / standing.speed())
+
+
 class Fleet:
-    """One run."""
+    """One run. `module` decides in each node: the Balancer, a variant of it, or a rival."""
 
-    def __init__(self, scenario: Scenario, seed: int) -> None:
+    def __init__(self, scenario: Scenario, seed: int, module: Module = Balancer) -> None:
         self.scenario = scenario
+        self.module = module
         self.plan = plan_of(scenario, seed)
         self.queue = Queue(BEGIN - MICRO)
         self.events: list[Event] = []
@@ -142,7 +165,17 @@
     def node(self, number: int, seed: int) -> Node:
         settings = settings_of(published(self.scenario, number))
         node_seed = Random(f"node {seed} {number}").getrandbits(64)
-        node = Node(node_name(number), settings, node_seed, self.queue, self.standing, self.scenario.zones)
+        node = Node(
+            node_name(number),
+            settings,
+            node_seed,
+            self.queue,
+            self.standing,
+            self.scenario.zones,
+            self.module,
+        )
+        if isinstance(node.host.balancer, Oracle):
+            node.host.balancer.sight = TrueState(self, node.host)
         node.host.directory = Directory(self.discovery, node)
         node.host.messenger = Messenger()
         return node
@@ -285,6 +318,6 @@
     return named
 
 
-def play(scenario: Scenario, seed: int) -> Result:
+def play(scenario: Scenario, seed: int, module: Module = Balancer) -> Result:
     """A scenario in virtual time."""
-    return Fleet(scenario, seed).go()
+    return Fleet(scenario, seed, module).go()
--- a/brackenladder/fleet/nodes.py
+++ b/brackenladder/fleet/nodes.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING, cast
 
+from brackenladder.balance import Balancer
 from brackenladder.core.call import Call, Done, Failure, Probed
 from brackenladder.core.clock import Clock
 from brackenladder.core.host import Host
 from brackenladder.core.roster import Roster
 from brackenladder.fleet.queue import Queue, Timer
 from brackenladder.fleet.servers import Attempt, Server
-from brackenladder.interface import ListKind, Outcome, Settings, State
+from brackenladder.interface import Actions, Events, ListKind, Outcome, Settings, State
 from brackenladder.membership.listing import Line, Listing
 
 if TYPE_CHECKING:
@@ -19,6 +20,8 @@
 
 NET = 100  # microseconds from one machine to another
 
+Module = Callable[[Settings, int, Actions], Events]
+
 STATUS = {Failure.GIVEN_UP: 502, Failure.EXPIRED: 504, Failure.FAULT: 500}
 OUTCOMES = {"served": Outcome.OK, "error": Outcome.ERROR, "rejected": Outcome.REJECTED}
 
@@ -152,12 +155,13 @@
         queue: Queue,
         standing: Mapping[str, Server],
         zones: Sequence[str],
+        module: Module = Balancer,
     ) -> None:
         self.name = name
         self.upstream = FleetUpstream(queue, standing)
         loop = cast("asyncio.AbstractEventLoop", queue)  # of which the Host asks for call_later alone
         self.faults: list[str] = []
-        self.host = Host(settings, seed, loop, self.upstream, self.log, VirtualClock(queue))
+        self.host = Host(settings, seed, loop, self.upstream, self.log, VirtualClock(queue), module)
         self.roster = Roster(self.host, self.upstream, zones, ("std",))
 
     def log(self, text: str) -> None:
--- /dev/null
+++ b/brackenladder/fleet/results.py
@@ -0,0 +1,89 @@
+"""An experiment's results: one SQLite file, to which each run is added as it ends."""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from collections.abc import Iterator
+
+from brackenladder.fleet.experiment import Cell
+
+VERSION = 1
+APPLICATION = 0x6272616B  # SQLite's application_id of these files
+SCHEMA = """
+create table experiment (title text not null, digest text not null);
+create table run (
+    cell text not null,          -- JSON: [[key, value], ...]
+    seed integer not null,
+    figures text not null,       -- JSON: name to number
+    verdicts text not null,      -- JSON: rule to verdict
+    seconds real not null,
+    primary key (cell, seed)
+);
+"""
+
+
+class ResultsError(Exception):
+    """The file cannot be used; the text is one line."""
+
+
+class Results:
+    """Opened for one experiment, made if there is none."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        try:
+            self.db = sqlite3.connect(path, timeout=10)
+            self.check()
+        except sqlite3.Error as e:
+            raise ResultsError(f"{path}: {e}") from None
+
+    def check(self) -> None:
+        """A ResultsError if it is something else, or another version's."""
+        tables = self.db.execute("select count(*) from sqlite_master").fetchone()[0]
+        if not tables:
+            with self.db:
+                self.db.executescript(SCHEMA)
+                self.db.execute(f"pragma application_id = {APPLICATION}")
+                self.db.execute(f"pragma user_version = {VERSION}")
+            return
+        if self.db.execute("pragma application_id").fetchone()[0] != APPLICATION:
+            raise ResultsError(f"{self.path}: not a file of results")
+        version = self.db.execute("pragma user_version").fetchone()[0]
+        if version != VERSION:
+            raise ResultsError(f"{self.path}: results of version {version}, this is {VERSION}")
+
+    def claim(self, title: str, digest: str) -> None:
+        """Continues this experiment, or begins it; a ResultsError if the file holds another one's."""
+        row = self.db.execute("select title, digest from experiment").fetchone()
+        if row is None:
+            with self.db:
+                self.db.execute("insert into experiment values (?, ?)", (title, digest))
+        elif row[1] != digest:
+            raise ResultsError(f"{self.path}: holds another experiment, '{row[0]}'")
+
+    def has(self, cell: Cell, seed: int) -> bool:
+        found = self.db.execute("select 1 from run where cell = ? and seed = ?", (json.dumps(cell), seed))
+        return found.fetchone() is not None
+
+    def add(
+        self, cell: Cell, seed: int, figures: dict[str, float], verdicts: dict[str, str], seconds: float
+    ) -> None:
+        """One run, kept whatever happens next."""
+        row = (json.dumps(cell), seed, json.dumps(figures), json.dumps(verdicts), seconds)
+        try:
+            with self.db:
+                self.db.execute("insert or replace into run values (?, ?, ?, ?, ?)", row)
+        except sqlite3.Error as e:
+            raise ResultsError(f"{self.path}: {e}") from None
+
+    def rows(self) -> Iterator[tuple[Cell, int, dict[str, float], dict[str, str]]]:
+        """All runs, by cell and seed."""
+        for cell, seed, figures, verdicts in self.db.execute(
+            "select cell, seed, figures, verdicts from run order by cell, seed"
+        ):
+            pairs = tuple((key, value) for key, value in json.loads(cell))
+            yield pairs, seed, json.loads(figures), json.loads(verdicts)
+
+    def close(self) -> None:
+        self.db.close()
--- /dev/null
+++ b/brackenladder/fleet/rivals/cluster.py
@@ -0,0 +1,107 @@
+"""In the manner of Envoy with its usual means on: least request, slow start, outlier ejection, a retry budget
+and adaptive concurrency for the cluster as a whole. Figures are its defaults, where it has any."""
+
+from __future__ import annotations
+
+from math import ceil, sqrt
+
+from brackenladder.fleet.rivals.base import Member, Open, Rival
+from brackenladder.interface import Outcome
+
+EJECT_AFTER = 5  # failures in a row
+EJECT_TIME = 30_000_000
+EJECT_SHARE = 0.1  # of the members at most, and one at least
+RETRY_BUDGET = 0.2  # of the calls that are open...
+RETRY_LEAST = 3  # ...and so many always
+SLOW_START_LEAST = 0.1  # of a member's weight
+WINDOW = 100_000
+PERCENTILE = 0.9
+BUFFER = 0.25
+MIN_RTT_EVERY = 60_000_000
+MIN_RTT_CALLS = 50
+MIN_RTT_LIMIT = 3
+LIMIT_MOST = 1000
+GRADIENT = (0.5, 2.0)
+
+
+class Cluster(Rival):
+    """The source of this project's design, as it is meant: one node, alone before a cluster."""
+
+    limit = float(MIN_RTT_LIMIT)
+    min_rtt = 0
+    open = 0
+    retries = 0
+    window_at = 0
+    measured_at = 0
+    measuring = True
+
+    def start(self, now: int) -> None:
+        super().start(now)
+        self.samples: list[int] = []
+        self.retrying: set[int] = set()
+        self.window_at = self.measured_at = now
+
+    def admits(self, now: int, r: Open) -> bool:
+        return self.open < (MIN_RTT_LIMIT if self.measuring else int(self.limit))
+
+    def may_retry(self, now: int, r: Open) -> bool:
+        if len(self.retrying) >= max(RETRY_LEAST, RETRY_BUDGET * len(self.requests)):
+            return False
+        self.retrying.add(r.id)
+        return True
+
+    def weight(self, now: int, member: Member) -> float:
+        """Slow start over the time in which a server gets warm."""
+        window = self.settings.cold_time
+        age = now - member.entry.ready_at
+        if not member.entry.ready_at or not window or age >= window:
+            return 1.0
+        return max(SLOW_START_LEAST, age / window)
+
+    def pick(self, now: int, r: Open, among: list[Member]) -> Member | None:
+        able = [m for m in among if m.ejected_until <= now] or among
+        first, second = (able[int(self.rng.random() * len(able))] for _ in range(2))
+        a = (first.in_flight + 1) / self.weight(now, first)
+        b = (second.in_flight + 1) / self.weight(now, second)
+        self.open += 1
+        return first if a <= b else second
+
+    def ended(self, now: int, r: Open | None, member: Member, outcome: Outcome, latency: int) -> None:
+        self.open -= 1
+        if r is not None and (outcome == Outcome.OK or r.attempts > 1):
+            self.retrying.discard(r.id)
+        if outcome in (Outcome.OK, Outcome.REJECTED):
+            member.fails_in_row = 0
+        elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+            member.fails_in_row += 1
+            out = sum(m.ejected_until > now for m in self.members.values())
+            if member.fails_in_row >= EJECT_AFTER and out < max(1, EJECT_SHARE * len(self.members)):
+                member.ejections += 1
+                member.ejected_until = now + EJECT_TIME * member.ejections
+                member.fails_in_row = 0
+        if outcome == Outcome.OK:
+            self.sample(now, latency)
+
+    def sample(self, now: int, latency: int) -> None:
+        """A served call's latency: a window's percentile moves the limit, a pass's is the new minimum."""
+        self.samples.append(latency)
+        if self.measuring:
+            if len(self.samples) >= MIN_RTT_CALLS:
+                self.min_rtt = self.percentile()
+                self.measuring = False
+                self.measured_at = self.window_at = now
+            return
+        if now - self.window_at < WINDOW:
+            return
+        self.window_at = now
+        gradient = self.min_rtt * (1 + BUFFER) / max(1, self.percentile())
+        gradient = min(GRADIENT[1], max(GRADIENT[0], gradient))
+        self.limit = min(LIMIT_MOST, max(MIN_RTT_LIMIT, gradient * self.limit + sqrt(self.limit)))
+        if now - self.measured_at >= MIN_RTT_EVERY * (1 + 0.15 * self.rng.random()):
+            self.measuring = True
+
+    def percentile(self) -> int:
+        self.samples.sort()
+        value = self.samples[ceil(len(self.samples) * PERCENTILE) - 1]
+        self.samples.clear()
+        return value
--- a/brackenladder/fleet/servers.py
+++ b/brackenladder/fleet/servers.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from heapq import heapify, heapreplace
 from random import Random
 from typing import Protocol
 
@@ -63,6 +64,7 @@
         self.alive = False  # takes connections
         self.cold_since = -1
         self.running = 0
+        self.busy_until: list[int] = []  # of the cores that work
         self.waiting: deque[Attempt] = deque()
         self.open: set[Attempt] = set()
 
@@ -71,6 +73,7 @@
         self.alive = True
         self.cold_since = self.queue.now if cold else -1
         self.running = 0
+        self.busy_until.clear()
         warm = round(self.table.warm_s * MICRO)
         self.note(
             Up(
@@ -121,10 +124,25 @@
         warm = min(1.0, (self.queue.now - self.cold_since) / (t.warm_s * MICRO))
         return self.plan.speed * (t.cold_share + (1 - t.cold_share) * warm)
 
-    def work_of(self, visitor: Visitor) -> int:
+    def time_to_core(self) -> int:
+        """Microseconds until a core is free for a request that came now, at the present speed."""
+        speed = self.speed()
+        free = [0] * (self.plan.cores - len(self.busy_until))
+        free += [max(0, until - self.queue.now) for until in self.busy_until]
+        heapify(free)
+        for attempt in self.waiting:
+            if not attempt.done:
+                heapreplace(free, free[0] + round(attempt.work / speed))
+        return free[0]
+
+    def work_for(self, klass: int, name: str) -> int:
         """Microseconds on a standard core; the stand-ins draw the same for this request."""
-        low, high = self.work_ms[visitor.klass]
-        return round(1000 * Random(f"work {visitor.id}").uniform(low, high))
+        low, high = self.work_ms[klass]
+        return round(1000 * Random(f"work {name}").uniform(low, high))
+
+    def work_of(self, visitor: Visitor) -> int:
+        """The same of an attempt."""
+        return self.work_for(visitor.klass, visitor.id)
 
     def arrive(self, visitor: Visitor, first: int) -> Attempt | None:
         """A request's last byte has come; None if nobody listens."""
@@ -149,13 +167,16 @@
             attempt = self.waiting.popleft()
             if not attempt.done:
                 self.running += 1
-                self.queue.after(round(attempt.work / self.speed()), self.worked, attempt, self.cold_since)
+                time = round(attempt.work / self.speed())
+                self.busy_until.append(self.queue.now + time)
+                self.queue.after(time, self.worked, attempt, self.cold_since)
 
     def worked(self, attempt: Attempt, life: int) -> None:
         """A core is free, if the process is still the one whose core it was."""
         if life != self.cold_since:
             return
         self.running -= 1
+        self.busy_until.remove(min(self.busy_until))
         if not attempt.done:
             step = self.fault("stall")
             if step is not None and self.touched("stall", name=attempt.visitor.id):
--- /dev/null
+++ b/tests/fleet/test_experiment.py
@@ -0,0 +1,158 @@
+"""Experiments: the grid, the results file, and what a comparison makes of chance."""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+
+import numpy as np
+import pytest
+
+from brackenladder.cli.main import main
+from brackenladder.fleet.compare import CompareError, difference, paired
+from brackenladder.fleet.experiment import ExperimentError, digest_of, parse, run_of
+from brackenladder.fleet.results import Results, ResultsError
+from brackenladder.rehearsal.scenario import load
+
+HEAD = 'title = "t"\nscenario = "cold-restart"\n'
+SMALL = HEAD + 'seeds = 2\n[grid]\npolicy = ["random", "module"]\nclients.rate = [20.0]\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "wrong"),
+    [
+        ("title", "e.toml: not TOML"),
+        (HEAD + "more = 1", "e.toml: more: not a known key"),
+        ('title = "t"', "e.toml: scenario: missing"),
+        (HEAD + "seeds = 0", "e.toml: "),
+        (HEAD + "seeds = [1, 1]", "e.toml: seeds: one stands twice"),
+        (HEAD + "[grid]\npolicy = []", "e.toml: "),
+        (HEAD + "grid = 1", "e.toml: grid: "),
+        (HEAD + "[grid]\npolicy = ['a', 'a']", "e.toml: grid.policy: a value stands twice"),
+        (HEAD + f"seeds = 1000\n[grid]\na={list(range(999))}", "e.toml: grid: 999000 runs, 100000 at most"),
+        (HEAD + "[grid]\nclients.rates = [1]", "e.toml: grid.clients.rates: the scenario has no 'rates'"),
+        (
+            HEAD + "[grid]\nservants.count = [1]",
+            "e.toml: grid.servants.count: the scenario has no 'servants'",
+        ),
+        (HEAD + "[grid]\nfaults.9.pick = [1]", "e.toml: grid.faults.9.pick: the scenario has no '9'"),
+        (HEAD + "[grid]\nclients.rate = ['x']", "e.toml: grid.clients.rate: "),
+        (HEAD + "[grid]\nclients.rate = [1e9]", "e.toml: grid.clients.rate: over 2000000 requests"),
+        (HEAD + "[grid]\nmodule.SUBSET_MOST = ['x']", "e.toml: grid.module.SUBSET_MOST: not a number"),
+    ],
+)
+def test_what_cannot_be_run_is_named_before_it_starts(text, wrong):
+    with pytest.raises(ExperimentError) as error:
+        experiment = parse(text.encode(), "e.toml")
+        for cell in experiment.cells():
+            run_of(load(experiment.scenario), cell, "e.toml")
+    assert str(error.value).startswith(wrong) and "\n" not in str(error.value)
+
+
+def test_a_run_too_large_for_memory_is_told_before_it_starts():
+    with pytest.raises(ExperimentError, match="one run would take [0-9]+ GB"):
+        run_of(load("cold-restart"), (("clients.rate", 1000.0), ("length_s", 1900.0)), "e.toml")
+
+
+def test_a_cell_changes_the_scenario_and_who_decides():
+    experiment = parse((SMALL + "module.SUBSET_MOST = [8]\nservers.speed = [1.5]\n").encode(), "e")
+    with pytest.raises(ExperimentError, match="grid.servers.speed"):
+        run_of(load("cold-restart"), next(experiment.cells()), "e")
+    experiment = parse((SMALL + "module.SUBSET_MOST = [8]\nservers.count = [5, 6]\n").encode(), "e")
+    runs = [run_of(load("cold-restart"), cell, "e") for cell in experiment.cells()]
+    assert [(r.policy, r.scenario.servers.count) for r in runs] == [
+        ("random", 5),
+        ("random", 6),
+        ("module", 5),
+        ("module", 6),
+    ]
+    assert all(r.constants == {"SUBSET_MOST": 8} and r.scenario.clients.rate == 20 for r in runs)
+    assert experiment.runs() == 8
+
+
+def test_results_are_kept_and_continued_and_no_others_are_mixed_in(tmp_path):
+    path, cell = str(tmp_path / "r.sqlite"), (("policy", "random"), ("clients.rate", 20.0))
+    first = Results(path)
+    first.claim("t", "d1")
+    first.add(cell, 3, {"goodput": 0.5}, {"cold": "held"}, 1.0)
+    first.close()
+    again = Results(path)
+    again.claim("t", "d1")
+    assert again.has(cell, 3) and not again.has(cell, 4)
+    assert list(again.rows()) == [(cell, 3, {"goodput": 0.5}, {"cold": "held"})]
+    with pytest.raises(ResultsError, match="holds another experiment, 't'"):
+        again.claim("t", "d2")
+    again.db.execute("pragma user_version = 9")
+    again.close()
+    with pytest.raises(ResultsError, match="results of version 9, this is 1"):
+        Results(path)
+    other = sqlite3.connect(tmp_path / "o.sqlite")
+    other.execute("create table x (y)")
+    other.close()
+    with pytest.raises(ResultsError, match="not a file of results"):
+        Results(str(tmp_path / "o.sqlite"))
+    (tmp_path / "t.sqlite").write_text("nonsense" * 1000)
+    with pytest.raises(ResultsError, match="not a database"):
+        Results(str(tmp_path / "t.sqlite"))
+
+
+def test_a_module_that_changed_is_another_experiment():
+    base = load("cold-restart")
+    assert digest_of(base, [b"a"]) == digest_of(base, [b"a"]) != digest_of(base, [b"b"])
+
+
+@pytest.mark.parametrize(("shift", "seen"), [(0.0, False), (0.05, False), (1.0, True), (-1.0, True)])
+def test_a_difference_is_seen_only_where_chance_does_not_make_it(shift, seen):
+    rng = np.random.default_rng(5)
+    noise = rng.normal(0, 0.5, (2, 40))
+    noise -= noise.mean(axis=1, keepdims=True)
+    d = difference(list(zip(noise[0], noise[1] + shift, strict=True)))
+    assert d.seen == seen and d.low <= d.mean <= d.high and abs(d.mean - shift) < 1e-9
+
+
+def test_chance_is_taken_for_a_difference_about_as_often_as_it_says():
+    """Scaled down: 300 comparisons of nothing with nothing, of 20 pairs each."""
+    rng = np.random.default_rng(11)
+    wrong = sum(difference(list(rng.normal(0, 1, (20, 2)))).seen for _ in range(300))
+    assert wrong / 300 < 0.11  # 5% is meant; a bootstrap of so few pairs is a little bold
+
+
+def test_sides_are_paired_by_all_else():
+    rows = [
+        ((("policy", p), ("rate", r)), seed, {"x": 10 * r + seed + (p == "b")}, {})
+        for p in "ab"
+        for r in (1, 2)
+        for seed in range(3)
+    ]
+    pairs = paired(rows, "policy=a", "policy=b")
+    assert len(pairs) == 6 and all(y["x"] - x["x"] == 1 for x, y in pairs)
+    for a, b, text in (
+        ("policy", "policy=b", "not of the form"),
+        ("policy=a", "rate=1", "name different keys"),
+        ("policy=z", "policy=a", "no run of it"),
+        ("policy=a,rate=1", "policy=b,rate=1", "3 pairs, 5 at least"),
+    ):
+        with pytest.raises(CompareError, match=text):
+            paired(rows, a, b)
+
+
+def test_the_command_plays_continues_and_compares(tmp_path, capsys):
+    """Scaled down: two policies, a few seconds of a small fleet."""
+    file, out = tmp_path / "e.toml", tmp_path / "out.json"
+    file.write_text(SMALL)
+    assert main(["experiment", str(file), "--jobs", "2", "--json", str(out)]) == 0
+    first = json.loads(out.read_text())
+    assert len(first) == 4 and {r["seed"] for r in first} == {1, 2}
+    file.write_text(SMALL.replace("seeds = 2", "seeds = 6"))
+    assert main(["experiment", str(file), "--compare", "policy=random", "policy=random"]) == 0
+    assert "no difference seen" in capsys.readouterr().out
+    assert main(["experiment", str(file), "--json", str(out)]) == 0  # nothing is left to be played
+    assert json.loads(out.read_text())[:2] == first[:2]
+    for bad, text in (
+        (["experiment", "/nowhere.toml"], "/nowhere.toml: No such file"),
+        (["experiment", str(file), "--json", "/no/where.json"], "no such folder"),
+        (["experiment", str(file), "--compare", "policy=x", "policy=random"], "'policy=x': no run of it"),
+    ):
+        assert main(bad) == 2
+        err = capsys.readouterr().err
+        assert text in err and err.count("\n") == 1
