--- /dev/null
+++ b/benchmarks/fleet_size.py
@@ -0,0 +1,86 @@
+"""What a run of the model costs: `PYTHONPATH=. .venv/bin/python benchmarks/fleet_size.py [SECONDS]`.
+
+Each size in a process of its own, one after another: virtual seconds a real second on one core, the largest
+memory, and the share of the time that the decision module takes (by a clock around each of its events).
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import sys
+from collections.abc import Callable
+from resource import RUSAGE_SELF, getrusage
+from time import perf_counter
+from typing import Any
+
+from brackenladder.balance import Balancer
+from brackenladder.fleet.model import Fleet
+from brackenladder.rehearsal.checker import check
+from brackenladder.rehearsal.report import terms_of
+from brackenladder.rehearsal.scenario import parse
+
+# Nodes, servers, requests a second.
+SIZES = ((2, 12, 110), (95, 27, 370), (306, 60, 900), (306, 60, 1800), (2000, 60, 900), (100, 1000, 900))
+EVENTS = ("server_list", "request", "outcome", "timer", "client_left")
+
+
+class Timed(Balancer):
+    """The module, with a clock around each event."""
+
+    spent = 0.0
+
+
+def timed(name: str) -> Callable[..., None]:
+    sound = getattr(Balancer, name)
+
+    def event(self: Balancer, *args: Any) -> None:
+        began = perf_counter()
+        sound(self, *args)
+        Timed.spent += perf_counter() - began
+
+    return event
+
+
+for each in EVENTS:
+    setattr(Timed, each, timed(each))
+
+
+def scenario(nodes: int, servers: int, rate: int, seconds: float) -> bytes:
+    deploy = "[[faults]]\nkind = 'deploy'\nat_s = 1\nfor_s = 3\npick = 0.05\n" if servers < 1000 else ""
+    return (
+        f"title = 'size'\nlength_s = {seconds}\nnodes = {nodes}\n[servers]\ncount = {servers}\n"
+        f"[clients]\nrate = {rate}\n{deploy}"
+    ).encode()
+
+
+def one(nodes: int, servers: int, rate: int, seconds: float, out: Any) -> None:
+    read = parse(scenario(nodes, servers, rate, seconds), "size")
+    began = perf_counter()
+    fleet = Fleet(read, 1, Timed)
+    made = perf_counter()
+    result = fleet.go()
+    ended = perf_counter()
+    report = check(result.events, terms_of(read))
+    memory = getrusage(RUSAGE_SELF).ru_maxrss / 1024
+    speed, share = seconds / (ended - made), Timed.spent / (ended - made)
+    out.put(
+        f"{nodes:5} nodes {servers:5} servers {rate:5} a second: {speed:6.2f} virtual seconds a second,"
+        f" {made - began:.1f} s to set up, {memory:.0f} MB, module {share:.0%},"
+        f" checker {perf_counter() - ended:.1f} s, {fleet.queue.done} events,"
+        f" {result.counts['served']} served, broken {len(report.breaks)}"
+    )
+
+
+def main() -> None:
+    seconds = float(sys.argv[1]) if len(sys.argv) > 1 else 10.0
+    context = multiprocessing.get_context("spawn")
+    for size in SIZES:
+        out = context.Queue()
+        process = context.Process(target=one, args=(*size, seconds, out))
+        process.start()
+        print(out.get(), flush=True)
+        process.join()
+
+
+if __name__ == "__main__":
+    main()
--- a/brackenladder/cli/rehearse.py
+++ b/brackenladder/cli/rehearse.py
@@ -16,7 +16,7 @@
 from brackenladder.rehearsal.plan import explained, plan_of
 from brackenladder.rehearsal.runner import Result, RunError
 from brackenladder.rehearsal.runner import rehearse as run
-from brackenladder.rehearsal.scenario import Scenario, ScenarioError, load, shipped
+from brackenladder.rehearsal.scenario import Scenario, ScenarioError, load, shipped, too_large
 from brackenladder.rehearsal.timeline import page
 
 SHOWN = 5  # breaks of one rule that are printed; the JSON has more
@@ -86,6 +86,9 @@
         raise click.UsageError("rehearse: name a scenario, or --list")
     try:
         read = load(scenario)
+        wrong = beyond(read, where)
+        if wrong:
+            raise ScenarioError(f"{scenario}: {wrong}")
         plan = plan_of(read, seed)
     except ScenarioError as e:
         text = str(e)
@@ -121,6 +124,15 @@
     return told(console, scenario, read, result, json_file, junit, timeline)
 
 
+def beyond(scenario: Scenario, where: str) -> str:
+    """Why a scenario cannot be played there for its size, or nothing."""
+    if where == "sockets":
+        return too_large(scenario)
+    from brackenladder.fleet.model import too_large as beyond_memory
+
+    return beyond_memory(scenario)
+
+
 def in_model(console: Console, scenario: Scenario, seed: int, command: str, keep: str | None) -> Result:
     """The run in virtual time; what it passes over is named."""
     from brackenladder.fleet.model import passed_over, play
--- a/brackenladder/fleet/experiment.py
+++ b/brackenladder/fleet/experiment.py
@@ -21,14 +21,13 @@
 import msgspec
 from msgspec import Meta
 
+from brackenladder.fleet.model import too_large
 from brackenladder.fleet.variants import OWN
 from brackenladder.rehearsal.scenario import Scenario, impossible, told
 
 LARGEST_FILE = 1 << 20  # bytes
 MOST_RUNS = 100_000
 MOST_VALUES = 1000  # of one key
-MOST_MEMORY = 4 << 30  # bytes that one run may be expected to take
-BYTES_A_REQUEST = 6_000  # of a run, seen
 
 Value = str | int | float | bool
 Cell = tuple[tuple[str, Value], ...]  # key and value, in the file's order
@@ -130,12 +129,9 @@
         scenario = msgspec.convert(table, Scenario)
     except msgspec.ValidationError as e:
         raise ExperimentError(f"{where}: grid.{told(str(e))}") from None
-    wrong = impossible(scenario)
+    wrong = impossible(scenario) or too_large(scenario)
     if wrong:
         raise ExperimentError(f"{where}: grid.{wrong}")
-    memory = scenario.clients.rate * scenario.length_s * BYTES_A_REQUEST
-    if memory > MOST_MEMORY:
-        raise ExperimentError(f"{where}: grid.clients.rate: one run would take {memory / 2**30:.0f} GB")
     return Run(scenario, policy, checkout, constants)
 
 
--- a/brackenladder/fleet/model.py
+++ b/brackenladder/fleet/model.py
@@ -38,6 +38,9 @@
 
 BEGIN = 1_000_000_000_000_000  # of the run, in the queue's time: Unix time, so that starts can be told
 PATIENCE = 1_000_000  # of a client beyond its time, as the stand-ins have it
+MOST_MEMORY = 4 << 30  # bytes that a run may be expected to take
+BYTES_A_SERVER = 900  # at each node, seen
+BYTES_A_REQUEST = 6_000  # of a run, seen
 NEVER = 1 << 60  # microseconds until a server that has gone serves
 SETTLE = 10 * MICRO  # after the schedule's end, for all that is open
 
@@ -305,6 +308,20 @@
         )
 
 
+def too_large(scenario: Scenario) -> str:
+    """Why a scenario does not fit into memory, as `key: what`; empty if it does.
+
+    Every node knows every server, and every event is kept until the end.
+    """
+    servers = scenario.nodes * scenario.servers.count * BYTES_A_SERVER
+    requests = scenario.clients.rate * scenario.length_s * BYTES_A_REQUEST
+    if servers > MOST_MEMORY:
+        return f"nodes: with {scenario.servers.count} servers they would take {servers / 2**30:.0f} GB"
+    if requests > MOST_MEMORY:
+        return f"clients.rate: one run would take {requests / 2**30:.0f} GB"
+    return ""
+
+
 def passed_over(scenario: Scenario) -> list[str]:
     """What of a scenario this model does not play, named."""
     kinds = sorted({fault.kind for fault in scenario.faults} - PLAYED)
--- a/brackenladder/rehearsal/scenario.py
+++ b/brackenladder/rehearsal/scenario.py
@@ -16,6 +16,7 @@
 
 LARGEST_FILE = 1 << 20  # bytes of a scenario
 MOST_REQUESTS = 2_000_000  # of one run: rate times length
+MOST_NODES, MOST_SERVERS = 32, 200  # that are played by processes, on one machine
 
 Effect = Literal["safe", "keyed", "unsafe"]
 Group = Literal["all", "zone", "pod"]
@@ -83,7 +84,7 @@
 class Servers(Table, frozen=True):
     """The servers at the start; they are spread over the zones in turn, and in each zone over pods."""
 
-    count: Annotated[int, Meta(ge=1, le=200)] = 4
+    count: Annotated[int, Meta(ge=1, le=10_000)] = 4
     pod: Annotated[int, Meta(ge=1)] = 2  # servers of one pod, which share the keys they have seen
     cores: Annotated[int, Meta(ge=1, le=64)] = 2
     speed: Span = (0.85, 1.1)  # of a core, against the standard one
@@ -176,7 +177,7 @@
     about: str = ""
     length_s: Annotated[float, Meta(gt=0, le=3600)] = 10.0
     transport: Transport = "http"  # of clients and servers; rpc: the nodes' own HTTP side gets nothing to do
-    nodes: Annotated[int, Meta(ge=1, le=32)] = 2
+    nodes: Annotated[int, Meta(ge=1, le=2_000)] = 2
     zones: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=8)] = ("east", "west")
     tenants: Annotated[tuple[Name, ...], Meta(min_length=1)] = ("acme", "brook")
     servers: Servers = Servers()
@@ -189,6 +190,15 @@
     faults: tuple[FaultTable, ...] = ()
 
 
+def too_large(s: Scenario) -> str:
+    """Why a scenario is for the model only, as `key: what`; empty if it is not."""
+    if s.nodes > MOST_NODES:
+        return f"nodes: {s.nodes}, and sockets take {MOST_NODES}: play it with --in model"
+    if s.servers.count > MOST_SERVERS:
+        return f"servers.count: {s.servers.count}, and sockets take {MOST_SERVERS}: play it with --in model"
+    return ""
+
+
 def shipped() -> list[str]:
     """The names of the scenarios that come with the package."""
     folder = files("brackenladder.rehearsal") / "scenarios"
--- a/tests/fleet/test_model.py
+++ b/tests/fleet/test_model.py
@@ -10,6 +10,7 @@
 import pytest
 
 from brackenladder.balance import Balancer
+from brackenladder.cli.main import main
 from brackenladder.core.host import Host
 from brackenladder.fleet.model import Fleet, passed_over, play
 from brackenladder.interface import Outcome
@@ -107,15 +108,34 @@
     assert answers and all(e.t <= sent[e.id].t + sent[e.id].budget + 20_000 for e in answers.values())
 
 
-def test_more_nodes_than_a_machine_has_room_for():
-    """Scaled down: 32 nodes, the most that a scenario may name, before 60 servers."""
-    text = b'title = "fleet"\nlength_s = 2\nnodes = 32\n[servers]\ncount = 60\n[clients]\nrate = 900\n'
-    scenario = parse(text, "here")
+@pytest.mark.parametrize("fault", ["restart", "deploy"])
+def test_one_cold_server_before_hundreds_of_nodes(fault):
+    """Failure prevented: each node spares it, and all together push it over. Scaled down: 7 s, 20 servers."""
+    text = (
+        'title = "fleet"\nlength_s = 7\nnodes = 300\n[servers]\ncount = 20\n[clients]\nrate = 250\n'
+        f'[[faults]]\nkind = "{fault}"\nat_s = 0.5\nfor_s = 1\npick = 1\n'
+    )
+    scenario = parse(text.encode(), "here")
     result = play(scenario, 1)
-    assert check(result.events, terms_of(scenario)).breaks == ()
+    report = check(result.events, terms_of(scenario))
+    assert report.breaks == () and report.rulings["cold"].chances and not result.crashed
     assert result.counts["served"] > 900
 
 
+def test_what_is_too_large_is_told_before_it_starts(tmp_path, capsys):
+    file = tmp_path / "large.toml"
+    for where, size, wrong in (
+        ("sockets", "nodes = 33", "nodes: 33, and sockets take 32: play it with --in model"),
+        ("sockets", "[servers]\ncount = 201", "servers.count: 201, and sockets take 200"),
+        ("model", "nodes = 2000\n[servers]\ncount = 10000", "servers they would take 17 GB"),
+        ("model", "length_s = 3000\n[clients]\nrate = 600", "clients.rate: one run would take 10 GB"),
+    ):
+        file.write_text(f'title = "large"\n{size}\n')
+        assert main(["rehearse", str(file), "--in", where]) == 2
+        err = capsys.readouterr().err
+        assert wrong in err and err.count("\n") == 1
+
+
 def test_what_is_not_played_is_named():
     assert passed_over(load("refuse")) == [
         "faults of kind 'backlog'",
