--- a/tests/fleet/test_hunt.py
+++ b/tests/fleet/test_hunt.py
@@ -16,7 +16,7 @@
 from brackenladder.fleet.hunt import digest, drawn, mutated, readable, shrunk, smaller
 from brackenladder.rehearsal.scenario import ScenarioError
 
-FOUND = Path(__file__).parents[1] / "corpus" / "hunt"
+FOUND = Path(__file__).parent / "found"
 
 
 @given(st.integers(0, 10**9))
