What a list in hand admits, and how a node ends, stand in pure modules of their own

Change: membership/inhand.py has the version in hand, older lists and the times of a watch; core/ending.py the moments after SIGTERM. Both were moved, nothing decides otherwise.

--- a/brackenladder/discovery/sources.py
+++ b/brackenladder/discovery/sources.py
@@ -7,8 +7,8 @@
 
 from brackenladder.discovery.watch import Discovery, Told
 from brackenladder.interface import ListKind
+from brackenladder.membership.inhand import InHand
 from brackenladder.membership.listing import Line, Listing
-from brackenladder.membership.withdrawn import Withdrawn
 
 PUSH_RETRY = 0.1  # seconds before an agent that did not answer is asked again
 
@@ -38,8 +38,7 @@
     def begin_with(self, listing: Listing) -> None:
         """A list that is newer than the one that was known. Before `start` only."""
         self.known = listing
-        self.version = listing.version
-        self.withdrawn = Withdrawn(listing.version)
+        self.in_hand = InHand(listing.version)
 
 
 class Agent(Asked):
--- a/brackenladder/discovery/watch.py
+++ b/brackenladder/discovery/watch.py
@@ -9,15 +9,10 @@
 
 import httptools
 
-from brackenladder.interface import ListKind
+from brackenladder.membership.inhand import ANSWER_TIME, FETCH_TIME, InHand, wait_ms
 from brackenladder.membership.listing import Listing, read_listing
-from brackenladder.membership.withdrawn import Withdrawn
 
-LEAST_WAIT_MS, MOST_WAIT_MS = 3_000, 20_000  # a watch with no news lasts so long...
-WAIT_MS_A_NODE = 500  # ...in between: for each node of the tier, since discovery serves them all in turn
 CONNECT_TIMEOUT = 1.0
-ANSWER_TIME = 2.0  # after its wait, a watch that has not been answered has failed
-FETCH_TIME = 6.0
 LARGEST_ANSWER = 4 << 20
 
 Told = Callable[[Listing | None], None]
@@ -145,16 +140,18 @@
     ) -> None:
         self.loop = loop
         self.address = address
-        self.version = version
-        self.withdrawn = Withdrawn(version)
-        # Failure prevented: discovery says nothing more on a connection that stays open, and until the wait
-        # is over requests go to servers that have left.
-        self.wait = min(MOST_WAIT_MS, max(LEAST_WAIT_MS, WAIT_MS_A_NODE * nodes))
+        self.in_hand = InHand(version)
+        self.wait = wait_ms(nodes)
         self.told = told
         self.log = log
         self.watching: Call | None = None
         self.fetching: Call | None = None
 
+    @property
+    def version(self) -> int | None:
+        """Of the list in hand."""
+        return self.in_hand.version
+
     def watch(self, on: bool) -> None:
         """Begins or ends the watch. One that is on already stays."""
         if on and self.watching is None:
@@ -172,8 +169,7 @@
         """
         self.close()
         self.address = address
-        self.version = None
-        self.withdrawn = Withdrawn(None)
+        self.in_hand = InHand(None)
         self.watch(True)
 
     def renew(self, call: Call) -> None:
@@ -214,14 +210,10 @@
         except (ValueError, RecursionError) as e:
             self.log(f"discovery: answer dropped: {e}")
             return None
-        if listing.kind == ListKind.CHANGES and self.version is None:
+        news = self.in_hand.admit(listing, self.loop.time())
+        if news is None:
             self.log("discovery: answer dropped: changes of a list that is not known")
-            return None
-        if listing.kind == ListKind.CHANGES and self.version is not None and listing.version < self.version:
-            # Failure prevented: an old answer that was overtaken brings drained servers back.
-            return Listing(ListKind.CHANGES, self.version, ())
-        self.version = listing.version
-        return self.withdrawn.admit(listing, self.loop.time())
+        return news
 
     def close(self) -> None:
         """Ends all calls."""
--- a/brackenladder/http/callers.py
+++ b/brackenladder/http/callers.py
@@ -8,10 +8,11 @@
 
 import httptools
 
+from brackenladder.core.ending import HANDOVER, TAKING
 from brackenladder.http.bulk import LARGE, LARGEST_BODY, LEAST_RATE, Claim, Room, next_step, too_slow
 from brackenladder.http.relay import Relay
 from brackenladder.operations.pause import Service
-from brackenladder.sockets.listener import HANDOVER, LINGER, TAKING, Address, Guest, Listener
+from brackenladder.sockets.listener import LINGER, Address, Guest, Listener
 
 LARGEST_HEAD = 32768
 SLICE = 8192  # bytes parsed in one go while a head may be among them...
--- a/brackenladder/node/pool.py
+++ b/brackenladder/node/pool.py
@@ -15,21 +15,21 @@
 
 from brackenladder.core.call import Directory, Messenger, Upstream
 from brackenladder.core.clock import Clock
+from brackenladder.core.ending import last_moment
 from brackenladder.core.host import Host
 from brackenladder.core.roster import Listed, Roster
 from brackenladder.interface import Settings
 from brackenladder.membership.listing import Listing
 
-KILL_AFTER = 3_700_000  # after SIGTERM a node has the longest deadline for its end, or so long
-KILL_MARGIN = 300_000
-
 Told = Callable[[Listing | None], None]
 
 
 class Source(Directory, Protocol):
     """Where the list comes from."""
 
-    version: int | None  # of the list in hand
+    @property
+    def version(self) -> int | None:
+        """Of the list in hand."""
 
     def start(self) -> None:
         """The pool runs: from now on it is told of lists."""
@@ -92,9 +92,5 @@
         self.roster.told(self.admit(listing) if self.admit is not None and listing is not None else listing)
 
     def last_orders(self) -> None:
-        """The node is to end: what it takes from now on must be concluded before it is killed.
-
-        Failure prevented: what is taken in the meantime is still open when the process is killed.
-        """
-        longest = max(c.deadline for c in self.settings.classes)
-        self.host.ends = self.host.now() + min(longest, KILL_AFTER) - KILL_MARGIN
+        """The node is to end: what it takes from now on must be concluded before it is killed."""
+        self.host.ends = last_moment(self.host.now(), self.settings.classes)
--- a/brackenladder/rpc/front.py
+++ b/brackenladder/rpc/front.py
@@ -8,12 +8,13 @@
 from typing import cast
 
 from brackenladder.core.call import Failure
+from brackenladder.core.ending import HANDOVER
 from brackenladder.core.host import Host
 from brackenladder.operations.pause import Service
 from brackenladder.rpc.call import Reply, RpcCall
 from brackenladder.rpc.codec import NIL, PACK, Bounds, Message, Notification, Reader, Request, response
 from brackenladder.rpc.methods import Method, Methods, Read
-from brackenladder.sockets.listener import HANDOVER, LINGER, Address, Guest, Listener
+from brackenladder.sockets.listener import LINGER, Address, Guest, Listener
 
 FULL_ADVICE = 500_000  # microseconds after which there may be room again
 STALLED = 2.0  # seconds without a byte read by the client, with its buffer full, after which it is closed
--- a/brackenladder/sockets/listener.py
+++ b/brackenladder/sockets/listener.py
@@ -12,12 +12,12 @@
 from contextlib import suppress
 from typing import cast
 
+from brackenladder.core.ending import TAKING
+
 BACKLOG = 512
 ACCEPTS = 64  # connections taken in one go
 FRESH = 0.05  # seconds after the accept in which a client may bring its first bytes undisturbed
 STALLED = 0.5  # seconds after which an incomplete request may be given up for want of room
-TAKING = 0.5  # seconds after SIGTERM in which new connections are still taken
-HANDOVER = 2.0  # seconds after SIGTERM in which connections stay open to further calls
 LINGER = 1.0  # seconds in which the client may read a last answer while it is still sending
 LOOK = 0.02
 
--- a/tests/rules/test_rules.py
+++ b/tests/rules/test_rules.py
@@ -25,9 +25,9 @@
 )
 
 from brackenladder.balance import GradientController
+from brackenladder.core.ending import HANDOVER, TAKING
 from brackenladder.http.servers import Connection as HttpConnection
 from brackenladder.rpc.upstream import Link
-from brackenladder.sockets.listener import HANDOVER, TAKING
 
 DRAIN = 0.25  # seconds after which nothing new may come to a server that drains
 SLACK = 2.0  # seconds beyond a call's time that a busy machine may take
