Cold servers: a share of what warm ones took, and a bucket until the window is over

What was reset or never sent counted as taken by warm servers, so that a cold one was given more than it could stand; and the only server that had just got warm was flooded in a window that begins in its cold time. Change: calls that were turned away, not sent or reset do not count for a cold server's share. After the cold time a server has, for the rule's window, a bucket that begins full: twice what a warm member gets.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -59,7 +59,7 @@
 SILENT_FACTOR = 4  # a member is silent after this many mean round-trips without any outcome
 NO_NEWS = (Outcome.CANCELLED, Outcome.NOT_SENT)  # ends that tell nothing of the server
 # Looked up for every request, and an enumeration's members are slow to look up.
-OK, TIMEOUT, REJECTED = Outcome.OK, Outcome.TIMEOUT, Outcome.REJECTED
+OK, TIMEOUT, REJECTED, RESET = Outcome.OK, Outcome.TIMEOUT, Outcome.REJECTED, Outcome.RESET
 KEYED, UNSAFE = Effect.KEYED, Effect.UNSAFE
 EJECT_SHARE = 0.34  # of the members, at most
 EJECT_FAILS = 3  # least failures in a row, or of recent calls, before ejection
@@ -505,7 +505,7 @@
         self.shed = 1.0
         self.tenants = [Tenant(t.quota / s.instances) for t in s.tenants]
         self.rank = [0] * classes
-        self.warm_rate = 0.0  # sends a second to a warm member, smoothed
+        self.warm_rate = 0.0  # sends a second that a warm member takes, smoothed
         self.warm_sent = 0
         self.list_failures = 0
         self.blocked = 0  # rq_blocked
@@ -551,11 +551,14 @@
                 known.renew(entry)
             known.in_list = True
             known.cell, known.zone = entry.cell, entry.zone
-            if entry.ready_at > 0 and now < entry.ready_at + self.settings.cold_time:
+            # Failure prevented: the one server that has just got warm takes what no other may, and falls:
+            # what it is sent counts over a time that may begin up to its last cold moment.
+            cold_until = entry.ready_at + self.settings.cold_time + self.settings.fall_time
+            if entry.ready_at > 0 and now < cold_until:
                 # Failure prevented: a restarted server looks idle and draws a flood that pushes it over.
                 if known.cold_until == 0:
                     known.tokens_at = now
-                known.cold_until = entry.ready_at + self.settings.cold_time
+                known.cold_until = cold_until
         self.forget_gone()
         self.refill(now)
 
@@ -781,9 +784,9 @@
         if not srv.aside:
             ctl.note(now, -1)
         srv.quiet_since = now
-        if outcome == REJECTED and srv.cold_until <= now:
-            # Failure prevented: a server that turns most calls away restarts, and gets its share of all that
-            # was sent to it before, not of what it took: more than it can stand while it is cold.
+        if srv.cold_until <= now and (outcome in NEVER_RAN or outcome == RESET):
+            # Failure prevented: a server that turns most calls away, or resets them, restarts, and gets its
+            # share of all that was sent to it, not of what it took: more than it can stand while it is cold.
             self.warm_sent -= 1
         if outcome in NO_NEWS:
             # Failure prevented: a client leaves during a trial, and no other trial ever follows.
@@ -1089,8 +1092,16 @@
         if srv.cold_until <= now:
             return True
         s = self.settings
-        warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
-        srv.tokens = min(1.0, srv.tokens + self.warm_rate * warmth * (now - srv.tokens_at) / 1e6)
+        warm_at = srv.cold_until - s.fall_time
+        warmth = most = 1.0
+        if now < warm_at:
+            warmth = s.cold_share + (1 - s.cold_share) * (1 - (warm_at - now) / s.cold_time)
+        else:
+            # Warm, with a bucket that begins full: in the rule's window twice what a warm member gets.
+            most = 1.0 + self.warm_rate * s.fall_time / 1e6
+            if srv.tokens_at < warm_at:
+                srv.tokens_at = warm_at - s.fall_time
+        srv.tokens = min(most, srv.tokens + self.warm_rate * warmth * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
         if srv.tokens < 1:
             return False
