Model: kept connections, tiers, zones, killed nodes, late lists, cuts, a node's processor

Need: the model of a fleet played one tier, a discovery without versions and attempts without connections, and passed over most faults of the rehearsal.

--- a/brackenladder/fleet/nodes.py
+++ b/brackenladder/fleet/nodes.py
@@ -1,30 +1,37 @@
-"""Nodes in virtual time: the core's own Host, and with it its Balancer, before servers without sockets."""
+"""Nodes in virtual time: the core's own Host, and with it its Balancer, and what a process goes through."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import TYPE_CHECKING, cast
+from random import Random
+from typing import TYPE_CHECKING, Any, cast
 
 from brackenladder.balance import Balancer
-from brackenladder.core.call import Call, Done, Failure, Probed
+from brackenladder.core.call import Call, Failure
 from brackenladder.core.clock import Clock
+from brackenladder.core.ending import HANDOVER, last_moment
 from brackenladder.core.host import Host
 from brackenladder.core.roster import Roster
-from brackenladder.fleet.queue import Queue, Timer
+from brackenladder.fleet.discovery import Source, Watch
+from brackenladder.fleet.links import Links, exchange_of
+from brackenladder.fleet.queue import Queue
 from brackenladder.fleet.servers import Attempt, Server
-from brackenladder.interface import Actions, Events, ListKind, Outcome, Settings, State
-from brackenladder.membership.listing import Line, Listing
+from brackenladder.interface import Actions, Events, Settings
+from brackenladder.membership.listing import Listing
+from brackenladder.rehearsal.events import Answered, Event, GaveUp, NodeEnded, NodeSignal, NodeUp, Sent
+from brackenladder.rehearsal.nodes import LONGEST_TERM, TERM_MARGIN
+from brackenladder.rehearsal.plan import MICRO
 
 if TYPE_CHECKING:
     import asyncio
 
-NET = 100  # microseconds from one machine to another
+BOOT = 300_000  # microseconds from a process's start until it is ready
+LOOK = 20_000  # between two looks of a node that ends at what is left
+RESERVED = 64  # descriptors that are neither clients' nor servers'
+STATUS = {Failure.GIVEN_UP: 502, Failure.EXPIRED: 504, Failure.FAULT: 500}
 
 Module = Callable[[Settings, int, Actions], Events]
 
-STATUS = {Failure.GIVEN_UP: 502, Failure.EXPIRED: 504, Failure.FAULT: 500}
-OUTCOMES = {"served": Outcome.OK, "error": Outcome.ERROR, "rejected": Outcome.REJECTED}
-
 
 class VirtualClock(Clock):
     """The queue's time."""
@@ -37,9 +44,12 @@
 
 
 class FleetCall(Call):
-    """A client's try at its node. `told` hears of its one conclusion: a status and advice in seconds."""
+    """A client's try at its node. `told` hears of its one conclusion: a status and advice in seconds.
 
-    __slots__ = ("name", "told")
+    `broken` hears instead that the node was killed.
+    """
+
+    __slots__ = ("name", "told", "broken")
 
     def __init__(
         self,
@@ -49,10 +59,12 @@
         left: int,
         repeat: bool,
         told: Callable[[int, float], None],
+        broken: Callable[[], None],
     ) -> None:
         super().__init__(klass, tenant, left, repeat)
         self.name = name
         self.told = told
+        self.broken = broken
 
     def served(self, answer: object) -> None:
         self.told(200, 0.0)
@@ -64,111 +76,262 @@
         self.told(STATUS[why], 0.0)
 
 
-class Exchange:
-    """An attempt: it ends exactly once. A connection of its own, so giving it up tells the server."""
-
-    __slots__ = ("queue", "server", "id", "klass", "done", "over", "attempt", "first", "timer")
-
-    def __init__(self, queue: Queue, server: Server, call: FleetCall, done: Done) -> None:
-        self.queue = queue
-        self.server = server
-        self.id = call.name
-        self.klass = call.klass
-        self.done = done
-        self.over = False
-        self.attempt: Attempt | None = None
-        self.first = 0
-        self.timer: Timer | None = None
-
-    def start(self, timeout: float) -> None:
-        self.first = self.queue.now
-        self.timer = self.queue.call_later(timeout, self.stop, Outcome.TIMEOUT)
-        self.queue.after(NET, self.arrive)
-
-    def arrive(self) -> None:
-        if self.over:
-            return
-        self.attempt = self.server.arrive(self, self.first)
-        if self.attempt is None:
-            self.queue.after(NET, self.end, Outcome.CONNECT_FAILED)
-
-    def stop(self, outcome: Outcome) -> None:
-        if self.over:
-            return
-        if self.attempt is not None:
-            self.queue.after(NET, self.server.left, self.attempt)
-        self.end(outcome)
-
-    def answered(self, how: str) -> None:
-        self.queue.after(NET, self.end, OUTCOMES[how])
+class Surroundings:
+    """What all nodes of a run share."""
 
-    def reset(self) -> None:
-        self.queue.after(NET, self.end, Outcome.RESET)
-
-    def end(self, outcome: Outcome) -> None:
-        if self.over:
-            return
-        self.over = True
-        if self.timer is not None:
-            self.timer.cancel()
-        self.done(outcome, None, ())
-
-
-class FleetUpstream:
-    """The servers that a node has been told of."""
-
-    def __init__(self, queue: Queue, standing: Mapping[str, Server]) -> None:
+    def __init__(
+        self,
+        queue: Queue,
+        note: Callable[[Event], None],
+        standing: Mapping[str, Server],
+        zones: Sequence[str],
+        way: Callable[[str, str], int],
+        numbers: Callable[[], int],
+        tell: Callable[[Node, int, bytes], None],
+    ) -> None:
         self.queue = queue
-        self.standing = standing  # all processes by their id
-        self.ready: dict[int, str] = {}
-
-    def update(self, kind: ListKind, latest: Mapping[int, Line]) -> None:
-        if kind != ListKind.CHANGES:
-            self.ready.clear()
-        for number, line in latest.items():
-            if line.state == State.READY:
-                self.ready[number] = line.id
-            else:
-                self.ready.pop(number, None)
-
-    def attempt(self, server: int, call: Call, expires: int, done: Done) -> Exchange | None:
-        name = self.ready.get(server)
-        if name is None:
-            return None
-        return Exchange(self.queue, self.standing[name], cast(FleetCall, call), done)
-
-    def probe(self, server: int, done: Probed) -> None:
-        self.queue.after(2 * NET, done, server in self.ready, ())
-
-    def close_idle(self, server: int) -> None:
-        """Connections are not kept in this model yet."""
+        self.note = note
+        self.standing = standing
+        self.zones = zones
+        self.way = way
+        self.numbers = numbers
+        self.tell = tell
 
 
 class Node:
-    """A Host in virtual time. `directory` is its way to discovery, `messenger` to the others."""
+    """A node and its processes, one after another; `host` is the present one's.
+
+    `sources`: the discoveries of the tier that it sends to. `sockets`, `connect_time`, `idle_time`,
+    `event_us`, `line_us`: what it is allowed, and what its processor takes.
+    """
 
     def __init__(
         self,
         name: str,
+        zone: str,
         settings: Settings,
-        seed: int,
-        queue: Queue,
-        standing: Mapping[str, Server],
-        zones: Sequence[str],
+        seeds: Random,
+        around: Surroundings,
+        sources: Sequence[Source],
+        known: Listing,
         module: Module = Balancer,
+        sockets: int = 1024,
+        connect_time: int = 250_000,
+        idle_time: int = 5_000_000,
+        event_us: float = 0.0,
+        line_us: float = 0.0,
     ) -> None:
         self.name = name
-        self.upstream = FleetUpstream(queue, standing)
-        loop = cast("asyncio.AbstractEventLoop", queue)  # of which the Host asks for call_later alone
+        self.zone = zone
+        self.settings = settings
+        self.seeds = seeds
+        self.around = around
+        self.queue = around.queue
+        self.sources = sources
+        self.source = 0
+        self.known = known
+        self.module = module
+        self.most = (sockets - RESERVED) // 2
+        self.connect_time = connect_time
+        self.idle_time = idle_time
+        self.event_us = event_us
+        self.line_us = line_us
+        self.busy_until = 0  # of the processor
         self.faults: list[str] = []
-        self.host = Host(settings, seed, loop, self.upstream, self.log, VirtualClock(queue), module)
-        self.roster = Roster(self.host, self.upstream, zones, ("std",))
+        self.up = False
+        self.ending = False  # SIGTERM has come
+        self.closing = False  # ...so long ago that connections close with their answer
+        self.starts = 0
+        self.host: Host
+        self.watch: Watch
+        self.make()
+
+    # ---- processes ------------------------------------------------------------------------------------
+
+    def make(self) -> None:
+        """A new process, which knows the list that its configuration gives."""
+        self.up, self.ending, self.closing = False, False, False
+        self.starts += 1
+        self.upstream = Links(
+            self.name,
+            self.zone,
+            self.queue,
+            self.around.standing,
+            self.around.way,
+            self.most,
+            self.connect_time,
+            self.idle_time,
+            self.turn,
+        )
+        loop = cast("asyncio.AbstractEventLoop", self.queue)  # of which the Host asks for call_later alone
+        seed = self.seeds.getrandbits(64)
+        clock = VirtualClock(self.queue)
+        self.host = Host(self.settings, seed, loop, self.upstream, self.log, clock, self.module)
+        self.roster = Roster(self.host, self.upstream, self.around.zones, ("std",))
+        source = self.sources[self.source]
+        way = self.around.way(self.zone, self.zone)
+        self.watch = Watch(
+            self.name,
+            source,
+            self.known,
+            self.settings.instances,
+            way,
+            self.queue,
+            self.told,
+            self.around.numbers,
+        )
+        self.host.directory = self.watch
+        self.host.messenger = self
+
+    def start(self) -> None:
+        """The process is ready."""
+        self.up = True
+        self.around.note(NodeUp(self.queue.now, self.name))
+        self.host.start()
+        self.told(self.known)
+
+    def boot(self) -> None:
+        """A further process starts, and is ready some time later."""
+        self.make()
+        self.queue.after(BOOT, self.start)
+
+    def kill(self) -> None:
+        """The process ends at once, with all that it holds."""
+        if not self.up:
+            return
+        self.signal("kill")
+        self.end(-9)
+
+    def signal(self, name: str) -> None:
+        self.around.note(NodeSignal(self.queue.now, self.name, name))
+
+    def end(self, code: int) -> None:
+        """The process has ended. What it held is its clients' to hear of."""
+        self.up = False
+        self.around.note(NodeEnded(self.queue.now, self.name, code, True))
+        host = self.host
+        calls = [call for call in host.calls.values() if call.open]
+        self.upstream.die([exchange_of(call.out) for call in host.calls.values() if call.out is not None])
+        self.watch.close()
+        host.calls.clear()
+        for call in calls:
+            call.open = False
+            cast(FleetCall, call).broken()
+
+    def terminate(self, ended: Callable[[], None]) -> None:
+        """SIGTERM: what is taken is answered, then the process ends, or is killed when its time is over."""
+        if not self.up:
+            ended()
+            return
+        self.signal("term")
+        self.ending = True
+        self.host.ends = last_moment(self.queue.now, self.settings.classes)
+        longest = max(c.deadline for c in self.settings.classes) / MICRO
+        by = self.queue.now + round((min(longest, LONGEST_TERM) + TERM_MARGIN) * MICRO)
+        closes = self.queue.now + round(HANDOVER * MICRO)
+
+        def look() -> None:
+            if not self.up:
+                ended()
+                return
+            self.closing = self.queue.now >= closes
+            if self.queue.now >= by:
+                self.kill()
+                ended()
+            elif self.closing and not any(call.open for call in self.host.calls.values()):
+                self.end(0)
+                ended()
+            else:
+                self.queue.after(LOOK, look)
+
+        look()
+
+    def move(self) -> None:
+        """SIGHUP, with the other discovery in its configuration."""
+        self.source = (self.source + 1) % len(self.sources)
+        if self.up:
+            self.signal("hup")
+            self.watch.move(self.sources[self.source])
+
+    # ---- events ---------------------------------------------------------------------------------------
+
+    def turn(self, action: Callable[..., None], *args: Any, cost: float = 0.0) -> None:
+        """An event comes to the node, which handles it when its processor gets there."""
+        took = self.event_us + cost
+        if not took:
+            action(*args)
+            return
+        self.busy_until = max(self.queue.now, self.busy_until) + round(took)
+        self.queue.at(self.busy_until, self.handle, self.host, action, args)
+
+    def handle(self, host: Host, action: Callable[..., None], args: tuple[Any, ...]) -> None:
+        if host is self.host and self.up:
+            action(*args)
+
+    def take(self, call: FleetCall) -> None:
+        """A client's request has come whole."""
+        if self.up:
+            self.turn(self.host.take, call)
+        else:
+            call.broken()
+
+    def left(self, call: Call) -> None:
+        """A client has gone."""
+        if self.up:
+            self.turn(self.host.left, call)
+
+    def told(self, listing: Listing | None) -> None:
+        """News from discovery."""
+        if self.up:
+            cost = self.line_us * len(self.upstream.endpoints) if listing is not None else 0.0
+            self.turn(self.roster.told, listing, cost=cost)
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """A message to the others, from the host."""
+        self.around.tell(self, peer, data)
 
     def log(self, text: str) -> None:
         """What the host catches so that other calls go on is a fault of the run."""
         if "Error" in text or "guard" in text:
             self.faults.append(text)
 
-    def told(self, listing: Listing) -> None:
-        """News from discovery."""
-        self.roster.told(listing)
+
+class Caller:
+    """A server's calls to the next tier, through its own node. They are judged as any client's are."""
+
+    def __init__(self, node: Node, note: Callable[[Event], None]) -> None:
+        self.node = node
+        self.note = note
+        self.queue = node.queue
+
+    def call(self, attempt: Attempt, told: Callable[[bool], None]) -> Callable[[], None]:
+        """Passes a request on, with the time that is left of it."""
+        visitor = attempt.visitor
+        left = max(0, visitor.expires - self.queue.now) // 1000 * 1000
+        # An id of its own, of which server and client can both say whose it is.
+        name = f"{attempt.number:x}.{visitor.id}"
+        over = False
+
+        def answered(status: int, advice: float) -> None:
+            nonlocal over
+            if not over:
+                over = True
+                self.note(Answered(self.queue.now, name, status, True, advice))
+                told(status == 200)
+
+        def broken() -> None:
+            """The node dies with its server."""
+            nonlocal over
+            over = True
+
+        def give_up() -> None:
+            nonlocal over
+            if not over:
+                over = True
+                self.note(GaveUp(self.queue.now, name, True))
+                self.node.left(call)
+
+        call = FleetCall(name, visitor.klass, 0, left, False, answered, broken)
+        self.note(Sent(self.queue.now, name, self.node.name, visitor.klass, left, self.queue.now, False))
+        self.node.take(call)
+        return give_up
--- a/brackenladder/fleet/servers.py
+++ b/brackenladder/fleet/servers.py
@@ -1,128 +1,216 @@
-"""Servers in virtual time: cores, a bounded queue, a cold start, drains and ends, as the stand-ins have."""
+"""Servers in virtual time: cores, a bounded queue, a cold start, faults and ends, as the stand-ins have.
+
+A server below which there is a further tier holds its core while it calls there, through a node of its own.
+"""
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from heapq import heapify, heapreplace
 from random import Random
 from typing import Protocol
 
 from brackenladder.fleet.queue import Queue
-from brackenladder.rehearsal.events import Arrived, Closed, Down, Event, Replied, Up
-from brackenladder.rehearsal.plan import MICRO, ServerPlan, Step
+from brackenladder.rehearsal.checker import able
+from brackenladder.rehearsal.events import Arrived, Begun, Closed, Down, Event, Replied, Up
+from brackenladder.rehearsal.plan import MICRO, ServerPlan, Step, work_of
+from brackenladder.rehearsal.scenario import Class, Rules
 from brackenladder.rehearsal.scenario import Servers as ServersTable
 
+CUT = 5_000  # microseconds in which the first part of an answer goes out before the reset
+DRIP = 20_000  # between two bytes of an answer that drips
+ANSWER_BYTES = 180  # of an answer, as the stand-ins write it
+HELD_BEFORE = 300_000  # microseconds before a drain that answers are held back for
+SHUT = ("closed", "backlog", "reset-early")
+
+
+class Connection(Protocol):
+    """A node's connection, as its server sees it."""
+
+    shut: bool
+    limited: bool
+    early: bool
+    holds: object
+
+    @property
+    def node(self) -> str:
+        """Whose it is."""
+
+    def lost(self) -> None:
+        """The server's end has come to the node."""
+
 
 class Visitor(Protocol):
     """A node's attempt, as its server sees it."""
 
     id: str
     klass: int
+    expires: int
 
-    def answered(self, how: str) -> None:
-        """The last byte of the answer is on its way: served, error or rejected."""
+    def answered(self, how: str, keep: bool) -> None:
+        """The last byte of the answer has come: served, error or rejected. `keep`: the connection stays."""
 
-    def reset(self) -> None:
-        """The connection was reset by the server."""
+
+class Below(Protocol):
+    """The server's own node, before the next tier."""
+
+    def call(self, attempt: Attempt, told: Callable[[bool], None]) -> Callable[[], None]:
+        """Calls there; `told` hears once whether it was served. What is returned gives the call up."""
 
 
 class Attempt:
     """A request that has come whole."""
 
-    __slots__ = ("number", "visitor", "work", "done")
+    __slots__ = ("number", "visitor", "link", "work", "done", "give_up")
 
-    def __init__(self, number: int, visitor: Visitor, work: int) -> None:
+    def __init__(self, number: int, visitor: Visitor, link: Connection, work: int) -> None:
         self.number = number
         self.visitor = visitor
+        self.link = link
         self.work = work
         self.done = False
+        self.give_up: Callable[[], None] | None = None  # of its call to the next tier
 
 
 class Server:
-    """One process. `cold_since`: when it started, if it began cold; -1 if not."""
+    """One process, and after a restart the next one. `life`: counts them."""
 
     def __init__(
         self,
         plan: ServerPlan,
         table: ServersTable,
-        work_ms: tuple[tuple[float, float], ...],
+        rules: Rules,
+        classes: Sequence[Class],
         steps: list[Step],
         queue: Queue,
         begin: int,
         note: Callable[[Event], None],
         number: Callable[[], int],
+        way: Callable[[str], int],
+        fell: Callable[[ServerPlan], None],
     ) -> None:
         self.plan = plan
         self.table = table
-        self.work_ms = work_ms
+        self.rules = rules
+        self.classes = classes
         self.steps = steps
         self.queue = queue
         self.begin = begin
         self.note = note
         self.number = number
+        self.way = way  # microseconds to a node by its name
+        self.fell = fell
+        self.below: Below | None = None
         self.alive = False  # takes connections
+        self.vanished = False
+        self.life = 0
         self.cold_since = -1
+        self.up: Up | None = None
         self.running = 0
+        self.slow = False
         self.busy_until: list[int] = []  # of the cores that work
         self.waiting: deque[Attempt] = deque()
         self.open: set[Attempt] = set()
+        self.links: dict[Connection, None] = {}
+        self.came: deque[tuple[int, int]] = deque()  # to a cold process: time and work
+        self.came_work = 0
+        self.cuts = [step for step in steps if step.kind == "cut"]
+
+    # ---- life -----------------------------------------------------------------------------------------
 
     def rise(self, started_ms: int, cold: bool) -> None:
         """The process starts."""
-        self.alive = True
+        self.alive, self.vanished, self.slow = True, False, False
+        self.life += 1
         self.cold_since = self.queue.now if cold else -1
         self.running = 0
         self.busy_until.clear()
+        self.came.clear()
+        self.came_work = 0
         warm = round(self.table.warm_s * MICRO)
-        self.note(
-            Up(
-                self.queue.now,
-                self.plan.id,
-                f"{self.plan.zone}/{self.plan.cell}",
-                started_ms,
-                self.plan.cores * self.plan.speed,
-                self.table.cold_share if cold else 1.0,
-                warm if cold else 0,
-            )
+        tier = f"t{self.plan.tier}" * (self.plan.tier > 0)
+        self.up = Up(
+            self.queue.now,
+            self.plan.id,
+            f"{tier}{self.plan.zone}/{self.plan.cell}",
+            started_ms,
+            self.plan.cores * self.plan.speed,
+            self.table.cold_share if cold else 1.0,
+            warm if cold else 0,
         )
+        self.note(self.up)
 
     def die(self) -> None:
         """The process ends: every connection is reset."""
         if not self.alive:
             return
+        self.end()
+        for link in list(self.links):
+            self.reset(link)
+
+    def vanish(self) -> None:
+        """The machine is gone: nothing is reset, nothing comes back."""
+        if self.alive:
+            self.end()
+            self.vanished = True
+            for attempt in sorted(self.open, key=lambda a: a.number):
+                self.left(attempt, "server")
+            self.links.clear()
+
+    def end(self) -> None:
         self.alive = False
-        self.note(Down(self.queue.now, self.plan.id))
+        self.life += 1
         self.waiting.clear()
-        for attempt in sorted(self.open, key=lambda a: a.number):
-            self.cut(attempt)
+        self.note(Down(self.queue.now, self.plan.id))
 
     def retire(self) -> None:
         """It takes no connections any more, and finishes what it holds."""
         if self.alive:
             self.alive = False
             self.note(Down(self.queue.now, self.plan.id))
+            self.drop_idle()
+
+    # ---- faults ---------------------------------------------------------------------------------------
 
     def fault(self, *kinds: str) -> Step | None:
         """The fault of these kinds that is on now."""
+        if not self.steps:
+            return None
         time = self.queue.now - self.begin
         for step in self.steps:
             if step.kind in kinds and step.at <= time < step.end:
                 return step
         return None
 
-    def touched(self, *kinds: str, name: str) -> bool:
-        """Whether a fault of these kinds is on that touches this request, as in the stand-ins."""
+    def touched(self, *kinds: str, name: str) -> Step | None:
+        """The fault of these kinds that is on, if it touches this request, as in the stand-ins."""
         step = self.fault(*kinds)
-        return step is not None and (step.share >= 1 or Random(f"{step.at} {name}").random() < step.share)
+        if step is not None and (step.share >= 1 or Random(f"{step.at} {name}").random() < step.share):
+            return step
+        return None
+
+    def cut_from(self, node: str) -> bool:
+        """Whether nothing passes between this server and a node now."""
+        time = self.queue.now - self.begin
+        return any(
+            step.at <= time < step.end and Random(f"{step.at} {node}").random() < step.share
+            for step in self.cuts
+        )
+
+    def unheard(self, node: str) -> bool:
+        return self.vanished or bool(self.cuts and self.cut_from(node))
+
+    # ---- speed ----------------------------------------------------------------------------------------
 
     def speed(self) -> float:
         """Of a core now, against the standard one."""
         t = self.table
+        speed = self.plan.speed * (t.slow_speed if self.slow else 1.0)
         if self.cold_since < 0 or not t.warm_s:
-            return self.plan.speed
+            return speed
         warm = min(1.0, (self.queue.now - self.cold_since) / (t.warm_s * MICRO))
-        return self.plan.speed * (t.cold_share + (1 - t.cold_share) * warm)
+        return speed * (t.cold_share + (1 - t.cold_share) * warm)
 
     def time_to_core(self) -> int:
         """Microseconds until a core is free for a request that came now, at the present speed."""
@@ -137,29 +225,85 @@
 
     def work_for(self, klass: int, name: str) -> int:
         """Microseconds on a standard core; the stand-ins draw the same for this request."""
-        low, high = self.work_ms[klass]
-        return round(1000 * Random(f"work {name}").uniform(low, high))
+        return work_of(self.classes[klass], name)
 
-    def work_of(self, visitor: Visitor) -> int:
-        """The same of an attempt."""
-        return self.work_for(visitor.klass, visitor.id)
+    # ---- connections ----------------------------------------------------------------------------------
 
-    def arrive(self, visitor: Visitor, first: int) -> Attempt | None:
-        """A request's last byte has come; None if nobody listens."""
-        if not self.alive or self.fault("closed") is not None:
+    def accept(self, link: Connection) -> bool | None:
+        """A handshake has begun: taken, refused, or (None) nobody answers."""
+        if self.unheard(link.node):
             return None
-        work = self.work_of(visitor)
-        attempt = Attempt(self.number(), visitor, work)
+        if not self.alive:
+            return False
+        step = self.fault(*SHUT)
+        if step is not None and step.kind != "reset-early":
+            return None if step.kind == "backlog" else False
+        link.early = step is not None
+        link.limited = len(self.links) >= self.table.connections
+        self.links[link] = None
+        return True
+
+    def hung_up(self, link: Connection) -> None:
+        """The node has ended a connection; what waits for a core is dropped."""
+        if not link.shut:
+            link.shut = True
+            self.links.pop(link, None)
+            if isinstance(link.holds, Attempt):
+                self.left(link.holds, "node")
+
+    def reset(self, link: Connection) -> None:
+        """Ends a connection, and with it what is open there."""
+        if not link.shut:
+            link.shut = True
+            self.links.pop(link, None)
+            if isinstance(link.holds, Attempt):
+                self.left(link.holds, "server")
+            self.queue.after(self.way(link.node), link.lost)
+
+    def drop_idle(self) -> None:
+        for link in [link for link in self.links if link.holds is None]:
+            self.reset(link)
+
+    # ---- requests -------------------------------------------------------------------------------------
+
+    def heard(self, link: Connection, visitor: Visitor) -> None:
+        """A request's bytes have come, unless something is between."""
+        if self.unheard(link.node):
+            return
+        if link.shut:
+            self.queue.after(self.way(link.node), link.lost)
+            return
+        work = self.work_for(visitor.klass, visitor.id)
+        attempt = Attempt(self.number(), visitor, link, work)
+        link.holds = attempt
         self.open.add(attempt)
-        self.note(Arrived(self.queue.now, first, self.plan.id, attempt.number, visitor.id, work, False))
-        if self.touched("reset-late", name=visitor.id):
-            self.cut(attempt)
-        elif self.touched("reject", name=visitor.id) or len(self.waiting) >= self.table.queue:
+        now = self.queue.now
+        self.note(Arrived(now, now, self.plan.id, attempt.number, visitor.id, work, False))
+        if link.early or not self.alive or self.touched("reset-late", name=visitor.id):
+            self.reset(link)
+        elif self.touched("reject", name=visitor.id) or link.limited or len(self.waiting) >= self.table.queue:
             self.reply(attempt, "rejected")
         else:
             self.waiting.append(attempt)
+            if self.table.slow_queue and len(self.waiting) >= self.table.slow_queue:
+                self.slow = True
             self.work()
-        return attempt
+        if self.table.falls and self.cold_since >= 0 and self.alive:
+            self.pushed(work)
+
+    def pushed(self, work: int) -> None:
+        """A cold process that is sent more than the rule's figures for their time falls over."""
+        assert self.up is not None
+        now, span = self.queue.now, round(self.rules.fall_s * MICRO)
+        self.came.append((now, work))
+        self.came_work += work
+        while self.came[0][0] < now - span:
+            self.came_work -= self.came.popleft()[1]
+        if now - span < self.up.t + self.up.warm and self.came_work > work + self.rules.fall_multiple * able(
+            self.up, max(self.up.t, now - span), max(self.up.t, now - span) + span
+        ):
+            self.die()
+            self.fell(self.plan)
 
     def work(self) -> None:
         """Gives waiting requests to free cores."""
@@ -169,38 +313,95 @@
                 self.running += 1
                 time = round(attempt.work / self.speed())
                 self.busy_until.append(self.queue.now + time)
-                self.queue.after(time, self.worked, attempt, self.cold_since)
+                self.queue.after(time, self.worked, attempt, self.life)
+        if not self.waiting:
+            self.slow = False
 
     def worked(self, attempt: Attempt, life: int) -> None:
-        """A core is free, if the process is still the one whose core it was."""
-        if life != self.cold_since:
+        """A core has done its part, if the process is still the one whose core it was."""
+        if life != self.life:
             return
+        if self.below is None or attempt.done:
+            self.freed()
+            if not attempt.done:
+                self.finish(attempt)
+            self.work()
+            return
+
+        def told(served: bool) -> None:
+            if life != self.life or attempt.give_up is None:
+                return
+            attempt.give_up = None
+            self.freed()
+            if not attempt.done:
+                self.finish(attempt, "served" if served else "error")
+            self.work()
+
+        attempt.give_up = lambda: None  # the call may be concluded before it is made
+        give_up = self.below.call(attempt, told)
+        if attempt.give_up is not None:
+            attempt.give_up = give_up
+
+    def freed(self) -> None:
+        """A core is free."""
         self.running -= 1
         self.busy_until.remove(min(self.busy_until))
-        if not attempt.done:
-            step = self.fault("stall")
-            if step is not None and self.touched("stall", name=attempt.visitor.id):
-                self.queue.at(self.begin + step.end, self.reply, attempt, "served")
-            else:
-                self.reply(attempt, "error" if self.touched("error", name=attempt.visitor.id) else "served")
-        self.work()
+
+    def finish(self, attempt: Attempt, how: str = "served") -> None:
+        """The answer is ready; it goes out as the faults of the moment let it."""
+        if attempt.done:
+            return
+        name = attempt.visitor.id
+        for coming in self.steps:
+            if coming.kind == "drain-answering":
+                at = self.begin + coming.at
+                if at - HELD_BEFORE <= self.queue.now < at:
+                    self.queue.at(at, self.finish, attempt, how)
+                    return
+        step = self.touched("stall", "stall-head", "stall-body", "drip", "reset-answer", "error", name=name)
+        if step is None or how != "served":
+            self.reply(attempt, how)
+            return
+        end = self.begin + step.end
+        if step.kind not in ("stall", "error"):
+            self.note(Begun(self.queue.now, self.plan.id, attempt.number, name, 1))
+        if step.kind == "error":
+            self.reply(attempt, "error")
+        elif step.kind == "reset-answer":
+            self.queue.after(CUT, self.reset, attempt.link)
+        elif step.kind == "drip":
+            self.queue.at(min(end, self.queue.now + DRIP * ANSWER_BYTES), self.reply, attempt, how)
+        else:
+            self.queue.at(end, self.reply, attempt, how)
 
     def reply(self, attempt: Attempt, how: str) -> None:
+        """The last byte of the answer is written."""
         if attempt.done:
             return
         attempt.done = True
         self.open.discard(attempt)
+        link, node = attempt.link, attempt.link.node
+        link.holds = None
         self.note(Replied(self.queue.now, self.plan.id, attempt.number, attempt.visitor.id, how))
-        attempt.visitor.answered(how)
-
-    def cut(self, attempt: Attempt) -> None:
-        """Resets the connection."""
-        self.left(attempt, "server")
-        attempt.visitor.reset()
+        # Kept, it would go on serving as if the port were shut or the process gone.
+        keep = self.alive and not link.limited and self.fault(*SHUT) is None
+        if not self.unheard(node):
+            self.queue.after(self.way(node), attempt.visitor.answered, how, keep)
+        if not keep:
+            link.shut = True
+            self.links.pop(link, None)
 
-    def left(self, attempt: Attempt, by: str = "node") -> None:
+    def left(self, attempt: Attempt, by: str) -> None:
         """The connection has ended before the whole answer; what waits for a core is dropped."""
-        if not attempt.done:
-            attempt.done = True
-            self.open.discard(attempt)
-            self.note(Closed(self.queue.now, self.plan.id, attempt.number, attempt.visitor.id, by))
+        if attempt.done:
+            return
+        attempt.done = True
+        attempt.link.holds = None
+        self.open.discard(attempt)
+        self.note(Closed(self.queue.now, self.plan.id, attempt.number, attempt.visitor.id, by))
+        give_up, attempt.give_up = attempt.give_up, None
+        if give_up is not None:
+            give_up()
+            if by == "node":
+                self.freed()
+                self.work()
