--- a/benchmarks/fleet_parity.py
+++ b/benchmarks/fleet_parity.py
@@ -1,8 +1,8 @@
 """The model against sockets: `PYTHONPATH=. .venv/bin/python benchmarks/fleet_parity.py [SEEDS [AT_ONCE]]`.
 
 Each shipped scenario that both play, with the same seed in both: outcomes as shares of all tries, attempts
-for each first try, the median time of a served one, the verdicts. Says how far apart they are, as the mean over
-seeds, and marks what is beyond 3 points, 5%, 15%, or another verdict. A run takes its scenario's length.
+for each first try, the median time of a served one, the verdicts. Says how far apart they are, as the mean
+over seeds, and marks what is beyond 3 points, 5%, 15%, or another verdict. A run takes its scenario's length.
 """
 
 from __future__ import annotations
--- a/benchmarks/list_change.py
+++ b/benchmarks/list_change.py
@@ -1,7 +1,8 @@
-"""What one changed line of the list costs the module: `PYTHONPATH=. .venv/bin/python benchmarks/list_change.py [OTHER]`.
+"""What one changed line of the list costs the module.
 
-Medians of 101 changes, each a server that goes or comes back, in one zone with one kind, and in two zones with
-three kinds. OTHER: a checkout to set beside this one, in turn.
+`PYTHONPATH=. .venv/bin/python benchmarks/list_change.py [OTHER]`: medians of 101 changes, each a server that
+goes or comes back, in one zone with one kind, and in two zones with three kinds.
+OTHER: a checkout to set beside this one, in turn.
 """
 
 from __future__ import annotations
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -634,7 +634,7 @@
 )
 @settings(max_examples=150, deadline=None, derandomize=True)
 def test_members_kept_change_by_change_are_those_of_the_whole_list(changes, index, zoned):
-    """Failure prevented: a change is booked into an order that has drifted from the list, and copies differ."""
+    """Failure prevented: a change is booked into an order that has drifted from the list; copies differ."""
     node, rec = balancer([], instances=200, index=index, cross_zone_price=0.05 if zoned else 0.0)
     listed: dict[int, ServerEntry] = {}
     for server, zone, kind, ready in changes:
