--- a/brackenladder/fleet/hunt.py
+++ b/brackenladder/fleet/hunt.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from brackenladder.rehearsal.scenario import Scenario, impossible
+from brackenladder.rehearsal.scenario import NODE_FAULTS, Scenario, impossible
 
 Schedule = dict[str, Any]
 
@@ -34,6 +34,19 @@
     "error": ((0.5, 10.0), (0.02, 1.0)),
     "closed": ((0.5, 5.0), (1.0, 1.0)),
     "stall": ((0.3, 5.0), (0.05, 1.0)),
+    "stall-body": ((0.3, 5.0), (0.05, 1.0)),
+    "reset-answer": ((0.5, 10.0), (0.02, 1.0)),
+    "reset-early": ((0.3, 3.0), (1.0, 1.0)),
+    "backlog": ((0.3, 3.0), (1.0, 1.0)),
+    "vanish": ((0.2, 3.0), (1.0, 1.0)),
+    "cut": ((0.5, 5.0), (0.1, 1.0)),
+    "drain-answering": ((0.5, 3.0), (1.0, 1.0)),
+    "half-list": ((0.5, 4.0), (1.0, 1.0)),
+    "old-list": ((0.5, 4.0), (1.0, 1.0)),
+    "silence": ((0.5, 8.0), (1.0, 1.0)),
+    "unheard": ((0.5, 8.0), (1.0, 1.0)),
+    "node-kill": ((0.2, 3.0), (1.0, 1.0)),
+    "node-term": ((0.2, 3.0), (1.0, 1.0)),
 }
 MOST_SHRINKS = 300  # schedules tried to make one smaller
 SMALL = 0.05  # a shorter time than this, in seconds, is not worth a try
@@ -41,13 +54,13 @@
 
 def drawn(rng: Random) -> Schedule:
     """A new schedule."""
-    servers, cores = rng.randint(*SERVERS), rng.choice((1, 2, 4))
+    servers, cores, nodes = rng.randint(*SERVERS), rng.choice((1, 2, 4)), rng.randint(*NODES)
     length = round(rng.uniform(*LENGTH_S), 1)
     rate = servers * cores / MEAN_WORK_S * rng.uniform(*LOAD)
     return {
         "title": "hunted",
         "length_s": length,
-        "nodes": rng.randint(*NODES),
+        "nodes": nodes,
         "zones": rng.choice((["east"], ["east", "west"])),
         "servers": {
             "count": servers,
@@ -57,7 +70,9 @@
             "queue": rng.choice((4, 16, 64)),
             "cold_share": round(rng.uniform(0.12, 0.6), 2),
             "warm_s": round(rng.uniform(4.0, 24.0), 1),
+            "slow_queue": rng.choice((0, 0, 0, 8)),
         },
+        "network": {"far_ms": rng.choice((0.1, 0.1, 2.0, 40.0))},
         "discovery": {"late_ms": sorted(round(rng.uniform(50, 3000)) for _ in range(2))},
         "clients": {
             "rate": round(rate, 1),
@@ -65,22 +80,32 @@
             "wait_ms": sorted(round(rng.uniform(0, 500)) for _ in range(2)),
             "budget": [round(rng.uniform(0.2, 0.9), 2), 1.0],
             "leave": rng.choice((0.0, 0.0, 0.05, 0.3)),
-            "drop": 0.0,
+            "drop": rng.choice((0.0, 0.1)),
+            "hot": rng.choice((0.0, 0.0, 0.3)),
+            "surges": surges(rng, length),
         },
         "faults": sorted(
-            (fault(rng, length, servers) for _ in range(rng.randint(*FAULTS))), key=lambda f: f["at_s"]
+            (fault(rng, length, servers, nodes) for _ in range(rng.randint(*FAULTS))), key=lambda f: f["at_s"]
         ),
     }
 
 
-def fault(rng: Random, length: float, servers: int) -> Schedule:
+def surges(rng: Random, length: float) -> list[Schedule]:
+    """None, or one."""
+    if rng.random() < 0.7:
+        return []
+    at, lasts, times = rng.uniform(0, 0.8 * length), rng.uniform(0.5, 5.0), rng.uniform(1.2, 4.0)
+    return [{"at_s": round(at, 2), "for_s": round(lasts, 2), "times": round(times, 2)}]
+
+
+def fault(rng: Random, length: float, servers: int, nodes: int) -> Schedule:
     kind = rng.choice(sorted(KINDS))
     lasts, share = KINDS[kind]
     return {
         "kind": kind,
         "at_s": round(rng.uniform(0.2, max(0.3, 0.8 * length)), 2),
         "for_s": round(rng.uniform(*lasts), 2),
-        "pick": rng.randint(1, max(1, servers // 2)),
+        "pick": rng.randint(1, max(1, (nodes if kind in NODE_FAULTS else servers) // 2)),
         "share": round(rng.uniform(*share), 2),
     }
 
@@ -93,7 +118,7 @@
         what = rng.choice(("add", "remove", "move", "figure", "figure", "load"))
         faults = new["faults"]
         if what == "add" and len(faults) < 2 * FAULTS[1]:
-            faults.append(fault(rng, new["length_s"], new["servers"]["count"]))
+            faults.append(fault(rng, new["length_s"], new["servers"]["count"], new["nodes"]))
         elif what == "remove" and len(faults) > 1:
             faults.pop(rng.randrange(len(faults)))
         elif what == "move":
@@ -102,7 +127,9 @@
         elif what == "load":
             new["clients"]["rate"] = round(new["clients"]["rate"] * rng.uniform(0.7, 1.4), 1)
         else:
-            table = rng.choice(("servers", "clients", "discovery", ""))
+            table = rng.choice(
+                [t for t in ("servers", "clients", "discovery", "network", "") if t in (*new, "")]
+            )
             source, target = (fresh[table], new[table]) if table else (fresh, new)
             key = rng.choice([k for k, v in target.items() if not isinstance(v, dict) and k != "faults"])
             target[key] = source[key]
@@ -148,13 +175,18 @@
     for table, key, plain in (
         ("clients", "retries", 0),
         ("clients", "leave", 0.0),
+        ("clients", "drop", 0.0),
+        ("clients", "hot", 0.0),
+        ("clients", "surges", []),
+        ("network", "far_ms", 0.1),
+        ("servers", "slow_queue", 0),
         ("clients", "wait_ms", [0, 0]),
         ("clients", "budget", [1.0, 1.0]),
         ("servers", "speed", [1.0, 1.0]),
         ("discovery", "late_ms", [500, 500]),
         ("", "zones", ["east"]),
     ):
-        if (schedule[table] if table else schedule)[key] != plain:
+        if (schedule.get(table, {}) if table else schedule).get(key, plain) != plain:
             yield but(put(table, key, plain))
     for i, one in enumerate(schedule["faults"]):
         if one["pick"] > 1:
--- a/brackenladder/fleet/model.py
+++ b/brackenladder/fleet/model.py
@@ -97,6 +97,7 @@
         self.datagrams = self.streams.of("datagrams")
         self.last: dict[str, int] = {}  # when discovery hears of a server's latest change
         self.moved: set[str] = set()
+        self.leaving: set[str] = set()  # servers that drain or were replaced: they do not come back
         self.zone_of = {node_name(i): scenario.zones[i % len(scenario.zones)] for i in range(scenario.nodes)}
         self.standing: dict[str, Server] = {}
         self.below: dict[str, Node] = {}  # the node of a server, before the next tier
@@ -253,8 +254,9 @@
             node.start()
 
     def born(self, plan: ServerPlan, at: int) -> None:
-        self.rise(plan, at)
-        self.know(plan, State.READY, at)
+        if plan.id not in self.leaving and not self.standing[plan.id].alive:
+            self.rise(plan, at)
+            self.know(plan, State.READY, at)
 
     def gone(self, plan: ServerPlan) -> None:
         """A server's process has ended, and with it its node."""
@@ -291,9 +293,12 @@
                 server.die()
             self.gone(plan)
             self.know(plan, State.GONE, plan.born)
-            if step.kind != "replace":
+            if step.kind == "replace":
+                self.leaving.add(plan.id)
+            else:
                 self.queue.at(end, self.born, plan, step.end)
         elif step.kind in ("drain", "drain-answering"):
+            self.leaving.add(plan.id)
             self.know(plan, State.DRAINING, plan.born, late=step.kind == "drain")
             self.queue.at(end, self.ended, plan)
         elif step.kind in ("closed", "backlog", "reset-early"):
--- a/brackenladder/rehearsal/plan.py
+++ b/brackenladder/rehearsal/plan.py
@@ -177,7 +177,7 @@
                     steps.append(step)
                     continue
                 born.append(new)
-            elif fault.kind == "restart":
+            elif fault.kind in ("restart", "vanish"):
                 del alive[target]  # one end for each process, lest two faults cross
             steps.append(step)
     return steps, born
