--- a/brackenladder/fleet/figures.py
+++ b/brackenladder/fleet/figures.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import numpy as np
 
@@ -23,6 +23,10 @@
     "p50_ms": ("median time of a served first try, from its arrival", False),
     "p99_ms": ("99th percentile of the same", False),
     "worst_second": ("goodput of the second with the least, of those with 20 first tries or more", True),
+    "recovery_s": (
+        "seconds from the last trouble's end until goodput is back at 95% of before, or to the run's end",
+        False,
+    ),
     "spread": ("work of the busiest server over the mean, by what it can do", False),
     "broken": ("breaks of rules", False),
     "edges": ("cases between a rule's limit and its slack", False),
@@ -30,6 +34,9 @@
 }
 SERIES = ("offered", "goodput", "worth", "refused", "attempts", "load")  # by second
 LATE_WORTH = 0.2  # of an answer after the aim, as the published settings have it
+SETTLED = 5  # seconds after which a run has settled
+AGAIN = 3  # seconds over which goodput must be back...
+BACK = 0.95  # ...at this part of what it was
 LEAST_TRIES = 20  # in a second, for it to count as the worst
 
 
@@ -75,6 +82,9 @@
         "worst_second": min(
             (good[s] / count for s, count in seconds.items() if count >= LEAST_TRIES), default=0.0
         ),
+        "recovery_s": recovery(
+            scenario, [good[s] / max(1, seconds[s]) for s in range(max(seconds, default=0))]
+        ),
         "spread": max(loads) * len(loads) / sum(loads) if sum(loads) else 0.0,
         "broken": float(sum(r.broken for r in report.rulings.values())),
         "edges": float(sum(r.edges for r in report.rulings.values())),
@@ -82,6 +92,24 @@
     }
 
 
+def recovery(scenario: Scenario, goodput: Sequence[float]) -> float:
+    """Seconds until the mean goodput of `AGAIN` seconds is back at `BACK` of what it was before any trouble.
+
+    `goodput`: by second. Troubles are faults and surges; 0 where there are none.
+    """
+    spans = [(fault.at_s, fault.at_s + fault.for_s) for fault in scenario.faults]
+    spans += [(surge.at_s, surge.at_s + surge.for_s) for surge in scenario.clients.surges]
+    if not spans or not goodput:
+        return 0.0
+    first, last = min(at for at, _ in spans), max(end for _, end in spans)
+    before = goodput[min(SETTLED, int(first)) : int(first)]
+    wanted = BACK * sum(before) / len(before) if before else BACK
+    for second in range(int(last), len(goodput) - AGAIN + 1):
+        if sum(goodput[second : second + AGAIN]) / AGAIN >= wanted:
+            return float(max(0.0, second - last))
+    return float(max(0.0, scenario.length_s - last))
+
+
 def series_of(scenario: Scenario, result: Result) -> dict[str, list[float]]:
     """All of `SERIES` by second of the run, and beside them what was sampled of the nodes.
 
--- a/tests/fleet/test_experiment.py
+++ b/tests/fleet/test_experiment.py
@@ -162,3 +162,19 @@
         assert main(bad) == 2
         err = capsys.readouterr().err
         assert text in err and err.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    ("goodput", "seconds"),
+    [
+        ([1.0] * 10 + [0.2] * 3 + [0.5] * 2 + [0.98] * 10, 3.0),  # back two seconds after the end at 12
+        ([1.0] * 10 + [0.2] * 3 + [0.9] * 12, 13.0),  # never: to the run's end
+        ([0.5] * 10 + [0.2] * 2 + [0.5] * 13, 0.0),  # against what was before
+    ],
+)
+def test_recovery_is_told_from_the_end_of_the_trouble(goodput, seconds):
+    from brackenladder.fleet.figures import recovery
+    from brackenladder.rehearsal.scenario import parse as scenario
+
+    text = 'title = "x"\nlength_s = 25\n[clients]\nsurges = [{at_s = 10, for_s = 2, times = 2.0}]\n'
+    assert recovery(scenario(text.encode(), "x"), goodput) == seconds
