--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -907,8 +907,8 @@
         for m in self.members:
             warm += m.cold_until <= now and not m.ejected
         if warm:
-            rate = max(0, self.warm_sent) * 1e6 / span / warm
-            self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
+            rate = self.warm_sent * 1e6 / span / warm
+            self.warm_rate = max(0.0, self.warm_rate + min(1.0, span / 2e6) * (rate - self.warm_rate))
         self.warm_sent = 0
         self.rank_classes()
         # Calls leave the zone only as far as its own servers are slower than the others.
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -550,6 +550,21 @@
     assert (node.warm_rate > 0) == counts
 
 
+def test_what_is_turned_away_in_a_later_window_is_taken_off_in_full():
+    """Failure prevented: bursts that a full queue turns away a window later raise a cold server's share."""
+    node, rec = balancer(1, max_attempts=1)
+    rates = []
+    for turn in range(1, 40, 2):
+        for i in range(3):
+            assert ask(node, rec, turn * 100_000 - 1000, 3 * turn + i)[0] == "send"
+        node.each_window(turn * 100_000)
+        for i in range(3):
+            end(node, rec, turn * 100_000 + 1000, 3 * turn + i, 0, 1, Outcome.REJECTED)
+        node.each_window((turn + 1) * 100_000)
+        rates.append(node.warm_rate)
+    assert max(rates) < 1.0  # of 15 calls a second that were sent
+
+
 def test_the_bucket_of_a_cold_server_starts_empty():
     """A call saved up while nobody watched would come on top of every other node's."""
     node, rec = balancer(2)
