--- a/brackenladder/fleet/model.py
+++ b/brackenladder/fleet/model.py
@@ -249,7 +249,7 @@
         self.standing[plan.id].rise((BEGIN + born) // 1000 if born >= 0 else 0, cold=born >= 0)
         node = self.below.get(plan.id)
         if node is not None:
-            if born >= 0 and node.starts > 1 or node.up:
+            if node.ended:
                 node.make()
             node.start()
 
--- a/brackenladder/fleet/nodes.py
+++ b/brackenladder/fleet/nodes.py
@@ -162,8 +162,8 @@
         self.busy_until = 0  # of the processor
         self.faults: list[str] = []
         self.up = False
-        self.ending = False  # SIGTERM has come
-        self.closing = False  # ...so long ago that connections close with their answer
+        self.ended = False  # and no further process has been made
+        self.closing = False  # SIGTERM came so long ago that connections close with their answer
         self.starts = 0
         self.host: Host
         self.watch: Watch
@@ -173,7 +173,7 @@
 
     def make(self) -> None:
         """A new process, which knows the list that its configuration gives."""
-        self.up, self.ending, self.closing = False, False, False
+        self.up, self.ended, self.closing = False, False, False
         self.starts += 1
         self.upstream = Links(
             self.name,
@@ -230,7 +230,7 @@
 
     def end(self, code: int) -> None:
         """The process has ended. What it held is its clients' to hear of."""
-        self.up = False
+        self.up, self.ended = False, True
         self.around.note(NodeEnded(self.queue.now, self.name, code, True))
         host = self.host
         calls = [call for call in host.calls.values() if call.open]
@@ -247,7 +247,6 @@
             ended()
             return
         self.signal("term")
-        self.ending = True
         self.host.ends = last_moment(self.queue.now, self.settings.classes)
         longest = max(c.deadline for c in self.settings.classes) / MICRO
         by = self.queue.now + round((min(longest, LONGEST_TERM) + TERM_MARGIN) * MICRO)
--- a/tests/fleet/test_parts.py
+++ b/tests/fleet/test_parts.py
@@ -237,6 +237,14 @@
     assert {e.node for e in of(result, Sent)} >= set(fleet.below)
 
 
+def test_a_server_that_is_back_calls_the_next_tier_again():
+    """Failure prevented: its node is the dead one, and whatever comes to the server fails."""
+    plain = PLAIN.replace("nodes = 4", "nodes = 4\ntiers = 2").replace("rate = 40", "rate = 30")
+    _, result = run(fault("restart", at=1.0, length=0.5, pick="all"), plain, servers="cold_share = 0.9\n")
+    below = [e for e in of(result, Replied) if "." in e.id and e.how == "served" and when(e, result) > 3]
+    assert len(below) > 20
+
+
 def test_a_client_that_leaves_ends_the_work_of_all_tiers():
     plain = PLAIN.replace("nodes = 4", "nodes = 4\ntiers = 2").replace("rate = 40", "rate = 12\nleave = 0.9")
     _, result = run(plain=plain)
