--- a/tests/fleet/test_parts.py
+++ b/tests/fleet/test_parts.py
@@ -221,6 +221,19 @@
     assert counts[1] < 0.8 * counts[0]
 
 
+def test_a_slow_state_ends_with_its_queue():
+    busy = PLAIN.replace("rate = 40", "rate = 10\nsurges = [{at_s = 0.5, for_s = 1, times = 30.0}]")
+    fleet, _ = run("", busy, servers="slow_queue = 2\nslow_speed = 0.5\n")
+    assert not any(server.slow for server in fleet.standing.values())
+
+
+def test_a_node_that_starts_in_silence_is_not_answered():
+    _, result = run(fault("silence", at=1.0, length=4.5) + fault("node-kill", at=1.5, length=0.2))
+    asked = [when(e, result) for e in of(result, Asked)]
+    assert any(2 < t < 5 for t in asked)
+    assert not [e for e in of(result, Told) if 1.0 <= when(e, result) < 5.5]
+
+
 def test_tiers_hold_the_core_above_and_are_judged_alike():
     """Three tiers: each served request has three attempts, one inside the other, and a cut one ends below."""
     fleet, result = run(
