A cold server's share no longer falls with what slowed warm ones take

Ruled out: the lower tiers (p90 280 ms throughout, nothing failed there), the ejected bad server (gone from 5 s on), time-outs before 14 s (one), rejects (14, of draining servers). Lines to blame: each_window, which took what slowed servers were sent for what a warm one can do.

Now the mean does not fall while a window's p90 is above target; it may still rise. Rule 4 keeps its margin: the share is of what warm servers took while they were well.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -908,6 +908,10 @@
             warm += m.cold_until <= now and not m.ejected
         if warm:
             rate = self.warm_sent * 1e6 / span / warm
+            if self.controller.sample_rtt > 1:
+                # Failure prevented: the warm ones slow down under what the missing ones carried, take less,
+                # and the cold ones, whose share is of that, are left idle for as long as it lasts.
+                rate = max(rate, self.warm_rate)
             self.warm_rate = max(0.0, self.warm_rate + min(1.0, span / 2e6) * (rate - self.warm_rate))
         self.warm_sent = 0
         self.rank_classes()
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -584,6 +584,20 @@
     assert node.warm_sent == 10
 
 
+@pytest.mark.parametrize("ratio, falls", [(0.9, True), (1.1, False)])
+def test_a_cold_servers_share_does_not_fall_with_what_slowed_warm_ones_take(ratio, falls):
+    """Six of ten servers are cold, the others slow down under the load, and nobody uses the cold ones."""
+    node, _ = balancer(2)
+    node.warm_rate = 10.0
+    node.controller.sample_rtt = ratio
+    for i in range(1, 20):
+        node.each_window(i * 100_000)  # hardly anything is sent
+    assert (node.warm_rate < 5) == falls and node.warm_rate <= 10
+    node.warm_sent = 10  # 50 a second at each of two
+    node.each_window(2 * SEC)
+    assert node.warm_rate > (10 if not falls else 0)  # what they take in good time still counts
+
+
 def test_a_trial_costs_the_request_little_and_is_never_an_unsafe_one():
     node, rec = balancer(4)
     node.eject(0, node.servers[1], silent=True)
