The limit falls at once with what the listed servers can do

The windows' p90 said so 2 to 3 s after the list did: a window hears of calls that have ended, and those at a crowded server end late.

Checked and ruled out: bursts of the clients (first tries were even), retries by the nodes (1.02 attempts a request), the lower tiers (unchanged p90), cold servers pushed too hard (6 to 9 calls in 2 s, all answered). Lines to blame: resize, which held the limit whatever the list said of the servers' strength.

Now a list that takes strength away (drained, gone, cold in place of warm, by the settings' cold share) lowers what is usual by the same part, and the limit by its square, since the room above what is usual was room on the servers that left. Rising is left to the gradient. A start in the future by the list counts as cold, not as less than nothing.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -158,6 +158,7 @@
         "window_start",
         "ramping",
         "latency_sum",
+        "strength",
     )
 
     def __init__(self, allowance: Sequence[int], ceiling: int, rng: Random, now: int) -> None:
@@ -167,6 +168,7 @@
         self.floor = float(MIN_LIMIT)
         self.members = 1
         self.copies = 1.0
+        self.strength = 0.0  # what the listed servers can do, in warm ones
         self.shared = 1.0
         self.pass_limit = float(MIN_LIMIT)
         self.ceiling = ceiling
@@ -195,6 +197,19 @@
         self.share()
         self.limit = max(self.limit, 2 * self.pass_limit if self.passes == 0 else self.floor)
 
+    def weigh(self, strength: float) -> None:
+        """Takes note of what the listed servers can do, in warm ones, and lowers the limit where it fell.
+
+        Failure prevented: servers leave and cold ones come, all copies go on at the limit that the whole
+        tier bore, and by the time the answers tell of it, late, the servers that stayed are crowded and
+        slow. The room that the limit leaves above what is usual goes too: twice what is left is no burst.
+        """
+        if 0 < strength < self.strength:
+            part = strength / self.strength
+            self.usual *= part
+            self.limit = max(self.limit * part * part, self.floor)
+        self.strength = strength
+
     def share(self) -> None:
         """How many copies share what this one may do: fewer, the more calls it carries itself.
 
@@ -1032,6 +1047,9 @@
             self.readmit(self.ejected[0])
         copies = self.settings.instances * len(self.members) / max(1, listed)
         self.controller.resize(len(self.members), copies)
+        if self.members:
+            warmth = sum([self.warmth(now, m) for m in self.members]) / len(self.members)
+            self.controller.weigh(listed * warmth)
         self.sort_members()
 
     def sort_members(self) -> None:
@@ -1146,6 +1164,15 @@
                 self.eject(now, srv, silent=True)
         return srv.ejected
 
+    def warmth(self, now: int, srv: Server) -> float:
+        """The part of its capacity that a server has at least."""
+        s = self.settings
+        left = srv.cold_until - s.fall_time - now
+        if left <= 0:
+            return 1.0
+        # Failure prevented: a start that lies in the future, by the list, makes a server less than nothing.
+        return 1 - (1 - s.cold_share) * left / s.cold_time if left < s.cold_time else s.cold_share
+
     def may_send(self, now: int, srv: Server) -> bool:
         """Slow start: a cold server takes its present share of what a warm member gets from this copy.
 
@@ -1156,10 +1183,9 @@
             return True
         s = self.settings
         warm_at = srv.cold_until - s.fall_time
-        warmth = most = 1.0
-        if now < warm_at:
-            warmth = s.cold_share + (1 - s.cold_share) * (1 - (warm_at - now) / s.cold_time)
-        else:
+        warmth = self.warmth(now, srv)
+        most = 1.0
+        if now >= warm_at:
             # Warm, with a bucket that begins full: in the rule's window twice what a warm member gets.
             most = 1.0 + self.warm_rate * s.fall_time / 1e6
             if srv.tokens_at < warm_at:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -584,6 +584,37 @@
     assert node.warm_sent == 10
 
 
+def test_cold_servers_in_place_of_warm_ones_lower_the_limit():
+    entries = [ServerEntry(i) for i in range(8)]
+    node, _ = balancer(entries)
+    node.controller.limit = 30.0
+    node.server_list(SEC, ListKind.CHANGES, [ServerEntry(8 + i, ready_at=SEC) for i in range(4)])
+    assert node.controller.limit == 30.0  # more servers, whatever they can do
+    gone = [ServerEntry(i, State.GONE) for i in range(4)]
+    node.server_list(SEC, ListKind.CHANGES, gone)
+    # Members are four of eight, cold at a share of 0.4 or warm: what all can do is estimated from them.
+    cold = sum(m.cold_until > SEC for m in node.members)
+    can = 8 * (len(node.members) - 0.6 * cold) / len(node.members)
+    assert cold > 0 and node.controller.strength == pytest.approx(can)
+    assert node.controller.limit < 30.0
+
+
+@pytest.mark.parametrize(
+    "ready_at, cold_time, warmth",
+    [
+        (SEC, 4 * SEC, 0.4),
+        (9 * SEC, 4 * SEC, 0.4),
+        (9 * SEC, 0, 0.4),
+        (-SEC, 4 * SEC, 0.7),
+        (-3 * SEC, 4 * SEC, 1.0),
+    ],
+)
+def test_a_servers_warmth_lies_between_the_cold_share_and_one(ready_at, cold_time, warmth):
+    node, _ = balancer(2, cold_time=cold_time)
+    node.server_list(10 * SEC, ListKind.CHANGES, [ServerEntry(1, ready_at=10 * SEC + ready_at)])
+    assert node.warmth(11 * SEC, node.servers[1]) == pytest.approx(warmth)
+
+
 @pytest.mark.parametrize("ratio, falls", [(0.9, True), (1.1, False)])
 def test_a_cold_servers_share_does_not_fall_with_what_slowed_warm_ones_take(ratio, falls):
     """Six of ten servers are cold, the others slow down under the load, and nobody uses the cold ones."""
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -119,6 +119,18 @@
     assert c.shared == 1 and c.headroom() == 4.0 and c.pass_limit == 4 * MIN_LIMIT
 
 
+@pytest.mark.parametrize(
+    "strength, limit, usual", [(5.0, 25.0, 20.0), (10.0, 100.0, 40.0), (12.0, 100.0, 40.0)]
+)
+def test_the_limit_falls_at_once_with_what_the_servers_can_do(strength, limit, usual):
+    """Half of a tier leaves, and the other half is crowded before its answers tell of it."""
+    c = after_pass(limit=100.0, usual=40.0)
+    c.weigh(10.0)
+    assert (c.limit, c.usual) == (100.0, 40.0)  # the first list is no change
+    c.weigh(strength)
+    assert (c.limit, c.usual) == (pytest.approx(limit), pytest.approx(usual))
+
+
 def test_a_small_shared_limit_is_set_against_the_mean_of_calls_in_flight():
     """Two calls at once by chance are no overload where half a call is in flight on average."""
     c = after_pass(limit=1.5, in_flight=0)
