Servers that refuse connections are set aside at once, and their failures close no limit

A failed connect counted as a lost call: 'lost' reached 0.81, each one was a sample of twice the target, and the limit fell from 27 to 2.5 calls a node.

Ruled out: the five being crowded (p90 670 to 800 ms), the lower tiers, the share that may leave the zone (1.00 at once). Lines to blame: settle, where a failed connect counts as load; the rule on ejection, which compares with the mean of all members and stops at a third of them; after_failure, which takes a token for a repeat that costs no server anything.

Now failed connects count for nothing in 'lost' or the windows; the third failure in a row that is one sets a member aside as dead, up to three quarters of all, tried again every 2 to 4 s, and kept aside when the list changes; the limit is weighed down by what is dead; the repeat takes no token.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -64,8 +64,11 @@
 NO_NEWS = (Outcome.CANCELLED, Outcome.NOT_SENT)  # ends that tell nothing of the server
 # Looked up for every request, and an enumeration's members are slow to look up.
 OK, TIMEOUT, REJECTED, RESET = Outcome.OK, Outcome.TIMEOUT, Outcome.REJECTED, Outcome.RESET
+CONNECT_FAILED = Outcome.CONNECT_FAILED
 KEYED, UNSAFE = Effect.KEYED, Effect.UNSAFE
 EJECT_SHARE = 0.34  # of the members, at most
+DEAD_SHARE = 0.75  # and with those that nothing listens at
+DEAD_DOUBLES = 1  # a trial of one costs nobody work: its time doubles so often only
 EJECT_FAILS = 3  # least failures in a row, or of recent calls, before ejection
 EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
 EJECT_TIME = 2_000_000  # first ejection; doubles up to 16 times
@@ -393,6 +396,7 @@
         "ejected",
         "aside",
         "silent",
+        "dead",
         "trial_at",
         "trial_out",
         "ejections",
@@ -426,6 +430,7 @@
         self.fails_in_row = 0
         self.calls = 0
         self.silent = False
+        self.dead = False  # ejected because no connection came up
         self.trial_at = 0
         self.ejections = 0
         self.cold_until = 0
@@ -513,6 +518,7 @@
         self.turns: dict[int, int] = {}  # which shuffle
         self.leaving: list[Server] = []  # not listed any more, until their last call has ended
         self.members: list[Server] = []
+        self.listed = 0  # servers that are ready, by the list
         self.size = SUBSET_LEAST  # wanted when the members were last taken
         self.flight = 0.0  # calls in flight, smoothed
         self.near: list[Server] = []  # members in this zone that may be drawn
@@ -744,11 +750,12 @@
         if (
             allowed
             and r.attempts < s.max_attempts
-            and self.retry_tokens >= 1
+            and (self.retry_tokens >= 1 or outcome == CONNECT_FAILED)
             and now + self.mean_rtt[r.klass] < r.useful_until
         ):
             # Retries multiply through tiers and clients: each copy spends a share of its first attempts.
-            self.retry_tokens -= 1
+            if outcome != CONNECT_FAILED:  # which cost no server any work
+                self.retry_tokens -= 1
             self.attempt(now, r)
             return
         self.finish(r, refuse=not ran or r.effect == Effect.SAFE)
@@ -855,7 +862,9 @@
         bad = 0.0 if ok or outcome in (TIMEOUT, REJECTED) else 1.0
         srv.fail_rate += SMOOTH * (bad - srv.fail_rate)
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
-        if not srv.ejected and outcome != REJECTED:
+        # Failure prevented: a zone is gone, half of all connects fail, at no server's cost, and the limit is
+        # closed to the other half, which could take more.
+        if not srv.ejected and outcome not in (REJECTED, CONNECT_FAILED):
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
             if bad and r is not None and ctl.lost > FAILING:
                 # Failure prevented: the tiers below have lost servers, most calls sink work and come back as
@@ -872,6 +881,10 @@
             if srv.ejected:
                 if srv.trial_out:
                     self.eject(now, srv, silent=False)
+            elif srv.fails_in_row >= EJECT_FAILS and outcome == CONNECT_FAILED:
+                # Failure prevented: a zone is gone, and as all members fail about as often as the mean of
+                # them, none stands out, until the list tells of it seconds later.
+                self.eject(now, srv, silent=False, dead=True)
             elif (
                 srv.fails_in_row >= EJECT_FAILS
                 and srv.fail_rate > self.fail_rate * 2
@@ -884,26 +897,39 @@
             self.eject(now, srv, silent=srv.silent)
         srv.trial_out = False
 
-    def eject(self, now: int, srv: Server, silent: bool) -> None:
+    def eject(self, now: int, srv: Server, silent: bool, dead: bool = False) -> None:
         # Failure prevented: a drained server's last calls fail, it is ejected and later gets a trial call.
         if not srv.member:
             return
         if not srv.ejected:
-            if len(self.ejected) + 1 > EJECT_SHARE * len(self.members):
+            if not self.spare(dead):
                 return
             srv.ejected = True
+            srv.dead = dead
             self.ejected.append(srv)
-            self.actions.log(f"eject server={srv.id} silent={int(silent)} fail_rate={srv.fail_rate:.2f}")
+            self.actions.log(
+                f"eject server={srv.id} silent={int(silent)} dead={int(dead)} fail_rate={srv.fail_rate:.2f}"
+            )
         srv.silent = silent
         srv.trial_at = now + int(
-            (EJECT_TIME << min(srv.ejections, 4)) * (1 + PASS_JITTER * self.rng.random())
+            (EJECT_TIME << min(srv.ejections, DEAD_DOUBLES if srv.dead else 4))
+            * (1 + PASS_JITTER * self.rng.random())
         )
         srv.ejections += 1
         self.next_trial = min(e.trial_at for e in self.ejected)
         self.sort_members()
+        if dead:
+            self.weigh(now)
+
+    def spare(self, dead: bool, more: int = 1) -> bool:
+        """Whether the members can do without so many more, of which few may just fail."""
+        without = len(self.ejected) + more
+        failing = without - sum([e.dead for e in self.ejected]) - (more if dead else 0)
+        return failing <= EJECT_SHARE * len(self.members) and without <= DEAD_SHARE * len(self.members)
 
     def readmit(self, srv: Server) -> None:
         srv.ejected = False
+        srv.dead = False
         srv.silent = False
         srv.fail_rate = self.fail_rate
         srv.fails_in_row = 0
@@ -1026,7 +1052,7 @@
         next ones go by another shuffle. So each server belongs to equally many copies, without a message,
         a new server gets its part as soon as it is listed, and a change of the list moves few members.
         """
-        listed = sum(len(order) for kinds in self.shuffles.values() for order in kinds.values())
+        self.listed = listed = sum(len(o) for kinds in self.shuffles.values() for o in kinds.values())
         self.size = self.wanted_size()
         for srv in self.members:
             srv.member = False
@@ -1041,17 +1067,21 @@
             srv.member = True
         for srv in [e for e in self.ejected if not e.member]:
             self.readmit(srv)
-        while len(self.ejected) > EJECT_SHARE * len(self.members):
+        while self.ejected and not self.spare(False, more=0):
             # Failure prevented: the list shrinks, and one server that works well takes all calls until it
             # is crowded, beside another that answers most of them.
             self.readmit(self.ejected[0])
         copies = self.settings.instances * len(self.members) / max(1, listed)
         self.controller.resize(len(self.members), copies)
-        if self.members:
-            warmth = sum([self.warmth(now, m) for m in self.members]) / len(self.members)
-            self.controller.weigh(listed * warmth)
+        self.weigh(now)
         self.sort_members()
 
+    def weigh(self, now: int) -> None:
+        """Tells the controller what the listed servers can do, judged by the members."""
+        if self.members:
+            warmth = sum([self.warmth(now, m) for m in self.members if not m.dead])
+            self.controller.weigh(self.listed * warmth / len(self.members))
+
     def sort_members(self) -> None:
         self.able = []
         for m in self.members:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -510,6 +510,35 @@
     assert len(node.ejected) == 3
 
 
+def test_a_lost_zone_is_left_at_once_and_closes_no_limit():
+    """Half of the members refuse connections: none of them stands out, and their failures are no load."""
+    node, rec = balancer(4, max_attempts=4)
+    lost = [m for m in node.members if m.id % 2]
+    before = node.controller.strength
+    for i in range(800):
+        now = 10_000 * i
+        action = ask(node, rec, now, i)
+        attempt = 0
+        while action[0] == "send" and action[2] % 2:  # an attempt that cost nobody work takes no token
+            tokens = node.retry_tokens
+            ((*action,),) = end(node, rec, now, i, attempt, action[2], Outcome.CONNECT_FAILED)
+            attempt += 1
+            assert node.retry_tokens == tokens
+        if action[0] == "send":
+            end(node, rec, now + 1000, i, attempt, action[2], Outcome.OK)
+    assert all(m.dead for m in lost) and node.controller.strength == pytest.approx(before / 2)
+    assert node.controller.lost < 0.01
+    node.server_list(9 * SEC, ListKind.CHANGES, [ServerEntry(lost[0].id, ready_at=9 * SEC)])
+    assert not lost[0].dead and lost[1].dead  # a change of the list brings none back but the one that started
+
+
+def test_not_all_members_are_taken_for_dead():
+    node, _ = balancer(4)
+    for m in list(node.members):
+        node.eject(0, m, silent=False, dead=True)
+    assert sum(m.dead for m in node.members) == 3
+
+
 def test_a_restarted_server_is_judged_anew():
     node, rec = balancer(4)
     node.eject(0, node.servers[1], silent=False)
