A cold server gets a stated part of what the rule allows, not the least it can do

Ruled out: the draw (cold members won it whenever the bucket let them), the bucket's start (empty, but full within 1 to 2 s). Lines to blame: may_send, with one share where the rule allows 2.5.

Now 0.6 of the allowed multiple, 1.5 shares here, and never under one. The margin to the rule: 1.67 times, which a kind of server at 0.6 of the mean speed would use up. After the warming it is one share, as before.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -85,6 +85,7 @@
 USUAL_MOST = 2.0  # the limit stays within so many times that number
 SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
 SPILL_STEP = 0.04  # and by so much at most
+COLD_PART = 0.6  # of the multiple allowed; a cold server gets it of what it can do at the least
 ZONE_PRICE = 0.01  # calls keep to their zone only where a crossing costs this share of a request's worth
 CROSSING = 10  # a call twice as slow is taken to lose a tenth of its worth, set against a crossing's price
 
@@ -1206,6 +1207,8 @@
     def may_send(self, now: int, srv: Server) -> bool:
         """Slow start: a cold server takes its present share of what a warm member gets from this copy.
 
+        The share is more than what the settings say it can do at least: most can do more, and what warms
+        with its work warms sooner. Where it cannot, its calls take longer, and it loses the draws.
         Failure prevented: all nodes together push a cold server over. A bucket of one call that starts
         empty keeps this copy's part within any window.
         """
@@ -1215,12 +1218,13 @@
         warm_at = srv.cold_until - s.fall_time
         warmth = self.warmth(now, srv)
         most = 1.0
+        shares = max(1.0, COLD_PART * s.fall_multiple) if now < warm_at else 1.0
         if now >= warm_at:
             # Warm, with a bucket that begins full: in the rule's window twice what a warm member gets.
             most = 1.0 + self.warm_rate * s.fall_time / 1e6
             if srv.tokens_at < warm_at:
                 srv.tokens_at = warm_at - s.fall_time
-        srv.tokens = min(most, srv.tokens + self.warm_rate * warmth * (now - srv.tokens_at) / 1e6)
+        srv.tokens = min(most, srv.tokens + shares * self.warm_rate * warmth * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
         if srv.tokens < 1:
             return False
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -604,6 +604,16 @@
     assert [node.may_send(SEC + 500_000, cold) for _ in range(3)] == [True, False, False]
 
 
+@pytest.mark.parametrize("multiple, shares", [(0.0, 1.0), (1.2, 1.0), (2.5, 1.5), (3.0, 1.8)])
+def test_a_cold_server_gets_a_stated_part_of_what_the_rule_allows(multiple, shares):
+    node, _ = balancer(2, fall_multiple=multiple)
+    node.warm_rate = 100.0
+    node.server_list(SEC, ListKind.CHANGES, [ServerEntry(1, ready_at=SEC)])
+    sent = sum(node.may_send(SEC + i * 1000, node.servers[1]) for i in range(1000))
+    least = 100 * (0.4 + 0.6 / 4 / 2)  # from 0.4 on, for one second of the four that it takes to get warm
+    assert sent == pytest.approx(shares * least, rel=0.08)  # a little runs over between two looks
+
+
 def test_a_cold_servers_share_is_of_what_warm_ones_take():
     """A server that turned most calls away restarts, and gets its share of all that was sent to it."""
     node, rec = balancer(4, max_attempts=1)
