--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -93,7 +93,8 @@
 EXCESS = 1.25  # it is clearly beyond its share at so many times its part...
 EXCESS_NOISE = 1.5  # ...and so many standard deviations of a count
 SHED_AT = 0.6  # clear excess is refused, more and more, while mean latency over target is above this
-SHED_GAIN = 0.06  # by so much for each answer
+SHED_GAIN = 0.06  # by so much for each answer...
+SHED_HASTE = 3  # ...and so many times more for each target's time above it
 
 PLACE = attrgetter("place", "id")
 
@@ -852,7 +853,9 @@
                 self.near_ratio += SMOOTH_ALL * (aimed - self.near_ratio)
             else:
                 self.far_ratio += SMOOTH_ALL * (aimed - self.far_ratio)
-            shed = self.shed + SHED_GAIN * ((aimed if aimed < 3 else 3.0) - SHED_AT)
+            # Failure prevented: what is worth little crowds servers into slowness while refusing it begins.
+            over = (aimed if aimed < 3 else 3.0) - SHED_AT
+            shed = self.shed + SHED_GAIN * over * (1 + SHED_HASTE * over if over > 0 else 1)
             self.shed = 0.0 if shed < 0 else shed if shed < 1 else 1.0
             average = self.rtt[klass]
             average.add(latency)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -270,6 +270,19 @@
     assert min(tenants_served(0.0, (3, 1, 1))) > 0.95
 
 
+@pytest.mark.parametrize("latency, answers", [(2.0, 3), (0.8, 53), (0.5, 0)])
+def test_shedding_hurries_where_answers_are_late(latency, answers):
+    """A burst of what is worth little has crowded the servers before 20 late answers are in."""
+    node, rec = balancer(1)
+    node.shed = 0.0
+    target = node.controller.target[0]
+    for i in range(max(1, answers)):
+        assert node.shed < 1
+        server = ask(node, rec, i, i)[2]
+        end(node, rec, i, i, 0, server, Outcome.OK, int(latency * target))
+    assert (node.shed == 1) == (answers > 0)
+
+
 def test_a_copy_with_much_more_than_its_part_of_the_traffic_sheds_no_tenant_for_it():
     """The quotas' equal parts say that all tenants of a node in favour are in excess."""
     assert min(tenants_served(1.0, (9, 10, 9))) > 0.85
