The limit falls by the cube of the strength that the list takes away

Seen: after a drain of three in ten the limit went to half, 14 to 7 calls a node, and was back at 14 a second later, since the answers of that second belong to calls sent before; each of seven nodes then held 11 to 14 calls for six servers. The calls that are out at the servers that leave count for the limit too, until they end.

--- a/brackenladder/balance.py
+++ b/brackenladder/balance.py
@@ -80,6 +80,7 @@
 FAIL_WEIGHT = 8  # a member that fails all its calls counts as so many times slower
 FADE = 5_000_000  # what is known of a member's speed is forgotten after so long without an outcome
 USUAL_TIME = 3_000_000  # over so long the usual number of calls in flight is smoothed
+STRENGTH_POWER = 3  # the limit falls by what servers can do to this power
 RAMP_RTTS = 2  # ...and, after a start, over so many mean round-trips
 USUAL_FADE = 12_000_000  # over so long it is given up while calls are lost
 USUAL_MOST = 2.0  # the limit stays within so many times that number
@@ -207,12 +208,13 @@
 
         Failure prevented: servers leave and cold ones come, all copies go on at the limit that the whole
         tier bore, and by the time the answers tell of it, late, the servers that stayed are crowded and
-        slow. The room that the limit leaves above what is usual goes too: twice what is left is no burst.
+        slow. The room that the limit leaves above what is usual goes too, and faster: what is in flight on
+        the servers that leave is still to come back to the others.
         """
         if 0 < strength < self.strength:
             part = strength / self.strength
             self.usual *= part
-            self.limit = max(self.limit * part * part, self.floor)
+            self.limit = max(self.limit * part**STRENGTH_POWER, self.floor)
         self.strength = strength
 
     def share(self) -> None:
