A silent watch is opened anew before what it missed counts as told

Seen in the nodes' logs of a probe with a line for each call: n3 asked at 0.094 s with a wait of 16 s, 'failed after 18.009' at 18.103 s, asked anew at 18.821 s, and had the changes 2 ms later. The platform counts the change as told at 18.1 s and bears 0.25 s. 5 of 32 nodes of the tier did so. Excluded: connections that come up late (Exchange.use asks for the endpoint's state before the write), an attempt between list and write (the same), a fetch that fails (none was made).

At fault: ANSWER_TIME of 2.0 s in membership/inhand.py, which is the platform's own bound, and Discovery.watched, which told the module of the failure, whose back-off is 250 to 750 ms more.

Now membership/silence.py gives a watch up 0.6 s after its wait and opens it anew at once, then up to three times after 0.1 to 0.3 s; waits differ by up to a tenth, so that watches that fell silent together do not end together; a whole list has 1.2 s for its first byte. Each test was seen failing with ANSWER_TIME at 2.0, with the reopening taken out and with the spread taken out.

--- a/benchmarks/gate_rogues.py
+++ b/benchmarks/gate_rogues.py
@@ -17,9 +17,11 @@
 import pytest  # noqa: E402
 from fleet import test_rogues as rogues  # noqa: E402
 
+from brackenladder.fleet import discovery  # noqa: E402
 from brackenladder.fleet.links import Links  # noqa: E402
 from brackenladder.fleet.model import play  # noqa: E402
 from brackenladder.fleet.standing import day  # noqa: E402
+from brackenladder.policy.balancer import Balancer  # noqa: E402
 from brackenladder.rehearsal.checker import check  # noqa: E402
 from brackenladder.rehearsal.report import terms_of  # noqa: E402
 
@@ -33,6 +35,7 @@
     ("makes-up", "calm", "lost"),
     ("answers-twice", "calm", "lost"),
     ("loses", "calm", "fault"),
+    ("waits-on", "join", "drain"),
 ]
 MODULES = {
     "right": rogues.Right,
@@ -41,6 +44,7 @@
     "retries": rogues.Retries,
     "refuses": rogues.Refuses,
     "loses": rogues.Loses,
+    "waits-on": Balancer,
 }
 HOSTS = {"makes-up": rogues.makes_up, "answers-twice": rogues.answers_twice}
 
@@ -51,6 +55,9 @@
     with pytest.MonkeyPatch.context() as patch:
         if name == "drained":  # the upstream sends nothing to who is not listed, whatever a module says
             patch.setattr(Links, "retire", lambda self, number: None)
+        if name == "waits-on":  # gives a silent watch up as its time is over, and opens it a back-off later
+            patch.setattr(discovery, "ANSWER_TIME", 2.0)
+            patch.setattr(discovery.Silence, "failed", lambda self, silent, chance: None)
         if name in HOSTS:
             HOSTS[name](patch)
         result = play(scenario, 1, MODULES.get(name, rogues.Right))
--- a/brackenladder/discovery/watch.py
+++ b/brackenladder/discovery/watch.py
@@ -5,12 +5,14 @@
 import asyncio
 import json
 from collections.abc import Callable
+from random import Random
 from typing import cast
 
 import httptools
 
-from brackenladder.membership.inhand import ANSWER_TIME, FETCH_TIME, InHand, wait_ms
+from brackenladder.membership.inhand import FETCH_TIME, InHand, wait_ms
 from brackenladder.membership.listing import Listing, read_listing
+from brackenladder.membership.silence import ANSWER_TIME, FIRST_BYTE, Silence, wait_of
 
 CONNECT_TIMEOUT = 1.0
 LARGEST_ANSWER = 4 << 20
@@ -32,13 +34,15 @@
         self.told = told
         self.transport: asyncio.Transport | None = None
         self.over = False
+        self.silent = False  # it failed since nothing came in its time
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
-    def ask(self, path: str, time: float) -> None:
-        """Makes a call, which must be answered within `time` seconds."""
+    def ask(self, path: str, first: float, time: float) -> None:
+        """Makes a call, which must begin to be answered within `first` seconds, and end within `time`."""
         host = f"{self.address[0]}:{self.address[1]}"
         self.request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+        self.first = first
         self.time = time
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
@@ -63,7 +67,8 @@
             self.write()
 
     def write(self) -> None:
-        self.limit(self.time)
+        self.limit(self.first)
+        self.begun = False
         assert self.transport is not None
         self.transport.write(self.request)
 
@@ -71,9 +76,16 @@
         """The step that begins now has so many seconds."""
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.loop.call_later(time, self.fail)
+        self.timer = self.loop.call_later(time, self.expire)
+
+    def expire(self) -> None:
+        self.silent = True
+        self.fail()
 
     def data_received(self, data: bytes) -> None:
+        if not self.begun:
+            self.begun = True
+            self.limit(max(0.0, self.time - self.first))
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -144,6 +156,9 @@
         self.wait = wait_ms(nodes)
         self.told = told
         self.log = log
+        self.random = Random()
+        self.silence = Silence()
+        self.reopening: asyncio.TimerHandle | None = None
         self.watching: Call | None = None
         self.fetching: Call | None = None
 
@@ -155,11 +170,19 @@
     def watch(self, on: bool) -> None:
         """Begins or ends the watch. One that is on already stays."""
         if on and self.watching is None:
+            self.forget_reopening()
             self.watching = Call(self.loop, self.address, self.watched)
             self.renew(self.watching)
-        elif not on and self.watching is not None:
-            self.watching.end()
-            self.watching = None
+        elif not on:
+            self.forget_reopening()
+            if self.watching is not None:
+                self.watching.end()
+                self.watching = None
+
+    def forget_reopening(self) -> None:
+        if self.reopening is not None:
+            self.reopening.cancel()
+            self.reopening = None
 
     def move(self, address: tuple[str, int]) -> None:
         """Asks at another address from now on; whatever the old one may still say is not heard.
@@ -174,9 +197,11 @@
 
     def renew(self, call: Call) -> None:
         if self.version is None:
-            call.ask("/v1/endpoints", FETCH_TIME)
+            call.ask("/v1/endpoints", FIRST_BYTE, FETCH_TIME)
             return
-        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={self.wait}", self.wait / 1000 + ANSWER_TIME)
+        wait = wait_of(self.wait, self.random.random())
+        first = wait / 1000 + ANSWER_TIME
+        call.ask(f"/v1/endpoints?since={self.version}&timeout_ms={wait}", first, first + FETCH_TIME)
 
     def watched(self, call: Call, body: bytes | None) -> None:
         listing = self.read(body)
@@ -184,8 +209,15 @@
             # Ended before the failure is told, since the module may answer it with a new watch.
             call.end()
             self.watching = None
-            self.told(None)
+            pause = self.silence.failed(call.silent, self.random.random())
+            if pause is None:
+                self.told(None)
+            elif pause > 0:
+                self.reopening = self.loop.call_later(pause, self.watch, True)
+            else:
+                self.watch(True)
             return
+        self.silence.answered()
         self.told(listing)
         if self.watching is call:
             self.renew(call)
@@ -194,7 +226,7 @@
         """Asks for the whole list, unless such a call is out already."""
         if self.fetching is None:
             self.fetching = Call(self.loop, self.address, self.fetched)
-            self.fetching.ask("/v1/endpoints", FETCH_TIME)
+            self.fetching.ask("/v1/endpoints", FIRST_BYTE, FETCH_TIME)
 
     def fetched(self, call: Call, body: bytes | None) -> None:
         call.end()
@@ -217,6 +249,7 @@
 
     def close(self) -> None:
         """Ends all calls."""
+        self.forget_reopening()
         for call in (self.watching, self.fetching):
             if call is not None:
                 call.end()
--- a/brackenladder/fleet/discovery.py
+++ b/brackenladder/fleet/discovery.py
@@ -8,9 +8,10 @@
 
 from brackenladder.fleet.queue import Queue, Timer
 from brackenladder.interface import ListKind, State
-from brackenladder.membership.inhand import ANSWER_TIME, FETCH_TIME, InHand, wait_ms
+from brackenladder.membership.inhand import FETCH_TIME, InHand, wait_ms
 from brackenladder.membership.listing import Line, Listing
-from brackenladder.rehearsal.events import Asked, Changed, Event, Told, Untold
+from brackenladder.membership.silence import ANSWER_TIME, Silence, wait_of
+from brackenladder.rehearsal.events import Asked, Changed, Event, Hushed, Told, Untold
 from brackenladder.rehearsal.plan import MICRO, Step
 
 FIRST_VERSION = (41, 7001)  # of each source of a tier; versions of one say nothing of the other's
@@ -92,7 +93,7 @@
     def asked(self, ask: Ask, wait: int) -> None:
         """A call has come; one for changes waits so many microseconds for news."""
         ask.open = True
-        self.note(Asked(self.queue.now, ask.node, ask.number, ask.since))
+        self.note(Asked(self.queue.now, ask.node, ask.number, ask.since, wait))
         if self.silent(ask.node):
             return
         self.waiting[ask] = None
@@ -189,10 +190,12 @@
             self.frozen = None
             self.tell()
 
-    def drop(self, node: str) -> None:
-        """Calls of a node are not answered any more."""
+    def drop(self, node: str, hushed: bool = False) -> None:
+        """The calls that a node has out are not answered any more; `hushed`: discovery itself goes on."""
         for ask in [ask for ask in self.waiting if ask.node == node]:
             del self.waiting[ask]
+            if hushed:
+                self.note(Hushed(self.queue.now, node, ask.number))
 
 
 class Watch:
@@ -226,11 +229,17 @@
         self.fetching: Ask | None = None
         self.timers: dict[Ask, Timer] = {}
         self.closed = False
+        self.random = Random(f"watch {node} {queue.now}")
+        self.silence = Silence()
+        self.reopening: Timer | None = None
 
     def watch(self, on: bool) -> None:
         """Begins or ends the watch. One that is on already stays."""
         if self.closed:
             return
+        if self.reopening is not None:
+            self.reopening.cancel()
+            self.reopening = None
         if on and self.watching is None:
             self.renew()
         elif not on and self.watching is not None:
@@ -242,7 +251,8 @@
         if version is None:
             self.watching = self.ask(-1, 0, FETCH_TIME)
         else:
-            self.watching = self.ask(version, self.wait, self.wait / 1000 + ANSWER_TIME)
+            wait = wait_of(self.wait, self.random.random())
+            self.watching = self.ask(version, wait, wait / 1000 + ANSWER_TIME)
 
     def fetch(self) -> None:
         """Asks for the whole list, unless such a call is out already."""
@@ -264,11 +274,18 @@
     def failed(self, ask: Ask) -> None:
         """A call was not answered in time."""
         self.hang_up(ask)
-        if ask is self.watching:
-            self.watching = None
-        else:
+        if ask is not self.watching:
             self.fetching = None
-        self.told(None)
+            self.told(None)
+            return
+        self.watching = None
+        pause = self.silence.failed(True, self.random.random())
+        if pause is None:
+            self.told(None)
+        elif pause > 0:
+            self.reopening = self.queue.call_later(pause, self.watch, True)
+        else:
+            self.watch(True)
 
     def answered(self, ask: Ask, listing: Listing) -> None:
         timer = self.timers.pop(ask, None)
@@ -284,6 +301,7 @@
             self.watching = None
             self.told(None)
             return
+        self.silence.answered()
         self.told(news)
         if self.watching is ask:
             self.renew()
--- a/brackenladder/fleet/hunt.py
+++ b/brackenladder/fleet/hunt.py
@@ -45,6 +45,7 @@
     "old-list": ((0.5, 4.0), (1.0, 1.0)),
     "silence": ((0.5, 8.0), (1.0, 1.0)),
     "unheard": ((0.5, 8.0), (1.0, 1.0)),
+    "silent-watch": ((0.1, 0.1), (1.0, 1.0)),
     "node-kill": ((0.2, 3.0), (1.0, 1.0)),
     "node-term": ((0.2, 3.0), (1.0, 1.0)),
 }
--- a/brackenladder/fleet/model.py
+++ b/brackenladder/fleet/model.py
@@ -321,9 +321,9 @@
     def strike_node(self, step: Step, node: Node) -> None:
         """A fault of a client's node."""
         end = BEGIN + step.end
-        if step.kind == "unheard":
+        if step.kind in ("unheard", "silent-watch"):
             for source in self.sources:
-                source.drop(node.name)
+                source.drop(node.name, hushed=step.kind == "silent-watch")
         elif step.kind == "node-move":
             self.moved.add(node.name)
             self.sources[0].drop(node.name)
--- a/brackenladder/fleet/standing.py
+++ b/brackenladder/fleet/standing.py
@@ -27,6 +27,7 @@
     {"name": "offer", "effect": "keyed", "work_ms": [150, 820], "aim_ms": 2500, "deadline_ms": 6000},
 )
 CLASS_SHARES = ((0.37, 0.55), (0.27, 0.41), (0.16, 0.24))
+SILENT = 0.25  # of the watches fall silent once, on the day of `join`
 
 Draw = dict[str, Any]
 
@@ -111,11 +112,15 @@
     table["clients"]["surges"] = [{"at_s": round(at, 1), "for_s": round(lasts, 1), "times": 1.5}]
 
 
-def release(rng: Random, table: Draw, share: float, lasts: float) -> float:
-    """So much of all servers is replaced in steps; when it begins."""
-    at = round(rng.uniform(3, 5), 1)
+def release(
+    rng: Random, table: Draw, share: float, lasts: float, at: float = 0.0, drains: float = 2.0
+) -> float:
+    """So much of all servers is replaced in steps, each draining so long; when it begins."""
+    at = round(at or rng.uniform(3, 5), 1)
     pick = max(1, round(share * TIERS * table["servers"]["count"]))
-    table["faults"].append({"kind": "deploy", "at_s": at, "for_s": lasts, "pick": pick})
+    table["faults"].append(
+        {"kind": "deploy", "at_s": at, "for_s": lasts, "pick": pick, "drain_s": round(drains, 1)}
+    )
     return at
 
 
@@ -182,13 +187,23 @@
 
 
 def join(rng: Random, table: Draw) -> None:
-    """Six in ten servers are replaced within 7 s; some answers are spoilt; clients come again too often."""
-    at = release(rng, table, 0.6, 7.0)
+    """Six in ten servers are replaced within 7 s; a quarter of the watches fall silent meanwhile.
+
+    Servers drain for long, up to the time in which silence must have shown. Some answers are spoilt; clients
+    come again too often.
+    """
+    at = release(rng, table, 0.6, 7.0, rng.uniform(5, 9), rng.uniform(2.8, 6))
     count = table["servers"]["count"] * TIERS
     table["clients"] |= {"leave": 0.05, "retries": 3, "wait_ms": [0, 60]}
-    table["faults"].append(
-        {"kind": "reset-answer", "at_s": at, "for_s": 10.0, "share": 0.05, "pick": max(1, count // 8)}
-    )
+    table["faults"] += [
+        {"kind": "reset-answer", "at_s": at, "for_s": 10.0, "share": 0.05, "pick": max(1, count // 8)},
+        {
+            "kind": "silent-watch",
+            "at_s": round(at + 0.1, 1),  # before discovery knows of the first change
+            "for_s": 0.1,
+            "pick": max(1, round(SILENT * table["nodes"])),
+        },
+    ]
 
 
 TROUBLES: dict[str, Callable[[Random, Draw], None]] = {
--- a/brackenladder/membership/inhand.py
+++ b/brackenladder/membership/inhand.py
@@ -8,7 +8,6 @@
 
 LEAST_WAIT_MS, MOST_WAIT_MS = 3_000, 20_000  # a watch with no news lasts so long...
 WAIT_MS_A_NODE = 500  # ...in between: for each node of the tier, since discovery serves them all in turn
-ANSWER_TIME = 2.0  # seconds after its wait, after which a watch that has not been answered has failed
 FETCH_TIME = 6.0  # seconds for the whole list
 
 
--- /dev/null
+++ b/brackenladder/membership/silence.py
@@ -0,0 +1,52 @@
+"""When a call to discovery counts as silent, and how soon it is made anew. Pure; random numbers come in.
+
+The platform counts what a silent watch misses as told 2 s after its wait is over, and a request may be sent
+to a server that is withdrawn for 250 ms more. All that a node does from the wait's end on has to fit in
+between.
+"""
+
+from __future__ import annotations
+
+ANSWER_TIME = 0.6  # seconds after its wait, after which a watch that has not been answered is silent
+FIRST_BYTE = (
+    1.2  # seconds for a whole list to begin to come; discovery ends calls that waited 1 s for their turn
+)
+TRIES = 4  # calls that follow a silent one without a word to the module
+LEAST_PAUSE, MOST_PAUSE = 0.1, 0.3  # seconds before each of them but the first, at random
+SPREAD = (
+    0.1  # part of a wait that chance takes off, so that watches that fell silent together do not end together
+)
+
+
+def wait_of(longest: int, chance: float) -> int:
+    """Milliseconds that a watch is to last, of `longest`; `chance`: from 0 to 1.
+
+    Failure prevented: all watches of a fleet fall silent at once, all are opened anew in the same moment, and
+    discovery turns most of them away until the time is over in which the change counts as untold.
+    """
+    return round(longest * (1 - SPREAD * chance))
+
+
+class Silence:
+    """One watch, over all its calls."""
+
+    def __init__(self) -> None:
+        self.tries = 0
+
+    def answered(self) -> None:
+        self.tries = 0
+
+    def failed(self, silent: bool, chance: float) -> float | None:
+        """Seconds until a call that failed is made again; None: the module says when.
+
+        `silent`: nothing came in its time, where other failures are an answer of a kind. Failure prevented: a
+        watch is given up at the instant from which it counts as told, and opened anew a back-off later.
+        """
+        if silent and not self.tries:
+            self.tries = 1
+            return 0.0
+        if 0 < self.tries < TRIES:
+            self.tries += 1
+            return LEAST_PAUSE + (MOST_PAUSE - LEAST_PAUSE) * chance
+        self.tries = 0
+        return None
--- a/brackenladder/rehearsal/checker.py
+++ b/brackenladder/rehearsal/checker.py
@@ -33,6 +33,7 @@
     Closed,
     Down,
     GaveUp,
+    Hushed,
     Lag,
     NodeEnded,
     NodeSignal,
@@ -51,6 +52,10 @@
 ASK_WITHIN = 10_000_000  # microseconds without a call, after which what was listed counts as told...
 AFTER_FAILURE = 4  # ...so many times that after a call that failed
 REFUSED = (429, 503)
+SILENT, AFTER_WAIT = (
+    6_000_000,
+    2_000_000,
+)  # what a silent call misses counts as told so long after, or after its wait
 FAR = 1 << 62
 
 
@@ -176,6 +181,7 @@
         self.lives: defaultdict[str, list[Life]] = defaultdict(list)
         self.told: defaultdict[str, list[Told]] = defaultdict(list)
         self.calls: defaultdict[str, list[Asked | Told | Untold]] = defaultdict(list)
+        self.hushed: defaultdict[str, dict[int, int]] = defaultdict(dict)  # when a node's call fell silent
         self.changed: list[Changed] = []
         self.ends: defaultdict[str, list[tuple[int, str]]] = defaultdict(list)  # of nodes: signals, ends
         self.began: defaultdict[str, list[int]] = defaultdict(list)
@@ -212,6 +218,8 @@
             elif isinstance(event, Down):
                 if self.lives[event.server]:
                     self.lives[event.server][-1].down = event.t
+            elif isinstance(event, Hushed):
+                self.hushed[event.node][event.call] = event.t
             elif isinstance(event, (Asked, Told, Untold)):
                 self.calls[event.node].append(event)
                 if isinstance(event, Told):
@@ -447,7 +455,7 @@
         return out
 
     def treated_as_told(self, node: str) -> list[tuple[int, Told | Changed]]:
-        """Changes that count as told because the node has made no call for too long."""
+        """Changes that count as told: the node has made no call for too long, or its call fell silent."""
         spans: list[tuple[int, int, int]] = []  # no call is out: from, to, until what was listed counts
         calls = self.calls[node]
         out_since: set[int] = set()
@@ -471,6 +479,22 @@
                 time = max(change.t, begin) + wait
                 if change.t < end and time <= end:
                     found.append((time, change))
+        return found + self.missed(node)
+
+    def missed(self, node: str) -> list[tuple[int, Told | Changed]]:
+        """What silent calls of a node missed, and from when on it counts as told."""
+        found: list[tuple[int, Told | Changed]] = []
+        asked: dict[int, Asked] = {}
+        for call in self.calls[node]:
+            if isinstance(call, Asked):
+                asked[call.call] = call
+        over = {call.call: call.t for call in self.calls[node] if isinstance(call, Untold)}
+        for number, hushed in self.hushed[node].items():
+            watch = asked[number]
+            due = max(hushed + SILENT, watch.t + watch.wait + AFTER_WAIT)
+            for change in self.changed:
+                if hushed <= change.t < min(due, over.get(number, FAR)):
+                    found.append((due, change))
         return found
 
     def check_drain(self) -> None:
--- a/brackenladder/rehearsal/events.py
+++ b/brackenladder/rehearsal/events.py
@@ -151,11 +151,15 @@
 
 
 class Asked(Event, frozen=True, tag="asked", gc=False):
-    """A node's call to discovery has come. `since`: the version it has, -1 for the whole list."""
+    """A node's call to discovery has come. `since`: the version it has, -1 for the whole list.
+
+    `wait`: microseconds that it waits for news.
+    """
 
     node: str
     call: int
     since: int
+    wait: int = 0
 
 
 class Told(Event, frozen=True, tag="told", gc=False):
@@ -176,6 +180,13 @@
     call: int
 
 
+class Hushed(Event, frozen=True, tag="hushed", gc=False):
+    """A fault has made a call to discovery fall silent: it stays open, and is never answered."""
+
+    node: str
+    call: int
+
+
 class Changed(Event, frozen=True, tag="changed", gc=False):
     """Discovery knows from now on that a server is `state`."""
 
@@ -251,6 +262,7 @@
     | Asked
     | Told
     | Untold
+    | Hushed
     | Changed
     | Datagram
     | NodeUp
--- a/brackenladder/rehearsal/plan.py
+++ b/brackenladder/rehearsal/plan.py
@@ -25,7 +25,6 @@
 
 MICRO = 1_000_000
 DEPLOY_AT_ONCE = 0.2  # a deploy takes down this part of the fleet at a time
-DRAINING = 2 * MICRO  # how long a server of a deploy drains before it ends
 APART = MICRO // 2  # between two faults at one server
 BOOT = MICRO  # from the end of a server to the start of its successor
 
@@ -169,11 +168,12 @@
                     step = msgspec.structs.replace(step, successor=new.id)
                 elif fault.kind == "deploy":
                     # In batches over the fault's length; a successor starts when its server has ended.
+                    drains = round(fault.drain_s * MICRO)
                     start = step.at + k // batch * length // waves + round(rng.random() * MICRO / 4)
                     new = msgspec.structs.replace(
-                        new, place=next_place(servers, born), born=start + DRAINING + BOOT
+                        new, place=next_place(servers, born), born=start + drains + BOOT
                     )
-                    step = Step(start, DRAINING, "drain", target, successor=new.id)
+                    step = Step(start, drains, "drain", target, successor=new.id)
                 else:
                     steps.append(step)
                     continue
@@ -299,6 +299,7 @@
     "node-move": "is moved to another discovery by SIGHUP",
     "silent-clients": "gets connections that say nothing",
     "unheard": "is cut off from discovery",
+    "silent-watch": "has its watch fall silent, once",
     "vanish": "is gone without a reset, and comes back cold",
     "cut": "cannot be reached by some nodes",
     "slow": "works slowly",
--- a/brackenladder/rehearsal/runner.py
+++ b/brackenladder/rehearsal/runner.py
@@ -206,7 +206,7 @@
         tasks = [
             asyncio.create_task(self.do(step, network, clients))
             for step in self.plan.steps
-            if step.kind in NODE_FAULTS and step.kind not in ("silent-clients", "unheard")
+            if step.kind in NODE_FAULTS and step.kind not in ("silent-clients", "unheard", "silent-watch")
         ]
         tasks.append(asyncio.create_task(self.announce()))
         try:
--- a/brackenladder/rehearsal/scenario.py
+++ b/brackenladder/rehearsal/scenario.py
@@ -40,7 +40,7 @@
 )
 DISCOVERY_FAULTS = ("half-list", "old-list", "silence")
 DATAGRAM_FAULTS = ("datagrams-late", "datagrams-twice", "datagrams-swapped", "datagrams-lost")
-NODE_FAULTS = ("node-kill", "node-term", "node-move", "silent-clients", "unheard")
+NODE_FAULTS = ("node-kill", "node-term", "node-move", "silent-clients", "unheard", "silent-watch")
 MODEL_FAULTS = ("vanish", "cut", "slow")  # that loopback sockets cannot play
 
 Kind = Literal[
@@ -72,6 +72,7 @@
     "node-move",
     "silent-clients",
     "unheard",
+    "silent-watch",
     "vanish",
     "cut",
     "slow",
@@ -220,6 +221,7 @@
     count: Annotated[int, Meta(ge=1, le=2000)] = 200  # connections of silent clients
     waves: Annotated[int, Meta(ge=1, le=1000)] = 1  # its targets are struck in so many groups...
     spread_s: AtLeastZero = 0.0  # ...over so long
+    drain_s: Positive = 2.0  # how long a server of a deploy drains before it ends
 
 
 class Scenario(Table, frozen=True):
--- a/brackenladder/rehearsal/standins/network.py
+++ b/brackenladder/rehearsal/standins/network.py
@@ -11,8 +11,8 @@
 import httptools
 import msgspec
 
-from brackenladder.rehearsal.events import Asked, Changed, Datagram, Told, Untold, now
-from brackenladder.rehearsal.plan import ServerPlan, Step, node_name
+from brackenladder.rehearsal.events import Asked, Changed, Datagram, Hushed, Told, Untold, now
+from brackenladder.rehearsal.plan import MICRO, ServerPlan, Step, node_name
 from brackenladder.rehearsal.scenario import DATAGRAM_FAULTS, DISCOVERY_FAULTS
 from brackenladder.rehearsal.standins.process import Host, listener, named, report, reset
 
@@ -69,11 +69,11 @@
         self.since = int(since) if since.isdigit() else -1
         self.call = next(self.source.network.calls)
         self.open = True
-        self.source.host.journal.add(Asked(now(), self.node, self.call, self.since))
+        time = min(int(wait) / 1000 if wait.isdigit() else 0.0, LONGEST_WAIT)
+        self.source.host.journal.add(Asked(now(), self.node, self.call, self.since, round(time * MICRO)))
         if self.source.silent(self.node):
             return
         self.source.waiting.add(self)
-        time = min(int(wait) / 1000 if wait.isdigit() else 0.0, LONGEST_WAIT)
         if self.since >= 0:
             self.timer = self.source.host.loop.call_later(time, self.source.answer, self, True)
         self.source.answer(self, self.since < 0)
@@ -319,7 +319,7 @@
                 self.host.at(step.end, self.end, step)
             elif step.kind in DATAGRAM_FAULTS:
                 self.host.at(step.at, self.host.fault, step)
-            elif step.kind == "unheard":
+            elif step.kind in ("unheard", "silent-watch"):
                 self.host.at(step.at, self.unheard, step)
 
     def know(self, at: int, plan: ServerPlan, state: str, born: int, late: bool = True) -> None:
@@ -342,10 +342,13 @@
         return None
 
     def unheard(self, step: Step) -> None:
-        """A node is cut off from discovery: its calls go without an answer."""
+        """The calls that a node has out go without an answer; if it is cut off, later ones too."""
         self.host.fault(step)
         for source in self.sources:
-            source.waiting = {call for call in source.waiting if call.node != step.target}
+            for call in [call for call in source.waiting if call.node == step.target]:
+                source.waiting.discard(call)
+                if step.kind == "silent-watch":
+                    self.host.journal.add(Hushed(now(), call.node, call.call))
 
     def begin(self, step: Step) -> None:
         self.host.fault(step)
--- a/tests/fleet/test_parts.py
+++ b/tests/fleet/test_parts.py
@@ -17,6 +17,7 @@
     Closed,
     Datagram,
     Down,
+    Hushed,
     NodeEnded,
     NodeUp,
     Replied,
@@ -137,6 +138,18 @@
     assert deaf <= {e.node for e in of(result, Told) if when(e, result) > 4.5}  # once it hears them again
 
 
+def test_a_silent_watch_is_opened_anew_before_what_it_missed_counts_as_told():
+    _, result = run(fault("silent-watch", at=1.0, length=0.1, pick=3) + fault("drain", at=1.1, length=3.0))
+    asked = {e.call: e for e in of(result, Asked)}
+    silent = [asked[e.call] for e in of(result, Hushed)]
+    assert len(silent) == 3
+    for call in silent:
+        learned = min(
+            e.t for e in of(result, Told) if e.node == call.node and e.call > call.call and e.servers
+        )
+        assert learned <= call.t + call.wait + 1_000_000
+
+
 def test_discovery_writes_so_many_lines_a_second_and_no_more():
     _, result = run(fault("deploy", at=1.0, length=1.0, pick=2), discovery="lines_per_s = 20\n")
     lines = [(e.t, len(e.servers)) for e in of(result, Told)]
--- a/tests/rehearsal/cases.py
+++ b/tests/rehearsal/cases.py
@@ -52,6 +52,7 @@
     "half-list": Case(small(fault("half-list"))),
     "old-list": Case(small(fault("drain", at=0.3, length=2.5), fault("old-list"))),
     "silence": Case(small(fault("silence"))),
+    "silent-watch": Case(small(fault("silent-watch", length=0.1), fault("drain", at=0.9, length=2.0), **TWO)),
     "datagrams-late": Case(small(fault("datagrams-late"), **TWO)),
     "datagrams-twice": Case(small(fault("datagrams-twice"), **TWO)),
     "datagrams-swapped": Case(small(fault("datagrams-swapped"), **TWO)),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -777,7 +777,8 @@
     async def scene():
         bench = await Bench(Server(), group_size=nodes).start()
         await until(lambda: len(bench.discovery.requests) == 1)
-        assert bench.discovery.requests[0].target.endswith(f"timeout_ms={wait}")
+        asked = int(bench.discovery.requests[0].target.rpartition("=")[2])
+        assert 0.9 * wait <= asked <= wait
 
     play(scene)
 
