Members of a tier: SWIM with Lifeguard's measures, epochs and a sync by ranges, pure

Need: no node knows another; the number that share a cold server is the configured one, however many are dead.

cluster/ is the pure part: records whose order is the whole merge, a wire of 256 bytes with keyed tags and a replay window, suspicion that shrinks with confirmations, local health with pauses and isolation, rumours, digests by ranges, and the detector that joins them. fleet/members.py plays it in virtual time.

--- /dev/null
+++ b/brackenladder/cluster/suspicion.py
@@ -0,0 +1,44 @@
+"""How long a suspect has to answer: Lifeguard's time that shrinks as others suspect it too, by themselves.
+
+Lifeguard (Dadgar, Phillips, Currey: local health awareness for more accurate failure detection, 2018): the time
+falls from MOST to LEAST with the logarithm of the confirmations. LEAST is derived: a pause of 2 s that begins as
+a probe does must end, be heard of and be refuted before it is over.
+"""
+
+from __future__ import annotations
+
+from math import log
+
+LEAST = 2_150_000  # microseconds
+MOST = 4_000_000
+CONFIRMATIONS = 3  # others that suspect it too, after which it has LEAST
+
+
+class Suspicion:
+    """One suspect. `most`: how many others could confirm it; with none the time is LEAST at once."""
+
+    __slots__ = ("by", "enough", "since")
+
+    def __init__(self, now: int, by: int, most: int) -> None:
+        self.since = now
+        self.by = {by}
+        self.enough = min(CONFIRMATIONS, max(0, most))
+
+    def confirm(self, by: int) -> bool:
+        """Another one suspects it; whether that is news which is worth passing on."""
+        if by in self.by or len(self.by) > self.enough:
+            return False
+        self.by.add(by)
+        return True
+
+    @property
+    def deadline(self) -> int:
+        """Microseconds: from then on it is dead, unless it has refuted."""
+        if not self.enough:
+            return self.since + LEAST
+        part = log(len(self.by)) / log(self.enough + 1)
+        return self.since + max(LEAST, round(MOST - part * (MOST - LEAST)))
+
+    def hold(self, now: int) -> None:
+        """The time begins anew: who judges could not hear for a while."""
+        self.since = now
--- /dev/null
+++ b/brackenladder/fleet/members.py
@@ -0,0 +1,159 @@
+"""Members of a tier in virtual time: the detectors that the node runs, on a network that loses, cuts and pauses.
+
+No sockets and no clock; a run is a function of its seed. `benchmarks/members.py` and the tests play it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Protocol
+
+from brackenladder.cluster.detector import TICK, Detector, Transition
+from brackenladder.cluster.view import State, epoch_of
+from brackenladder.fleet.queue import Queue
+
+MICRO = 1_000_000
+BEGIN = 1_000 * MICRO
+WALL = 1_800_000_000  # seconds, when the run begins
+DELAY = (100, 2_000)  # microseconds of a datagram's way
+
+
+class Member(Protocol):
+    """What a rival must have to stand in a member's place."""
+
+    def tick(self, now: int) -> None: ...
+
+    def datagram(self, number: int, data: bytes, now: int) -> None: ...
+
+    def leave(self, now: int) -> None: ...
+
+    def dead(self) -> set[int]: ...
+
+
+class Whole(Detector):
+    """This project's detector."""
+
+    def dead(self) -> set[int]:
+        return set(self.view.having(State.DEAD, State.LEFT))
+
+
+Make = Callable[
+    [int, int, int, int, Random, Callable[[int, bytes], None], Callable[[Transition], None]], Member
+]
+
+
+class Net:
+    """`cut`: pairs (from, to) between which nothing passes. `loss`: of all datagrams; `twice`: that come twice."""
+
+    def __init__(
+        self, size: int, seed: int, loss: float = 0.0, twice: float = 0.0, make: Make = Whole
+    ) -> None:
+        self.queue = Queue(BEGIN)
+        self.rng = Random(f"net {seed}")
+        self.seed = seed
+        self.size = size
+        self.loss = loss
+        self.twice = twice
+        self.make = make
+        self.cut: set[tuple[int, int]] = set()
+        self.members: list[Member | None] = [None] * size
+        self.lives = [0] * size  # processes begun
+        self.paused: dict[int, list[tuple[int, bytes]]] = {}  # what waits for whoever is stopped
+        self.log: list[tuple[int, Transition]] = []  # who said what
+        self.bytes = [0] * size
+        self.skew = [0] * size  # seconds that a machine's wall clock is wrong
+
+    def start(self, number: int) -> Member:
+        """A process of a node begins."""
+        self.lives[number] += 1
+        wall = WALL + (self.queue.now - BEGIN) // MICRO + self.skew[number]
+        rng = Random(f"member {self.seed} {number} {self.lives[number]}")
+        epoch = epoch_of(wall, rng.getrandbits(24))
+        member = self.members[number] = self.make(
+            number,
+            self.size,
+            epoch,
+            self.queue.now,
+            rng,
+            lambda to, data: self.carry(number, to, data),
+            lambda said: self.log.append((number, said)),
+        )
+        self.queue.after(rng.randrange(TICK), self.turn, number, member)
+        return member
+
+    def begin(self, number: int) -> None:
+        self.start(number)
+
+    def start_all(self, within: int = MICRO) -> None:
+        for number in range(self.size):
+            self.queue.after(self.rng.randrange(max(1, within)), self.begin, number)
+
+    def kill(self, number: int) -> None:
+        self.members[number] = None
+
+    def turn(self, number: int, member: Member) -> None:
+        """A tick, and the next one."""
+        if self.members[number] is not member:
+            return
+        if number not in self.paused:
+            member.tick(self.queue.now)
+            self.queue.after(TICK, self.turn, number, member)
+        else:
+            self.queue.after(TICK // 10, self.turn, number, member)
+
+    def pause(self, number: int, length: int) -> None:
+        """The process stands still; what comes waits in its socket."""
+        self.paused[number] = []
+        self.queue.after(length, self.wake, number)
+
+    def wake(self, number: int) -> None:
+        waiting = self.paused.pop(number, [])
+        member = self.members[number]
+        for sender, data in waiting if member is not None else ():
+            assert member is not None
+            member.datagram(sender, data, self.queue.now)
+
+    def carry(self, sender: int, to: int, data: bytes) -> None:
+        self.bytes[sender] += len(data)
+        for _ in range(2 if self.twice and self.rng.random() < self.twice else 1):
+            if (sender, to) not in self.cut and self.rng.random() >= self.loss:
+                self.queue.after(self.rng.randint(*DELAY), self.arrive, sender, to, data)
+
+    def arrive(self, sender: int, to: int, data: bytes) -> None:
+        member = self.members[to]
+        if member is None:
+            return
+        if to in self.paused:
+            self.paused[to].append((sender, data))
+        else:
+            member.datagram(sender, data, self.queue.now)
+
+    def run(self, seconds: float) -> None:
+        self.queue.run(self.queue.now + round(seconds * MICRO))
+
+    # ---- what to judge by -----------------------------------------------------------------------------
+
+    def alive(self) -> list[int]:
+        return [n for n, member in enumerate(self.members) if member is not None]
+
+    def false_deaths(self, since: int, but: Sequence[int] = ()) -> list[tuple[int, Transition]]:
+        """Deaths said of who was there all along."""
+        down = set(but)
+        return [
+            (who, said)
+            for who, said in self.log
+            if said.at >= since and said.after == "dead" and said.number != who and said.number not in down
+        ]
+
+    def known_dead(self, number: int) -> list[int]:
+        """When each live member first took a node for dead, since the run began."""
+        first: dict[int, int] = {}
+        for who, said in self.log:
+            if said.number == number and said.after == "dead" and who not in first:
+                first[who] = said.at
+        return [first[who] for who in self.alive() if who in first]
+
+    def agreed(self) -> bool:
+        views = {frozenset(member.dead()) for member in self.members if member is not None}
+        return len(views) == 1
--- /dev/null
+++ b/tests/cluster/test_view.py
@@ -0,0 +1,47 @@
+"""Putting accounts together: in any order, any number of times, the same view."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from brackenladder.cluster.view import Record, State, View, beyond, epoch_of
+
+SIZE = 4
+RECORDS = st.builds(Record, st.integers(0, 3), st.integers(0, 3), st.sampled_from(State))
+ACCOUNTS = st.lists(st.tuples(st.integers(0, SIZE - 1), RECORDS), max_size=12)
+
+
+def seen(accounts: list[tuple[int, Record]]) -> list[Record]:
+    view = View(SIZE, 0)
+    for number, record in accounts:
+        view.merge(number, record, 1)
+    return view.records
+
+
+@given(ACCOUNTS, st.randoms(use_true_random=False))
+def test_order_and_repeats_do_not_matter(accounts, random):
+    """Commutative, associative, idempotent: an account is a set of records, and the greatest of each holds."""
+    mixed = accounts * 2
+    random.shuffle(mixed)
+    assert seen(mixed) == seen(accounts)
+    assert seen([*enumerate(seen(accounts[:6])), *enumerate(seen(accounts[6:]))]) == seen(accounts)
+
+
+@given(RECORDS, RECORDS)
+def test_an_older_epoch_or_incarnation_never_wins(one, other):
+    (after,) = seen([(0, one), (0, other)])[:1]
+    assert after >= max(one, other) and (after.epoch, after.incarnation) >= (one.epoch, one.incarnation)
+
+
+@given(st.integers(0, 2**32 - 1), st.integers(0, 2**24 - 1), st.integers(0, 2**24 - 1))
+def test_the_next_process_of_a_node_has_a_higher_epoch_whatever_its_clock_says(second, old, new):
+    assert beyond(epoch_of(second, old), new) > epoch_of(second, old)
+
+
+def test_a_state_begins_when_it_changes_and_not_with_each_incarnation():
+    view = View(1, 0)
+    view.merge(0, Record(1, 0, State.ALIVE), 5)
+    view.merge(0, Record(1, 1, State.ALIVE), 9)
+    assert view.since == [5]
+    assert view.merge(0, Record(1, 1, State.DEAD), 11) == Record(1, 1, State.ALIVE) and view.since == [11]
