Members in the node, seen by 'members', and rehearsed with pauses and cuts between processes

Need: the detector was pure only; no process knew another.

Scenarios have members, node-pause, deaf, mute, cut-oneway and cut-group, by the relay, a link and a direction each; rehearsal/members.py judges complete, accurate, agreed, no-return, bounded.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -29,6 +29,10 @@
         raise ConfigError(f"an operator file needs {e.name}: install requirements-operator.txt") from None
     try:
         operator = load_operator(path)
+        if operator.members is not None:
+            from brackenladder.node.members import keys_of
+
+            keys_of(operator.members.key)
     except OperatorError as e:
         raise ConfigError(f"operator file: {e}") from None
     if operator.rpc is not None:
--- a/brackenladder/cli/main.py
+++ b/brackenladder/cli/main.py
@@ -11,6 +11,7 @@
 from brackenladder.cli.experiment import experiment
 from brackenladder.cli.gate import gate
 from brackenladder.cli.hunt import hunt
+from brackenladder.cli.members import members
 from brackenladder.cli.rehearse import rehearse
 
 UNUSABLE = 2
@@ -26,6 +27,7 @@
 commands.add_command(experiment)
 commands.add_command(gate)
 commands.add_command(hunt)
+commands.add_command(members)
 commands.add_command(plan)
 commands.add_command(rehearse)
 commands.add_command(show)
--- a/brackenladder/cli/rehearse.py
+++ b/brackenladder/cli/rehearse.py
@@ -192,7 +192,7 @@
                 click.echo("\n".join(way(events, name)))
         except FollowError as e:
             raise click.ClickException(f"--follow: {e}") from None
-    return 0 if reports.passed(report, result) else 1
+    return 0 if reports.passed(report, result, reports.members_of(read, result)) else 1
 
 
 def last_words(folder: Path) -> str:
@@ -220,7 +220,17 @@
             str(ruling.edges),
             reports.MEANINGS[rule],
         )
+    members = reports.members_of(scenario, result)
+    for rule_name, judged in members.items():
+        verdict = f"[{COLOURS[judged.verdict]}]{judged.verdict}[/]"
+        meaning = reports.MEMBER_MEANINGS[rule_name]
+        table.add_row(rule_name, verdict, str(judged.chances), str(judged.broken), "", meaning)
     console.print(table)
+    for rule_name, judged in members.items():
+        for text in judged.evidence[:SHOWN]:
+            console.print(f"{rule_name}: {text}", markup=False)
+        if judged.worst_ms:
+            console.print(f"{rule_name}: at the latest after {judged.worst_ms / 1000:.2f} s")
     for rule in RULES:
         for finding in report.rulings[rule].evidence[:SHOWN]:
             at = (finding.t - result.begin) / 1e6
--- a/brackenladder/cluster/detector.py
+++ b/brackenladder/cluster/detector.py
@@ -87,7 +87,7 @@
 
 
 class Detector:
-    """One node. `send`: a datagram to a member; `changed`: hears each transition; the first of `keys` signs."""
+    """One node. `send`: a datagram to a member; `changed`: hears each transition; `keys`: the first signs."""
 
     def __init__(
         self,
@@ -220,7 +220,7 @@
         self.take(number, frame, now)
 
     def woke(self, now: int) -> None:
-        """Whether this process stood still. What it meant to say is old, and what it waited for says nothing."""
+        """If this process stood still, what it meant to say is old, and what it waited for says nothing."""
         gone = self.health.gap(now)
         if not gone:
             return
--- a/brackenladder/cluster/health.py
+++ b/brackenladder/cluster/health.py
@@ -1,7 +1,7 @@
 """What a node knows of itself: Lifeguard's local health, its own pauses, and whether it hears and is heard.
 
-Nobody can see from inside whether he is deaf or alone: to hear nothing is `isolated` for as long as it lasts, and
-what is heard afterwards tells which it was. Whoever hears and is not answered is `mute`.
+Nobody can see from inside whether he is deaf or alone: to hear nothing is `isolated` for as long as it lasts,
+and what is heard afterwards tells which it was. Whoever hears and is not answered is `mute`.
 """
 
 from __future__ import annotations
--- a/brackenladder/cluster/suspicion.py
+++ b/brackenladder/cluster/suspicion.py
@@ -1,8 +1,8 @@
 """How long a suspect has to answer: Lifeguard's time that shrinks as others suspect it too, by themselves.
 
-Lifeguard (Dadgar, Phillips, Currey: local health awareness for more accurate failure detection, 2018): the time
-falls from MOST to LEAST with the logarithm of the confirmations. LEAST is derived: a pause of 2 s that begins as
-a probe does must end, be heard of and be refuted before it is over.
+Lifeguard (Dadgar, Phillips, Currey: local health awareness for more accurate failure detection, 2018): the
+time falls from MOST to LEAST with the logarithm of the confirmations. LEAST is derived: a pause of 2 s that
+begins as a probe does must end, be heard of and be refuted before it is over.
 """
 
 from __future__ import annotations
--- a/brackenladder/cluster/sync.py
+++ b/brackenladder/cluster/sync.py
@@ -1,4 +1,4 @@
-"""Which records two views differ in, found by hashes of ranges: what rumours missed, in frames of 256 bytes."""
+"""Which records two views differ in, found by hashes of ranges: what rumours missed, a frame at a time."""
 
 from __future__ import annotations
 
@@ -26,7 +26,10 @@
 
 
 def differing(records: Sequence[Record], theirs: Digest) -> list[tuple[int, int]]:
-    """The ranges in which another's digest differs from one's own; a digest of other members differs nowhere."""
+    """The ranges in which another's digest differs from one's own.
+
+    A digest of other members differs nowhere.
+    """
     if not 0 <= theirs.low < theirs.high <= len(records):
         return []
     parts = list(ranges(theirs.low, theirs.high))
--- a/brackenladder/cluster/view.py
+++ b/brackenladder/cluster/view.py
@@ -1,9 +1,10 @@
 """What one node knows of all: a record a member, and how two accounts of one member are put together.
 
 A record is (epoch, incarnation, state), and of two the greater one holds. That is the whole merge: it is
-commutative, associative and idempotent, so that views agree once the same records have reached them, in any order
-and however often. The order within an incarnation is SWIM's (alive, suspect, dead); that a higher incarnation
-also lifts a death is what SWIM leaves out, and what lets two halves of a fleet find each other again.
+commutative, associative and idempotent, so that views agree once the same records have reached them, in any
+order and however often. The order within an incarnation is SWIM's (alive, suspect, dead); that a higher
+incarnation also lifts a death is what SWIM leaves out, and what lets two halves of a fleet find each other
+again.
 """
 
 from __future__ import annotations
@@ -43,8 +44,8 @@
 def beyond(known: int, nonce: int) -> int:
     """An epoch above one that is known of the same member.
 
-    Failure prevented: the clock was set back between two processes of a node, and what is known of the old one
-    holds against the new one for ever.
+    Failure prevented: the clock was set back between two processes of a node, and what is known of the old
+    one holds against the new one for ever.
     """
     return epoch_of((known >> NONCE_BITS) + 1, nonce)
 
--- a/brackenladder/cluster/wire.py
+++ b/brackenladder/cluster/wire.py
@@ -2,8 +2,9 @@
 
     magic version key sender to epoch incarnation counter | messages | tag
 
-`to` binds a frame to its receiver and `counter` to its place in the sender's epoch, so that a recorded one counts
-nowhere a second time. The tag is a keyed BLAKE2 of all before it; with no key it only shows what was cut.
+`to` binds a frame to its receiver and `counter` to its place in the sender's epoch, so that a recorded one
+counts nowhere a second time. The tag is a keyed BLAKE2 of all before it; with no key it only shows what was
+cut.
 """
 
 from __future__ import annotations
--- a/brackenladder/core/host.py
+++ b/brackenladder/core/host.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any
 
 from brackenladder.core.call import Call, Directory, Failure, Messenger, Upstream
@@ -89,6 +90,17 @@
         """News of the servers, once the upstream has taken note of them."""
         self.post(self.balancer.server_list, kind, entries)
 
+    def shared(self, number: int) -> None:
+        """So many nodes share the servers: the module's settings say so from now on."""
+        self.post(self.share, number)
+
+    def share(self, now: int, number: int) -> None:
+        if isinstance(self.balancer, Balancer):
+            self.settings = self.balancer.settings = replace(self.balancer.settings, instances=number)
+            for tenant, given in zip(self.balancer.tenants, self.settings.tenants, strict=True):
+                tenant.rate = given.quota / number
+            self.balancer.refill(now)
+
     def heard(self, peer: int, data: bytes) -> None:
         """A peer's message."""
         self.post(self.balancer.peer_message, peer, data)
--- a/brackenladder/fleet/members.py
+++ b/brackenladder/fleet/members.py
@@ -1,4 +1,4 @@
-"""Members of a tier in virtual time: the detectors that the node runs, on a network that loses, cuts and pauses.
+"""Members of a tier in virtual time: the node's detectors on a network that loses, cuts and pauses.
 
 No sockets and no clock; a run is a function of its seed. `benchmarks/members.py` and the tests play it.
 """
@@ -44,7 +44,10 @@
 
 
 class Net:
-    """`cut`: pairs (from, to) between which nothing passes. `loss`: of all datagrams; `twice`: that come twice."""
+    """`cut`: pairs (from, to) between which nothing passes.
+
+    `loss`: of all datagrams; `twice`: that come twice.
+    """
 
     def __init__(
         self, size: int, seed: int, loss: float = 0.0, twice: float = 0.0, make: Make = Whole
--- a/brackenladder/fleet/model.py
+++ b/brackenladder/fleet/model.py
@@ -28,7 +28,13 @@
 from brackenladder.rehearsal.nodes import settings_of as published
 from brackenladder.rehearsal.plan import MICRO, RequestPlan, ServerPlan, Step, node_name, plan_of
 from brackenladder.rehearsal.runner import FRONT_NOTICE, Result
-from brackenladder.rehearsal.scenario import DATAGRAM_FAULTS, DISCOVERY_FAULTS, Scenario, Servers
+from brackenladder.rehearsal.scenario import (
+    DATAGRAM_FAULTS,
+    DISCOVERY_FAULTS,
+    LINK_FAULTS,
+    Scenario,
+    Servers,
+)
 from brackenladder.rehearsal.scenario import Clients as ClientsTable
 from brackenladder.settings import settings_of
 
@@ -44,7 +50,7 @@
 LATE = 500_000  # and a late one
 SWAPPED = 50_000  # and one that others overtake
 
-NOT_PLAYED = frozenset(("silent-clients",))
+NOT_PLAYED = frozenset(("silent-clients", "node-pause", *LINK_FAULTS))
 
 
 class TrueState:
--- a/brackenladder/node/control.py
+++ b/brackenladder/node/control.py
@@ -27,7 +27,7 @@
     """A line from an operator's command."""
 
     version: int
-    do: Literal["show", "live", "apply"]
+    do: Literal["show", "live", "apply", "members"]
     plan: str = ""
 
 
@@ -36,6 +36,7 @@
 
     def __init__(self, pools: Pools, table: ControlTable, log: Callable[[str], None]) -> None:
         self.pools = pools
+        self.members: Callable[[], dict[str, Any]] | None = None  # what is known of other nodes
         self.path = table.socket
         self.users = {os.getuid(), 0, *table.users}
         self.audit = table.audit
@@ -101,6 +102,10 @@
             return refusal(f"version {asked.version}; this node speaks {VERSION}")
         if asked.do == "apply":
             return self.apply(asked.plan, user)
+        if asked.do == "members":
+            if self.members is None:
+                return refusal("[members] is not in this node's operator file")
+            return msgspec.json.encode({"ok": True, **self.members()})
         live = self.pools.live()
         return msgspec.json.encode({"ok": True, **(summary(live) if asked.do == "show" else {"live": live})})
 
--- a/brackenladder/node/node.py
+++ b/brackenladder/node/node.py
@@ -16,8 +16,9 @@
 if TYPE_CHECKING:
     from brackenladder.node.control import Control
     from brackenladder.node.handover import Handover
+    from brackenladder.node.members import Members
     from brackenladder.node.operations import Operations
-    from brackenladder.node.operator import ControlTable, Operator, RpcTable
+    from brackenladder.node.operator import ControlTable, MembersTable, Operator, RpcTable
 
 LIST_TIME = 3.0  # seconds for the list to come before clients of a passed socket are taken
 LIST_LOOK = 0.01
@@ -68,6 +69,30 @@
         self.control: Control | None = None
         if operator is not None and operator.control is not None:
             self.add_control(operator.control)
+        self.members: Members | None = None
+        if operator is not None and operator.members is not None:
+            self.add_members(operator.members)
+
+    def add_members(self, table: MembersTable) -> None:
+        from brackenladder.node.members import Members
+
+        settings = self.config.settings
+        self.members = Members(
+            self.loop,
+            table,
+            self.peers,
+            settings.index,
+            settings.fall_time,
+            self.shared,
+            self.log.line,
+        )
+        if self.control is not None:
+            self.control.members = self.members.shown
+
+    def shared(self, number: int) -> None:
+        """So many nodes share the tier from now on."""
+        for host in self.control.pools.hosts() if self.control is not None else [self.http.host]:
+            host.shared(number)
 
     def add_control(self, table: ControlTable) -> None:
         from brackenladder.node.control import Control
@@ -100,11 +125,14 @@
 
     def heard(self, peer: int, data: bytes) -> None:
         """A peer's message: it is HTTP's pool that speaks with others."""
+        if self.members is not None and self.members.heard(peer, data):
+            return
         self.http.host.heard(peer, data)
 
     async def start(self) -> None:
         """Begins to serve. An OSError if an address cannot be had."""
-        if self.config.settings.peers and self.config.peer_listen is not None:
+        speaks = self.config.settings.peers or self.members is not None
+        if speaks and self.config.peer_listen is not None:
             # The process that this one replaces, or that replaces it, has the same address.
             shared = True if self.config.passed is not None else None
             await self.loop.create_datagram_endpoint(
@@ -114,6 +142,8 @@
             self.operations.start(self.config.door)
         if self.control is not None:
             await self.control.start()
+        if self.members is not None:
+            self.members.start()
         if self.config.passed is None:
             self.listen()
         for pool in self.pools.values():
@@ -148,10 +178,15 @@
             left += self.reload_operator(self.operator, operator)
         if operator is not None and self.operator is not None and operator.control != self.operator.control:
             left.append("control")
+        if operator is not None and self.operator is not None and operator.members != self.operator.members:
+            left.append("members")
         if left:
             self.log.line(f"reload: needs a restart: {', '.join(left)}")
         if config.discovery != old.discovery:
             self.http.source.move(config.discovery)
+        if self.members is not None:
+            self.members.renamed(list(config.peers))
+            self.members.rekey()
         self.peers.rename(config.peers, config.peers_all)
         self.log.line(f"reload: discovery {config.discovery[0]}:{config.discovery[1]}")
 
@@ -181,6 +216,8 @@
             self.handover.end()
         if self.control is not None:
             self.control.end()
+        if self.members is not None:
+            self.members.end()
         for pool in self.pools.values():
             pool.last_orders()
         await asyncio.gather(*(listener.front.drain() for listener in self.listeners.values()))
--- a/brackenladder/node/operator.py
+++ b/brackenladder/node/operator.py
@@ -70,11 +70,22 @@
     audit: str = ""
 
 
+class MembersTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """`[members]`: the nodes of the tier among themselves.
+
+    `key`: a file with one or two keys, a line each.
+    """
+
+    key: str = ""
+    share: bool = True  # the number of living nodes takes the configured one's place
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """The whole file."""
 
     rpc: RpcTable | None = None
     control: ControlTable | None = None
+    members: MembersTable | None = None
 
 
 def moved(operator: Operator, discovery: str) -> Operator:
--- a/brackenladder/node/pools.py
+++ b/brackenladder/node/pools.py
@@ -123,6 +123,10 @@
 
     # ---- requests -------------------------------------------------------------------------------------
 
+    def hosts(self) -> list[Host]:
+        """Every pool's."""
+        return [side.host for side in self.sides.values()]
+
     def route(self, klass: int, tenant: int, target: bytes, name: bytes) -> Host:
         """The host that takes a request."""
         path, _, query = target.partition(b"?")
--- a/brackenladder/peers/datagrams.py
+++ b/brackenladder/peers/datagrams.py
@@ -43,6 +43,11 @@
             return
         self.transport.sendto(data, address)
 
+    def send(self, peer: int, data: bytes) -> None:
+        """A member's datagram; lost if there is no such peer, as any may be."""
+        if self.transport is not None and peer < len(self.peers) and not self.transport.is_closing():
+            self.transport.sendto(data, self.peers[peer])
+
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         number = self.numbers.get((addr[0], addr[1]))
         if number is None or len(data) > LARGEST:
--- a/brackenladder/rehearsal/checker.py
+++ b/brackenladder/rehearsal/checker.py
@@ -181,6 +181,7 @@
         self.lives: defaultdict[str, list[Life]] = defaultdict(list)
         self.told: defaultdict[str, list[Told]] = defaultdict(list)
         self.calls: defaultdict[str, list[Asked | Told | Untold]] = defaultdict(list)
+        self.pauses: defaultdict[str, list[tuple[int, int]]] = defaultdict(list)
         self.hushed: defaultdict[str, dict[int, int]] = defaultdict(dict)  # when a node's call fell silent
         self.changed: list[Changed] = []
         self.ends: defaultdict[str, list[tuple[int, str]]] = defaultdict(list)  # of nodes: signals, ends
@@ -227,7 +228,11 @@
             elif isinstance(event, Changed):
                 self.changed.append(event)
             elif isinstance(event, NodeSignal):
-                if event.signal != "hup":
+                if event.signal == "stop":
+                    self.pauses[event.node].append((event.t, FAR))
+                elif event.signal == "cont" and self.pauses[event.node]:
+                    self.pauses[event.node][-1] = (self.pauses[event.node][-1][0], event.t)
+                elif event.signal != "hup":
                     self.ends[event.node].append((event.t, event.signal))
             elif isinstance(event, NodeEnded):
                 # What a node held as it crashed is the client's to retry; the crash itself is told apart.
@@ -284,6 +289,10 @@
         """Whether the node was killed outright between two moments."""
         return any(kind == "kill" and start <= t <= end for t, kind in self.ends[node])
 
+    def paused(self, node: str, start: int, end: int) -> bool:
+        """Whether a node's process was stopped for a part of this time: nobody answers then."""
+        return any(begin <= end and start <= over for begin, over in self.pauses[node])
+
     def check_lost(self) -> None:
         """One final answer in time, and nothing after it."""
         terms = self.terms
@@ -292,6 +301,8 @@
             if sent is None:
                 continue
             limit = sent.t + sent.budget + terms.answer
+            if self.paused(sent.node, sent.t - terms.slack, limit + terms.slack):
+                continue
             over = FAR  # the moment from which nothing more may be sent for this request
             answer, broken, gave_up = try_.answer, try_.broken, try_.gave_up
             if answer is not None:
--- a/brackenladder/rehearsal/events.py
+++ b/brackenladder/rehearsal/events.py
@@ -216,7 +216,7 @@
 
 
 class NodeSignal(Event, frozen=True, tag="node-signal", gc=False):
-    """A signal was sent to a node: kill, term or hup."""
+    """A signal was sent to a node: kill, term, hup, stop or cont."""
 
     node: str
     signal: str
@@ -230,6 +230,29 @@
     wanted: bool
 
 
+class Said(Event, frozen=True, tag="said", gc=False):
+    """A node has changed its mind about a member, or about itself, at the moment `at`."""
+
+    at: int
+    node: str
+    about: str
+    before: str
+    after: str
+    epoch: int
+    incarnation: int
+    reason: str
+
+
+class Viewed(Event, frozen=True, tag="viewed", gc=False):
+    """What a node says of all members, in the order of their numbers; `own`: of itself."""
+
+    node: str
+    own: str
+    living: int
+    states: tuple[str, ...]
+    epochs: tuple[int, ...]
+
+
 class Fault(Event, frozen=True, tag="fault", gc=False):
     """A fault began; it lasts until `end`."""
 
@@ -265,6 +288,8 @@
     | Hushed
     | Changed
     | Datagram
+    | Said
+    | Viewed
     | NodeUp
     | NodeSignal
     | NodeEnded
--- a/brackenladder/rehearsal/nodes.py
+++ b/brackenladder/rehearsal/nodes.py
@@ -9,13 +9,14 @@
 import signal
 import socket
 import sys
+import tempfile
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Any
 
 from brackenladder.rehearsal.checker import ASK_WITHIN
-from brackenladder.rehearsal.events import Journal, NodeEnded, NodeSignal, NodeUp, now
+from brackenladder.rehearsal.events import Journal, NodeEnded, NodeSignal, NodeUp, Said, Viewed, now
 from brackenladder.rehearsal.plan import node_name
 from brackenladder.rehearsal.scenario import Scenario
 from brackenladder.rehearsal.standins.codecs import FAILED
@@ -26,7 +27,16 @@
 LONGEST_TERM = 3.0  # of the longest deadline, what counts there
 EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
 GROUPS = {"all": "all", "zone": "zone", "pod": "cell"}
-SIGNALS = {"kill": signal.SIGKILL, "term": signal.SIGTERM, "hup": signal.SIGHUP}
+SIGNALS = {
+    "kill": signal.SIGKILL,
+    "term": signal.SIGTERM,
+    "hup": signal.SIGHUP,
+    "stop": signal.SIGSTOP,
+    "cont": signal.SIGCONT,
+}
+ENDING = ("kill", "term")  # of them, those that end the process
+EVERY = 0.25  # seconds between two questions what a node knows of the others
+ANSWERING = 1.0  # seconds for an answer; a node that is paused gives none
 
 
 class NodeError(Exception):
@@ -125,6 +135,11 @@
     return "\n".join(lines) + "\n"
 
 
+def members_text(socket_path: str, key: str) -> str:
+    """The operator file of a node that knows the others."""
+    return f'[control]\nsocket = "{socket_path}"\n\n[members]\nkey = "{key}"\n'
+
+
 def put(path: Path, text: str) -> None:
     """Writes a file in whole, then into its place."""
     fresh = path.with_name(f"{path.name}.new")
@@ -186,6 +201,9 @@
         self.signalled = ""
         self.crashed: list[int] = []  # exit codes that nobody asked for
         self.starts = 0
+        # The folder's own path may be longer than a socket's may be.
+        self.control = str(Path(tempfile.gettempdir()) / f"lb-{os.getpid()}-{rng.getrandbits(32):08x}")
+        self.last_said = -1  # of the present process, by its clock
 
     def write(self) -> Path:
         """Writes the configuration file: in whole, then into its place."""
@@ -202,8 +220,13 @@
             "known": self.known,
             "settings": settings_of(s, self.number),
         }
-        if self.rpc:
-            put(self.operator_file, operator_text(s, self.rpc, self.discovery[self.source]))
+        text = operator_text(s, self.rpc, self.discovery[self.source]) if self.rpc else ""
+        if s.members:
+            key = self.folder / "members.key"
+            put(key, f"rehearsal-{self.folder.name:16.40}\n")
+            text += members_text(self.control, str(key))
+        if text:
+            put(self.operator_file, text)
         path = self.folder / f"{self.name}.json"
         put(path, json.dumps(table))
         return path
@@ -232,7 +255,11 @@
         try:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command,
-                *(("run", "--operator", str(self.operator_file)) if self.rpc else ()),
+                *(
+                    ("run", "--operator", str(self.operator_file))
+                    if self.rpc or self.scenario.members
+                    else ()
+                ),
                 env=environ,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
@@ -278,14 +305,42 @@
         self.journal.add(NodeEnded(now(), self.name, code, wanted))
 
     def signal(self, name: str) -> None:
-        """Sends kill, term or hup, and notes it before."""
+        """Sends one of SIGNALS, and notes it before."""
         if self.process is None or self.process.returncode is not None:
             return
-        if name != "hup":
+        if name in ENDING:
             self.signalled = name
         self.journal.add(NodeSignal(now(), self.name, name))
         self.process.send_signal(SIGNALS[name])
 
+    async def listened(self) -> None:
+        """Notes what the node says of the others, as it says it, to the run's end."""
+        view: tuple[Any, ...] = ()
+        while True:
+            await asyncio.sleep(EVERY)
+            try:
+                async with asyncio.timeout(ANSWERING):
+                    reader, writer = await asyncio.open_unix_connection(self.control, limit=1 << 24)
+                    writer.write(b'{"version":1,"do":"members"}\n')
+                    told = json.loads(await reader.readline())
+                    writer.close()
+            except (OSError, TimeoutError, ValueError):
+                continue
+            if not told.get("ok"):
+                continue
+            for said in told["transitions"]:
+                if said["at_us"] > self.last_said:
+                    self.last_said = said["at_us"]
+                    about = node_name(said["number"])
+                    fields = (said["before"], said["after"], said["epoch"], said["incarnation"])
+                    self.journal.add(Said(now(), said["at_us"], self.name, about, *fields, said["reason"]))
+            own, members = told["self"], told["members"]
+            states = tuple(m["state"] for m in members)
+            seen = (own["state"], own["living"], states, tuple(m["epoch"] for m in members))
+            if seen != view:
+                view = seen
+                self.journal.add(Viewed(now(), self.name, *seen))
+
     async def ended(self, time: float) -> bool:
         """Waits for the process's end, so long at most."""
         if self.process is None:
@@ -311,3 +366,4 @@
             self.signalled = "kill"
             self.process.kill()
             await self.watcher
+        Path(self.control).unlink(missing_ok=True)
--- a/brackenladder/rehearsal/report.py
+++ b/brackenladder/rehearsal/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 from xml.etree import ElementTree
 
@@ -9,6 +10,7 @@
 
 from brackenladder.rehearsal.checker import RULES, ClassTerms, Finding, Report, Terms
 from brackenladder.rehearsal.events import Datagram, Fault
+from brackenladder.rehearsal.members import MEMBER_RULES, Judged, MemberRule, judge
 from brackenladder.rehearsal.runner import Result
 from brackenladder.rehearsal.scenario import Scenario
 
@@ -18,6 +20,14 @@
     "drain": "nothing new to a server that drains or is gone",
     "cold": "no cold server pushed over",
 }
+MEMBER_MEANINGS: dict[MemberRule, str] = {
+    "complete": "who was killed is dead in all views that could know, in time",
+    "accurate": "nobody who is there and can be reached is taken for dead",
+    "agreed": "after the last fault all views are the same, and right",
+    "no-return": "an older process of a node never wins again",
+    "bounded": "no node sends the others more than its bound of bytes",
+}
+NONE: Mapping[MemberRule, Judged] = {}
 
 
 def terms_of(scenario: Scenario) -> Terms:
@@ -36,9 +46,17 @@
     )
 
 
-def passed(report: Report, result: Result) -> bool:
+def members_of(scenario: Scenario, result: Result) -> dict[MemberRule, Judged]:
+    """What became of the nodes' knowledge of one another, if they had any."""
+    if not scenario.members:
+        return {}
+    return judge(result.events, result.plan.steps, result.begin, round(scenario.rules.lag_ms * 1000))
+
+
+def passed(report: Report, result: Result, members: Mapping[MemberRule, Judged] = NONE) -> bool:
     """Whether nothing broke, no node crashed and the run is valid."""
-    return not result.crashed and not {"broke", "not valid"} & set(report.verdicts.values())
+    verdicts = {*report.verdicts.values(), *(judged.verdict for judged in members.values())}
+    return not result.crashed and not {"broke", "not valid"} & verdicts
 
 
 def told(finding: Finding, begin: int) -> dict[str, Any]:
@@ -59,7 +77,7 @@
         "scenario": name,
         "title": scenario.title,
         "seed": result.plan.seed,
-        "passed": passed(report, result),
+        "passed": passed(report, result, members := members_of(scenario, result)),
         "verdicts": {rule: report.verdicts[rule] for rule in RULES},
         "rules": {
             rule: {
@@ -72,6 +90,7 @@
             }
             for rule in RULES
         },
+        "members": {rule: msgspec.to_builtins(members[rule]) for rule in MEMBER_RULES if rule in members},
         "notes": notes(scenario, result),
         "crashed": result.crashed,
         "lag_ms": report.lag / 1000,
--- a/brackenladder/rehearsal/runner.py
+++ b/brackenladder/rehearsal/runner.py
@@ -16,7 +16,7 @@
 from brackenladder.rehearsal.events import AnyEvent, Fault, Journal, merged, now
 from brackenladder.rehearsal.nodes import NodeError, NodeProcess
 from brackenladder.rehearsal.plan import MICRO, Plan, Step, plan_of
-from brackenladder.rehearsal.scenario import NODE_FAULTS, Scenario
+from brackenladder.rehearsal.scenario import DONE_TO_PROCESSES, Scenario
 
 HEADSTART = 0.5  # seconds between the last order and the run's beginning
 OPENING = 30.0  # seconds for a stand-in to open its sockets
@@ -206,9 +206,11 @@
         tasks = [
             asyncio.create_task(self.do(step, network, clients))
             for step in self.plan.steps
-            if step.kind in NODE_FAULTS and step.kind not in ("silent-clients", "unheard", "silent-watch")
+            if step.kind in DONE_TO_PROCESSES
         ]
         tasks.append(asyncio.create_task(self.announce()))
+        if self.scenario.members:
+            tasks += [asyncio.create_task(node.listened()) for node in self.nodes]
         try:
             async with asyncio.timeout(HEADSTART + self.plan.length / MICRO + CLOSING):
                 while True:
@@ -254,6 +256,13 @@
             node.write()
             node.signal("hup")
             return
+        if step.kind == "node-pause":
+            clients.tell({"node": node.name, "state": "closed"})
+            node.signal("stop")
+            await self.until(step.end)
+            node.signal("cont")
+            clients.tell({"node": node.name, "state": "up"})
+            return
         if step.kind == "node-kill":
             node.signal("kill")
             await asyncio.sleep(self.scenario.clients.notice_s)
--- a/brackenladder/rehearsal/scenario.py
+++ b/brackenladder/rehearsal/scenario.py
@@ -16,7 +16,7 @@
 
 LARGEST_FILE = 1 << 20  # bytes of a scenario
 MOST_REQUESTS = 2_000_000  # of one run: rate times length
-MOST_NODES, MOST_SERVERS = 32, 200  # that are played by processes, on one machine
+MOST_NODES, MOST_SERVERS = 40, 200  # that are played by processes, on one machine
 
 Effect = Literal["safe", "keyed", "unsafe"]
 Group = Literal["all", "zone", "pod"]
@@ -40,7 +40,18 @@
 )
 DISCOVERY_FAULTS = ("half-list", "old-list", "silence")
 DATAGRAM_FAULTS = ("datagrams-late", "datagrams-twice", "datagrams-swapped", "datagrams-lost")
-NODE_FAULTS = ("node-kill", "node-term", "node-move", "silent-clients", "unheard", "silent-watch")
+LINK_FAULTS = ("deaf", "mute", "cut-oneway", "cut-group")  # between nodes, at the relay
+NODE_FAULTS = (
+    "node-kill",
+    "node-term",
+    "node-move",
+    "node-pause",
+    "silent-clients",
+    "unheard",
+    "silent-watch",
+    *LINK_FAULTS,
+)
+DONE_TO_PROCESSES = ("node-kill", "node-term", "node-move", "node-pause")  # by the runner
 MODEL_FAULTS = ("vanish", "cut", "slow")  # that loopback sockets cannot play
 
 Kind = Literal[
@@ -73,6 +84,11 @@
     "silent-clients",
     "unheard",
     "silent-watch",
+    "node-pause",
+    "deaf",
+    "mute",
+    "cut-oneway",
+    "cut-group",
     "vanish",
     "cut",
     "slow",
@@ -232,6 +248,7 @@
     length_s: Annotated[float, Meta(gt=0, le=3600)] = 10.0
     transport: Transport = "http"  # of clients and servers; rpc: the nodes' own HTTP side gets nothing to do
     nodes: Annotated[int, Meta(ge=1, le=2_000)] = 2
+    members: bool = False  # the nodes know one another ([members] in their operator files)
     zones: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=8)] = ("east", "west")
     tenants: Annotated[tuple[Name, ...], Meta(min_length=1)] = ("acme", "brook")
     tiers: Annotated[int, Meta(ge=1, le=4)] = 1  # a server holds its core while it calls the next tier
--- a/brackenladder/rehearsal/standins/network.py
+++ b/brackenladder/rehearsal/standins/network.py
@@ -13,7 +13,7 @@
 
 from brackenladder.rehearsal.events import Asked, Changed, Datagram, Hushed, Told, Untold, now
 from brackenladder.rehearsal.plan import MICRO, ServerPlan, Step, node_name
-from brackenladder.rehearsal.scenario import DATAGRAM_FAULTS, DISCOVERY_FAULTS
+from brackenladder.rehearsal.scenario import DATAGRAM_FAULTS, DISCOVERY_FAULTS, LINK_FAULTS
 from brackenladder.rehearsal.standins.process import Host, listener, named, report, reset
 
 LONGEST_WAIT = 60.0  # seconds of a watch
@@ -317,7 +317,7 @@
             elif step.kind in DISCOVERY_FAULTS:
                 self.host.at(step.at, self.begin, step)
                 self.host.at(step.end, self.end, step)
-            elif step.kind in DATAGRAM_FAULTS:
+            elif step.kind in (*DATAGRAM_FAULTS, *LINK_FAULTS):
                 self.host.at(step.at, self.host.fault, step)
             elif step.kind in ("unheard", "silent-watch"):
                 self.host.at(step.at, self.unheard, step)
@@ -372,19 +372,38 @@
             if number != source and target in (-1, number):
                 self.carry(source, number, address, data)
 
+    def severed(self, source: int, number: int) -> bool:
+        """Whether a fault of this moment keeps one node's datagrams from another."""
+        time, links = self.host.time(), set()
+        for step in self.host.plan.steps:
+            if step.kind in LINK_FAULTS and step.at <= time < step.end:
+                links.add((step.kind, step.target))
+        one, other = node_name(source), node_name(number)
+        return (
+            ("mute", one) in links
+            or ("deaf", other) in links
+            or (("cut-oneway", one) in links and number == (source + 1) % self.host.scenario.nodes)
+            or (("cut-group", one) in links) != (("cut-group", other) in links)
+        )
+
     def carry(self, source: int, number: int, address: tuple[str, int], data: bytes) -> None:
-        step = self.step(*DATAGRAM_FAULTS)
+        time = self.host.time()
         fate, delays = "passed", [self.rng.uniform(*PASSING)]
-        if step is not None and self.rng.random() < step.share:
+        for step in self.host.plan.steps:
+            on = step.kind in DATAGRAM_FAULTS and step.at <= time < step.end
+            if not on or self.rng.random() >= step.share:
+                continue
             fate = step.kind.removeprefix("datagrams-")
             if fate == "late":
-                delays = [LATE]
+                delays = [LATE] * len(delays)
             elif fate == "twice":
                 delays *= 2
             elif fate == "swapped":
-                delays = [self.rng.choice((0.0, SWAPPED))]
+                delays = [self.rng.choice((0.0, SWAPPED)) for _ in delays]
             else:
                 delays = []
+        if self.severed(source, number):
+            fate, delays = "cut", []
         self.host.journal.add(Datagram(now(), node_name(source), node_name(number), len(data), fate))
         for delay in delays:
             self.host.loop.call_later(delay, self.relays[source].transport.sendto, data, address)
--- a/tests/cluster/test_view.py
+++ b/tests/cluster/test_view.py
@@ -21,7 +21,10 @@
 
 @given(ACCOUNTS, st.randoms(use_true_random=False))
 def test_order_and_repeats_do_not_matter(accounts, random):
-    """Commutative, associative, idempotent: an account is a set of records, and the greatest of each holds."""
+    """Commutative, associative, idempotent: an account is a set of records.
+
+    And the greatest of each holds.
+    """
     mixed = accounts * 2
     random.shuffle(mixed)
     assert seen(mixed) == seen(accounts)
