--- a/benchmarks/fleet_test.py
+++ b/benchmarks/fleet_test.py
@@ -1,7 +1,4 @@
-"""Many processes with faults between them: `.venv/bin/python benchmarks/fleet_test.py [--minutes M] [--nodes N]`.
-
-Any processes with faults between them: `.venv/bin/python benchmarks/fleet_test.py [--minutes M] [--nodes
-N]`.
+"""Many processes with faults between them: `.venv/bin/python benchmarks/fleet_test.py [--minutes M]`.
 
 Each run starts N nodes (24) before servers under load, with the relay between each two of them, and is
 judged by the four rules and the members' five verdicts. `--minutes` is the length of each steady trouble
@@ -22,11 +19,13 @@
 import click
 import msgspec
 
-from brackenladder.rehearsal.checker import check
-from brackenladder.rehearsal.events import NodeSignal, Said
-from brackenladder.rehearsal.report import members_of, passed, terms_of
-from brackenladder.rehearsal.runner import rehearse
-from brackenladder.rehearsal.scenario import Scenario
+sys.path.insert(0, str(Path(__file__).parents[1]))
+
+from brackenladder.rehearsal.checker import check  # noqa: E402
+from brackenladder.rehearsal.events import NodeSignal, Said  # noqa: E402
+from brackenladder.rehearsal.report import members_of, passed, terms_of  # noqa: E402
+from brackenladder.rehearsal.runner import rehearse  # noqa: E402
+from brackenladder.rehearsal.scenario import Scenario  # noqa: E402
 
 START = 8.0  # seconds in which the nodes come to know one another
 AFTER = 16.0  # seconds behind the last fault, for views to agree
