--- a/brackenladder/cluster/detector.py
+++ b/brackenladder/cluster/detector.py
@@ -40,10 +40,12 @@
 
 TICK = 50_000  # microseconds between two ticks
 PERIOD = 300_000  # of a probe
+ROUNDS = 2  # periods that a probe may take
 AGAIN = 75_000  # a ping without an answer is sent again after it...
 DIRECT = 150_000  # ...and helpers are asked after it
 HELPERS = 3
 GOSSIP = 200_000  # between two rounds of rumours...
+LAST_CALL = 500_000  # before a suspect is buried, it and others are asked
 FANOUT = 3  # ...to so many members
 SYNC = 4_000_000  # between two digests, less a part by chance
 DEAD_PROBE = 1_000_000  # between two pings to one of the dead
@@ -76,13 +78,14 @@
 class Probe:
     """The probe that is out. `seq` is told apart from those of other probes."""
 
-    __slots__ = ("target", "seq", "since", "pinged", "asked", "answered")
+    __slots__ = ("answered", "asked", "pinged", "rounds", "seq", "since", "target")
 
     def __init__(self, target: int, seq: int, now: int) -> None:
         self.target = target
         self.seq = seq
         self.since = self.pinged = now
         self.asked: set[int] = set()
+        self.rounds = 1
         self.answered = False
 
 
@@ -139,7 +142,16 @@
     @property
     def others(self) -> list[int]:
         """Members that are taken to be there, without this one."""
-        return [n for n in self.view.having(State.ALIVE, State.SUSPECT) if n != self.own]
+        there = self.view.having(State.ALIVE) + self.view.having(State.SUSPECT)
+        if self.me.state == State.ALIVE:
+            there.remove(self.own)
+        return there
+
+    @property
+    def others_number(self) -> int:
+        """How many these are."""
+        there = len(self.view.having(State.ALIVE)) + len(self.view.having(State.SUSPECT))
+        return there - (self.me.state == State.ALIVE)
 
     def address_changed(self, number: int) -> None:
         """Whoever has this number now is somewhere else: what was heard of it says nothing any more."""
@@ -168,9 +180,9 @@
     def tick(self, now: int) -> None:
         """Time goes on; to be called every TICK."""
         self.woke(now)
-        others = len(self.others)
+        dead = self.view.having(State.DEAD)
         before = self.health.word
-        word, said = self.health.look(now, others + len(list(self.view.having(State.DEAD))))
+        word, said = self.health.look(now, self.others_number + len(dead))
         if word != before or said:
             self.note(now, self.own, before, word, said or f"this node is {word}")
         if not self.health.may_bury:
@@ -191,7 +203,6 @@
             self.sync(now)
         if now >= self.next_dead:
             self.next_dead = now + DEAD_PROBE
-            dead = list(self.view.having(State.DEAD))
             if dead:
                 self.tell(self.rng.choice(dead), [Ping(self.next_seq())], now)
 
@@ -290,7 +301,7 @@
         if before is None:
             return
         if record.state == State.SUSPECT:
-            self.suspicions[number] = Suspicion(now, by, len(self.others) - 2)
+            self.suspicions[number] = Suspicion(now, by, self.others_number - 2)
         else:
             self.suspicions.pop(number, None)
         if record.state in (State.SUSPECT, State.DEAD):
@@ -342,8 +353,13 @@
         """Suspects whose time is over are dead, unless they are heard."""
         if not self.health.may_bury:
             return
+        crowd = (len(self.suspicions) - 1) * self.rumours.cost(len(self.view)) * 1_000_000 // BYTES_A_SECOND
         for number, suspicion in list(self.suspicions.items()):
-            if now < suspicion.deadline:
+            deadline = suspicion.deadline(crowd)
+            if now < deadline:
+                if now >= deadline - LAST_CALL and not suspicion.called:
+                    suspicion.called = True
+                    self.last_call(number, now)
                 continue
             if self.heard_at.get(number, -1) > suspicion.since:
                 suspicion.hold(now)
@@ -352,6 +368,15 @@
             names = ", ".join(str(n) for n in sorted(suspicion.by))
             self.put(number, record, now, self.own, f"suspected by {names}, not refuted")
 
+    def last_call(self, number: int, now: int) -> None:
+        """Asks the suspect, and others what they know of it, before it is buried.
+
+        Failure prevented: a rumour reaches all but one node by chance, and that one buries who has refuted.
+        """
+        self.tell(number, [Ping(self.next_seq())], now)
+        for other in self.some([n for n in self.others if n != number], HELPERS):
+            self.tell(other, [Range(number, number + 1), *self.recorded([number])], now)
+
     def heard(self, number: int, now: int) -> bool:
         return now - self.heard_at.get(number, -HEARD) < HEARD
 
@@ -365,7 +390,8 @@
             if now - probe.pinged >= self.health.scaled(AGAIN):
                 probe.pinged = now
                 self.tell(probe.target, [Ping(probe.seq)], now)
-            if gone >= self.health.scaled(DIRECT) and not probe.asked:
+            waited = gone - (probe.rounds - 1) * self.health.scaled(PERIOD)
+            if waited >= self.health.scaled(DIRECT) and not probe.asked:
                 heard = [n for n in self.others if n != probe.target and self.heard(n, now)]
                 helpers = self.some(heard or [n for n in self.others if n != probe.target], HELPERS)
                 probe.asked = set(helpers)
@@ -380,6 +406,13 @@
             return
         self.next_probe = now + self.health.scaled(PERIOD)
         if probe is not None:
+            missed = not probe.answered and self.heard_at.get(probe.target, -1) < probe.since
+            if missed and probe.rounds < ROUNDS:
+                # Failure prevented: under loss many a probe fails once, and the fleet is busy with rumours of
+                # suspects that answer the next one.
+                probe.rounds += 1
+                probe.asked = set()
+                return
             self.over(probe, now)
         target = self.next_target()
         self.probe = None
@@ -410,13 +443,12 @@
 
     def next_target(self) -> int | None:
         """Round robin over a shuffled order, so that nobody waits for more than two rounds."""
-        live = set(self.others)
-        while live:
+        for _ in range(2):
             while self.order:
                 target = self.order.pop()
-                if target in live:
+                if self.view.records[target].state <= State.SUSPECT:
                     return target
-            self.order = sorted(live)
+            self.order = self.others
             self.rng.shuffle(self.order)
         return None
 
@@ -428,9 +460,9 @@
 
     def gossip(self, now: int) -> None:
         """Rumours go to some members by themselves."""
+        if not len(self.rumours):
+            return
         for number in self.some(self.others, FANOUT):
-            if not len(self.rumours):
-                return
             self.tell(number, [], now, spare=True)
 
     def sync(self, now: int) -> None:
--- a/brackenladder/cluster/rumours.py
+++ b/brackenladder/cluster/rumours.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 from math import ceil, log10
 
+from brackenladder.cluster.wire import RECORD
+
 TIMES = 4  # sends of a rumour, times the logarithm (of ten) of the members
 MOST = 512  # rumours at a time; the one told most often makes room
 
@@ -25,6 +27,10 @@
         if number not in self.told:
             self.add(number)
 
+    def cost(self, members: int) -> int:
+        """Bytes that one rumour costs each node until it has been told often enough."""
+        return RECORD.size * TIMES * max(1, ceil(log10(members + 1)))
+
     def take(self, most: int, members: int) -> Iterator[int]:
         """Up to so many members to tell of, the least told first; each is counted as told once more."""
         enough = TIMES * max(1, ceil(log10(members + 1)))
--- a/brackenladder/cluster/suspicion.py
+++ b/brackenladder/cluster/suspicion.py
@@ -2,25 +2,27 @@
 
 Lifeguard (Dadgar, Phillips, Currey: local health awareness for more accurate failure detection, 2018): the
 time falls from MOST to LEAST with the logarithm of the confirmations. LEAST is derived: a pause of 2 s that
-begins as a probe does must end, be heard of and be refuted before it is over.
+begins as a probe does must end, be heard of and be refuted before it is over. Where many are suspected at
+once, all of them need longer: their refutations go through one bound on bytes (`crowd` of them).
 """
 
 from __future__ import annotations
 
 from math import log
 
-LEAST = 2_150_000  # microseconds
-MOST = 4_000_000
+LEAST = 1_850_000  # microseconds, behind two periods of a probe
+MOST = 3_600_000
 CONFIRMATIONS = 3  # others that suspect it too, after which it has LEAST
 
 
 class Suspicion:
     """One suspect. `most`: how many others could confirm it; with none the time is LEAST at once."""
 
-    __slots__ = ("by", "enough", "since")
+    __slots__ = ("by", "called", "enough", "since")
 
     def __init__(self, now: int, by: int, most: int) -> None:
         self.since = now
+        self.called = False  # the last word was asked for
         self.by = {by}
         self.enough = min(CONFIRMATIONS, max(0, most))
 
@@ -31,14 +33,14 @@
         self.by.add(by)
         return True
 
-    @property
-    def deadline(self) -> int:
-        """Microseconds: from then on it is dead, unless it has refuted."""
+    def deadline(self, crowd: int = 0) -> int:
+        """Microseconds: from then on it is dead, unless it has refuted. `crowd`: what the others' words take."""
         if not self.enough:
-            return self.since + LEAST
+            return self.since + LEAST + crowd
         part = log(len(self.by)) / log(self.enough + 1)
-        return self.since + max(LEAST, round(MOST - part * (MOST - LEAST)))
+        return self.since + max(LEAST, round(MOST - part * (MOST - LEAST))) + crowd
 
     def hold(self, now: int) -> None:
         """The time begins anew: who judges could not hear for a while."""
         self.since = now
+        self.called = False
--- a/brackenladder/cluster/view.py
+++ b/brackenladder/cluster/view.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -56,6 +55,7 @@
     def __init__(self, size: int, now: int) -> None:
         self.records = [UNHEARD] * size
         self.since = [now] * size
+        self.by_state: dict[State, list[int]] = {}  # counted anew when a state changes
 
     def __len__(self) -> int:
         return len(self.records)
@@ -68,6 +68,7 @@
         self.records[number] = record
         if record.state != before.state or record.epoch != before.epoch:
             self.since[number] = now
+            self.by_state.clear()
         return before
 
     def resize(self, size: int, now: int) -> None:
@@ -75,7 +76,12 @@
         more = size - len(self.records)
         self.records = self.records[:size] + [UNHEARD] * more
         self.since = self.since[:size] + [now] * more
-
-    def having(self, *states: State) -> Iterator[int]:
-        """The members in one of these states."""
-        return (number for number, record in enumerate(self.records) if record.state in states)
+        self.by_state.clear()
+
+    def having(self, state: State) -> list[int]:
+        """The members in this state."""
+        if not self.by_state:
+            self.by_state = {state: [] for state in State}
+            for number, record in enumerate(self.records):
+                self.by_state[record.state].append(number)
+        return self.by_state[state]
--- a/brackenladder/fleet/members.py
+++ b/brackenladder/fleet/members.py
@@ -35,7 +35,7 @@
     """This project's detector."""
 
     def dead(self) -> set[int]:
-        return set(self.view.having(State.DEAD, State.LEFT))
+        return {*self.view.having(State.DEAD), *self.view.having(State.LEFT)}
 
 
 Make = Callable[
--- /dev/null
+++ b/brackenladder/fleet/rivals/members.py
@@ -0,0 +1,130 @@
+"""Rivals of the members' detector, for comparison: heartbeats, phi accrual, SWIM as first published.
+
+Heartbeats go to all, and silence for a fixed time is death. Phi accrual (Hayashibara and others, 2004) takes
+the time since the last heartbeat against the mean and deviation of those before. SWIM (2002) is this
+project's detector without Lifeguard and without what goes beyond both.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from math import erfc, log10, sqrt
+from random import Random
+
+from brackenladder.cluster.detector import Detector, Transition
+from brackenladder.cluster.suspicion import Suspicion
+from brackenladder.cluster.view import State
+
+EVERY = 1_000_000  # microseconds between two heartbeats
+FIXED = 3_000_000  # of silence that is death
+BEAT = bytes(31)  # as long as a frame without messages
+SAMPLES = 50  # gaps between heartbeats that phi looks at
+PHI = 8.0  # the authors' usual threshold
+LEAST_DEVIATION = 100_000.0  # microseconds
+SUSPECTED = 2_150_000  # SWIM's fixed time, the least of this project's
+
+
+class Heartbeats:
+    """All to all; who is silent for FIXED is dead, until it is heard again."""
+
+    def __init__(
+        self,
+        own: int,
+        size: int,
+        epoch: int,
+        now: int,
+        rng: Random,
+        send: Callable[[int, bytes], None],
+        changed: Callable[[Transition], None],
+    ) -> None:
+        self.own, self.size, self.epoch = own, size, epoch
+        self.send, self.changed = send, changed
+        self.heard = [now] * size
+        self.gone: set[int] = set()
+        self.next = now + rng.randrange(EVERY)
+
+    def tick(self, now: int) -> None:
+        if now < self.next:
+            return
+        self.next = max(self.next + EVERY, now)
+        for number in range(self.size):
+            if number == self.own:
+                continue
+            self.send(number, BEAT)
+            if number not in self.gone and self.silent(number, now):
+                self.gone.add(number)
+                self.changed(Transition(now, number, "alive", "dead", 0, 0, "silence"))
+
+    def silent(self, number: int, now: int) -> bool:
+        return now - self.heard[number] > FIXED
+
+    def datagram(self, number: int, data: bytes, now: int) -> None:
+        self.heard[number] = now
+        self.gone.discard(number)
+
+    def leave(self, now: int) -> None:
+        """Nothing is said."""
+
+    def dead(self) -> set[int]:
+        return set(self.gone)
+
+
+class Phi(Heartbeats):
+    """The same heartbeats, and a time that follows how regular they were."""
+
+    def __init__(
+        self,
+        own: int,
+        size: int,
+        epoch: int,
+        now: int,
+        rng: Random,
+        send: Callable[[int, bytes], None],
+        changed: Callable[[Transition], None],
+    ) -> None:
+        super().__init__(own, size, epoch, now, rng, send, changed)
+        self.gaps: list[deque[int]] = [deque([EVERY], maxlen=SAMPLES) for _ in range(size)]
+
+    def datagram(self, number: int, data: bytes, now: int) -> None:
+        self.gaps[number].append(now - self.heard[number])
+        super().datagram(number, data, now)
+
+    def silent(self, number: int, now: int) -> bool:
+        gaps = self.gaps[number]
+        mean = sum(gaps) / len(gaps)
+        deviation = max(LEAST_DEVIATION, sqrt(sum((gap - mean) ** 2 for gap in gaps) / len(gaps)))
+        later = erfc((now - self.heard[number] - mean) / deviation / sqrt(2)) / 2
+        return later <= 0 or -log10(later) > PHI
+
+
+class FixedSuspicion(Suspicion):
+    """One time for all, whoever confirms."""
+
+    def deadline(self, crowd: int = 0) -> int:
+        return self.since + SUSPECTED
+
+
+class Swim(Detector):
+    """No local health, a fixed time, the suspect is not told first.
+
+    Whoever wakes believes what it had believed.
+    """
+
+    def tick(self, now: int) -> None:
+        self.health.score = 0
+        self.health.last_tick = self.health.heard_at = now
+        self.health.answered.clear()
+        self.health.settled = True
+        for number, suspicion in self.suspicions.items():
+            if not isinstance(suspicion, FixedSuspicion):
+                self.suspicions[number] = FixedSuspicion(suspicion.since, self.own, 0)
+        self.next_dead = self.next_sync = now + EVERY
+        self.heard_at.clear()  # only an answer counts
+        super().tick(now)
+
+    def woke(self, now: int) -> None:
+        self.health.last_tick = now
+
+    def dead(self) -> set[int]:
+        return {*self.view.having(State.DEAD), *self.view.having(State.LEFT)}
