--- a/brackenladder/cluster/suspicion.py
+++ b/brackenladder/cluster/suspicion.py
@@ -34,7 +34,7 @@
         return True
 
     def deadline(self, crowd: int = 0) -> int:
-        """Microseconds: from then on it is dead, unless it has refuted. `crowd`: what the others' words take."""
+        """Microseconds: from then on it is dead, unless it has refuted. `crowd`: what others' words take."""
         if not self.enough:
             return self.since + LEAST + crowd
         part = log(len(self.by)) / log(self.enough + 1)
