--- a/brackenladder/fleet/model.py
+++ b/brackenladder/fleet/model.py
@@ -5,12 +5,14 @@
 import gc
 import resource
 from itertools import count
+from math import ceil
 from random import Random
 from time import perf_counter
 from typing import cast
 
 import numpy as np
 
+from brackenladder.cluster.share import CERTAIN, LEAST_PART
 from brackenladder.core.host import GUARD, Host
 from brackenladder.core.roster import number_of
 from brackenladder.fleet.clients import Clients
@@ -50,6 +52,8 @@
 LATE = 500_000  # and a late one
 SWAPPED = 50_000  # and one that others overtake
 
+KNOWN = 2_850_000  # microseconds until a death is known: the median of `benchmarks/members.py`
+LIVING_EVERY = 500_000  # between two counts of the living
 NOT_PLAYED = frozenset(("silent-clients", "node-pause", *LINK_FAULTS))
 
 
@@ -107,6 +111,7 @@
         self.datagrams = self.streams.of("datagrams")
         self.last: dict[str, int] = {}  # when discovery hears of a server's latest change
         self.moved: set[str] = set()
+        self.was_up: dict[str, int] = {}  # when each node was up last
         self.leaving: set[str] = set()  # servers that drain or were replaced: they do not come back
         self.zone_of = {node_name(i): scenario.zones[i % len(scenario.zones)] for i in range(scenario.nodes)}
         self.standing: dict[str, Server] = {}
@@ -375,6 +380,22 @@
         if self.queue.now + MICRO < BEGIN + self.plan.length:
             self.queue.after(MICRO, self.look)
 
+    def count_living(self) -> None:
+        """What the members know of one another, as `cluster/share.py` counts them, a death after KNOWN.
+
+        The detector itself is played by `fleet/members.py`: here its word comes after its usual time.
+        """
+        now = self.queue.now
+        for name, node in self.nodes.items():
+            self.was_up[name] = now if node.up else self.was_up.get(name, now)
+        there = sum(now - at < KNOWN + CERTAIN for at in self.was_up.values())
+        there = max(there, ceil(LEAST_PART * len(self.nodes)))
+        for node in self.nodes.values():
+            if node.up and node.host.settings.instances != there:
+                node.host.shared(there)
+        if now + LIVING_EVERY < BEGIN + self.plan.length:
+            self.queue.after(LIVING_EVERY, self.count_living)
+
     def feed(self) -> None:
         """The next request that will come; one at a time, so that the queue stays short."""
         request = next(self.coming, None)
@@ -399,6 +420,8 @@
             if step.kind not in NOT_PLAYED:
                 self.queue.at(BEGIN + step.at, self.begin, step)
         self.queue.at(BEGIN, self.look)
+        if self.scenario.members:
+            self.queue.at(BEGIN, self.count_living)
         self.coming = iter(self.plan.requests)
         self.feed()
         collects = gc.isenabled()
