A process that stood still reads the list's waiting news before it sends

The request waits in one socket, the list in another, and what is read first is chance; and the watch's own time ended in the stall, so that its answer was thrown away unread.

At fault: Exchange.use (http/servers.py), which wrote at once, and Call.expire (discovery/watch.py).

--- a/brackenladder/discovery/watch.py
+++ b/brackenladder/discovery/watch.py
@@ -13,6 +13,7 @@
 from brackenladder.membership.inhand import FETCH_TIME, InHand, wait_ms
 from brackenladder.membership.listing import Listing, read_listing
 from brackenladder.membership.silence import ANSWER_TIME, FIRST_BYTE, Silence, wait_of
+from brackenladder.membership.stall import STALLED, WARY
 
 CONNECT_TIMEOUT = 1.0
 LARGEST_ANSWER = 4 << 20
@@ -76,9 +77,18 @@
         """The step that begins now has so many seconds."""
         if self.timer is not None:
             self.timer.cancel()
+        self.due = self.loop.time() + time
         self.timer = self.loop.call_later(time, self.expire)
 
     def expire(self) -> None:
+        """The time is over; a process that stood still meanwhile first reads what has come.
+
+        Failure prevented: the answer waits in the socket, the call is given up unread, and requests go to a
+        server that it withdraws.
+        """
+        if self.loop.time() - self.due > STALLED:
+            self.limit(WARY)
+            return
         self.silent = True
         self.fail()
 
--- a/brackenladder/fleet/model.py
+++ b/brackenladder/fleet/model.py
@@ -54,7 +54,7 @@
 
 KNOWN = 2_850_000  # microseconds until a death is known: the median of `benchmarks/members.py`
 LIVING_EVERY = 500_000  # between two counts of the living
-NOT_PLAYED = frozenset(("silent-clients", "node-pause", *LINK_FAULTS))
+NOT_PLAYED = frozenset(("silent-clients", "node-pause", "node-stall", *LINK_FAULTS))
 
 
 class TrueState:
--- a/brackenladder/http/servers.py
+++ b/brackenladder/http/servers.py
@@ -9,6 +9,7 @@
 import select
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from time import monotonic
 from typing import cast
 
 import httptools
@@ -17,6 +18,7 @@
 from brackenladder.http.relay import LARGEST_ANSWER as LONGEST
 from brackenladder.http.relay import Relay
 from brackenladder.interface import Outcome
+from brackenladder.membership.stall import BEAT, FIRST, Stall
 
 OK = Outcome.OK  # an enumeration's members are slow to look up, and this one is for every answer
 IDLE_MARGIN = 0.3  # seconds before the server would close an idle connection
@@ -375,6 +377,13 @@
             self.stop(Outcome.CONNECT_FAILED)
 
     def use(self, connection: Connection) -> None:
+        """Writes the request, once news of the list that may be waiting has been read."""
+        if self.pool.stall.wary(monotonic()):
+            self.pool.loop.call_later(FIRST, self.write, connection)
+        else:
+            self.write(connection)
+
+    def write(self, connection: Connection) -> None:
         """Writes the request, if it may still be written: the connection may have taken its time."""
         data = None if self.over or not self.endpoint.ready else self.compose()
         if data is None:
@@ -425,6 +434,12 @@
         self.open = 0
         self.endpoints: dict[int, Endpoint] = {}
         self.sweeping = False
+        self.stall = Stall(monotonic())
+        loop.call_later(BEAT, self.beat)
+
+    def beat(self) -> None:
+        self.stall.beat(monotonic())
+        self.loop.call_later(BEAT, self.beat)
 
     def take(self, endpoint: Endpoint) -> Connection | None:
         """The most recently used idle connection that is still good."""
--- a/brackenladder/rehearsal/plan.py
+++ b/brackenladder/rehearsal/plan.py
@@ -301,6 +301,7 @@
     "unheard": "is cut off from discovery",
     "silent-watch": "has its watch fall silent, once",
     "node-pause": "stands still (SIGSTOP)",
+    "node-stall": "stands still (SIGSTOP) while clients go on",
     "deaf": "hears no other node",
     "mute": "is heard by no other node",
     "cut-oneway": "is not heard by the next node",
--- a/brackenladder/rehearsal/runner.py
+++ b/brackenladder/rehearsal/runner.py
@@ -256,12 +256,15 @@
             node.write()
             node.signal("hup")
             return
-        if step.kind == "node-pause":
-            clients.tell({"node": node.name, "state": "closed"})
+        if step.kind in ("node-pause", "node-stall"):
+            noticed = step.kind == "node-pause"
+            if noticed:
+                clients.tell({"node": node.name, "state": "closed"})
             node.signal("stop")
             await self.until(step.end)
             node.signal("cont")
-            clients.tell({"node": node.name, "state": "up"})
+            if noticed:
+                clients.tell({"node": node.name, "state": "up"})
             return
         if step.kind == "node-kill":
             node.signal("kill")
--- a/brackenladder/rehearsal/scenario.py
+++ b/brackenladder/rehearsal/scenario.py
@@ -46,12 +46,13 @@
     "node-term",
     "node-move",
     "node-pause",
+    "node-stall",
     "silent-clients",
     "unheard",
     "silent-watch",
     *LINK_FAULTS,
 )
-DONE_TO_PROCESSES = ("node-kill", "node-term", "node-move", "node-pause")  # by the runner
+DONE_TO_PROCESSES = ("node-kill", "node-term", "node-move", "node-pause", "node-stall")  # by the runner
 MODEL_FAULTS = ("vanish", "cut", "slow")  # that loopback sockets cannot play
 
 Kind = Literal[
@@ -85,6 +86,7 @@
     "unheard",
     "silent-watch",
     "node-pause",
+    "node-stall",
     "deaf",
     "mute",
     "cut-oneway",
--- a/tests/rehearsal/cases.py
+++ b/tests/rehearsal/cases.py
@@ -61,6 +61,11 @@
     "node-term": Case(small(fault("node-term", length=0.5), length_s=4.0, **TWO)),
     "node-move": Case(small(fault("node-move"), fault("drain", at=1.5, length=1.4))),
     "silent-clients": Case(small(fault("silent-clients", count=150), limits={"sockets": 128})),
+    "node-stall": Case(
+        small(
+            fault("node-stall", at=0.9, length=2.5), fault("drain", at=0.95, length=5.0), length_s=6.5, **MANY
+        )
+    ),
     "leaving": Case(small(clients={"leave": 0.3, "drop": 0.3})),
 }
 
--- a/tests/rehearsal/test_rehearse.py
+++ b/tests/rehearsal/test_rehearse.py
@@ -39,6 +39,7 @@
     "deploy": ("lost", "drain", "cold"),
     "old-list": DRAIN,
     "node-move": DRAIN,
+    "node-stall": DRAIN,
     "right-drain": DRAIN,
     "right-reset": DOUBT,
     "right-cold": COLD,
--- a/tests/rehearsal/test_scenario.py
+++ b/tests/rehearsal/test_scenario.py
@@ -29,7 +29,7 @@
 def test_the_scenarios_that_operators_are_promised() -> None:
     promised = (
         "rolling-deploy stall-mid-answer cold-restart refuse late-list peer-lost-at-drain node-killed"
-        " node-restart discovery-silent silent-clients layered"
+        " node-restart discovery-silent silent-clients layered members"
     )
     assert set(promised.split()) <= set(shipped())
     deploy = load("rolling-deploy")
