A suspicion that has just begun is not ended by others' word

Seen with 24 processes after two halves: two of the 19 false deaths were left; a second word ended the suspicion that the first had begun. A told death now counts once this node's own suspicion is half of its least time old.

--- a/brackenladder/cluster/detector.py
+++ b/brackenladder/cluster/detector.py
@@ -15,7 +15,7 @@
 
 from brackenladder.cluster.health import Health
 from brackenladder.cluster.rumours import Rumours
-from brackenladder.cluster.suspicion import Suspicion
+from brackenladder.cluster.suspicion import LEAST, Suspicion
 from brackenladder.cluster.sync import LEAF, differing, digest
 from brackenladder.cluster.view import Record, State, View, beyond
 from brackenladder.cluster.wire import (
@@ -300,14 +300,15 @@
             self.of_self(record, now, by)
             return
         known = self.view.records[number]
+        young = number in self.suspicions and now - self.suspicions[number].since < LEAST // 2
         if (
             record.state == State.DEAD
             and by != self.own
-            and known.state == State.ALIVE
+            and (known.state == State.ALIVE or (known.state == State.SUSPECT and young))
             and known.epoch == record.epoch
         ):
             # Failure prevented: two halves find each other again, and each takes the other's word that its
-            # own half is dead. Whoever is alive here is asked first; the dead have been suspected before.
+            # own half is dead. Whoever is alive here is asked first; the dead have been suspected for long.
             record = record._replace(state=State.SUSPECT)
         if record == known and record.state == State.SUSPECT:
             suspicion = self.suspicions.get(number)
