Endings: a client that left is not sent on, what was taken is answered, an answer has its end

Call.may_go asks once more before the first byte if the request was not taken in this same millisecond; Caller.next asks for a connection's first request and for one that waited; the end of the stream gives up the open request at once, not when its unread answer is flushed. A host's name that cannot be resolved leaked a place. 8: a relayed answer without end held its client for ever; it ends with the client's time, by a reset where no chunks tell. 9: what may be taken after SIGTERM counted the longest deadline from SIGTERM, less 0.3 s: with deadlines of 0.9 s all that came after 0.6 s was refused, on connections kept for 2 s, past SIGKILL at 1.6 s. Now SIGKILL's time less 0.3 s, connections less 0.6 s. 10: a keyed repeat decided in its window could be written after it, once its connection came up; Call.write_by. Tests that set HANDOVER set the attribute that replaced it, the same values.

--- a/brackenladder/core/call.py
+++ b/brackenladder/core/call.py
@@ -8,6 +8,9 @@
 
 from brackenladder.interface import Outcome
 
+FRESH = 1_000  # microseconds from the taking in which a client's end need not be looked for
+NEVER = 1 << 62
+
 
 class Failure(Enum):
     """Why a call was not served, with no promise about effects."""
@@ -36,6 +39,8 @@
         "out",
         "once",
         "in_doubt",
+        "taken",
+        "write_by",
     )
 
     def __init__(self, klass: int, tenant: int, left: int, repeat: bool) -> None:
@@ -50,6 +55,25 @@
         self.out: Attempt | None = None
         self.in_doubt = False  # an attempt may have run
         self.once = False  # nobody waits for an answer: one attempt, and its end is the call's
+        self.taken = 0  # by the core's clock
+        self.write_by = NEVER  # a repeat that is written later may run a second time
+
+    def may_go(self, now: int) -> bool:
+        """Whether its first byte may go to a server at this moment of the core's clock.
+
+        Failure prevented: it waited, behind others or for a connection, its client has left meanwhile, and
+        it is sent on all the same.
+        """
+        if not self.open or now >= self.write_by:
+            return False
+        return now - self.taken < FRESH or not self.gone()
+
+    def gone(self) -> bool:
+        """Whether the client has left, though nobody has been told: its end waits in the socket.
+
+        If so the call is over when this returns.
+        """
+        return False
 
     def released(self) -> None:
         """Nothing more is owed: called before the conclusion, or alone if the client has left."""
--- a/brackenladder/core/host.py
+++ b/brackenladder/core/host.py
@@ -10,7 +10,16 @@
 
 from brackenladder.core.call import Call, Directory, Failure, Messenger, Upstream
 from brackenladder.core.clock import Clock
-from brackenladder.interface import NEVER_RAN, Actions, Events, ListKind, Outcome, ServerEntry, Settings
+from brackenladder.interface import (
+    NEVER_RAN,
+    Actions,
+    Effect,
+    Events,
+    ListKind,
+    Outcome,
+    ServerEntry,
+    Settings,
+)
 from brackenladder.policy.balancer import Balancer
 
 OK = Outcome.OK  # an enumeration's members are slow to look up, and this one is for every attempt
@@ -117,6 +126,7 @@
             left = max(0, self.ends - now)
         self.last_id += 1
         call.id = self.last_id
+        call.taken = now
         call.deadline = now + left
         self.calls[call.id] = call
         self.guard(call, now)
@@ -208,7 +218,9 @@
             if self.release(call.id) is not None:
                 call.served(answer)
         else:
-            call.in_doubt = call.in_doubt or outcome not in NEVER_RAN
+            if outcome not in NEVER_RAN and not call.in_doubt:
+                call.in_doubt = True
+                self.limit_repeats(call, began)
             if call.once:
                 self.release(call.id)
         final = not call.open
@@ -218,6 +230,17 @@
         what = (call.id, number, server, outcome, now - began, final, report)
         self.post_at(now, self.balancer.outcome, what)
 
+    def limit_repeats(self, call: Call, began: int) -> None:
+        """An attempt that began then may have run: its group remembers a keyed one for the class's window.
+
+        Failure prevented: a repeat is decided within the window, waits for its connection, and is written
+        when the first is forgotten.
+        """
+        if call.klass < len(self.settings.classes):
+            settings = self.settings.classes[call.klass]
+            if settings.effect == Effect.KEYED:
+                call.write_by = began + settings.window
+
     def cancel(self, request: int, attempt: int) -> None:
         """Gives an attempt up; its outcome follows after this event."""
         call = self.calls.get(request)
--- a/brackenladder/fleet/nodes.py
+++ b/brackenladder/fleet/nodes.py
@@ -8,7 +8,7 @@
 
 from brackenladder.core.call import Call, Failure
 from brackenladder.core.clock import Clock
-from brackenladder.core.ending import HANDOVER, last_moment
+from brackenladder.core.ending import handover, kill_after, last_moment
 from brackenladder.core.host import Host
 from brackenladder.core.roster import Roster
 from brackenladder.fleet.discovery import Source, Watch
@@ -20,7 +20,6 @@
 from brackenladder.membership.listing import Line, Listing
 from brackenladder.policy.balancer import Balancer
 from brackenladder.rehearsal.events import Answered, Event, GaveUp, NodeEnded, NodeSignal, NodeUp, Sent
-from brackenladder.rehearsal.nodes import LONGEST_TERM, TERM_MARGIN
 from brackenladder.rehearsal.plan import MICRO
 
 if TYPE_CHECKING:
@@ -252,9 +251,8 @@
             return
         self.signal("term")
         self.host.ends = last_moment(self.queue.now, self.settings.classes)
-        longest = max(c.deadline for c in self.settings.classes) / MICRO
-        by = self.queue.now + round((min(longest, LONGEST_TERM) + TERM_MARGIN) * MICRO)
-        closes = self.queue.now + round(HANDOVER * MICRO)
+        by = self.queue.now + kill_after(self.settings.classes)
+        closes = self.queue.now + round(handover(self.settings.classes) * MICRO)
 
         def look() -> None:
             if not self.up:
--- a/brackenladder/http/callers.py
+++ b/brackenladder/http/callers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from typing import Protocol, cast
 
@@ -62,6 +64,7 @@
         "keep",
         "size",
         "claim",
+        "chunks",
     )
 
     def __init__(self, error: int = 0) -> None:
@@ -76,6 +79,7 @@
         self.keep = error == 0
         self.size = 0  # bytes that count as held while it waits or is open
         self.claim: Claim | None = None  # the room of a large body, counted apart
+        self.chunks = True  # its client understands them
 
 
 class Handler(Protocol):
@@ -107,7 +111,8 @@
         self.deaf = False  # nothing further is read from this client
         self.full = False  # it does not read its answers
         self.relay: Relay | None = None  # of a large answer that is on its way
-        self.chunks = True  # the client understands them
+        self.chunks = True  # the client of the open request understands them
+        self.turns = 0  # requests that were handed on
         self.paused = False
         self.lost = False
 
@@ -129,7 +134,16 @@
             self.feed(data if len(data) <= size and not start else data[start : start + size])
             start += size
         if self.waiting and self.open is None:
-            self.next()
+            self.next(waited=not self.turns)  # the first one may have waited where nobody listened
+
+    def eof_received(self) -> None:
+        """The client has gone, though answers that it has not taken may be on their way to it."""
+        self.deaf = True
+        self.abandon()
+        self.forget()
+        self.drop()
+        if self.unflushed():
+            self.owner.loop.call_later(LINGER, self.leave, self.owner.loop.time() + FLUSH)
 
     def feed(self, data: bytes) -> None:
         """Parses a slice, small beside the bound on a head, which is measured in whole slices."""
@@ -138,9 +152,9 @@
         except httptools.HttpParserUpgrade:
             # The offer of another protocol is passed over, but the parser reads nothing after it.
             self.deaf = True
-            for message in (self.open, *self.waiting):
-                if message is not None:
-                    message.keep = False
+            last = self.waiting[-1] if self.waiting else self.open
+            if last is not None:
+                last.keep = False
         except httptools.HttpParserError:
             self.reject(400)
         if self.partial is not None:
@@ -232,7 +246,7 @@
         self.asked = True
         message.method = self.parser.get_method()
         message.keep = self.parser.should_keep_alive()
-        self.chunks = self.parser.get_http_version() == "1.1"
+        message.chunks = self.parser.get_http_version() == "1.1"
         message.size += len(message.target) + (message.length if message.claim is None else 0)
         if self.owner.held + message.size > self.owner.most_held:
             # Failure prevented: many clients that send large requests ahead end the process for its memory.
@@ -264,15 +278,24 @@
         self.open = Message(status)
         self.answer(status)
 
-    def next(self) -> None:
-        """Hands on the request that waits, once nothing is in its way."""
+    def next(self, waited: bool = True) -> None:
+        """Hands on the request that waits, once nothing is in its way.
+
+        `waited`: it did not come just now, so its client may have left since. Nothing is read while many
+        requests wait, so that nobody may have been told.
+        """
         if self.open is not None or self.full or self.lost or not self.waiting:
             return
+        if waited and self.gone():
+            self.hang_up()
+            return
+        self.turns += 1
         self.open = message = self.waiting.popleft()
         if self.paused:
             self.paused = False
             if self.partial is None or self.partial.claim not in self.owner.claims:
                 self.transport.resume_reading()
+        self.chunks = message.chunks
         handler = self.owner.handler
         if self.refusing or message.error or self.owner.turning_away:
             handler.beyond(self)
@@ -290,7 +313,7 @@
         self.owner.release(message)
         if self.transport.is_closing():
             return
-        close = not message.keep or self.refusing or self.owner.closing
+        close = self.closes(message)
         data = b"%b%bContent-Length: %d\r\n%b\r\n%b" % (
             STATUS_LINES[status],
             headers,
@@ -305,6 +328,20 @@
         elif self.waiting:
             self.owner.loop.call_soon(self.next)
 
+    def closes(self, message: Message) -> bool:
+        """Whether this answer is the connection's last. Where it is to end, what waits is answered first.
+
+        Failure prevented: whole requests that wait behind a last answer vanish.
+        """
+        if not message.keep:
+            return True
+        if not self.refusing and not self.owner.closing:
+            return False
+        if self.waiting:
+            self.deaf = True  # or it never ends
+            self.abandon()
+        return not self.waiting
+
     def head(self, status: int, headers: bytes, close: bool) -> None:
         """The head of an answer that a relay brings. The request stays open until it is through."""
         message = self.open
@@ -312,7 +349,7 @@
             return
         self.owner.release(message)  # nothing is sent again any more
         message.parts.clear()
-        message.keep = message.keep and not close and not self.refusing and not self.owner.closing
+        message.keep = not close and not self.closes(message)
         ending = b"" if message.keep else b"Connection: close\r\n"
         self.active = self.owner.loop.time()
         self.transport.write(b"%b%b%b\r\n" % (STATUS_LINES[status], headers, ending))
@@ -330,7 +367,18 @@
             self.owner.loop.call_soon(self.next)
 
     def cut(self) -> None:
-        """The answer that has begun will not come whole."""
+        """The answer that has begun will not come whole.
+
+        Failure prevented: a client that knows no chunks takes an end in order for the answer's end.
+        """
+        if not self.chunks and not self.transport.is_closing():
+            reset = struct.pack("ii", 1, 0)
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        self.transport.abort()
+
+    def hang_up(self) -> None:
+        """The client has gone: nothing is owed."""
+        self.eof_received()
         self.transport.abort()
 
     def finish(self) -> None:
@@ -408,6 +456,7 @@
         self.refusing = min(REFUSING, most // 4)
         self.most = most - self.refusing
         self.handler = handler
+        self.handover = HANDOVER  # seconds that connections stay open to further requests at the end
         self.draining = False  # `/ready` says no
         self.closing = False  # no connection outlives its answer
         self.turning_away = False  # whatever still comes is refused
@@ -498,16 +547,18 @@
         def look(since: float) -> None:
             now = self.loop.time()
             # Whoever connects anew to a shared socket finds the successor.
-            self.closing = self.closing or since >= HANDOVER or self.listener.shared
+            self.closing = self.closing or since >= self.handover or self.listener.shared
+            if since < self.handover:
+                return
             for caller in list(self.callers):
+                if caller.transport is None:
+                    continue
                 settled = now - caller.active > SETTLE
-                # A request that has not come whole long after the last connection was taken is not ours.
-                stuck = caller.open is None and since > max(TAKING, HANDOVER) + LINGER
-                if (
-                    since >= HANDOVER
-                    and caller.transport is not None
-                    and (settled and caller.idle() or stuck)
-                ):
+                # A request that has not come whole long after the last connection was taken is not ours. An
+                # answer that its client has not taken is, and so is what waits behind it.
+                owed = caller.open or caller.unflushed()
+                latest = FLUSH if owed else max(TAKING, self.handover) + LINGER
+                if settled and caller.idle() or since > latest and (not caller.open or caller.full):
                     caller.transport.abort()
 
         await self.listener.drain(look)
--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -43,24 +43,36 @@
 
     def released(self) -> None:
         front = self.front
-        del front.by_caller[self.caller]
+        if front.by_caller.get(self.caller) is self:
+            del front.by_caller[self.caller]
         if front.by_name.get(self.name) is self:
             del front.by_name[self.name]
 
     def served(self, answer: object) -> None:
+        if self.caller.open is not self.message:
+            return
         whole: Any = answer  # an Answer, as HTTP's upstream gives it
         kind = whole.content_type
         headers = b"Content-Type: %b\r\n" % kind if kind else b""
         if whole.relay is None:
             self.caller.answer(200, whole.body, headers)
         else:
-            whole.relay.begin(self.caller, 200, headers, whole.body)
+            left = (self.deadline - self.host.now()) / 1e6
+            whole.relay.begin(self.caller, 200, headers, whole.body, left)
 
     def refused(self, retry_after: int) -> None:
-        self.caller.answer(503, headers=advice(retry_after))
+        if self.caller.open is self.message:
+            self.caller.answer(503, headers=advice(retry_after))
 
     def failed(self, why: Failure) -> None:
-        self.caller.answer(STATUS[why])
+        if self.caller.open is self.message:
+            self.caller.answer(STATUS[why])
+
+    def gone(self) -> bool:
+        if not self.caller.gone():
+            return False
+        self.caller.hang_up()
+        return True
 
 
 class HttpFront:
@@ -114,7 +126,10 @@
             self.accept(caller, message)
         except Exception as e:  # whatever it is, it is this request's failure alone
             self.log(f"request: {type(e).__name__}: {e}")
-            caller.answer(500)
+            if caller.open is message:
+                # Failure prevented: the call lives on, and its end answers the connection's next request.
+                self.left(caller)
+                caller.answer(500)
 
     def accept(self, caller: Caller, message: Message) -> None:
         """Checks a request and hands it to the core."""
@@ -166,7 +181,7 @@
         caller.answer(503, headers=advice(min(FULL_ADVICE, s.max_retry_after) if s.retry_after else 0))
 
     def left(self, caller: Caller) -> None:
-        """A client closed its connection with its request open."""
+        """A client closed its connection with its request open, or nobody owes it that call any more."""
         call = self.by_caller.get(caller)
         if call is not None:
             call.host.left(call)
--- a/brackenladder/http/servers.py
+++ b/brackenladder/http/servers.py
@@ -341,6 +341,10 @@
     def start(self, timeout: float) -> None:
         """Takes an idle connection or opens one; the whole exchange may take `timeout` seconds."""
         self.timer = self.pool.loop.call_later(timeout, self.expire)
+        self.choose()
+
+    def choose(self) -> None:
+        """Takes the connection that the request goes out on."""
         connection = self.pool.take(self.endpoint)
         if connection is not None:
             self.use(connection)
@@ -357,7 +361,7 @@
         limit = pool.loop.call_later(pool.connect_timeout, self.not_up, connection)
         try:
             await pool.loop.create_connection(lambda: connection, self.endpoint.host, self.endpoint.port)
-        except OSError:
+        except (OSError, UnicodeError):  # the latter for a name that cannot be one of a host
             pool.lost(connection)
             self.end(Outcome.CONNECT_FAILED, None)
             return
@@ -379,7 +383,18 @@
     def use(self, connection: Connection) -> None:
         """Writes the request, once news of the list that may be waiting has been read."""
         if self.pool.stall.wary(monotonic()):
-            self.pool.loop.call_later(FIRST, self.write, connection)
+            self.pool.loop.call_later(FIRST, self.look, connection)
+        else:
+            self.write(connection)
+
+    def look(self, connection: Connection) -> None:
+        """After that wait: the connection may have ended during it, and is then another's turn.
+
+        Failure prevented: what is lost with it counts against its server, and fails the request.
+        """
+        if not self.over and self.endpoint.ready and connection.spoken_to():
+            connection.close()
+            self.choose()
         else:
             self.write(connection)
 
--- a/brackenladder/http/upstream.py
+++ b/brackenladder/http/upstream.py
@@ -84,8 +84,8 @@
         message: Message = http_call.message
 
         def compose() -> Sequence[bytes] | None:
-            left = expires - self.now()
-            return head_of(message, left // 1000) if call.open and left > 0 else None
+            now = self.now()
+            return head_of(message, (expires - now) // 1000) if now < expires and call.may_go(now) else None
 
         return Exchange(self.pool, endpoint, compose, done, self.read_inline, relays=True)
 
--- a/brackenladder/node/http.py
+++ b/brackenladder/node/http.py
@@ -7,6 +7,7 @@
 
 from brackenladder.core.call import Messenger
 from brackenladder.core.clock import Clock
+from brackenladder.core.ending import handover
 from brackenladder.discovery.sources import Agent, Asked
 from brackenladder.http.callers import Callers
 from brackenladder.http.front import HttpFront
@@ -52,4 +53,5 @@
     front = HttpFront(pool.host, config.classes, config.tenants, ready, log.line)
     most = config.connections - config.connections // 2
     front.callers = Callers(loop, most, config.most_held, config.most_bulk, front)
+    front.callers.handover = handover(config.settings.classes)
     return front
--- a/brackenladder/rpc/front.py
+++ b/brackenladder/rpc/front.py
@@ -8,7 +8,7 @@
 from typing import cast
 
 from brackenladder.core.call import Failure
-from brackenladder.core.ending import HANDOVER
+from brackenladder.core.ending import handover
 from brackenladder.core.host import Host
 from brackenladder.operations.pause import Service
 from brackenladder.rpc.call import Reply, RpcCall
@@ -262,9 +262,10 @@
 
     async def drain(self) -> None:
         """Ends the service: what was taken is answered; connections serve further calls for a while."""
+        stays = handover(self.host.settings.classes)
 
         def look(since: float) -> None:
-            if since >= HANDOVER:
-                self.close_idle(since >= HANDOVER + LINGER)
+            if since >= stays:
+                self.close_idle(since >= stays + LINGER)
 
         await self.listener.drain(look)
--- a/brackenladder/sockets/listener.py
+++ b/brackenladder/sockets/listener.py
@@ -52,6 +52,10 @@
         number = self.transport.get_extra_info("socket").fileno()
         return any(fcntl.ioctl(number, termios.FIONREAD, b"\0\0\0\0"))
 
+    def unflushed(self) -> bool:
+        """Whether part of an answer is still in this process: closing now would cut it off."""
+        return bool(self.transport is not None and self.transport.get_write_buffer_size())
+
     def gone(self) -> bool:
         """Whether the client's end waits in the socket."""
         if self.transport is None or self.transport.is_closing():
@@ -61,8 +65,8 @@
         return bool(poll.poll(0))
 
     def idle(self) -> bool:
-        """Whether no request is open, has begun or waits in the socket."""
-        return not self.occupied() and not self.halfway() and not self.unread()
+        """Whether no request is open, has begun or waits in the socket, and every answer is on its way."""
+        return not self.occupied() and not self.halfway() and not self.unflushed() and not self.unread()
 
 
 class Listener:
@@ -132,6 +136,7 @@
             and not g.occupied()
             and (g.asked or now - g.since > FRESH)
             and (not g.halfway() or now - g.since > STALLED)
+            and (now - g.active > LINGER or not g.unflushed())
         ]
         spare.sort(key=lambda g: (g.halfway(), g.asked, g.active))
         return next((g for g in spare if not g.unread()), None)
--- /dev/null
+++ b/tests/endings/test_processes.py
@@ -0,0 +1,119 @@
+"""Process ends: SIGTERM at each phase of a request, and what deadlines leave of the time before SIGKILL."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from crossings import Raw, hold_connects
+from loopback import OK, Bench, Server, call, play, until
+
+from brackenladder.core.ending import HANDOVER, TAKING, handover, kill_after, last_moment
+from brackenladder.interface import ClassSettings, Effect
+
+SECOND = 1_000_000
+
+
+@pytest.mark.parametrize(
+    ("deadlines", "killed", "stays"),
+    [
+        # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s after SIGTERM.
+        ([0.1], 0.8, TAKING),
+        ([0.2], 0.9, TAKING),
+        ([0.9, 0.3], 1.6, 1.0),
+        ([1.5], 2.2, 1.6),
+        ([3.0], 3.7, HANDOVER),
+        ([2.0, 6.0], 3.7, HANDOVER),
+        ([60.0], 3.7, HANDOVER),
+    ],
+)
+def test_what_is_taken_at_the_end_is_concluded_before_the_process_is_killed(deadlines, killed, stays):
+    classes = [ClassSettings(Effect.SAFE, aim=1, deadline=int(d * SECOND), worth=1) for d in deadlines]
+    assert kill_after(classes) == round(killed * SECOND)
+    assert handover(classes) == pytest.approx(stays)
+    # Requests get their time for as long as connections stay open, and nothing is owed at SIGKILL.
+    assert handover(classes) * SECOND <= last_moment(0, classes) <= (killed - 0.3) * SECOND
+
+
+@pytest.mark.parametrize(
+    "phase", ["half-read", "connecting", "written", "half-answered", "waiting", "crossing"]
+)
+@pytest.mark.parametrize("klass", ["view", "invite"])
+def test_a_request_that_crosses_the_end_is_answered_once_and_whole(phase, klass, monkeypatch):
+    """The node is told to end at this phase, and no connection outlives its answer from then on."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def later(request, writer):
+            if phase in ("written", "waiting"):
+                await release.wait()
+            if phase == "half-answered":
+                writer.write(OK[:20])
+                await release.wait()
+                return OK[20:]
+            return OK
+
+        bench = await Bench(server := Server(later)).start()
+        callers = bench.node.front.callers
+        callers.handover = 0.0
+        held = hold_connects(bench) if phase == "connecting" else None
+        request = call(klass)
+        client = Raw(bench.port)
+        if phase == "half-read":
+            client.send(request[:30])
+            await until(lambda: any(c.partial is not None for c in callers.callers))
+        elif phase == "crossing":
+            client.send(call(klass))
+            assert (await client.answer()).startswith(b"HTTP/1.1 200")
+        else:
+            client.send(request + (call(klass) if phase == "waiting" else b""))
+            if held is not None:
+                await until(lambda: held.up == 1)
+            else:
+                await until(lambda: len(server.requests) == 1)
+        if phase == "crossing":
+            monkeypatch.setattr("brackenladder.http.callers.SETTLE", 0.0)
+            client.send(request)  # is in the socket as the node first looks for who is idle
+        drain = asyncio.create_task(bench.node.drain())
+        if phase != "crossing":
+            await until(lambda: callers.closing)
+        if phase == "half-read":
+            client.send(request[30:])
+        release.set()
+        if held is not None:
+            held.go.set()
+        answers = b""
+        while part := await client.answer():
+            answers += part
+        owed = 2 if phase == "waiting" else 1
+        assert answers.count(b"HTTP/1.1 200 OK") == answers.count(b"\r\n\r\nok") == owed
+        assert answers.count(b"Connection: close") == 1
+        assert len(server.requests) == owed + (phase == "crossing")
+        client.leave("fin")
+        await asyncio.wait_for(drain, 20)
+
+    play(scene)
+
+
+def test_short_deadlines_end_the_handover_sooner():
+    """Failure prevented: the process is killed with requests open, on connections that it kept open."""
+
+    async def scene():
+        classes = [
+            {"name": "view", "effect": "free", "goal_time": SECOND // 2, "hard_limit": 9 * SECOND // 10}
+            | {"worth": 1.0}
+        ]
+        bench = await Bench(server := Server(), classes=classes).start()
+        assert bench.node.front.callers.handover == pytest.approx(1.0)
+        client = await bench.client()
+        assert (await client.ask(call("view", 900)))[0] == 200
+        asyncio.get_running_loop().create_task(bench.node.drain())
+        await until(lambda: bench.node.front.callers.listener.sock is None)  # TAKING: half a second
+        # Before, what came by then had no time left: the longest deadline counted from SIGTERM.
+        assert (await client.ask(call("view", 700)))[0] == 200
+        assert int(server.requests[-1].headers["x-budget-ms"]) > 300
+        client.writer.close()
+        await until(lambda: not bench.node.front.callers.callers)
+
+    play(scene)
--- /dev/null
+++ b/tests/endings/test_servers.py
@@ -0,0 +1,116 @@
+"""Server ends: a connection that ends between choice and first byte, and a repeat that comes late."""
+
+from __future__ import annotations
+
+import os
+import socket
+import time
+
+import pytest
+from crossings import Raw, hold_connects, leave
+from loopback import Bench, Server, call, entry_of, play, until
+
+from brackenladder.interface import ListKind
+from brackenladder.membership.listing import Listing, read_line
+from brackenladder.settings import Fields
+
+
+@pytest.mark.parametrize("how", ["fin", "rst"])
+def test_a_connection_that_ends_as_it_comes_up_has_carried_nothing(how):
+    """An unsafe request goes on to another server: nothing was written to the first."""
+
+    async def scene():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            good = await Server().start()
+            bench = await Bench(good).start()
+            short = entry_of(listener.getsockname()[1], "short")
+            held = hold_connects(bench)
+            bench.discovery.say(42, True, short)
+            await until(lambda: bench.node.http.source.version == 42)
+            client = Raw(bench.port, call("invite"))
+            await until(lambda: held.up == 1)
+            bench.discovery.say(43, False, good.entry("s0"))
+            await until(lambda: bench.node.http.source.version == 43)
+            sock, _ = listener.accept()
+            leave(sock, how)
+            held.go.set()  # the connect's task goes on before the loop looks at any socket
+            assert (await client.answer()).startswith(b"HTTP/1.1 200")
+            assert len(good.requests) == 1
+            client.leave("fin")
+
+    play(scene)
+
+
+def test_a_connection_that_ends_while_a_stalled_process_reads_the_news_is_not_written_to():
+    """The process stood still: a request waits a moment for news of the list, its connection does not."""
+
+    async def scene():
+        bench = await Bench(server := Server()).start()
+        client = await bench.client()
+        assert (await client.ask(call("invite")))[0] == 200
+        front = bench.node.front
+        taken = front.message
+
+        def slowly(caller, message):
+            taken(caller, message)
+            number = server.writers[0].get_extra_info("socket").fileno()
+            with socket.socket(fileno=os.dup(number)) as sock:
+                sock.shutdown(socket.SHUT_RDWR)
+            time.sleep(0.005)  # the wait is over before the loop looks at the sockets again
+
+        front.message = slowly
+        bench.pool.upstream.pool.stall.wary_until = time.monotonic() + 60
+        status, _, _ = await client.ask(call("invite"))
+        assert (status, server.connections, len(server.requests)) == (200, 2, 2)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_keyed_repeat_is_not_written_after_its_window(late):
+    """It was decided within the window, and its connection came up after it."""
+    window = 300_000
+
+    async def scene():
+        async def reset(request, writer):
+            raise ConnectionResetError
+
+        first, second = await Server(reset).start(), await Server().start()
+        classes = [
+            {"name": "offer", "effect": "guarded", "group": "all", "goal_time": 10**7, "hard_limit": 10**7}
+            | {"worth": 1.0, "window": window}
+        ]
+        bench = await Bench(first, classes=classes).start()
+        host = bench.pool.host
+        held = hold_connects(bench)
+        client = Raw(bench.port, call("offer"))
+        await until(lambda: held.up == 1)
+        line = read_line(Fields(second.entry("second")))  # for the repeat
+        bench.pool.told(Listing(ListKind.CHANGES, 42, (line,)))
+        held.go.set()
+        held.go.clear()
+        await until(lambda: held.up == 2)
+        (open_call,) = host.calls.values()
+        assert open_call.write_by - open_call.taken <= window + 100_000
+        if late:
+            await until(lambda: host.now() >= open_call.write_by)
+        else:
+            open_call.write_by = host.now() + 10**7
+        held.go.set()
+        answer = await client.answer()
+        assert answer.startswith(b"HTTP/1.1 502" if late else b"HTTP/1.1 200")
+        assert len(second.requests) == (0 if late else 1)
+        client.leave("fin")
+
+    play(scene)
+
+
+def test_a_host_that_cannot_be_named_ends_its_attempt_and_leaves_no_trace():
+    async def scene():
+        bench = await Bench(Server()).start()
+        (endpoint,) = bench.pool.upstream.pool.endpoints.values()
+        endpoint.host = "a" * 70 + ".\udcff"  # no name of a host
+        assert (await bench.once(call("invite")))[0] == 503
+        assert bench.pool.upstream.pool.open == 0
+
+    play(scene)
--- a/tests/endings/test_watches.py
+++ b/tests/endings/test_watches.py
@@ -58,6 +58,7 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
         if drip:
             discovery.answers.put_nowait(b"HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n")
+            await until(lambda: bench.node.http.source.watching.begun)
             while len(discovery.requests) == 1:
                 if not discovery.writers[0].is_closing():
                     discovery.writers[0].write(b" ")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1259,9 +1259,9 @@
 
         monkeypatch.setattr("brackenladder.http.callers.TAKING", 600.0)  # until the test says so
         monkeypatch.setattr("brackenladder.sockets.listener.TAKING", 600.0)
-        monkeypatch.setattr("brackenladder.http.callers.HANDOVER", 0.0)
         bench = await Bench(server := Server(held)).start()
         callers = bench.node.front.callers
+        callers.handover = 0.0
         idle, early = await bench.client(), await bench.client()
         assert (await idle.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
         early.send(call("invite"))
@@ -1292,12 +1292,13 @@
     play(scene)
 
 
-def test_clients_keep_their_connections_for_a_while_after_sigterm(monkeypatch):
+def test_clients_keep_their_connections_for_a_while_after_sigterm():
     """Failure prevented: the node is of use to nobody long before its end, while others are not back yet."""
 
     async def scene():
-        monkeypatch.setattr("brackenladder.http.callers.HANDOVER", 600.0)  # until the test says so
         bench = await Bench(server := Server()).start()
+        callers = bench.node.front.callers
+        callers.handover = 600.0  # until the test says so
         client, idle = await bench.client(), await bench.client()
         assert (await idle.ask(call()))[0] == 200
         drain = asyncio.create_task(bench.node.drain())
@@ -1307,7 +1308,7 @@
         # By then the process may be killed, whatever the client's own patience.
         assert int(server.requests[-1].headers["x-budget-ms"]) <= 3400
         assert (await client.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 503
-        monkeypatch.setattr("brackenladder.http.callers.HANDOVER", 0.0)
+        callers.handover = 0.0
         assert await idle.ended()
         await asyncio.wait_for(drain, 20)
 
@@ -1321,9 +1322,9 @@
         # Nobody here is idle, however slow the machine, and new ones are taken until the test says so.
         monkeypatch.setattr("brackenladder.http.callers.TAKING", 600.0)
         monkeypatch.setattr("brackenladder.sockets.listener.TAKING", 600.0)
-        monkeypatch.setattr("brackenladder.http.callers.HANDOVER", 0.0)
         monkeypatch.setattr("brackenladder.http.callers.SETTLE", 600.0)
         bench = await Bench(Server()).start()
+        bench.node.front.callers.handover = 0.0
         answers = 0
         last = 0
 
