--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -162,7 +162,7 @@
             self.beyond(caller)
             return
         twin = self.by_name.get(name)
-        if twin is not None and not twin.caller.gone():
+        if twin is not None and not twin.gone():
             # Failure prevented: servers take the second one of an id for a mistake. Its errors, which no
             # server has made, eject servers and close the limit to everybody else.
             caller.answer(409)
--- a/tests/endings/test_clients.py
+++ b/tests/endings/test_clients.py
@@ -239,6 +239,27 @@
     play(scene)
 
 
+def test_a_request_that_comes_again_under_its_id_is_not_out_twice():
+    """Its first client's end waits in the socket, and its first attempt is out: that one is given up first."""
+
+    async def scene():
+        bench = await Bench(server := Held()).start()
+        first = Raw(bench.port, call("invite", name=b"again"))
+        await until(lambda: len(server.requests) == 1)
+        (caller,) = bench.node.front.callers.callers
+        caller.transport.pause_reading()
+        first.leave("fin")
+        second = Raw(bench.port, call("invite", name=b"again"))
+        await until(lambda: len(server.requests) == 2)
+        await until(lambda: server.closed == 1)
+        server.release.set()
+        assert b"again" in await second.answer()
+        second.leave("fin")
+        await settled(bench)
+
+    play(scene)
+
+
 def test_what_waits_behind_a_last_answer_is_answered():
     """A node that ends, with whole requests waiting behind the open one."""
 
