RPC: what waits behind notifications goes on; one that reset or is late is not sent on

Seen with a stand-in and a client that fills its places: notifications that waited for a connection end with no answer, nobody looked at what waited behind them, and reading stayed paused: two calls got no answer for ever, and the client's end was never noticed. At fault: ClientCall.released, which settled nothing for a call without msgid. Read and then forced: RpcUpstream.feed asked only whether a call is open, so a client's reset that waits unread, and a keyed repeat whose window is over, were written all the same (the HTTP side looks, Call.may_go); after a stall calls went out before the list's news was read. Now: feed asks may_go, waits for the news as HTTP does, and work looks for the client's end before it takes what waited.

--- a/brackenladder/node/rpc.py
+++ b/brackenladder/node/rpc.py
@@ -52,7 +52,7 @@
         settings,
         config.seed ^ 1,
         loop,
-        RpcUpstream(loop, limits, strays.line),
+        RpcUpstream(loop, limits, strays.line, clock.now),
         source,
         NoMessenger(),
         config.zones,
--- a/brackenladder/rpc/front.py
+++ b/brackenladder/rpc/front.py
@@ -49,7 +49,9 @@
 
     def released(self) -> None:
         if self.msgid is None:
+            # Failure prevented: what waits behind notifications, which end with no answer, waits for ever.
             self.client.notified.discard(self)
+            self.client.settle()
         elif self.client.calls.get(self.msgid) is self:
             del self.client.calls[self.msgid]
 
@@ -63,15 +65,23 @@
     def failed(self, why: Failure) -> None:
         self.reply(self.last_error or PACK(["failed", TEXTS[why]]), NIL)
 
+    def gone(self) -> bool:
+        if self.msgid is None or not self.client.gone():  # nobody has to wait for a notification's end
+            return False
+        self.client.hang_up()
+        return True
+
     def reply(self, raw_error: bytes, raw_result: bytes) -> None:
         if self.msgid is not None:
             self.client.send(response(self.msgid, raw_error, raw_result))
-        self.client.settle()
+            self.client.settle()
 
 
 class Client(Guest):
     """A client's connection: calls in any number within the bound, answers in any order."""
 
+    LEAVES = 0  # one that only ends its sending gets its answers: a reset is told in any case
+
     def __init__(self, front: RpcFront) -> None:
         super().__init__(front.loop.time())
         self.front = front
@@ -105,8 +115,14 @@
         self.waiting += messages
         self.work()
 
-    def work(self) -> None:
-        """Takes what was read, as far as there is room; what is left waits, and nothing more is read."""
+    def work(self, waited: bool = False) -> None:
+        """Takes what was read, as far as there is room; what is left waits, and nothing more is read.
+
+        `waited`: it did not come just now, so its client may have left since, and nobody was told.
+        """
+        if waited and self.waiting and self.gone():
+            self.hang_up()
+            return
         while (
             self.waiting and len(self.calls) + len(self.notified) < self.front.limits.calls and not self.full
         ):
@@ -124,9 +140,9 @@
             self.transport.write(data)
 
     def settle(self) -> None:
-        """After an answer: room for what waits, or the end."""
+        """A call or a notification is over: room for what waits, or the end."""
         if self.waiting:
-            self.front.loop.call_soon(self.work)
+            self.front.loop.call_soon(self.work, True)
         elif self.ending and not self.calls:
             self.transport.close()
 
@@ -156,13 +172,18 @@
             self.stall.cancel()
         self.work()
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def hang_up(self) -> None:
+        """The client has gone: nothing is owed."""
         self.ending = True
         self.waiting.clear()
-        if self.stall is not None:
-            self.stall.cancel()
         for call in list(self.calls.values()):
             self.front.host.left(call)
+        self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
+        self.hang_up()
         self.front.listener.left(self)
 
 
--- a/brackenladder/rpc/upstream.py
+++ b/brackenladder/rpc/upstream.py
@@ -13,11 +13,13 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from time import monotonic
 from typing import cast
 
 from brackenladder.core.call import Attempt, Call, Done, Probed
 from brackenladder.interface import ListKind, Outcome, State
 from brackenladder.membership.listing import Line
+from brackenladder.membership.stall import BEAT, FIRST, Stall
 from brackenladder.rpc.call import Reply, RpcCall, outcome_of
 from brackenladder.rpc.codec import MOST_MSGID, Bounds, Reader, Response, notification, request
 
@@ -322,15 +324,26 @@
     """The servers of the pool by number, and the connections to them."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, limits: UpstreamLimits, log: Callable[[str], None]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        limits: UpstreamLimits,
+        log: Callable[[str], None],
+        now: Callable[[], int],
     ) -> None:
         self.loop = loop
         self.limits = limits
         self.log = log
+        self.now = now  # the core's clock
         self.endpoints: dict[int, Endpoint] = {}
         self.open = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self.stall = Stall(monotonic())
         self.loop.call_later(SWEEP, self.sweep)
+        self.loop.call_later(BEAT, self.beat)
+
+    def beat(self) -> None:
+        self.stall.beat(monotonic())
+        self.loop.call_later(BEAT, self.beat)
 
     # ---- the list -------------------------------------------------------------------------------------
 
@@ -375,13 +388,20 @@
     # ---- connections ----------------------------------------------------------------------------------
 
     def feed(self, endpoint: Endpoint) -> None:
+        """Writes what waits, once news of the list that may be waiting has been read."""
+        if self.stall.wary(monotonic()):
+            self.loop.call_later(FIRST, self.write, endpoint)
+        else:
+            self.write(endpoint)
+
+    def write(self, endpoint: Endpoint) -> None:
         """Writes what waits to connections with room, the least busy first; opens another if none has."""
         while endpoint.queue and endpoint.ready:
             links = [link for link in endpoint.links if link.room()]
             if not links:
                 break
             exchange = endpoint.queue.popleft()
-            if exchange.call.open:
+            if exchange.call.may_go(self.now()):
                 min(links, key=lambda link: len(link.out)).write(exchange)
             else:
                 exchange.end(Outcome.NOT_SENT)
--- a/brackenladder/sockets/listener.py
+++ b/brackenladder/sockets/listener.py
@@ -28,6 +28,8 @@
     """A client's connection. `asked`: a request has come whole; `since`: the accept, or the first byte of the
     request that has begun; `active`: the last moment at which something came or went."""
 
+    LEAVES = select.POLLRDHUP  # what of its end waits in the socket says that it has left
+
     def __init__(self, now: float) -> None:
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self.asked = False
@@ -61,7 +63,7 @@
         if self.transport is None or self.transport.is_closing():
             return True
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        poll.register(self.transport.get_extra_info("socket").fileno(), self.LEAVES)
         return bool(poll.poll(0))
 
     def idle(self) -> bool:
--- a/tests/fuzz/targets.py
+++ b/tests/fuzz/targets.py
@@ -236,7 +236,7 @@
     if len(data) < 2:
         return
     loop, log = Loop(), []
-    upstream = RpcUpstream(loop, UpstreamLimits(BOUNDS, 8, 1, 4, 1.0, 5.0), log.append)  # type: ignore[arg-type]
+    upstream = RpcUpstream(loop, UpstreamLimits(BOUNDS, 8, 1, 4, 1.0, 5.0), log.append, lambda: 0)  # type: ignore[arg-type]
     endpoint = _RpcEndpoint()
     link = Link(upstream, endpoint)
     endpoint.links.append(link)
