A 200 that comes before its request is whole is not taken for its answer

A server begins a request when its last byte has come, so a 200 that comes while part of the request is still in this process answers an earlier one. Connection.on_headers_complete took it, relayed ones too; and what was stray at that moment ended as a reset, though nothing can have run. Now both end as CONNECT_FAILED and the request goes on elsewhere. Seen: a body of 16 MiB, a server that reads none of it and answers twice; without either line the client gets the wrong answer, or 502. A second answer behind a small request, which goes out in one write, still cannot be told apart (docs/endings.md, 'Left').

--- a/brackenladder/http/servers.py
+++ b/brackenladder/http/servers.py
@@ -169,7 +169,7 @@
                 OK if self.status == 200 else outcome_of(answer), answer, self.keep and not self.stray
             )
         elif self.stray:
-            self.finish(Outcome.RESET, None, reuse=False)
+            self.finish(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET, None, reuse=False)
 
     def on_message_begin(self) -> None:
         self.stray = self.complete
@@ -204,6 +204,10 @@
             self.length, self.chunked = None, False
             return
         self.headed = True
+        if self.unsent and self.parser.get_status_code() == 200:
+            # Failure prevented: an earlier request's second answer is taken for this one's. A server begins
+            # a request when its last byte has come, and that is still in this process.
+            raise Spoilt
         if self.length is not None and self.length > LARGE:
             self.large()
 
--- a/tests/endings/test_server_ends.py
+++ b/tests/endings/test_server_ends.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import socket
 import time
 
 import pytest
 from crossings import Raw, hold_connects, leave
-from loopback import Bench, Server, call, entry_of, play, until
+from loopback import OK, Bench, Server, call, entry_of, play, until
 
 from brackenladder.interface import ListKind
 from brackenladder.membership.listing import Listing, read_line
@@ -114,3 +115,36 @@
         assert bench.pool.upstream.pool.open == 0
 
     play(scene)
+
+
+@pytest.mark.parametrize("size", [2, 100_000])
+def test_a_second_answer_that_comes_before_the_request_is_whole_is_not_taken_for_its_own(size):
+    """A server begins a request when its last byte has come, and part of this one is still in the node."""
+    stale = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (size, b"x" * size)
+
+    async def scene():
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            bench = await Bench().start()
+            bench.discovery.say(42, True, entry_of(listener.getsockname()[1], "twice"))
+            await until(lambda: bench.node.http.source.version == 42)
+            client = await bench.client()
+            client.send(call("view"))
+            sock, _ = await asyncio.get_running_loop().run_in_executor(None, listener.accept)
+            with sock:
+                await asyncio.get_running_loop().run_in_executor(None, sock.recv, 65536)
+                sock.sendall(OK)
+                assert (await client.receive())[0] == 200
+                good = await Server().start()
+                client.send(call("invite", body=b"b" * (16 << 20)))
+                (held,) = bench.pool.upstream.pool.endpoints.values()
+                await until(lambda: held.busy == 1 and not held.idle)
+                bench.discovery.say(43, False, good.entry("good"))
+                await until(lambda: bench.node.http.source.version == 43)
+                sock.sendall(stale)
+                assert await client.receive() == (200, {"content-length": "2"}, b"ok")
+                assert len(good.requests) == 1
+
+    play(scene)
