--- a/brackenladder/discovery/watch.py
+++ b/brackenladder/discovery/watch.py
@@ -216,6 +216,7 @@
         """
         self.close()
         self.address = address
+        self.silence = Silence()  # what the old one left unanswered says nothing of the new one
         self.in_hand = self.in_hand.moved(self.loop.time())
         self.watch(True)
 
--- a/brackenladder/fleet/discovery.py
+++ b/brackenladder/fleet/discovery.py
@@ -314,6 +314,7 @@
                 self.hang_up(ask)
         self.watching = self.fetching = None
         self.source = source
+        self.silence = Silence()
         self.in_hand = self.in_hand.moved(self.queue.now / MICRO)
         self.watch(True)
 
--- a/tests/endings/test_watch_ends.py
+++ b/tests/endings/test_watch_ends.py
@@ -9,12 +9,12 @@
 from crossings import Raw
 from loopback import Bench, Discovery, Server, call, play, until
 
-from brackenladder.discovery.sources import PUSH_RETRY, Agent
+from brackenladder.discovery.sources import PUSH_RETRY, Agent, Asked
 from brackenladder.discovery.watch import CONNECT_TIMEOUT
 from brackenladder.interface import ListKind, State
 from brackenladder.membership.inhand import InHand
 from brackenladder.membership.listing import Line, Listing
-from brackenladder.membership.silence import ANSWER_TIME, BODY_TIME, FIRST_BYTE, MOST_PAUSE, PART_TIME
+from brackenladder.membership.silence import ANSWER_TIME, BODY_TIME, FIRST_BYTE, MOST_PAUSE, PART_TIME, TRIES
 from brackenladder.membership.withdrawn import KEPT, MOST_KEPT
 
 GRACE = 0.25  # seconds after a change counts as told in which requests may still go out
@@ -104,6 +104,27 @@
     assert loop.delays and max(loop.delays) <= PUSH_RETRY
 
 
+def test_what_the_old_discovery_left_unanswered_is_not_held_against_the_new_one(monkeypatch):
+    """Failure prevented: the new one's first silence is told to the module, which pauses before it asks."""
+    told = []
+    asked = Asked(Timers(), ("127.0.0.1", 1), None, 100, told.append, lambda line: None)
+    monkeypatch.setattr(asked, "renew", lambda call: None)
+
+    def fails_silently():
+        asked.watch(True)
+        asked.watching.silent = True
+        asked.watched(asked.watching, None)
+
+    for _ in range(TRIES):
+        fails_silently()
+    asked.move(("127.0.0.1", 2))
+    for _ in range(TRIES):
+        fails_silently()
+        assert not told
+    fails_silently()
+    assert told == [None]
+
+
 def line(name, state=State.READY, started=1):
     return Line(name, "h", 1, "", "", 0, state, 1.0, started)
 
