--- a/brackenladder/http/front.py
+++ b/brackenladder/http/front.py
@@ -57,8 +57,7 @@
         if whole.relay is None:
             self.caller.answer(200, whole.body, headers)
         else:
-            left = (self.deadline - self.host.now()) / 1e6
-            whole.relay.begin(self.caller, 200, headers, whole.body, left)
+            whole.relay.begin(self.caller, 200, headers, whole.body)
 
     def refused(self, retry_after: int) -> None:
         if self.caller.open is self.message:
--- a/brackenladder/http/relay.py
+++ b/brackenladder/http/relay.py
@@ -38,7 +38,7 @@
     `length`: the body's, if the server told it; else the client gets chunks.
     """
 
-    __slots__ = ("loop", "connection", "length", "caller", "chunked", "passed", "timer", "moved", "ends")
+    __slots__ = ("loop", "connection", "length", "caller", "chunked", "passed", "timer", "moved")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, connection: Giver, length: int | None) -> None:
         self.loop = loop
@@ -48,14 +48,10 @@
         self.chunked = False
         self.passed = 0
         self.moved = loop.time()
-        self.ends = self.moved + STALLED  # of the client's time, once it is known
         self.timer: asyncio.TimerHandle | None = None
 
-    def begin(self, caller: Taker, status: int, headers: bytes, body: bytes, left: float) -> None:
-        """Writes the head and what has come so far. The last byte must be written within `left` seconds.
-
-        Failure prevented: a server sends for ever, and holds the client beyond the time that it waits.
-        """
+    def begin(self, caller: Taker, status: int, headers: bytes, body: bytes) -> None:
+        """Writes the head and what has come so far."""
         self.caller = caller
         caller.relay = self
         self.chunked = self.length is None and caller.chunks
@@ -63,8 +59,7 @@
         if self.length is not None:
             framing = b"Content-Length: %d\r\n" % self.length
         caller.head(status, headers + framing, close=self.length is None and not self.chunked)
-        self.ends = self.loop.time() + left
-        self.timer = self.loop.call_later(min(STALLED, max(0.0, left)), self.look)
+        self.timer = self.loop.call_later(STALLED, self.look)
         self.data(body)
 
     def data(self, body: bytes) -> None:
@@ -81,8 +76,12 @@
         self.caller.transport.write(body)
 
     def look(self) -> None:
-        """Cuts off what has not moved for long, whoever is the cause, and what has no time left."""
-        left = min(self.moved + STALLED, self.ends) - self.loop.time()
+        """Cuts off what has not moved for long, whoever is the cause.
+
+        The client's time is no bound: a large answer is timed by its first bytes, and what the server still
+        gives may not be cut off.
+        """
+        left = self.moved + STALLED - self.loop.time()
         if left > 0:
             self.timer = self.loop.call_later(left, self.look)
         else:
