A SIGHUP that comes while a node is being imported is kept until it can be taken

Seen with a process that stands still at its start: SIGHUP before serve() had set its handler ended it (a quarter of a second of imports, and the reading of the configuration), and a change told between that reading and the handler would have been lost. At fault: __main__, whose first act was to import. It now blocks the signal first and unblocks it once the handler stands; the system keeps it meanwhile. What is left is the interpreter's own start. Commands of the tools unblock it at once, so that what they start has no mask.

--- a/brackenladder/__main__.py
+++ b/brackenladder/__main__.py
@@ -1,11 +1,18 @@
 """One real node: `python -m brackenladder`."""
 
+# ruff: noqa: E402
+
 from __future__ import annotations
 
+import signal
+
+if __name__ == "__main__":
+    # Failure prevented: a SIGHUP that comes as the rest is imported kills the node. It waits instead.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+
 import asyncio
 import gc
 import os
-import signal
 import sys
 from typing import TYPE_CHECKING
 
@@ -61,7 +68,8 @@
             node.log.line(f"reload: {e}; the old configuration stays")
 
     loop.set_exception_handler(failed)
-    loop.add_signal_handler(signal.SIGHUP, reload)  # before the node can be ready: untended, it kills
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
     await node.start()
     # What the start has made lives as long as the node: the collector need not look at it again.
     gc.collect()
@@ -72,6 +80,7 @@
 
 def command(arguments: list[str]) -> int:
     """Runs a command of the tools. They are imported here alone: a node carries nothing of them."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
     try:
         from brackenladder.cli.main import main as run_command
     except ModuleNotFoundError as e:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 from loopback import (
@@ -1025,6 +1026,46 @@
     play(scene)
 
 
+def test_a_sighup_during_the_start_is_kept_until_it_can_be_taken(tmp_path):
+    """Failure prevented: it ends a node that is still being imported, or what it told of is lost."""
+
+    async def scene():
+        await (server := Server()).start()
+        for discovery in (discoveries := [Discovery() for _ in range(2)]):
+            await discovery.start()
+            discovery.say(1, True, server.entry("s0"))
+        old, new = discoveries
+        os.mkfifo(tmp_path / "config.json")  # the node stands still here until its file is written
+        port = free_port()
+        table = node_table(old.port, settings(), f"127.0.0.1:{port}", server.entry("s0"))
+        process = await start(tmp_path)
+
+        def held() -> bool:
+            lines = (Path("/proc") / str(process.pid) / "status").read_text().splitlines()
+            blocked = next(line.split()[1] for line in lines if line.startswith("SigBlk"))
+            return bool(int(blocked, 16) >> (signal.SIGHUP - 1) & 1)
+
+        await until(held)
+        process.send_signal(signal.SIGHUP)
+
+        async def tell(discovery: Discovery) -> None:
+            text = json.dumps(table | {"discovery": f"127.0.0.1:{discovery.port}"})
+            await asyncio.get_running_loop().run_in_executor(
+                None, (tmp_path / "config.json").write_text, text
+            )
+
+        await tell(old)
+        await until(lambda: not held())  # it has read that, and takes the signal
+        await tell(new)
+        await connected(client := Client(port))
+        await until(lambda: len(new.requests) == 2)
+        assert (await client.ask(call("invite")))[0] == 200
+        process.terminate()
+        assert await asyncio.wait_for(process.wait(), 20) == 0
+
+    play(scene)
+
+
 # ---- probes, peers, limits ---------------------------------------------------------------------------
 
 
@@ -1174,13 +1215,16 @@
 
 
 async def spawn(tmp_path, table: dict, environ: dict | None = None) -> asyncio.subprocess.Process:
-    file = tmp_path / "config.json"
-    file.write_text(json.dumps(table))
+    (tmp_path / "config.json").write_text(json.dumps(table))
+    return await start(tmp_path, environ)
+
+
+async def start(tmp_path, environ: dict | None = None) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "brackenladder",
-        env=os.environ | {"LB_CONFIG": str(file)} | (environ or {}),
+        env=os.environ | {"LB_CONFIG": str(tmp_path / "config.json")} | (environ or {}),
         stderr=asyncio.subprocess.PIPE,
     )
 
