The test of calls held in a later tier waits for what the server has read, not for 20 ms

Seen in the runs under load: KeyError '0-2'. A request that was out was read by the server only after the round had ended, and counted in the next one. The round now waits until all 60 were taken, and the server has read as many as are out; then the clients leave.

--- a/tests/endings/test_client_ends.py
+++ b/tests/endings/test_client_ends.py
@@ -165,24 +165,27 @@
 def test_a_client_that_left_while_it_was_held_in_a_later_tier_is_not_sent_on(how):
     async def scene():
         bench = await Bench(server := Held(), layers=["front", "store"], tier=1).start()
+        host, callers = bench.pool.host, bench.node.front.callers.callers
         left = 0
         while left < DEPARTURES:
             server.release.clear()
             before = len(server.requests)
             names = [b"%d-%d" % (left, n) for n in range(60)]
             clients = {name.decode(): Raw(bench.port, call("view", name=name)) for name in names}
-            host = bench.pool.host
-            held = bench.pool.host.balancer.waiting
-            await until(lambda held=held: len(held) > 0)
-            await asyncio.sleep(0.02)
+
+            def all_stand(before: int = before) -> bool:
+                """All were taken: refused, held, or read by the server."""
+                out = sum(c.out is not None for c in host.calls.values())
+                return sum(c.turns for c in callers) == 60 and len(server.requests) == before + out
+
+            await until(all_stand)
             waits = {c.name.decode() for c in host.calls.values() if c.open and c.out is None}
             assert waits
             for name in waits:
                 clients.pop(name).leave(how)
             server.release.set()
             left += len(waits)
-            sent = set(server.names[before:])
-            for name in sent:
+            for name in server.names[before:]:
                 assert name.encode() in await clients.pop(name).answer()
             for client in clients.values():  # refused
                 client.leave("fin")
