--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # From a fresh clone, with nothing but python3 and make. All is installed into .venv, pinned.
 PYTHON ?= python3
 BIN = .venv/bin
-NEEDS = requirements.txt requirements-tools.txt requirements-dev.txt
+NEEDS = requirements.txt requirements-tools.txt requirements-dev.txt requirements-system.txt
 
 .PHONY: test rehearse demo gate fleet-test
 # All checks: style, types, tests.
--- /dev/null
+++ b/brackenladder/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine: the operator's configurations and the evacuations of zones."""
--- /dev/null
+++ b/brackenladder/catalog/catalog.py
@@ -0,0 +1,197 @@
+"""The state machine of the replicated log: the newest configuration and the zones that are evacuated.
+
+Every replica applies the same orders in the same sequence and must come to the same outcome and state, so
+nothing here depends on clocks, chance, the process or the sequence of a set.
+"""
+
+from __future__ import annotations
+
+import msgpack
+from attrs import evolve, frozen
+from returns.result import Failure
+
+from brackenladder.catalog.configuration import Configuration, ConfigurationParser
+from brackenladder.catalog.faults import ConfigurationFault, FaultKind
+from brackenladder.catalog.orders import (
+    Accepted,
+    BeginEvacuation,
+    ConfigurationOrder,
+    Conflict,
+    FinishEvacuation,
+    Invalid,
+    Order,
+    OrderDecodeError,
+    Outcome,
+    ReplaceConfiguration,
+    UpdateConfiguration,
+    decode_order,
+)
+from brackenladder.catalog.strict_json import canonical, compact, read_object
+from brackenladder.catalog.taken import TakenOrders, order_digest
+from brackenladder.catalog.update import VERSION, Document, empty_document, merge_update
+
+NO_VERSION = 0
+SNAPSHOT_FORMAT = 1
+
+
+class SnapshotError(ValueError):
+    """The bytes are no snapshot of a catalog that this version of the program knows."""
+
+
+@frozen
+class _Change:
+    """A configuration that an order would put in force."""
+
+    configuration: Configuration
+    content: Document
+    document: bytes
+    digest: bytes
+
+
+@frozen
+class _State:
+    """All that the log has decided, but for the orders taken."""
+
+    revision: int = 0
+    configuration: Configuration | None = None
+    content: Document | None = None  # the decoded `document`; never changed in place
+    document: bytes = b""
+    evacuated: frozenset[str] = frozenset()
+
+    @property
+    def version(self) -> int:
+        return self.configuration.version if self.configuration is not None else NO_VERSION
+
+
+class Catalog:
+    """Applies orders. What it gives out is immutable and stays valid when it moves on."""
+
+    def __init__(self) -> None:
+        self._state = _State()
+        self._taken = TakenOrders()
+        self._parser = ConfigurationParser()
+
+    @property
+    def revision(self) -> int:
+        """The log index of the last change (0: none)."""
+        return self._state.revision
+
+    @property
+    def document(self) -> bytes:
+        """The newest configuration as it is read back; empty if there is none."""
+        return self._state.document
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The newest configuration."""
+        return self._state.configuration
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The zones whose servers get nothing."""
+        return self._state.evacuated
+
+    def check(self, order: Order) -> Outcome:
+        """What `apply` would say to the order at this moment; nothing changes."""
+        if isinstance(order, BeginEvacuation | FinishEvacuation):
+            return Accepted(self._state.version)
+        decision = self._decide(order)
+        return Accepted(decision.configuration.version) if isinstance(decision, _Change) else decision
+
+    def apply(self, index: int, data: bytes) -> Outcome:
+        """Applies the order that an entry of the log carries. Entries come once each and in sequence."""
+        try:
+            order = decode_order(data)
+        except OrderDecodeError as error:
+            return Invalid((ConfigurationFault("", FaultKind.MALFORMED, str(error)),))
+        if isinstance(order, BeginEvacuation):
+            return self._evacuate(index, self._state.evacuated | {order.zone})
+        if isinstance(order, FinishEvacuation):
+            return self._evacuate(index, self._state.evacuated - {order.zone})
+        decision = self._decide(order)
+        if isinstance(decision, _Change):
+            return self._change(index, decision)
+        return decision
+
+    def _evacuate(self, index: int, zones: frozenset[str]) -> Accepted:
+        if zones != self._state.evacuated:
+            self._state = evolve(self._state, revision=index, evacuated=zones)
+        return Accepted(self._state.version)
+
+    def _change(self, index: int, change: _Change) -> Accepted:
+        self._taken.add(change.digest)
+        self._state = _State(
+            revision=index,
+            configuration=change.configuration,
+            content=change.content,
+            document=change.document,
+            evacuated=self._state.evacuated,
+        )
+        return Accepted(change.configuration.version)
+
+    def _decide(self, order: ConfigurationOrder) -> _Change | Outcome:
+        read = read_object(order.body)
+        if isinstance(read, Failure):
+            return Invalid((read.failure(),))
+        body = read.unwrap()
+        digest = order_digest(order, canonical(body))
+        if digest in self._taken:
+            return Accepted(int(body[VERSION]))
+        if order.base != self._state.version:
+            return Conflict(self._state.version)
+        return self._decide_new(order, body, digest)
+
+    def _decide_new(self, order: ConfigurationOrder, body: Document, digest: bytes) -> _Change | Invalid:
+        content = body
+        if isinstance(order, UpdateConfiguration):
+            merged = merge_update(self._state.content or empty_document(), body)
+            if isinstance(merged, Failure):
+                return Invalid(merged.failure())
+            content = merged.unwrap()
+        parsed = self._parser.parse(content)
+        if isinstance(parsed, Failure):
+            return Invalid(parsed.failure())
+        configuration = parsed.unwrap()
+        if configuration.version <= self._state.version:
+            return Invalid((self._stale(configuration.version),))
+        document = order.body if isinstance(order, ReplaceConfiguration) else compact(content)
+        return _Change(configuration, content, document, digest)
+
+    def _stale(self, version: int) -> ConfigurationFault:
+        detail = f"{version} is not above the current version {self._state.version}"
+        return ConfigurationFault(VERSION, FaultKind.STALE_VERSION, detail)
+
+    def snapshot(self) -> bytes:
+        """The whole state; equal catalogs have equal snapshots."""
+        state = self._state
+        zones = sorted(state.evacuated)
+        fields = (SNAPSHOT_FORMAT, state.revision, state.document, zones, self._taken.pack())
+        return msgpack.packb(fields)  # type: ignore[no-any-return]
+
+    def restore(self, data: bytes) -> None:
+        """Takes the state of a snapshot in place of its own. Raises SnapshotError, and then keeps its own."""
+        try:
+            fields = msgpack.unpackb(data)
+        except (ValueError, RecursionError, msgpack.UnpackException) as error:
+            raise SnapshotError(str(error)) from None
+        match fields:
+            case [int(form), int(revision), bytes(document), list(zones), bytes(taken)] if (
+                form == SNAPSHOT_FORMAT
+            ):
+                state = _State(revision=revision, evacuated=frozenset(zones))
+                self._state = self._with_document(state, document)
+                self._taken = TakenOrders(taken)
+            case _:
+                raise SnapshotError("no known snapshot")
+
+    def _with_document(self, state: _State, document: bytes) -> _State:
+        """The state with the configuration that a document holds."""
+        if not document:
+            return state
+        content = read_object(document)
+        if isinstance(content, Failure):
+            raise SnapshotError(str(content.failure()))
+        parsed = self._parser.parse(content.unwrap())
+        if isinstance(parsed, Failure):
+            raise SnapshotError("; ".join(str(fault) for fault in parsed.failure()))
+        return evolve(state, configuration=parsed.unwrap(), content=content.unwrap(), document=document)
--- /dev/null
+++ b/brackenladder/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: election, replication, membership changes and snapshots; no I/O, no clock."""
--- /dev/null
+++ b/brackenladder/consensus/election.py
@@ -0,0 +1,101 @@
+"""A replica's part in elections: its timer, its campaign with a pre-vote first, and its answers."""
+
+from __future__ import annotations
+
+from random import Random
+
+from brackenladder.consensus.core import Core
+from brackenladder.consensus.members import voting_members
+from brackenladder.consensus.messages import Vote, VoteReply
+
+
+class Election:
+    """The campaign under way, if any, and when the next one is due."""
+
+    def __init__(self, core: Core, random: Random, now: int) -> None:
+        self._core = core
+        self._random = random
+        self._deadline = 0
+        self._votes: set[str] = set()
+        self.active = False
+        self.pre_vote = False
+        self.wait(now)
+
+    def wait(self, now: int) -> None:
+        """Start the timer anew."""
+        timing = self._core.timing
+        self._deadline = now + self._random.randint(timing.election_min, timing.election_max)
+
+    def due(self, now: int) -> bool:
+        """Whether the timer has run out."""
+        return now >= self._deadline
+
+    def end(self, now: int) -> None:
+        """No campaign is under way any more."""
+        self.active = False
+        self.pre_vote = False
+        self.wait(now)
+
+    def begin(self, now: int, pre_vote: bool, transfer: bool) -> None:
+        """Ask for votes, or whether they would be given. The own vote counts once it is durable."""
+        core = self._core
+        self.active = True
+        self.pre_vote = pre_vote
+        self._votes.clear()
+        self.wait(now)
+        if pre_vote:
+            self._votes.add(core.replica_id)
+            self._ask(core.term + 1, 0, pre_vote=True, transfer=False)
+            return
+        core.set_term(core.term + 1, core.replica_id)
+        token = core.writes.pending_token
+        own = VoteReply(core.replica_id, core.replica_id, core.term, granted=True)
+        core.send_once_durable(core.replica_id, own, token)
+        self._ask(core.term, token, pre_vote=False, transfer=transfer)
+
+    def _ask(self, term: int, token: int, pre_vote: bool, transfer: bool) -> None:
+        core = self._core
+        for voter in voting_members(core.members):
+            to = voter.replica_id
+            if to == core.replica_id:
+                continue
+            vote = Vote(
+                core.replica_id, to, term, core.log.last_index, core.log.last_term, pre_vote, transfer
+            )
+            core.send_once_durable(to, vote, token)
+
+    def counts(self, reply: VoteReply) -> bool:
+        """Take a vote. False: it isn't one for the campaign under way."""
+        expected = self._core.term + 1 if self.pre_vote else self._core.term
+        if not self.active or not reply.granted or reply.pre_vote != self.pre_vote or reply.term != expected:
+            return False
+        self._votes.add(reply.sender)
+        return True
+
+    def won(self) -> bool:
+        """Whether a quorum has given its vote."""
+        own = int(self._core.replica_id in self._votes)
+        return self._core.quorum(own, lambda voter: int(voter in self._votes)) >= 1
+
+    def refuse(self, vote: Vote) -> None:
+        """Refuse a pre-vote because a leader is in touch."""
+        self._reply(vote, self._core.term, granted=False)
+
+    def answer(self, vote: Vote) -> bool:
+        """Answer a vote of this term or an older one, or a pre-vote. True: the vote was given."""
+        core = self._core
+        current = (vote.last_term, vote.last_index) >= (core.log.last_term, core.log.last_index)
+        if vote.pre_vote:
+            granted = current and vote.term > core.term
+            self._reply(vote, vote.term if granted else core.term, granted)
+            return False
+        granted = current and vote.term == core.term and core.voted_for in ("", vote.sender)
+        if granted and not core.voted_for:
+            core.set_term(core.term, vote.sender)
+        self._reply(vote, core.term, granted)
+        return granted
+
+    def _reply(self, vote: Vote, term: int, granted: bool) -> None:
+        core = self._core
+        reply = VoteReply(core.replica_id, vote.sender, term, granted, vote.pre_vote)
+        core.send_once_durable(vote.sender, reply, core.writes.pending_hard_token)
--- /dev/null
+++ b/brackenladder/consensus/leadership.py
@@ -0,0 +1,242 @@
+"""A leader's work in one term: replication, commitment, read rounds, quorum check and transfer."""
+
+from __future__ import annotations
+
+from brackenladder.consensus.core import Core
+from brackenladder.consensus.members import (
+    UNBOUNDED,
+    all_members,
+    is_voter,
+    voting_members,
+)
+from brackenladder.consensus.messages import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+    TimeoutNow,
+)
+from brackenladder.consensus.progress import Progress
+from brackenladder.consensus.reads import ReadQueue, ReadReady
+from brackenladder.consensus.types import Entry, EntryKind, Member
+
+_NO_MATCH = -1
+
+
+class Leadership:
+    """Made when a replica becomes leader, dropped when it no longer is."""
+
+    def __init__(self, core: Core, now: int) -> None:
+        self._core = core
+        self._progress: dict[str, Progress] = {}
+        self._heartbeat_due = now
+        self._transfer_target = ""
+        self._transfer_until = 0
+        self.reads = ReadQueue()
+        self.first_index = core.log.last_index + 1  # of this term's first entry
+        self.follow_members(now)
+        self.append(EntryKind.NOOP, b"")
+
+    # -- the log
+
+    def append(self, kind: EntryKind, data: bytes) -> Entry:
+        """Add an entry of this term; it is sent with the next output."""
+        entry = Entry(self._core.log.last_index + 1, self._core.term, kind, data)
+        self._core.append(entry)
+        return entry
+
+    @property
+    def established(self) -> bool:
+        """Whether an entry of this term is committed, and with it all that came before."""
+        return self._core.commit_index >= self.first_index
+
+    def follow_members(self, now: int) -> None:
+        """Speak to the members as they are now, and no longer to others."""
+        log = self._core.log
+        present = [member.replica_id for member in all_members(log.members)]
+        for replica_id in present:
+            if replica_id != self._core.replica_id and replica_id not in self._progress:
+                self._progress[replica_id] = Progress(log.last_index + 1, now)
+        for replica_id in [known for known in self._progress if known not in present]:
+            del self._progress[replica_id]
+
+    def commit(self) -> bool:
+        """Commit what a quorum holds durably, counting only entries of this term. True: something new."""
+        log = self._core.log
+        reached = self._core.quorum(log.durable_index, self._match)
+        if reached <= self._core.commit_index or log.term(reached) != self._core.term:
+            return False
+        return self._core.advance_commit(reached)
+
+    def _match(self, replica_id: str) -> int:
+        progress = self._progress.get(replica_id)
+        return progress.match if progress is not None else _NO_MATCH
+
+    # -- followers
+
+    def quorum_heard_at(self, now: int) -> int:
+        """When a quorum was last in touch."""
+        return self._core.quorum(now, self._heard_at)
+
+    def _heard_at(self, replica_id: str) -> int:
+        progress = self._progress.get(replica_id)
+        return progress.heard_at if progress is not None else _NO_MATCH
+
+    def silent_for(self, now: int, replica_id: str) -> int:
+        """For how long a member has said nothing."""
+        if replica_id == self._core.replica_id:
+            return 0
+        return now - self._heard_at(replica_id)
+
+    def behind(self, replica_id: str) -> int:
+        """How many entries a member lacks."""
+        match = self._match(replica_id)
+        return self._core.log.last_index - match if match > 0 else UNBOUNDED
+
+    def on_append_reply(self, now: int, reply: AppendReply) -> bool:
+        """A follower's answer in this term. True: more of the log is durable there than was known."""
+        progress = self._progress.get(reply.sender)
+        if progress is None:
+            return False
+        progress.heard_at = max(progress.heard_at, now)
+        progress.round = max(progress.round, reply.round)
+        if not reply.ok:
+            agreement = self._core.log.agreement_below(reply.hint_index, reply.hint_term)
+            progress.refused(reply.prev_index, agreement)
+            return False
+        known = progress.match
+        progress.agreed(reply.match, reply.received)
+        return progress.match > known
+
+    def on_snapshot_reply(self, now: int, reply: InstallSnapshotReply) -> None:
+        """A follower holds a snapshot."""
+        progress = self._progress.get(reply.sender)
+        if progress is None:
+            return
+        progress.heard_at = max(progress.heard_at, now)
+        progress.snapshot_taken(reply.match)
+
+    # -- reads
+
+    def ready_reads(self) -> list[ReadReady]:
+        """The reads that a quorum has confirmed."""
+        if not len(self.reads) or not self.established:
+            return []
+        answered = self._core.quorum(self.reads.round, self._round)
+        return self.reads.confirmed(answered, self.first_index)
+
+    def _round(self, replica_id: str) -> int:
+        progress = self._progress.get(replica_id)
+        return progress.round if progress is not None else _NO_MATCH
+
+    # -- transfer
+
+    @property
+    def transferring(self) -> bool:
+        """Whether another replica is about to take over."""
+        return bool(self._transfer_target)
+
+    def best_successor(self, now: int) -> Member | None:
+        """The most caught-up voter that has been heard lately."""
+        timing = self._core.timing
+        heard = [
+            voter
+            for voter in voting_members(self._core.members)
+            if voter.replica_id in self._progress
+            and self.silent_for(now, voter.replica_id) < timing.election_min
+        ]
+        return max(heard, key=lambda voter: self._match(voter.replica_id), default=None)
+
+    def begin_transfer(self, now: int) -> None:
+        """Hand over to the best successor once it holds the whole log; give up after an election's time."""
+        successor = self.best_successor(now)
+        if successor is None or self._transfer_target:
+            return
+        self._transfer_target = successor.replica_id
+        self._transfer_until = now + self._core.timing.election_min
+        self.continue_transfer(now)
+
+    def continue_transfer(self, now: int) -> None:
+        """Tell the successor once it holds the whole log."""
+        if not self._transfer_target:
+            return
+        if now >= self._transfer_until:
+            self._transfer_target = ""
+        elif self._match(self._transfer_target) >= self._core.log.last_index:
+            self.tell_successor(self._transfer_target)
+
+    def tell_successor(self, replica_id: str) -> None:
+        """Ask a voter to start an election at once."""
+        self._core.send(replica_id, TimeoutNow(self._core.replica_id, replica_id, self._core.term))
+
+    # -- output
+
+    def replicate(self, now: int) -> None:
+        """Send what followers need: new entries, a new commit index, a read round, a heartbeat."""
+        speak = self.reads.begin_round()
+        if now >= self._heartbeat_due:
+            self._heartbeat_due = now + self._core.timing.heartbeat
+            speak = True
+        for replica_id, progress in self._progress.items():
+            self._replicate_to(now, replica_id, progress, speak)
+
+    def _replicate_to(self, now: int, replica_id: str, progress: Progress, speak: bool) -> None:
+        if progress.snapshot_sent_at is not None:
+            if progress.snapshot_overdue(now):
+                self._send_snapshot(now, replica_id, progress)
+            elif speak:
+                self._send_entries(replica_id, progress, 0, 0, ())
+            return
+        if self._core.log.term(progress.next - 1) is None:
+            self._send_snapshot(now, replica_id, progress)
+            return
+        if self._send_batches(replica_id, progress):
+            return
+        if speak or (progress.commit_sent < self._core.commit_index and not progress.probing):
+            self._send_entries(replica_id, progress, progress.next - 1, self._term(progress.next - 1), ())
+
+    def _send_batches(self, replica_id: str, progress: Progress) -> bool:
+        log = self._core.log
+        timing = self._core.timing
+        some = False
+        while progress.next <= log.last_index and progress.room(timing.inflight_bytes):
+            previous = progress.next - 1
+            entries = log.batch(progress.next, timing.append_bytes)
+            self._send_entries(replica_id, progress, previous, self._term(previous), entries)
+            progress.sent(entries[-1].index, sum(len(entry.data) for entry in entries) + len(entries))
+            some = True
+        return some
+
+    def _term(self, index: int) -> int:
+        return self._core.log.term(index) or 0
+
+    def _send_entries(
+        self, replica_id: str, progress: Progress, previous: int, term: int, entries: tuple[Entry, ...]
+    ) -> None:
+        core = self._core
+        progress.commit_sent = core.commit_index
+        message = AppendEntries(
+            sender=core.replica_id,
+            to=replica_id,
+            term=core.term,
+            prev_index=previous,
+            prev_term=term,
+            commit=core.commit_index,
+            round=self.reads.round,
+            address=core.member.address,
+            entries=entries,
+        )
+        core.send(replica_id, message)
+
+    def _send_snapshot(self, now: int, replica_id: str, progress: Progress) -> None:
+        core = self._core
+        snapshot = core.log.snapshot
+        if snapshot is None:
+            return
+        progress.snapshot_sent(now, snapshot.index, core.timing.snapshot_retry)
+        message = InstallSnapshot(core.replica_id, replica_id, core.term, core.member.address, snapshot)
+        core.send(replica_id, message)
+
+    def leads_as_voter(self) -> bool:
+        """Whether this leader still votes; one that has been voted out hands over."""
+        return is_voter(self._core.members, self._core.replica_id)
--- /dev/null
+++ b/brackenladder/consensus/members.py
@@ -0,0 +1,93 @@
+"""Sets of members: majorities, look-up, their encoding in the log, and the members of the first start."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgpack
+
+from brackenladder.consensus.types import Member, Members, Snapshot
+
+GENESIS_INDEX = 1
+GENESIS_TERM = 1
+UNBOUNDED = 1 << 62
+
+
+def genesis_replica_id(address: str) -> str:
+    """The replica id that a seed takes at the very first start of the whole system."""
+    return f"genesis-{address}"
+
+
+def genesis_snapshot(voters: Members) -> Snapshot:
+    """The state that all seeds start from, equal at each whatever it knows of the others' zones.
+
+    Its index is 1, so an empty log can't be taken for it.
+    """
+    bare = [Member(voter.replica_id, voter.address) for voter in voters.voters]
+    ordered = tuple(sorted(bare, key=lambda member: member.replica_id))
+    return Snapshot(GENESIS_INDEX, GENESIS_TERM, Members(voters=ordered), b"")
+
+
+def majority_value(voters: Iterable[Member], value_of: Callable[[str], int]) -> int:
+    """The highest value that more than half of `voters` reach. Nobody: no bound."""
+    values = sorted([value_of(voter.replica_id) for voter in voters])
+    if not values:
+        return UNBOUNDED
+    return values[(len(values) - 1) // 2]
+
+
+def quorum_value(members: Members, value_of: Callable[[str], int]) -> int:
+    """The highest value that a majority of each set of voters reaches."""
+    if not members.voters:
+        return -1
+    reached = majority_value(members.voters, value_of)
+    if members.outgoing:
+        return min(reached, majority_value(members.outgoing, value_of))
+    return reached
+
+
+def voting_members(members: Members) -> tuple[Member, ...]:
+    """All voters of both sets, each once."""
+    if not members.outgoing:
+        return members.voters
+    known = {voter.replica_id for voter in members.voters}
+    return members.voters + tuple(member for member in members.outgoing if member.replica_id not in known)
+
+
+def all_members(members: Members) -> tuple[Member, ...]:
+    """Voters of both sets and learners."""
+    return voting_members(members) + members.learners
+
+
+def is_voter(members: Members, replica_id: str) -> bool:
+    """Whether the replica votes in either set."""
+    return any(member.replica_id == replica_id for member in voting_members(members))
+
+
+def find_member(members: Members, replica_id: str) -> Member | None:
+    """The member with this id."""
+    for member in all_members(members):
+        if member.replica_id == replica_id:
+            return member
+    return None
+
+
+def encode_members(members: Members) -> bytes:
+    """The bytes of an entry that sets the members."""
+    sets = [
+        [[member.replica_id, member.address, member.zone, member.region] for member in group]
+        for group in (members.voters, members.outgoing, members.learners)
+    ]
+    packed: bytes = msgpack.packb(sets)
+    return packed
+
+
+def decode_members(data: bytes) -> Members:
+    """What `encode_members` wrote."""
+    voters, outgoing, learners = msgpack.unpackb(data)
+    return Members(_decode_group(voters), _decode_group(outgoing), _decode_group(learners))
+
+
+def _decode_group(group: list[list[Any]]) -> tuple[Member, ...]:
+    return tuple(Member(*fields[:4]) for fields in group)
--- /dev/null
+++ b/brackenladder/consensus/planning.py
@@ -0,0 +1,143 @@
+"""Which change of the members comes next: who joins, who is replaced, who leaves."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable
+
+import attrs
+from attrs import frozen
+
+from brackenladder.consensus.timing import Timing
+from brackenladder.consensus.types import Member, Members
+
+
+@frozen
+class Health:
+    """What the leader knows of a member."""
+
+    silent_for: int  # microseconds since its last word
+    behind: int  # entries of the log that aren't durable there
+
+
+LEAST_VOTERS = 3  # fewer would survive no loss
+
+HealthOf = Callable[[str], Health]
+
+
+def take_in(members: Members, member: Member) -> Members | None:
+    """Members with `member` as a learner, or its new address; None: nothing changes."""
+    for group in (members.voters, members.learners):
+        if member in group:
+            return None
+    if any(voter.replica_id == member.replica_id for voter in members.voters):
+        voters = tuple(member if voter.replica_id == member.replica_id else voter for voter in members.voters)
+        return attrs.evolve(members, voters=voters)
+    others = tuple(
+        learner
+        for learner in members.learners
+        if learner.replica_id != member.replica_id and learner.address != member.address
+    )
+    return attrs.evolve(members, learners=(*others, member))
+
+
+def plan_change(
+    members: Members,
+    health_of: HealthOf,
+    joining: Iterable[Member],
+    removing: Collection[str],
+    timing: Timing,
+) -> Members | None:
+    """The next members, with the present voters as `outgoing` if the voters change; None: all is well."""
+    for member in joining:
+        taken = take_in(members, member)
+        if taken is not None:
+            return taken
+    planner = _Planner(members, health_of, timing)
+    return (
+        planner.replace_wiped()
+        or planner.remove(removing)
+        or planner.replace_silent()
+        or planner.add_voters()
+        or planner.forget_learner()
+    )
+
+
+class _Planner:
+    def __init__(self, members: Members, health_of: HealthOf, timing: Timing) -> None:
+        self._members = members
+        self._health_of = health_of
+        self._timing = timing
+        self._ready = [learner for learner in members.learners if self._caught_up(learner)]
+        addresses = {voter.address for voter in members.voters}
+        self._standby = [learner for learner in self._ready if learner.address not in addresses]
+
+    def _caught_up(self, member: Member) -> bool:
+        health = self._health_of(member.replica_id)
+        return self._heard(member) and health.behind <= self._timing.catch_up_entries
+
+    def _heard(self, member: Member) -> bool:
+        return self._health_of(member.replica_id).silent_for < self._timing.election_min
+
+    def _silent_for(self, member: Member) -> int:
+        return self._health_of(member.replica_id).silent_for
+
+    def _changed(self, out: Collection[Member], in_: Collection[Member]) -> Members | None:
+        staying = tuple(voter for voter in self._members.voters if voter not in out)
+        learners = tuple(learner for learner in self._members.learners if learner not in in_)
+        changed = (*staying, *in_)
+        heard = [voter for voter in changed if self._heard(voter)]
+        if 2 * len(heard) <= len(changed):
+            return None  # such a change could not be finished
+        return Members(voters=changed, outgoing=self._members.voters, learners=learners)
+
+    def remove(self, removing: Collection[str]) -> Members | None:
+        """A planned departure. A learner that stands by takes a voter's place.
+
+        Without one, voters leave only so that an odd number stays: an even number survives no more losses,
+        and could not be left again if another disk were lost meanwhile.
+        """
+        for learner in self._members.learners:
+            if learner.replica_id in removing:
+                staying = tuple(other for other in self._members.learners if other is not learner)
+                return attrs.evolve(self._members, learners=staying)
+        leaving = [voter for voter in self._members.voters if voter.replica_id in removing]
+        if leaving and self._standby:
+            return self._changed(leaving[:1], self._standby[:1])
+        surplus = 2 if len(self._members.voters) % 2 else 1
+        if len(leaving) >= surplus and len(self._members.voters) - surplus >= LEAST_VOTERS:
+            return self._changed(leaving[:surplus], ())
+        return None
+
+    def replace_wiped(self) -> Members | None:
+        """A learner at a voter's address: the voter's disk is gone for certain."""
+        for learner in self._ready:
+            for voter in self._members.voters:
+                if voter.address == learner.address:
+                    return self._changed((voter,), (learner,))
+        return None
+
+    def replace_silent(self) -> Members | None:
+        """A voter that has been silent for long gives its place to a learner that stands by."""
+        if not self._standby:
+            return None
+        longest = max(self._members.voters, key=self._silent_for)
+        if self._silent_for(longest) < self._timing.replace_after:
+            return None
+        return self._changed((longest,), self._standby[:1])
+
+    def add_voters(self) -> Members | None:
+        """More voters, if their number becomes odd; a single learner beside an odd number stands by."""
+        count = len(self._members.voters)
+        room = self._timing.max_voters - count
+        wanted = 2 if count % 2 else 1
+        if wanted > room or len(self._standby) < wanted:
+            return None
+        return self._changed((), self._standby[:wanted])
+
+    def forget_learner(self) -> Members | None:
+        """A learner that has been silent for long can ask again."""
+        for learner in self._members.learners:
+            if self._silent_for(learner) >= self._timing.forget_learner:
+                staying = tuple(other for other in self._members.learners if other is not learner)
+                return attrs.evolve(self._members, learners=staying)
+        return None
--- /dev/null
+++ b/brackenladder/consensus/timing.py
@@ -0,0 +1,30 @@
+"""Times and bounds of the replicated log; times are integer microseconds."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+KIB = 1024
+SECOND = 1_000_000
+
+
+@frozen
+class Timing:
+    """How often a replica speaks, how long it waits, how much it sends at once."""
+
+    heartbeat: int = 150_000  # a leader speaks to each follower at least this often
+    election_min: int = 700_000  # a follower waits at least this long for its leader
+    election_max: int = 1_200_000
+    write_limit: int = 900_000  # a leader whose write hangs for longer steps down
+    write_retry: int = 200_000  # pause before a refused write is tried again
+    pause: int = 400_000  # a longer gap between ticks: this replica itself stood still
+    snapshot_retry: int = 2 * SECOND  # an unanswered snapshot is sent again; doubles each time
+    replace_after: int = 20 * SECOND  # a silent voter is replaced by a learner that stands by
+    forget_learner: int = 60 * SECOND  # a silent learner is dropped; it can ask again
+    max_voters: int = 5
+    catch_up_entries: int = 16  # a learner that is at most this far behind has caught up
+    append_bytes: int = 64 * KIB  # of entries in one message (a single larger entry goes alone)
+    inflight_bytes: int = 1024 * KIB  # sent to one follower and not yet durable there
+    kept_bytes: int = (
+        128 * KIB
+    )  # of entries kept in memory behind a snapshot, for followers that lag a little
--- /dev/null
+++ b/brackenladder/control_plane/consensus_host.py
@@ -0,0 +1,262 @@
+"""Drives the replica inside the event loop: its clock, its store, its messages and the state machine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+import logbook
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.catalog.catalog import Catalog
+from brackenladder.catalog.orders import Accepted, Conflict, Invalid
+from brackenladder.consensus.replica import Output, Replica, Role
+from brackenladder.consensus.types import Entry, EntryKind, Member, Write
+from brackenladder.control_plane.errors import Unavailable
+from brackenladder.storage.log_store import StoreError
+from brackenladder.storage.writer import StoreWriter
+
+LEADER_TICK_SECONDS = 0.03
+FOLLOWER_TICK_SECONDS = 0.05
+COMPACT_ENTRIES = 200
+COMPACT_BYTES = 4 * 1024 * 1024
+
+CatalogAnswer = Accepted | Invalid | Conflict
+Answer = Result[CatalogAnswer, Unavailable]
+Confirmation = Result[None, Unavailable]
+
+log = logbook.Logger("consensus")
+
+
+@frozen
+class PendingProposal:
+    """A proposal of this leader that is not committed yet."""
+
+    term: int
+    answer: asyncio.Future[Answer]
+
+
+class ConsensusHost:
+    """The one place that calls the replica.
+
+    Outputs are taken once for all that arrives in one turn of the event loop, so that messages of several
+    peers share a write of the store. A store that hangs holds up its own thread only.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        writer: StoreWriter,
+        catalog: Catalog,
+        clock: Callable[[], int],
+        send: Callable[[str, object], None],
+        catalog_changed: Callable[[], None],
+    ) -> None:
+        self.replica = replica
+        self.catalog = catalog
+        self.applied_index = 0
+        self._writer = writer
+        self._clock = clock
+        self._send = send
+        self._catalog_changed = catalog_changed
+        self._loop = asyncio.get_running_loop()
+        self._proposals: dict[int, PendingProposal] = {}
+        self._reads: dict[int, asyncio.Future[Confirmation]] = {}
+        self._last_read = 0
+        self._compacted_index = 0
+        self._bytes_since_compaction = 0
+        self._output_due = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._leader_id = ""
+        self._leadership: asyncio.Event = asyncio.Event()
+        self._closed = False
+
+    def start(self) -> None:
+        """Takes the state that the store held and begins to tick."""
+        self._take_output()
+        self._tick()
+
+    def close(self) -> None:
+        """No more ticks; calls that wait get no clear answer."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._drop_pending()
+
+    @property
+    def leads(self) -> bool:
+        """This replica is the leader, as far as it knows."""
+        return self.replica.role is Role.LEADER
+
+    @property
+    def leader(self) -> Member | None:
+        """The leader that this replica knows of."""
+        return self.replica.leader
+
+    def contact_age(self) -> int:
+        """Microseconds since the last contact with a leader; of a leader: with a quorum."""
+        return self._clock() - self.replica.heard_leader_at
+
+    @property
+    def leadership(self) -> asyncio.Event:
+        """Is set, once, when the known leader changes; each change makes a new event."""
+        return self._leadership
+
+    async def leadership_changed(self, timeout: float) -> None:
+        """Waits until another leader is known, at most `timeout` seconds."""
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._leadership.wait(), timeout)
+
+    def step(self, sender: str, message: object) -> None:
+        """A message of another replica has arrived."""
+        if self._closed:
+            return
+        self.replica.step(self._clock(), sender, message)
+        self._schedule_output()
+
+    def join(self, member: Member) -> None:
+        """Another node asks to be taken in; only a leader acts on it."""
+        if self._closed or not self.leads:
+            return
+        self.replica.join(self._clock(), member)
+        self._schedule_output()
+
+    def transfer_leadership(self) -> None:
+        """Hands leadership over before a planned end."""
+        self.replica.transfer_leadership(self._clock())
+        self._schedule_output()
+
+    async def propose(self, data: bytes) -> Answer:
+        """The catalog's answer once the command is committed; a failure leaves its fate open."""
+        match self.replica.propose(self._clock(), data):
+            case Success(place):
+                pending = PendingProposal(place.term, self._loop.create_future())
+                self._proposals[place.index] = pending
+                self._schedule_output()
+            case _:
+                return Failure(Unavailable.NO_LEADER)
+        try:
+            return await pending.answer
+        finally:
+            if self._proposals.get(place.index) is pending:
+                del self._proposals[place.index]
+
+    async def confirm_read(self) -> Confirmation:
+        """Success once the catalog here holds all that was acknowledged before the call; leaders only."""
+        self._last_read += 1
+        token = self._last_read
+        match self.replica.read(self._clock(), token):
+            case Success(_):
+                confirmed: asyncio.Future[Confirmation] = self._loop.create_future()
+                self._reads[token] = confirmed
+                self._schedule_output()
+            case _:
+                return Failure(Unavailable.NO_LEADER)
+        try:
+            return await confirmed
+        finally:
+            self._reads.pop(token, None)
+
+    def _tick(self) -> None:
+        self.replica.tick(self._clock())
+        self._take_output()
+        pause = FOLLOWER_TICK_SECONDS if self.replica.role is Role.FOLLOWER else LEADER_TICK_SECONDS
+        self._timer = self._loop.call_later(pause, self._tick)
+
+    def _schedule_output(self) -> None:
+        if not self._output_due:
+            self._output_due = True
+            self._loop.call_soon(self._take_output)
+
+    def _take_output(self) -> None:
+        self._output_due = False
+        if self._closed:
+            return
+        output = self.replica.take_output()
+        for outgoing in output.messages:
+            self._send(outgoing.to, outgoing.message)
+        for write in output.writes:
+            self._writer.submit(write, self._written)
+        self._apply(output)
+        self._answer_reads(output)
+        self._watch_leader()
+        if output.committed:
+            self._compact_if_due()
+
+    def _written(self, write: Write, result: Result[None, StoreError]) -> None:
+        if self._closed:
+            return
+        match result:
+            case Success(_):
+                self.replica.persisted(self._clock(), write.token)
+            case Failure(error):
+                log.error("store refuses a write: {}", error)
+                self.replica.write_failed(self._clock(), write.token)
+        self._schedule_output()
+
+    def _apply(self, output: Output) -> None:
+        revision = self.catalog.revision
+        if output.restore is not None:
+            self.catalog.restore(output.restore.data)
+            self.applied_index = output.restore.index
+            self._compacted_index = output.restore.index
+            self._bytes_since_compaction = 0
+        for entry in output.committed:
+            self._apply_entry(entry)
+        if self.catalog.revision != revision:
+            self._catalog_changed()
+
+    def _apply_entry(self, entry: Entry) -> None:
+        self.applied_index = entry.index
+        self._bytes_since_compaction += len(entry.data)
+        answer: Answer = Failure(Unavailable.LOST)
+        if entry.kind is EntryKind.COMMAND:
+            answer = Success(self.catalog.apply(entry.index, entry.data))
+        pending = self._proposals.pop(entry.index, None)
+        if pending is None or pending.answer.done():
+            return
+        pending.answer.set_result(answer if pending.term == entry.term else Failure(Unavailable.LOST))
+
+    def _answer_reads(self, output: Output) -> None:
+        for ready in output.reads:
+            self._conclude_read(ready.token, Success(None))
+        for token in output.reads_failed:
+            self._conclude_read(token, Failure(Unavailable.LOST))
+
+    def _conclude_read(self, token: int, result: Confirmation) -> None:
+        confirmed = self._reads.pop(token, None)
+        if confirmed is not None and not confirmed.done():
+            confirmed.set_result(result)
+
+    def _watch_leader(self) -> None:
+        leader = self.replica.leader
+        leader_id = leader.replica_id if leader is not None else ""
+        if not self.leads:
+            self._drop_pending()
+        if leader_id == self._leader_id:
+            return
+        log.info("term {}: leader {} ({})", self.replica.term, leader_id or "none", self.replica.role.name)
+        self._leader_id = leader_id
+        self._leadership.set()
+        self._leadership = asyncio.Event()
+
+    def _drop_pending(self) -> None:
+        """Leadership is gone: whether these will be committed is not known here."""
+        proposals = list(self._proposals.values())
+        self._proposals.clear()
+        for pending in proposals:
+            if not pending.answer.done():
+                pending.answer.set_result(Failure(Unavailable.LOST))
+        for token in list(self._reads):
+            self._conclude_read(token, Failure(Unavailable.LOST))
+
+    def _compact_if_due(self) -> None:
+        entries = self.applied_index - self._compacted_index
+        if entries < COMPACT_ENTRIES and self._bytes_since_compaction < COMPACT_BYTES:
+            return
+        self._compacted_index = self.applied_index
+        self._bytes_since_compaction = 0
+        self.replica.compact(self._clock(), self.applied_index, self.catalog.snapshot())
+        self._schedule_output()
--- /dev/null
+++ b/brackenladder/control_plane/control_node.py
@@ -0,0 +1,239 @@
+"""One control node: consensus, registry and delivery behind its links and its HTTP interfaces."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import logbook
+from attrs import frozen
+
+from brackenladder.catalog.catalog import Catalog
+from brackenladder.consensus.members import all_members
+from brackenladder.consensus.messages import MESSAGE_TYPES as CONSENSUS_TYPES
+from brackenladder.consensus.messages import JoinRequest
+from brackenladder.consensus.replica import Replica, Timing
+from brackenladder.consensus.types import DurableState, Member, Members
+from brackenladder.control_plane.consensus_host import ConsensusHost
+from brackenladder.control_plane.directory_api import DirectoryApi
+from brackenladder.control_plane.http_server import HttpListener
+from brackenladder.control_plane.messages import Hello
+from brackenladder.control_plane.operator_api import OperatorApi
+from brackenladder.control_plane.orders import OrderService
+from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.control_plane.soft_state import TICK_SECONDS, SoftState
+from brackenladder.platform_settings import Platform
+from brackenladder.storage.writer import StoreWriter
+from brackenladder.transport.link import Link, Transport
+
+MICROSECONDS_PER_MILLISECOND = 1000
+JOIN_INTERVAL = 300_000  # microseconds between two requests to be taken in
+DIAL_INTERVAL = 5_000_000  # microseconds between two looks at who is to be dialled, without an event
+UNHEARD_LEADER = 2_000_000  # microseconds without a leader after which a member asks to be taken in again
+ELECTION_HEAD_START = 350_000  # microseconds by which a node that starts stands for election earlier
+HANDOVER_SECONDS = 0.6  # longest wait for another leader before the end
+HTTP_GRACE_SECONDS = 0.5
+STORE_GRACE_SECONDS = 0.5
+FORGET_NEIGHBOUR = 20_000_000  # microseconds after which an address that only others told of is forgotten
+
+log = logbook.Logger("control")
+
+
+@frozen
+class ReplicaStart:
+    """What a replica starts from."""
+
+    replica_id: str
+    state: DurableState
+    genesis: Members | None  # the first voters, at the very first start of the whole system
+
+
+class ControlNode:
+    """Ties the parts of a control node together; made and used in a running event loop."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        start: ReplicaStart,
+        writer: StoreWriter,
+        transport: Transport,
+        clock: Callable[[], int],
+        random: Random,
+        timing: Timing | None = None,
+    ) -> None:
+        self.platform = platform
+        self.member = Member(start.replica_id, platform.inner_address, platform.zone, platform.region)
+        self.catalog = Catalog()
+        self.peers = PeerLinks(transport, self, self._hello)
+        # where there is a leader already, the pre-vote keeps an early candidate from disturbing it
+        began = clock() - ELECTION_HEAD_START
+        replica = Replica(self.member, start.state, timing or Timing(), random, began, start.genesis)
+        self.host = ConsensusHost(
+            replica, writer, self.catalog, clock, self._send_consensus, self._catalog_changed
+        )
+        self.orders = OrderService(self.host, self.peers)
+        heartbeat = int(platform.heartbeat_ms * MICROSECONDS_PER_MILLISECOND)
+        self.soft_state = SoftState(clock, self.host.contact_age, self.peers, heartbeat)
+        operator_api = OperatorApi(self.orders, self.soft_state, self._zones)
+        self._control_listener = HttpListener(operator_api.handle)
+        self._directory_listener = HttpListener(DirectoryApi(self.soft_state.resolve).handle)
+        self._writer = writer
+        self._transport = transport
+        self._clock = clock
+        self._members = Members()
+        self._neighbours: dict[str, int] = {}  # told by peers: address -> when it was last told
+        self._join_due = 0
+        self._dial_due = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
+
+    async def start(self) -> None:
+        """Opens the listeners and begins to dial, to tick and to answer."""
+        self.host.start()
+        await self.peers.listen(self.member.address)
+        self._tick()
+        await self._control_listener.listen(self.platform.listen.control)
+        if self.platform.listen.directory:
+            await self._directory_listener.listen(self.platform.listen.directory)
+        log.info("{} listens at {}", self.member.replica_id, self.member.address)
+
+    async def stop(self) -> None:
+        """Hands leadership over, answers what is under way, then ends."""
+        await self._hand_over()
+        await self._close_listeners(HTTP_GRACE_SECONDS)
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends at once; what the store was given is still written."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self.host.close()
+        await self._close_listeners(0.0)
+        self.peers.close()
+        await self._transport.close()
+        self._writer.close()
+        self._writer.join(STORE_GRACE_SECONDS)
+
+    def reload(self, platform: Platform) -> None:
+        """Takes the seeds of changed settings; addresses stay as they are."""
+        self.platform = platform
+        self._dial()
+
+    # -- PeerListener
+
+    def peer_connected(self, peer: Hello, link: Link) -> None:
+        """See `peers.PeerListener`."""
+        now = self._clock()
+        for address in (peer.address, *peer.neighbours):
+            self._neighbours[address] = now
+        self._join_due = 0
+        self._dial()
+        self.soft_state.peer_connected(peer.replica_id)
+
+    def peer_received(self, peer: Hello, link: Link, message: object) -> None:
+        """See `peers.PeerListener`."""
+        if isinstance(message, JoinRequest):
+            self._join_requested(message)
+        elif isinstance(message, CONSENSUS_TYPES):
+            self.host.step(peer.replica_id, message)
+        elif not self.orders.received(link, message):
+            self.soft_state.peer_received(peer.replica_id, message)
+
+    def stranger_received(self, link: Link, message: object) -> None:
+        """See `peers.PeerListener`."""
+        self.soft_state.gateway_received(link, message)
+
+    def link_closed(self, link: Link) -> None:
+        """See `peers.PeerListener`."""
+        self.soft_state.link_closed(link)
+
+    # -- internals
+
+    def _hello(self) -> Hello:
+        member = self.member
+        neighbours = self.peers.connected_addresses()
+        return Hello(member.replica_id, member.address, member.zone, member.region, neighbours)
+
+    def _zones(self) -> dict[str, str]:
+        return self.platform.zones
+
+    def _send_consensus(self, replica_id: str, message: object) -> None:
+        self.peers.send(replica_id, message)
+
+    def _catalog_changed(self) -> None:
+        self.soft_state.catalog_changed(self.catalog)
+
+    def _tick(self) -> None:
+        self._timer = self._loop.call_later(TICK_SECONDS, self._tick)
+        self._watch_members()
+        self._join_if_needed()
+        if self._clock() >= self._dial_due:
+            self._dial()
+        self.soft_state.tick()
+
+    def _watch_members(self) -> None:
+        members = self.host.replica.members
+        if members == self._members:
+            return
+        self._members = members
+        addresses = tuple(sorted({member.address for member in all_members(members)}))
+        log.info(
+            "voters {}, outgoing {}, learners {}",
+            _ids(members.voters),
+            _ids(members.outgoing),
+            _ids(members.learners),
+        )
+        # members of a later entry are always first seen at a higher last index, on whichever node
+        self.soft_state.control_nodes_changed(self.host.replica.last_index, addresses)
+        self._dial()
+
+    def _dial(self) -> None:
+        """Dials the seeds, the members and, for a while, whoever a peer is connected to."""
+        now = self._clock()
+        self._dial_due = now + DIAL_INTERVAL
+        oldest = now - FORGET_NEIGHBOUR
+        connected = set(self.peers.connected_addresses())
+        self._neighbours = {
+            address: told
+            for address, told in self._neighbours.items()
+            if told >= oldest or address in connected
+        }
+        members = (member.address for member in all_members(self._members))
+        self.peers.keep((*self.platform.seed_inner_addresses, *members, *self._neighbours))
+
+    def _join_if_needed(self) -> None:
+        """Asks all peers to be taken in while no leader counts this replica among the members."""
+        now = self._clock()
+        if now < self._join_due or self.host.leads:
+            return
+        self._join_due = now + JOIN_INTERVAL
+        members = all_members(self.host.replica.members)
+        is_member = any(member.replica_id == self.member.replica_id for member in members)
+        if not is_member or self.host.contact_age() > UNHEARD_LEADER:
+            self.peers.broadcast(JoinRequest(self.member))
+
+    def _join_requested(self, request: JoinRequest) -> None:
+        if self.host.leads:
+            self.host.join(request.member)
+            return
+        leader = self.host.leader
+        if leader is not None and not request.forwarded:
+            self.peers.send(leader.replica_id, JoinRequest(request.member, forwarded=1))
+
+    async def _close_listeners(self, grace_seconds: float) -> None:
+        await asyncio.gather(
+            self._control_listener.close(grace_seconds), self._directory_listener.close(grace_seconds)
+        )
+
+    async def _hand_over(self) -> None:
+        if not self.host.leads:
+            return
+        self.host.transfer_leadership()
+        deadline = self._loop.time() + HANDOVER_SECONDS
+        while self.host.leads and self._loop.time() < deadline:
+            await self.host.leadership_changed(deadline - self._loop.time())
+
+
+def _ids(members: tuple[Member, ...]) -> str:
+    return ", ".join(member.replica_id for member in members) or "none"
--- /dev/null
+++ b/brackenladder/control_plane/forwarding.py
@@ -0,0 +1,54 @@
+"""Calls from this control node to another one, over the inner links."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TypeVar
+
+from returns.result import Failure, Result, Success
+
+from brackenladder.control_plane.errors import Unavailable
+from brackenladder.control_plane.messages import OrderReply, ReadReply
+
+ReplyType = TypeVar("ReplyType", OrderReply, ReadReply)
+
+
+class ReplyTable:
+    """Calls that wait for their reply, by request number."""
+
+    def __init__(self) -> None:
+        self._last = 0
+        self._waiting: dict[int, asyncio.Future[object]] = {}
+
+    def open(self) -> int:
+        """A new request number."""
+        self._last += 1
+        self._waiting[self._last] = asyncio.get_running_loop().create_future()
+        return self._last
+
+    def drop(self, request: int) -> Failure[Unavailable]:
+        """The call could not be sent."""
+        del self._waiting[request]
+        return Failure(Unavailable.LOST)
+
+    def resolve(self, reply: OrderReply | ReadReply) -> None:
+        """A reply has arrived; one that nobody waits for any more is dropped."""
+        waiting = self._waiting.get(reply.request)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply)
+
+    async def wait(
+        self, request: int, reply_type: type[ReplyType], leader_changed: asyncio.Event, timeout: float
+    ) -> Result[ReplyType, Unavailable]:
+        """The reply, unless the time runs out or another leader appears first."""
+        waiting = self._waiting[request]
+        change = asyncio.ensure_future(leader_changed.wait())
+        try:
+            await asyncio.wait((waiting, change), timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            change.cancel()
+            del self._waiting[request]
+        if not waiting.done():
+            return Failure(Unavailable.LOST if leader_changed.is_set() else Unavailable.TIMEOUT)
+        reply = waiting.result()
+        return Success(reply) if isinstance(reply, reply_type) else Failure(Unavailable.LOST)
--- /dev/null
+++ b/brackenladder/control_plane/instances.py
@@ -0,0 +1,125 @@
+"""A server's heartbeat, as it is read from its call."""
+
+from __future__ import annotations
+
+import json
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.registry.records import ServerRecord, ServerState
+from brackenladder.transport.address import parse_address
+from brackenladder.transport.errors import AddressError
+
+MICROSECONDS_PER_MILLISECOND = 1000
+NOT_TOLD = -1
+LARGEST_NUMBER = 1 << 50  # stays exact in JSON, and below 64 bits in microseconds
+STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
+
+
+@frozen
+class HeartbeatFault:
+    """What is wrong with a heartbeat's body."""
+
+    field: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.field}: {self.problem}"
+
+
+def parse_heartbeat(server_id: str, body: bytes) -> Result[ServerRecord, HeartbeatFault]:
+    """The record of a server; unknown fields are ignored."""
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        return Failure(HeartbeatFault("body", str(error)))
+    if not isinstance(document, dict):
+        return Failure(HeartbeatFault("body", "not an object"))
+    fields = _Fields(document)
+    try:
+        return Success(_record(server_id, fields))
+    except _BadField as error:
+        return Failure(error.fault)
+
+
+def _record(server_id: str, fields: _Fields) -> ServerRecord:
+    state = STATES.get(fields.text("State"))
+    if state is None:
+        raise _BadField("State", "neither ready nor draining")
+    return ServerRecord(
+        id=server_id,
+        service=fields.text("Backend"),
+        address=_checked_address(fields.text("Address")),
+        zone=fields.text("Zone"),
+        slots=fields.whole("Slots", 1),
+        state=state,
+        seq=fields.whole("Seq"),
+        software=fields.text("Version", ""),
+        cold_for=fields.milliseconds("ColdRemainingMs", 0),
+        remaining=fields.milliseconds("RemainingMs", NOT_TOLD),
+        models=fields.names("Models"),
+    )
+
+
+def _checked_address(address: str) -> str:
+    try:
+        return str(parse_address(address))
+    except AddressError:
+        raise _BadField("Address", "not ip:port") from None
+
+
+class _BadField(Exception):
+    def __init__(self, field: str, problem: str) -> None:
+        super().__init__(field, problem)
+        self.fault = HeartbeatFault(field, problem)
+
+
+class _Fields:
+    """Typed access to a JSON object. A default makes a field optional."""
+
+    def __init__(self, document: dict[str, object]) -> None:
+        self._document = document
+
+    def text(self, name: str, default: str | None = None) -> str:
+        return _checked_text(name, self._document.get(name, default))
+
+    def whole(self, name: str, default: int | None = None) -> int:
+        value = _checked_number(name, self._document.get(name, default))
+        if value != int(value):
+            raise _BadField(name, "not a whole number")
+        return int(value)
+
+    def milliseconds(self, name: str, default: int) -> int:
+        """Microseconds; `default` if the field is absent."""
+        value = self._document.get(name)
+        if value is None:
+            return default
+        return int(_checked_number(name, value) * MICROSECONDS_PER_MILLISECOND)
+
+    def names(self, name: str) -> tuple[str, ...]:
+        """The names of a list of objects."""
+        value = self._document.get(name, [])
+        if not isinstance(value, list):
+            raise _BadField(name, "not a list")
+        return tuple(
+            _checked_text(name, item["Name"]) for item in value if isinstance(item, dict) and "Name" in item
+        )
+
+
+def _checked_number(name: str, value: object) -> int | float:
+    """A number that every node can pass on."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise _BadField(name, "not a number")
+    if not 0 <= value <= LARGEST_NUMBER:
+        raise _BadField(name, "out of range")
+    return value
+
+
+def _checked_text(name: str, value: object) -> str:
+    """A text that every node can pass on."""
+    if not isinstance(value, str):
+        raise _BadField(name, "not a text")
+    if not value.isascii() and any("\ud800" <= character <= "\udfff" for character in value):
+        raise _BadField(name, "not Unicode")
+    return value
--- /dev/null
+++ b/brackenladder/control_plane/operator_api.py
@@ -0,0 +1,145 @@
+"""The operator's and the servers' calls to a control node, over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Collection
+from http import HTTPStatus
+from typing import Protocol
+from urllib.parse import unquote
+
+from aiohttp import web
+from returns.result import Failure, Success
+
+from brackenladder.catalog.orders import (
+    BeginEvacuation,
+    FinishEvacuation,
+    ReplaceConfiguration,
+    UpdateConfiguration,
+    encode_order,
+)
+from brackenladder.control_plane.http_server import json_response, not_found, unavailable
+from brackenladder.control_plane.instances import parse_heartbeat
+from brackenladder.control_plane.messages import OrderOutcome, OrderReply
+from brackenladder.control_plane.orders import OrderService
+from brackenladder.registry.records import ServerRecord
+
+BASE_VERSION_HEADER = "X-Brackenladder-Base-Version"
+
+Order = ReplaceConfiguration | UpdateConfiguration | BeginEvacuation | FinishEvacuation
+Call = Callable[[web.BaseRequest, str], Awaitable[web.Response]]
+
+
+class ServerEvents(Protocol):
+    """Takes what servers say about themselves. False: this node is out of touch and must not acknowledge."""
+
+    def heartbeat(self, record: ServerRecord) -> bool:
+        """A server's word, handed on to all nodes before this returns."""
+
+    def deregister(self, server_id: str) -> bool:
+        """A server's end, handed on to all nodes before this returns."""
+
+
+class OperatorApi:
+    """Handles one call at a time of `Listen.Control`."""
+
+    def __init__(
+        self, orders: OrderService, servers: ServerEvents, zones: Callable[[], Collection[str]]
+    ) -> None:
+        self._orders = orders
+        self._servers = servers
+        self._zones = zones
+        self._calls: dict[tuple[str, str], Call] = {
+            ("POST", "Instances.Heartbeat"): self._heartbeat,
+            ("POST", "Instances.Deregister"): self._deregister,
+            ("POST", "Config.Replace"): self._replace,
+            ("POST", "Config.Update"): self._update,
+            ("GET", "Config.Fetch"): self._fetch,
+            ("POST", "Evacuations.Begin"): self._begin_evacuation,
+            ("POST", "Evacuations.Finish"): self._finish_evacuation,
+        }
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Paths are `/-/CALL` or `/-/CALL/NAME`."""
+        path = request.rel_url.raw_path
+        prefix, _, rest = path[1:].partition("/")
+        name, _, subject = rest.partition("/")
+        call = self._calls.get((request.method, name))
+        if prefix != "-" or call is None:
+            return not_found(path)
+        return await call(request, unquote(subject))
+
+    async def _heartbeat(self, request: web.BaseRequest, server_id: str) -> web.Response:
+        match parse_heartbeat(server_id, await request.read()):
+            case Success(record) if server_id:
+                acknowledged = self._servers.heartbeat(record)
+            case Failure(fault):
+                return json_response(HTTPStatus.BAD_REQUEST, {"Error": str(fault)})
+            case _:
+                return not_found("a server without an id")
+        return json_response(HTTPStatus.OK, {}) if acknowledged else unavailable("out of touch")
+
+    async def _deregister(self, request: web.BaseRequest, server_id: str) -> web.Response:
+        await request.read()
+        if not self._servers.deregister(server_id):
+            return unavailable("out of touch")
+        return json_response(HTTPStatus.OK, {})
+
+    async def _replace(self, request: web.BaseRequest, _subject: str) -> web.Response:
+        base = _base_version(request)
+        body = await request.read()
+        if base is None:
+            return _bad_base()
+        return await self._submit(ReplaceConfiguration(base, body))
+
+    async def _update(self, request: web.BaseRequest, _subject: str) -> web.Response:
+        base = _base_version(request)
+        body = await request.read()
+        if base is None:
+            return _bad_base()
+        return await self._submit(UpdateConfiguration(base, body))
+
+    async def _begin_evacuation(self, request: web.BaseRequest, zone: str) -> web.Response:
+        await request.read()
+        if zone not in self._zones():
+            return not_found(f"zone {zone}")
+        return await self._submit(BeginEvacuation(zone))
+
+    async def _finish_evacuation(self, request: web.BaseRequest, zone: str) -> web.Response:
+        await request.read()
+        if zone not in self._zones():
+            return not_found(f"zone {zone}")
+        return await self._submit(FinishEvacuation(zone))
+
+    async def _fetch(self, request: web.BaseRequest, _subject: str) -> web.Response:
+        match await self._orders.fetch():
+            case Success(document) if document.body:
+                return web.Response(body=document.body, content_type="application/json")
+            case Success(_):
+                return not_found("no configuration yet")
+            case Failure(reason):
+                return unavailable(reason.value)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _submit(self, order: Order) -> web.Response:
+        return _order_response(await self._orders.submit(encode_order(order)))
+
+
+def _order_response(reply: OrderReply) -> web.Response:
+    match reply.outcome:
+        case OrderOutcome.ACCEPTED:
+            return json_response(HTTPStatus.OK, {"Version": reply.version})
+        case OrderOutcome.INVALID:
+            return json_response(HTTPStatus.BAD_REQUEST, {"Error": list(reply.faults)})
+        case OrderOutcome.CONFLICT:
+            return json_response(HTTPStatus.PRECONDITION_FAILED, {"Version": reply.version})
+        case _:
+            return unavailable("no clear answer in time")
+
+
+def _base_version(request: web.BaseRequest) -> int | None:
+    text = request.headers.get(BASE_VERSION_HEADER, "").strip()
+    return int(text) if text.isdecimal() else None
+
+
+def _bad_base() -> web.Response:
+    return json_response(HTTPStatus.BAD_REQUEST, {"Error": f"{BASE_VERSION_HEADER}: not a whole number"})
--- /dev/null
+++ b/brackenladder/control_plane/orders.py
@@ -0,0 +1,190 @@
+"""The operator's orders and reads: decided by the leader, whichever control node they reach."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import TypeVar
+
+import logbook
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.catalog.orders import Accepted, Conflict, Invalid, OrderDecodeError, decode_order
+from brackenladder.control_plane.consensus_host import Answer, CatalogAnswer, ConsensusHost
+from brackenladder.control_plane.errors import Unavailable
+from brackenladder.control_plane.forwarding import ReplyTable
+from brackenladder.control_plane.messages import (
+    ForwardOrder,
+    ForwardRead,
+    OrderOutcome,
+    OrderReply,
+    ReadReply,
+)
+from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.transport.link import Link
+
+CALL_SECONDS = 2.5  # longest that a caller is held without a clear answer
+ATTEMPT_SECONDS = 1.5  # a leader that has said nothing for so long is asked again
+RETRY_SECONDS = 0.1
+
+Clear = TypeVar("Clear")
+
+log = logbook.Logger("orders")
+
+
+@frozen
+class Document:
+    """The newest configuration as it is read back."""
+
+    revision: int
+    body: bytes
+
+
+class OrderService:
+    """Carries orders to the leader, and decides them when this node leads.
+
+    An order may be committed more than once while leaders change; the catalog accepts a copy of what it has
+    taken and changes nothing, so that asking again is always safe.
+    """
+
+    def __init__(self, host: ConsensusHost, peers: PeerLinks) -> None:
+        self._host = host
+        self._peers = peers
+        self._replies = ReplyTable()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def submit(self, order: bytes) -> OrderReply:
+        """The clear answer to an encoded order, or UNAVAILABLE after at most `CALL_SECONDS`."""
+        result = await self._insist(lambda: self._submit_once(order))
+        return result.value_or(OrderReply(0, OrderOutcome.UNAVAILABLE))
+
+    async def fetch(self) -> Result[Document, Unavailable]:
+        """The newest configuration, confirmed by a quorum."""
+        return await self._insist(self._fetch_once)
+
+    def received(self, link: Link, message: object) -> bool:
+        """A message of another control node; False if it isn't of this kind."""
+        match message:
+            case ForwardOrder():
+                self._spawn(self._serve_order(link, message))
+            case ForwardRead():
+                self._spawn(self._serve_read(link, message))
+            case OrderReply() | ReadReply():
+                self._replies.resolve(message)
+            case _:
+                return False
+        return True
+
+    async def _insist(
+        self, attempt: Callable[[], Awaitable[Result[Clear, Unavailable]]]
+    ) -> Result[Clear, Unavailable]:
+        """Repeats an attempt until it has a clear answer or the time is up."""
+        result: Result[Clear, Unavailable] = Failure(Unavailable.TIMEOUT)
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                while True:
+                    result = await attempt()
+                    if isinstance(result, Success):
+                        return result
+                    await self._host.leadership_changed(RETRY_SECONDS)
+        except TimeoutError:
+            return result
+
+    async def _submit_once(self, order: bytes) -> Result[OrderReply, Unavailable]:
+        if self._host.leads:
+            answer = await self._decide(order)
+            return answer.map(lambda decided: _reply(0, decided))
+        leader = self._leader_link()
+        if leader is None:
+            return Failure(Unavailable.NO_LEADER)
+        request = self._replies.open()
+        if not leader.send(ForwardOrder(request, order)):
+            return self._replies.drop(request)
+        reply = await self._replies.wait(request, OrderReply, self._host.leadership, ATTEMPT_SECONDS)
+        return reply.bind(_clear_only)
+
+    async def _decide(self, order: bytes) -> Answer:
+        """Decides an order as the leader.
+
+        What looks like a refusal is confirmed against the newest state first; it then needs no log entry.
+        """
+        if not self._host.leads:
+            return Failure(Unavailable.NO_LEADER)
+        decoded = decode_order(order)
+        if not isinstance(self._host.catalog.check(decoded), Accepted):
+            confirmed = await self._host.confirm_read()
+            if isinstance(confirmed, Failure):
+                return confirmed
+            refusal = self._host.catalog.check(decoded)
+            if not isinstance(refusal, Accepted):
+                return Success(refusal)
+        return await self._host.propose(order)
+
+    async def _fetch_once(self) -> Result[Document, Unavailable]:
+        catalog = self._host.catalog
+        if self._host.leads:
+            confirmed = await self._host.confirm_read()
+            return confirmed.map(lambda _: Document(catalog.revision, catalog.document))
+        leader = self._leader_link()
+        if leader is None:
+            return Failure(Unavailable.NO_LEADER)
+        held = Document(catalog.revision, catalog.document)
+        request = self._replies.open()
+        if not leader.send(ForwardRead(request, held.revision)):
+            return self._replies.drop(request)
+        reply = await self._replies.wait(request, ReadReply, self._host.leadership, ATTEMPT_SECONDS)
+        return reply.bind(lambda answer: _document(answer, held))
+
+    def _leader_link(self) -> Link | None:
+        leader = self._host.leader
+        return None if leader is None else self._peers.link(leader.replica_id)
+
+    async def _serve_order(self, link: Link, call: ForwardOrder) -> None:
+        reply = OrderReply(call.request, OrderOutcome.UNAVAILABLE)
+        try:
+            answer = await self._decide(call.order)
+        except OrderDecodeError as error:  # the other node runs a later version of the program
+            log.warning("order not understood: {}", error)
+        else:
+            if isinstance(answer, Success):
+                reply = _reply(call.request, answer.unwrap())
+        link.send(reply)
+
+    async def _serve_read(self, link: Link, call: ForwardRead) -> None:
+        confirmed = await self._host.confirm_read()
+        if isinstance(confirmed, Failure):
+            link.send(ReadReply(call.request, confirmed=False))
+            return
+        catalog = self._host.catalog
+        document = b"" if catalog.revision == call.revision else catalog.document
+        link.send(ReadReply(call.request, True, catalog.revision, document))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _reply(request: int, answer: CatalogAnswer) -> OrderReply:
+    match answer:
+        case Accepted(version=version):
+            return OrderReply(request, OrderOutcome.ACCEPTED, version)
+        case Conflict(current=current):
+            return OrderReply(request, OrderOutcome.CONFLICT, current)
+        case Invalid(faults=faults):
+            return OrderReply(request, OrderOutcome.INVALID, 0, tuple(str(fault) for fault in faults))
+
+
+def _clear_only(reply: OrderReply) -> Result[OrderReply, Unavailable]:
+    if reply.outcome is OrderOutcome.UNAVAILABLE:
+        return Failure(Unavailable.LOST)
+    return Success(reply)
+
+
+def _document(reply: ReadReply, held: Document) -> Result[Document, Unavailable]:
+    if not reply.confirmed:
+        return Failure(Unavailable.LOST)
+    if reply.revision == held.revision:
+        return Success(held)
+    return Success(Document(reply.revision, reply.document))
--- /dev/null
+++ b/brackenladder/control_plane/peers.py
@@ -0,0 +1,167 @@
+"""Links between control nodes: who they are, how a replica is reached, which addresses are dialled."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import logbook
+
+from brackenladder.control_plane.messages import Hello
+from brackenladder.transport.errors import LinkClosed
+from brackenladder.transport.link import Dialer, Link, Transport
+
+MOST_ADDRESSES = 16  # a bound on what other nodes can make this one dial
+
+log = logbook.Logger("peers")
+
+
+class PeerListener(Protocol):
+    """Who is told what happens on the links."""
+
+    def peer_connected(self, peer: Hello, link: Link) -> None:
+        """A link that this node dialled has come up, and its other end has said who it is."""
+
+    def peer_received(self, peer: Hello, link: Link, message: object) -> None:
+        """A message of a control node."""
+
+    def stranger_received(self, link: Link, message: object) -> None:
+        """A message on a link whose other end isn't a control node: a gateway."""
+
+    def link_closed(self, link: Link) -> None:
+        """A link has gone."""
+
+
+class PeerLinks:
+    """Dials every known control node and accepts links of all nodes.
+
+    A replica is reached by the id its node tells when the link comes up, never by its address alone: a node
+    that lost its disk is another replica at the same address and must not get its predecessor's messages.
+    """
+
+    def __init__(self, transport: Transport, listener: PeerListener, hello: Callable[[], Hello]) -> None:
+        self._transport = transport
+        self._listener = listener
+        self._hello = hello
+        self._dialers: dict[str, Dialer] = {}
+        self._peers: dict[Link, Hello] = {}  # both directions
+        self._dialled: dict[str, Link] = {}  # by replica id
+        self._accepted: dict[str, Link] = {}
+
+    async def listen(self, address: str) -> None:
+        """Accepts links at the node's inner address."""
+        await self._transport.listen(address, _AcceptedLinks(self))
+
+    def keep(self, addresses: Iterable[str]) -> None:
+        """Dials exactly these nodes from now on; links that exist to other ones are closed."""
+        wanted = set(addresses)
+        wanted.discard(self._hello().address)
+        for address in sorted(wanted - self._dialers.keys()):
+            if len(self._dialers) < MOST_ADDRESSES:
+                self._dialers[address] = self._transport.dial(address, _DialledLink(self))
+        for address in self._dialers.keys() - wanted:
+            self._dialers.pop(address).close()
+
+    def connected_addresses(self) -> tuple[str, ...]:
+        """The inner addresses of the control nodes that are connected now."""
+        return tuple(sorted({peer.address for peer in self._peers.values()}))
+
+    def peers(self) -> tuple[tuple[Hello, Link], ...]:
+        """Every connected control node once, with the link to it."""
+        links = {**self._accepted, **self._dialled}
+        return tuple((self._peers[link], link) for link in links.values())
+
+    def link(self, replica_id: str) -> Link | None:
+        """The link to a replica's node."""
+        return self._dialled.get(replica_id) or self._accepted.get(replica_id)
+
+    def send(self, replica_id: str, message: object) -> bool:
+        """Hands a message to a replica; False if there is no link or its queue is full."""
+        link = self.link(replica_id)
+        return link is not None and link.send(message)
+
+    def broadcast(self, message: object) -> None:
+        """Hands a message to every connected control node."""
+        for _, link in self.peers():
+            link.send(message)
+
+    def greeted(self, link: Link, peer: Hello, table: dict[str, Link]) -> None:
+        """The other end has said who it is."""
+        self._peers[link] = peer
+        table[peer.replica_id] = link
+
+    def dialled_received(self, link: Link, message: object) -> None:
+        """A message on a link that this node dialled."""
+        if isinstance(message, Hello):
+            self.greeted(link, message, self._dialled)
+            self._listener.peer_connected(message, link)
+            return
+        self._pass_on(link, message)
+
+    def accepted_received(self, link: Link, message: object) -> None:
+        """A message on a link that another node dialled."""
+        if isinstance(message, Hello):
+            link.send(self._hello())
+            self.greeted(link, message, self._accepted)
+            self._listener.peer_connected(message, link)
+            return
+        self._pass_on(link, message)
+
+    def dialled_connected(self, link: Link) -> None:
+        """A link that this node dialled is up."""
+        link.send(self._hello())
+
+    def closed(self, link: Link, reason: LinkClosed) -> None:
+        """A link has gone."""
+        peer = self._peers.pop(link, None)
+        if peer is not None:
+            log.debug("link to {} closed: {}", peer.address, reason)
+            for table in (self._dialled, self._accepted):
+                if table.get(peer.replica_id) is link:
+                    del table[peer.replica_id]
+        self._listener.link_closed(link)
+
+    def close(self) -> None:
+        """Dials nobody any more."""
+        for dialer in self._dialers.values():
+            dialer.close()
+        self._dialers.clear()
+
+    def _pass_on(self, link: Link, message: object) -> None:
+        peer = self._peers.get(link)
+        if peer is None:
+            self._listener.stranger_received(link, message)
+        else:
+            self._listener.peer_received(peer, link, message)
+
+
+class _DialledLink:
+    """Handler of one dialled address."""
+
+    def __init__(self, links: PeerLinks) -> None:
+        self._links = links
+
+    def connected(self, link: Link) -> None:
+        self._links.dialled_connected(link)
+
+    def received(self, link: Link, message: object) -> None:
+        self._links.dialled_received(link, message)
+
+    def closed(self, link: Link, reason: LinkClosed) -> None:
+        self._links.closed(link, reason)
+
+
+class _AcceptedLinks:
+    """Handler of all links that other nodes dialled."""
+
+    def __init__(self, links: PeerLinks) -> None:
+        self._links = links
+
+    def connected(self, link: Link) -> None:
+        """Nothing is known of the other end until it speaks."""
+
+    def received(self, link: Link, message: object) -> None:
+        self._links.accepted_received(link, message)
+
+    def closed(self, link: Link, reason: LinkClosed) -> None:
+        self._links.closed(link, reason)
--- /dev/null
+++ b/brackenladder/control_plane/soft_state.py
@@ -0,0 +1,193 @@
+"""What a control node knows of servers and gateways, and who it tells: peers and subscribed gateways."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import logbook
+
+from brackenladder.catalog.catalog import Catalog
+from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.delivery.messages import UNKNOWN_AGE, Ack, Subscribe
+from brackenladder.delivery.publisher import Publisher
+from brackenladder.registry.directory import resolve
+from brackenladder.registry.exchange import PeerExchange
+from brackenladder.registry.gateways import GatewayRegistry
+from brackenladder.registry.records import ServerRecord
+from brackenladder.registry.registry import ServerRegistry
+from brackenladder.transport.link import Link
+
+TICK_SECONDS = 0.1
+SILENT_HEARTBEATS = 4  # heartbeats without a word after which a server counts as gone
+SETTLE_HEARTBEATS = 1.1  # heartbeats after the start in which every living server has called some node
+STANDSTILL = 1_000_000  # microseconds between two ticks after which this process must have been frozen
+IN_TOUCH_AGE = 1_500_000  # contact with the leader up to which servers' and gateways' word is acknowledged
+
+log = logbook.Logger("registry")
+
+
+class SoftState:
+    """Takes the word of servers, gateways and peers, and hands it on.
+
+    Whatever changes is written to the links before the call that brought it is answered.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], int],
+        contact_age: Callable[[], int],
+        peers: PeerLinks,
+        heartbeat: int,
+    ) -> None:
+        """`contact_age` is that with the leader; servers call every `heartbeat`; both in microseconds."""
+        now = clock()
+        self._clock = clock
+        self._contact_age = contact_age
+        self._peers = peers
+        self._servers = ServerRegistry(SILENT_HEARTBEATS * heartbeat)
+        self._gateways = GatewayRegistry()
+        settle_time = int(SETTLE_HEARTBEATS * heartbeat)
+        self._exchange = PeerExchange(self._servers, self._gateways, now, settle_time)
+        self._publisher = Publisher(self._servers)
+        self._subscribers: dict[str, Link] = {}
+        self._names: dict[Link, str] = {}
+        self._informed: dict[str, Link] = {}  # the link over which a peer is told, by replica id
+        self._last_name = 0
+        self._ticked_at = now
+        self._answers = 0
+
+    # -- calls of servers and clients
+
+    def heartbeat(self, record: ServerRecord) -> bool:
+        """See `operator_api.ServerEvents`. It is taken even where it must not be acknowledged."""
+        if self._servers.heartbeat(self._clock(), record):
+            log.debug("server {} {} {}", record.id, record.state.name, record.address)
+            self.flush()
+        return self._in_touch()
+
+    def deregister(self, server_id: str) -> bool:
+        """See `operator_api.ServerEvents`. It is taken even where it must not be acknowledged."""
+        if self._servers.deregister(self._clock(), server_id):
+            log.debug("server {} deregistered", server_id)
+            self.flush()
+        return self._in_touch()
+
+    def resolve(self, region: str, zone: str) -> tuple[str, ...]:
+        """The front addresses for a client; none while this node can't know of all gateways."""
+        now = self._clock()
+        if not self._gateways.settled(now):
+            return ()
+        self._answers += 1
+        return resolve(self._gateways.ready(now), region, zone, offset=self._answers)
+
+    # -- events of links
+
+    def peer_connected(self, replica_id: str) -> None:
+        """A link to a control node is up."""
+        if replica_id not in self._informed:
+            self._begin_informing(replica_id)
+            self.flush()
+
+    def peer_received(self, replica_id: str, message: object) -> bool:
+        """A message of a control node; False if it isn't of this kind."""
+        if not self._exchange.told(self._clock(), replica_id, message):
+            return False
+        self._count_gateways()
+        self.flush()
+        return True
+
+    def gateway_received(self, link: Link, message: object) -> None:
+        """A message of a gateway."""
+        name = self._names.get(link)
+        match message:
+            case Subscribe():
+                self._subscribed(link, name or self._name(link), message)
+            case Ack() if name is not None:
+                self._publisher.acknowledged(name, message)
+            case _:
+                return
+        self.flush()
+
+    def link_closed(self, link: Link) -> None:
+        """A link has gone: a peer is told all again over the next one, a gateway subscribes anew."""
+        for replica_id, used in list(self._informed.items()):
+            if used is link:
+                self._forget_peer(replica_id)
+        name = self._names.pop(link, None)
+        if name is not None:
+            del self._subscribers[name]
+            self._publisher.lost(name)
+
+    # -- changes of the agreed state
+
+    def catalog_changed(self, catalog: Catalog) -> None:
+        """Publishes the newest catalog at once."""
+        self._publisher.set_catalog(catalog.revision, catalog.document, catalog.evacuated)
+        self.flush()
+
+    def control_nodes_changed(self, revision: int, addresses: tuple[str, ...]) -> None:
+        """Publishes where the control nodes listen."""
+        self._publisher.set_control_nodes(revision, addresses)
+
+    # -- time
+
+    def tick(self) -> None:
+        """Lets silence take effect; to be called every `TICK_SECONDS`."""
+        now = self._clock()
+        gap = now - self._ticked_at
+        self._ticked_at = now
+        if gap > STANDSTILL:
+            log.info("stood still for {} ms", gap // 1000)
+            self._servers.resumed(now, gap)
+            self._gateways.resumed(now, gap)
+        for record in self._servers.expire(now, trusted=self._in_touch()):
+            log.info("server {} silent, gone", record.id)
+        self._gateways.forget(now)
+        self._count_gateways()
+        self.flush()
+
+    def flush(self) -> None:
+        """Writes all that is due to the links."""
+        now = self._clock()
+        for told in self._exchange.take(now):
+            link = self._informed.get(told.peer)
+            if link is None or not link.send(told.message):
+                self._forget_peer(told.peer)
+        for delivery in self._publisher.take(now, self._told_contact_age(now)):
+            subscriber = self._subscribers.get(delivery.subscriber)
+            if subscriber is not None and not subscriber.send(delivery.message):
+                subscriber.close()
+
+    def _in_touch(self) -> bool:
+        return self._contact_age() <= IN_TOUCH_AGE
+
+    def _told_contact_age(self, now: int) -> int:
+        return self._contact_age() if self._exchange.settled(now) else UNKNOWN_AGE
+
+    def _subscribed(self, link: Link, name: str, message: Subscribe) -> None:
+        self._publisher.subscribed(name, message)
+        self._gateways.presence(self._clock(), message.gateway)
+        self._count_gateways()
+
+    def _name(self, link: Link) -> str:
+        self._last_name += 1
+        name = str(self._last_name)
+        self._names[link] = name
+        self._subscribers[name] = link
+        return name
+
+    def _begin_informing(self, replica_id: str) -> None:
+        link = self._peers.link(replica_id)
+        if link is not None:
+            self._informed[replica_id] = link
+            self._exchange.connected(replica_id)
+
+    def _forget_peer(self, replica_id: str) -> None:
+        """Begins anew over another link, if there is one."""
+        if self._informed.pop(replica_id, None) is None:
+            return
+        self._exchange.lost(replica_id)
+        self._begin_informing(replica_id)
+
+    def _count_gateways(self) -> None:
+        self._publisher.set_gateways(self._gateways.living(self._clock()))
--- /dev/null
+++ b/brackenladder/delivery/publisher.py
@@ -0,0 +1,220 @@
+"""A control node's end of delivery: what each gateway has, and what it is told next.
+
+Of each kind of update one is in flight per subscriber; what changes meanwhile goes out, as one update, after
+the ack. Messages are shared: subscribers that lack the same are told by the same object.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from attrs import define, evolve, field, frozen
+
+from brackenladder.delivery.documents import PackedDocument, pack
+from brackenladder.delivery.messages import (
+    FRESH_AGE,
+    Ack,
+    CatalogUpdate,
+    ControlNodes,
+    Freshness,
+    GatewayCount,
+    ServersUpdate,
+    Subscribe,
+    UpdateKind,
+)
+from brackenladder.delivery.subscriptions import NOTHING, Subscription
+from brackenladder.registry.records import ServerRecord
+from brackenladder.registry.registry import ServerRegistry
+
+MOST_RECORDS = 1000  # of one message
+
+
+@frozen
+class Delivery:
+    """A message for one subscriber."""
+
+    subscriber: str
+    message: object
+
+
+@define
+class _Round:
+    """One call of `take`: what it tells of freshness, and the server updates that it has built."""
+
+    now: int
+    leader_contact_age: int
+    server_updates: dict[int, tuple[ServersUpdate, ...]] = field(factory=dict)  # by what the subscriber has
+    catalog_updates: dict[bool, CatalogUpdate] = field(factory=dict)  # by: has the document?
+
+    @property
+    def fresh(self) -> bool:
+        return self.leader_contact_age <= FRESH_AGE
+
+
+class Publisher:
+    """Decides what every subscriber is told. The host names subscribers, by one name a link."""
+
+    def __init__(self, servers: ServerRegistry) -> None:
+        self._servers = servers
+        self._servers_version = 0
+        self._subscriptions: dict[str, Subscription] = {}
+        self._dirty: dict[str, None] = {}  # subscribers that something may be due to
+        self._catalog = CatalogUpdate(revision=0, document_revision=0)
+        self._document = PackedDocument()
+        self._control_nodes = ControlNodes(revision=NOTHING, addresses=())
+        self._gateways = GatewayCount(sequence=0, number=0)
+        self._fresh = False
+
+    def subscribed(self, subscriber: str, message: Subscribe) -> None:
+        """Take a presence message: the first one of a subscriber opens its subscription."""
+        subscription = self._subscriptions.get(subscriber)
+        if subscription is None:
+            self._subscriptions[subscriber] = Subscription(message.have_revision)
+            self._dirty[subscriber] = None
+        else:
+            subscription.have_revision = max(subscription.have_revision, message.have_revision)
+
+    def acknowledged(self, subscriber: str, ack: Ack) -> None:
+        """Take a subscriber's ack; what changed since is then due."""
+        subscription = self._subscriptions.get(subscriber)
+        if subscription is not None and subscription.acknowledged(ack):
+            self._dirty[subscriber] = None
+
+    def lost(self, subscriber: str) -> None:
+        """The link of a subscriber is down, or would not take a message: it has to subscribe anew."""
+        self._subscriptions.pop(subscriber, None)
+        self._dirty.pop(subscriber, None)
+
+    def set_catalog(self, revision: int, document: bytes, evacuated: frozenset[str]) -> None:
+        """Take the catalog as of its newest revision; an older one is ignored."""
+        if revision <= self._catalog.revision:
+            return
+        packed = pack(document)
+        document_changed = packed != self._document
+        self._document = packed
+        self._catalog = CatalogUpdate(
+            revision=revision,
+            document_revision=revision if document_changed else self._catalog.document_revision,
+            evacuated=tuple(sorted(evacuated)),
+        )
+        self._mark_all()
+
+    def set_control_nodes(self, revision: int, addresses: tuple[str, ...]) -> None:
+        """Take where the control nodes listen, as of a log index; the same or an older one is ignored."""
+        if revision <= self._control_nodes.revision or addresses == self._control_nodes.addresses:
+            return
+        self._control_nodes = ControlNodes(revision, addresses)
+        self._mark_all()
+
+    def set_gateways(self, number: int) -> None:
+        """Take the living number of gateways."""
+        if number == self._gateways.number:
+            return
+        self._gateways = GatewayCount(self._gateways.sequence + 1, number)
+        self._mark_all()
+
+    def take(self, now: int, leader_contact_age: int) -> tuple[Delivery, ...]:
+        """Return what is due; to be called after every change and ack, and a few times a second.
+
+        `leader_contact_age` is told along: gateways that start rely on a control node whose leader contact is
+        at most `FRESH_AGE` old. It is to be `UNKNOWN_AGE` while this node knows that it lacks entries or
+        servers.
+        """
+        this_round = _Round(now, leader_contact_age)
+        self._mark_changes(this_round.fresh)
+        due = tuple(
+            Delivery(subscriber, message)
+            for subscriber in self._dirty
+            for message in self._messages(this_round, self._subscriptions[subscriber])
+        )
+        self._dirty.clear()
+        return due
+
+    def _mark_changes(self, fresh: bool) -> None:
+        if fresh != self._fresh or self._servers.version != self._servers_version:
+            self._mark_all()
+        self._fresh = fresh
+        self._servers_version = self._servers.version
+
+    def _mark_all(self) -> None:
+        self._dirty.update(dict.fromkeys(self._subscriptions))
+
+    def _messages(self, this_round: _Round, subscription: Subscription) -> Iterator[object]:
+        catalog = tuple(self._catalog_messages(this_round, subscription))
+        servers = self._server_messages(this_round, subscription)
+        yield from catalog
+        yield from servers
+        yield from self._control_node_messages(subscription)
+        yield from self._gateway_messages(subscription)
+        if catalog and servers:
+            subscription.fresh = this_round.fresh
+        elif subscription.settled and subscription.fresh != this_round.fresh:
+            subscription.fresh = this_round.fresh
+            yield Freshness(this_round.leader_contact_age)
+
+    def _catalog_messages(self, this_round: _Round, subscription: Subscription) -> Iterator[CatalogUpdate]:
+        channel = subscription.channels[UpdateKind.CATALOG]
+        if not channel.due(self._catalog.revision):
+            return
+        channel.in_flight = self._catalog.revision
+        has_document = subscription.have_revision >= self._catalog.document_revision
+        if has_document not in this_round.catalog_updates:
+            this_round.catalog_updates[has_document] = self._build_catalog_update(this_round, has_document)
+        yield this_round.catalog_updates[has_document]
+
+    def _build_catalog_update(self, this_round: _Round, has_document: bool) -> CatalogUpdate:
+        return evolve(
+            self._catalog,
+            document=b"" if has_document else self._document.data,
+            compressed=self._document.compressed and not has_document,
+            leader_contact_age=this_round.leader_contact_age,
+        )
+
+    def _server_messages(self, this_round: _Round, subscription: Subscription) -> tuple[ServersUpdate, ...]:
+        channel = subscription.channels[UpdateKind.SERVERS]
+        if not channel.due(self._servers.version):
+            return ()
+        updates = this_round.server_updates.get(channel.have)
+        if updates is None:
+            updates = self._build_server_updates(this_round, channel.have)
+            this_round.server_updates[channel.have] = updates
+        if updates:
+            channel.in_flight = self._servers.version
+        else:
+            channel.have = self._servers.version
+        return updates
+
+    def _build_server_updates(self, this_round: _Round, have: int) -> tuple[ServersUpdate, ...]:
+        changed = None if have == NOTHING else self._servers.changed_since(this_round.now, have)
+        if changed is not None:
+            return self._parts(this_round, changed, full=False) if changed else ()
+        return self._parts(this_round, self._servers.records(this_round.now), full=True)
+
+    def _parts(
+        self, this_round: _Round, records: tuple[ServerRecord, ...], full: bool
+    ) -> tuple[ServersUpdate, ...]:
+        """Split an update so that no message grows too long."""
+        starts = range(0, max(1, len(records)), MOST_RECORDS)
+        return tuple(
+            ServersUpdate(
+                sequence=self._servers.version,
+                full=full,
+                records=records[start : start + MOST_RECORDS],
+                leader_contact_age=this_round.leader_contact_age,
+                first=start == 0,
+                last=start == starts[-1],
+            )
+            for start in starts
+        )
+
+    def _control_node_messages(self, subscription: Subscription) -> Iterator[ControlNodes]:
+        channel = subscription.channels[UpdateKind.CONTROL_NODES]
+        if channel.due(self._control_nodes.revision):
+            channel.in_flight = self._control_nodes.revision
+            yield self._control_nodes
+
+    def _gateway_messages(self, subscription: Subscription) -> Iterator[GatewayCount]:
+        channel = subscription.channels[UpdateKind.GATEWAY_COUNT]
+        if channel.due(self._gateways.sequence) and self._gateways.number:
+            channel.in_flight = self._gateways.sequence
+            yield self._gateways
--- /dev/null
+++ b/brackenladder/delivery/view.py
@@ -0,0 +1,110 @@
+"""What a gateway knows of the system: the configuration, the servers, how many gateways there are."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from enum import Flag, auto
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+from brackenladder.registry.records import ServerRecord, ServerState
+from brackenladder.registry.registry import ServerRegistry
+
+if TYPE_CHECKING:
+    from brackenladder.catalog.configuration import Configuration
+
+
+class ViewChange(Flag):
+    """Which parts of a view have changed."""
+
+    CATALOG = auto()
+    SERVERS = auto()
+    GATEWAYS = auto()
+
+
+class SystemView:
+    """The merged knowledge of one gateway.
+
+    Readers use the attributes and `subscribe`; the subscriber, and tests, write by `set_catalog`,
+    `merge_servers`, `remove_servers` and `set_gateways`, each of which tells the listeners.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.configuration: Configuration | None = None
+        self.evacuated: frozenset[str] = frozenset()
+        self.gateways = 1  # the highest living number of the last 20 s
+        self._servers: dict[str, ServerRecord] = {}
+        self.servers: Mapping[str, ServerRecord] = MappingProxyType(
+            self._servers
+        )  # READY and DRAINING, by id
+        self._registry = ServerRegistry()
+        self._listeners: list[Callable[[ViewChange], None]] = []
+
+    def cold_until(self, server_id: str) -> int:
+        """When a server is warm, in this host's microseconds (perhaps past); 0: it was not cold."""
+        return self._registry.cold_until(server_id)
+
+    def ends_at(self, server_id: str) -> int:
+        """When a server said that it is gone whatever it runs, in this host's microseconds; 0: it did not."""
+        return self._registry.ends_at(server_id)
+
+    def subscribe(self, on_change: Callable[[ViewChange], None]) -> Callable[[], None]:
+        """Call `on_change` after each change; the returned function ends that."""
+        self._listeners.append(on_change)
+
+        def unsubscribe() -> None:
+            if on_change in self._listeners:
+                self._listeners.remove(on_change)
+
+        return unsubscribe
+
+    def set_catalog(
+        self, revision: int, configuration: Configuration | None, evacuated: frozenset[str]
+    ) -> bool:
+        """Take a newer catalog; False, and nothing changes, if it is not newer."""
+        if revision <= self.revision:
+            return False
+        self.revision = revision
+        self.configuration = configuration
+        self.evacuated = evacuated
+        self._notify(ViewChange.CATALOG)
+        return True
+
+    def merge_servers(self, now: int, records: Iterable[ServerRecord]) -> tuple[ServerRecord, ...]:
+        """Merge what a control node tells of servers; return what changed."""
+        changed = self._registry.merge(now, records)
+        self._show(changed)
+        return changed
+
+    def remove_servers(self, server_ids: Iterable[str]) -> None:
+        """Forget servers that no control node knows any more."""
+        removed = [server_id for server_id in server_ids if self._registry.remove(server_id)]
+        for server_id in removed:
+            self._servers.pop(server_id, None)
+        if removed:
+            self._notify(ViewChange.SERVERS)
+
+    def expire(self, now: int) -> None:
+        """Drop servers whose announced end has passed, and what is remembered of those long gone."""
+        self._show(self._registry.expire(now, trusted=False))
+
+    def set_gateways(self, number: int) -> None:
+        """Take the living number of gateways."""
+        if number == self.gateways:
+            return
+        self.gateways = number
+        self._notify(ViewChange.GATEWAYS)
+
+    def _show(self, changed: tuple[ServerRecord, ...]) -> None:
+        for record in changed:
+            if record.state is ServerState.GONE:
+                self._servers.pop(record.id, None)
+            else:
+                self._servers[record.id] = record
+        if changed:
+            self._notify(ViewChange.SERVERS)
+
+    def _notify(self, change: ViewChange) -> None:
+        for listener in tuple(self._listeners):
+            listener(change)
--- /dev/null
+++ b/brackenladder/gateway/calls.py
@@ -0,0 +1,135 @@
+"""A call of the core for a client's request; its attempts run in the request's own task."""
+
+from __future__ import annotations
+
+import asyncio
+
+from brackenladder.core.call import Failure
+from brackenladder.gateway.answers import Failed, Refused, WholeAnswer
+from brackenladder.gateway.contracts import AttemptEnd, ClientExchange, RunnableAttempt
+from brackenladder.gateway.open_answer import OpenAnswer
+from brackenladder.interface import NEVER_RAN, Outcome
+from brackenladder.placement.pool import PoolCall, ServicePool
+from brackenladder.placement.traits import CallTraits
+
+Answer = WholeAnswer | OpenAnswer
+Conclusion = Answer | Refused | Failed
+
+
+class GatewayCall(PoolCall):
+    """One taking of a request by a service's pool: the request itself, or a broken stream's rest."""
+
+    def __init__(
+        self,
+        exchange: ClientExchange,
+        pool: ServicePool,
+        traits: CallTraits,
+        left: int,
+        server_deadline: int,
+        last_event_id: int | None = None,
+    ) -> None:
+        super().__init__(traits, left, repeat=last_event_id is not None)
+        self.exchange = exchange
+        self.pool = pool
+        self.server_deadline = server_deadline  # by the gateway's clock: what servers are told
+        self.last_event_id = last_event_id
+        self.may_have_run = False
+        self.timed_out = False  # the last attempt
+        self.failure: WholeAnswer | None = None  # a server's own answer that is none of success
+        self._stream_over = False  # the pool was told so
+        self._pending: RunnableAttempt | None = None
+        self._running: RunnableAttempt | None = None
+        self._conclusion: Conclusion | None = None
+        self._waiter: asyncio.Future[None] | None = None
+
+    # ---- Call -----------------------------------------------------------------------------------------
+
+    def served(self, answer: object) -> None:
+        """Take over the answer."""
+        assert isinstance(answer, WholeAnswer | OpenAnswer)
+        self._conclude(answer)
+
+    def refused(self, retry_after: int) -> None:
+        """Nothing more is tried; what is out is given up."""
+        self._conclude(Refused(retry_after))
+
+    def failed(self, why: Failure) -> None:
+        """Nothing more is tried; what is out is given up."""
+        self._conclude(Failed(why))
+
+    def gone(self) -> bool:
+        """Whether the client's connection is closing; the call is over then."""
+        transport = self.exchange.request.transport
+        if transport is not None and not transport.is_closing():
+            return False
+        self.abandon()
+        return True
+
+    # ---- attempts -------------------------------------------------------------------------------------
+
+    def begin(self, attempt: RunnableAttempt) -> None:
+        """An attempt is to be made."""
+        self._pending = attempt
+        self._wake()
+
+    def attempt_ended(self, attempt: RunnableAttempt, end: AttemptEnd) -> None:
+        """Note what an attempt's end says, before the core hears of it."""
+        if end.outcome == Outcome.REJECTED:
+            self.exchange.turned_away(attempt.record.id)
+        elif attempt.written and end.outcome not in NEVER_RAN and end.outcome != Outcome.OK:
+            self.may_have_run = True
+        self.timed_out = end.outcome == Outcome.TIMEOUT
+        if isinstance(end.answer, WholeAnswer) and end.outcome in (Outcome.ERROR, Outcome.TIMEOUT):
+            self.failure = end.answer
+
+    def holds(self, answer: Answer | None) -> bool:
+        """Whether this answer was taken over."""
+        return answer is not None and (answer is self._conclusion or isinstance(answer, WholeAnswer))
+
+    def abandon(self) -> None:
+        """The client has gone: nothing is owed."""
+        self.pool.host.left(self)
+        pending, self._pending = self._pending, None
+        if pending is not None:
+            pending.drop()
+
+    def end_stream(self) -> None:
+        """Tell the pool, once, that the answer's end has come: its place at the server is free."""
+        if not self._stream_over:
+            self._stream_over = True
+            self.pool.stream_ended(self)
+
+    async def drive(self) -> Conclusion:
+        """Hand the call to the pool and make its attempts until it is concluded."""
+        self.pool.take(self)
+        while True:
+            attempt, self._pending = self._pending, None
+            if attempt is not None:
+                self._running = attempt
+                await attempt.run()
+                self._running = None
+            elif self._conclusion is not None:
+                return self._conclusion
+            else:
+                await self._wait()
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        except asyncio.CancelledError:
+            self.abandon()
+            raise
+        finally:
+            self._waiter = None
+
+    def _conclude(self, conclusion: Conclusion) -> None:
+        self._conclusion = conclusion
+        for attempt in (self._running, self._pending):
+            if attempt is not None:
+                attempt.stop(Outcome.CANCELLED)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/brackenladder/gateway/context.py
@@ -0,0 +1,20 @@
+"""What the exchanges of one gateway share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define
+
+from brackenladder.gateway.failures import FailureLog
+from brackenladder.gateway.pools import ServicePools
+
+
+@define
+class GatewayContext:
+    """Shared by all requests of a gateway."""
+
+    now: Callable[[], int]  # microseconds of the monotonic clock
+    pools: ServicePools
+    failures: FailureLog
+    draining: bool = False
--- /dev/null
+++ b/brackenladder/gateway/events.py
@@ -0,0 +1,68 @@
+"""Splits a `text/event-stream` body into whole events."""
+
+from __future__ import annotations
+
+import re
+
+from attrs import frozen
+
+LARGEST_EVENT = 4 * 1024 * 1024  # bytes
+
+_END = re.compile(rb"\n\r?\n")  # the blank line that ends an event
+_END_LENGTH = 3  # at most, in bytes
+_ID = re.compile(rb"(?:^|\n)id: ?([0-9]{1,18})\r?\n")
+
+
+class EventTooLarge(Exception):
+    """An event exceeds `LARGEST_EVENT`."""
+
+
+@frozen
+class Event:
+    """One event, byte for byte, with the blank line that ends it."""
+
+    raw: bytes
+
+    @property
+    def id(self) -> int | None:
+        """Its id; None if it has none, or one that is no number."""
+        match = _ID.search(self.raw)
+        return int(match[1]) if match else None
+
+
+class EventParser:
+    """Takes a body in pieces and gives the whole events; `rest` is the beginning of the next one."""
+
+    __slots__ = ("rest",)
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed_whole(self, data: bytes) -> bytes:
+        """The bytes of all events that are whole by now, together."""
+        begin = max(0, len(self.rest) - _END_LENGTH)
+        data = self.rest + data if self.rest else data
+        last = 0
+        for match in _END.finditer(data, begin):
+            last = match.end()
+        self._keep(data[last:])
+        return data[:last]
+
+    def feed(self, data: bytes) -> list[Event]:
+        """The events that are whole by now, one by one."""
+        return split_events(self.feed_whole(data))
+
+    def _keep(self, rest: bytes) -> None:
+        if len(rest) > LARGEST_EVENT:
+            raise EventTooLarge
+        self.rest = rest
+
+
+def split_events(whole: bytes) -> list[Event]:
+    """The events of bytes that end with a whole event."""
+    events = []
+    begin = 0
+    for match in _END.finditer(whole):
+        events.append(Event(whole[begin : match.end()]))
+        begin = match.end()
+    return events
--- /dev/null
+++ b/brackenladder/gateway/exchange.py
@@ -0,0 +1,264 @@
+"""One request of a client: read, routed, served by a pool, answered."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, TypeVar
+
+from aiohttp import web
+from attrs import evolve
+from returns.result import Failure, Result, Success
+
+from brackenladder.catalog.configuration import Limits, Route, RouteKind
+from brackenladder.gateway.answers import (
+    FAULT_STATUS,
+    Failed,
+    Refused,
+    RequestFault,
+    WholeAnswer,
+    own_answer,
+    unserved_answer,
+)
+from brackenladder.gateway.calls import GatewayCall
+from brackenladder.gateway.headers import (
+    CONTENT_LENGTH,
+    EXPECT,
+    HOST,
+    LAST_EVENT_ID,
+    REQUEST_ID,
+    forwarded_lines,
+    header_bytes,
+)
+from brackenladder.gateway.hints import read_deadline_ms, read_traits
+from brackenladder.gateway.open_answer import OpenAnswer
+from brackenladder.gateway.outcomes import may_be_passed_on
+from brackenladder.gateway.relay import Relay
+from brackenladder.placement.traits import CallTraits
+
+if TYPE_CHECKING:
+    from brackenladder.gateway.context import GatewayContext
+    from brackenladder.placement.pool import ServicePool
+
+US_PER_MS = 1000
+US_PER_S = 1e6
+LEAST_SILENCE = 2_000_000  # microseconds; a client never gives a stream up sooner
+AIMS_OF_SILENCE = 4
+GAPS_OF_SILENCE = 8
+MOST_URGENT, LEAST_URGENT = 0, 9
+
+Response = TypeVar("Response", bound=web.StreamResponse)
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Exchange:
+    """Owns one request from its head to the end of its answer."""
+
+    def __init__(self, context: GatewayContext, request: web.BaseRequest) -> None:
+        self.context = context
+        self.request = request
+        self.began = context.now()
+        message = request._message
+        self.method = message.method
+        self.target = origin_form(message.path)
+        self.request_id = ""
+        self.route: Route
+        self.body = b""
+        self.client_deadline = 0  # by the gateway's clock, as are all times here
+        self.servers: set[str] = set()  # that may have run the request
+        self._lines: bytes | None = None
+
+    async def handle(self) -> web.StreamResponse:
+        """Serve the request; what is returned was or will be sent by the caller."""
+        read = await self._read()
+        if isinstance(read, Failure):
+            return self._turned_away(read.failure())
+        pool = self.context.pools.choose(self.route, read.unwrap().parts)
+        if pool is None:
+            return self._turned_away(RequestFault.NOT_CONFIGURED)
+        call = self._first_call(pool, read.unwrap())
+        conclusion = await call.drive()
+        if isinstance(conclusion, WholeAnswer):
+            call.end_stream()
+            return self._whole(conclusion)
+        if isinstance(conclusion, OpenAnswer):
+            return await Relay(self, call, conclusion, self.successor_call).run()
+        return self._unserved(call, conclusion)
+
+    # ---- reading --------------------------------------------------------------------------------------
+
+    async def _read(self) -> Result[CallTraits, RequestFault]:
+        """Check the head, find the route, read the body."""
+        request = self.request
+        headers = request.headers
+        limits = self.context.pools.limits
+        if header_bytes(request.raw_headers, self.target) > limits.max_header_bytes:
+            return Failure(RequestFault.HEADER_TOO_LARGE)
+        if not self.target or self.method == "CONNECT":
+            return Failure(RequestFault.MALFORMED)
+        ids = headers.getall(REQUEST_ID, ())
+        if len(ids) != 1 or not ids[0]:
+            return Failure(RequestFault.NO_REQUEST_ID)
+        self.request_id = ids[0]
+        if not self.context.pools.configured:
+            return Failure(RequestFault.NOT_CONFIGURED)
+        route = self.context.pools.routes.find(headers.get(HOST, ""), self.target)
+        if route is None:
+            return Failure(RequestFault.NO_ROUTE)
+        self.route = route
+        self._set_deadlines()
+        fault = await self._read_body(limits)
+        if fault is not None:
+            return Failure(fault)
+        return Success(read_traits(headers, route))
+
+    def _set_deadlines(self) -> None:
+        told = read_deadline_ms(self.request.headers)
+        wait_ms = self.route.timeout_ms if told is None else told
+        self.client_deadline = self.began + wait_ms * US_PER_MS
+
+    async def _read_body(self, limits: Limits) -> RequestFault | None:
+        content = self.request.content
+        length = self.request.headers.get(CONTENT_LENGTH)
+        if length is not None and int(length) > limits.max_body_bytes:
+            return RequestFault.BODY_TOO_LARGE
+        if self.request.headers.get(EXPECT, "").lower() == "100-continue" and not content.is_eof():
+            self._send_continue()
+        if content.is_eof():
+            self.body = content.read_nowait(-1)
+            return RequestFault.BODY_TOO_LARGE if len(self.body) > limits.max_body_bytes else None
+        try:
+            async with asyncio.timeout((self.client_deadline - self.context.now()) / US_PER_S):
+                return await self._read_slow_body(limits.max_body_bytes)
+        except TimeoutError:
+            return RequestFault.BODY_TOO_SLOW
+        except web.RequestPayloadError:
+            return RequestFault.MALFORMED
+
+    async def _read_slow_body(self, most: int) -> RequestFault | None:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            data = await self.request.content.readany()
+            if not data:
+                break
+            parts.append(data)
+            size += len(data)
+            if size > most:
+                return RequestFault.BODY_TOO_LARGE
+        self.body = b"".join(parts)
+        return None
+
+    def _send_continue(self) -> None:
+        transport = self.request.transport
+        if transport is not None:
+            transport.write(CONTINUE)
+
+    # ---- towards servers ------------------------------------------------------------------------------
+
+    def _first_call(self, pool: ServicePool, traits: CallTraits) -> GatewayCall:
+        now = self.context.now()
+        streaming = self.route.kind is RouteKind.STREAMING
+        timeout = self.began + self.route.timeout_ms * US_PER_MS
+        deadline = min(self.client_deadline, timeout)
+        server_deadline = self.client_deadline if streaming else deadline
+        if streaming:
+            deadline = min(deadline, self.began + self.longest_silence)
+        return GatewayCall(self, pool, traits, max(0, deadline - now), server_deadline)
+
+    def successor_call(self, broken: GatewayCall, last_event_id: int, left: int) -> GatewayCall:
+        """The call that takes a stream up after the last event passed on, at a server that has not run it."""
+        traits = evolve(broken.traits, exclude=frozenset(self.servers))
+        return GatewayCall(self, broken.pool, traits, left, self.client_deadline, last_event_id)
+
+    def may_resume(self) -> bool:
+        """Whether the route allows this request's stream to be taken up at one more server."""
+        return self.route.resumable and len(self.servers) < self.route.max_attempts
+
+    @property
+    def longest_silence(self) -> int:
+        """The silence in microseconds after which the client gives a stream up."""
+        route = self.route
+        aims = AIMS_OF_SILENCE * route.target_latency_ms * US_PER_MS
+        gaps = GAPS_OF_SILENCE * route.gap_aim_ms * US_PER_MS
+        return max(LEAST_SILENCE, aims, gaps)
+
+    def may_be_sent_to(self, server_id: str) -> bool:
+        """Whether the route still allows one more server, unless this one may have run it already."""
+        return server_id in self.servers or len(self.servers) < self.route.max_attempts
+
+    def sent_to(self, server_id: str) -> None:
+        """The request was written to a server."""
+        self.servers.add(server_id)
+
+    def turned_away(self, server_id: str) -> None:
+        """The server says that it has not run the request."""
+        self.servers.discard(server_id)
+
+    def compose(self, server_id: str, left_ms: int, last_event_id: int | None) -> bytes:
+        """The request as a server gets it."""
+        lines = self._forwarded(last_event_id is not None)
+        target = self.target.encode("utf-8", "surrogateescape")
+        urgency = min(max(self.route.priority, MOST_URGENT), LEAST_URGENT)
+        resumed = b"" if last_event_id is None else b"Last-Event-Id: %d\r\n" % last_event_id
+        has_length = self.body or CONTENT_LENGTH in self.request.headers or self.method not in ("GET", "HEAD")
+        length = b"Content-Length: %d\r\n" % len(self.body) if has_length else b""
+        return (
+            b"%b %b HTTP/1.1\r\n%b%b%bX-Brackenladder-Request-Deadline-Ms: %d\r\n"
+            b"X-Brackenladder-Expected-Instance: %b\r\nPriority: %d\r\n\r\n%b"
+        ) % (
+            self.method.encode(),
+            target,
+            lines,
+            resumed,
+            length,
+            left_ms,
+            server_id.encode(),
+            urgency,
+            self.body,
+        )
+
+    def _forwarded(self, resumed: bool) -> bytes:
+        raw_headers = self.request.raw_headers
+        if resumed:
+            return forwarded_lines(raw_headers, (LAST_EVENT_ID.lower().encode(),))
+        if self._lines is None:
+            self._lines = forwarded_lines(raw_headers)
+        return self._lines
+
+    # ---- towards the client ---------------------------------------------------------------------------
+
+    def _turned_away(self, fault: RequestFault) -> web.Response:
+        response = own_answer(FAULT_STATUS[fault])
+        if fault in (RequestFault.MALFORMED, RequestFault.BODY_TOO_SLOW):
+            response.force_close()
+        return self.finished(response)
+
+    def _whole(self, answer: WholeAnswer) -> web.Response:
+        response = web.Response(
+            status=answer.status, reason=answer.reason, headers=answer.headers, body=answer.body
+        )
+        return self.finished(response)
+
+    def _unserved(self, call: GatewayCall, ending: Refused | Failed) -> web.Response:
+        failure = call.failure
+        if failure is not None and may_be_passed_on(failure.status):
+            return self._whole(failure)
+        return self.finished(unserved_answer(ending, call.may_have_run, call.timed_out))
+
+    def finished(self, response: Response) -> Response:
+        """The response; the connection ends with it if the gateway is being drained."""
+        if self.context.draining:
+            response.force_close()
+        return response
+
+
+def origin_form(target: str) -> str:
+    """A request target without a scheme and an authority; empty if it is no path."""
+    if target.startswith("/"):
+        return target
+    scheme, separator, rest = target.partition("://")
+    if not separator or not scheme.isalpha():
+        return ""
+    slash = rest.find("/")
+    return rest[slash:] if slash >= 0 else ""
--- /dev/null
+++ b/brackenladder/gateway/hints.py
@@ -0,0 +1,71 @@
+"""What a request says of itself in optional headers. A value that can't be read counts as absent."""
+
+from __future__ import annotations
+
+import re
+
+from multidict import CIMultiDictProxy
+
+from brackenladder.catalog.configuration import Route, RouteKind
+from brackenladder.gateway.headers import MODEL, PROMPT_PREFIX, REQUEST_DEADLINE, TOKEN_USAGE
+from brackenladder.placement.traits import CallTraits, PromptPart
+
+MAX_PARTS = 64  # of a prompt; the header of a request that names more is not read
+MOST_TOKENS = 100_000_000
+LONGEST_DEADLINE_MS = 86_400_000
+
+_NUMBER = re.compile(r"[0-9]{1,12}")
+_USAGE = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
+_PART = re.compile(r"\s*([0-9A-Fa-f]{1,64}):([0-9]{1,9})\s*")
+
+
+def read_deadline_ms(headers: CIMultiDictProxy[str]) -> int | None:
+    """How many milliseconds the client waits; None if it does not say."""
+    value = headers.get(REQUEST_DEADLINE)
+    if value is None:
+        return None
+    value = value.strip()
+    if not _NUMBER.fullmatch(value):
+        return None
+    return min(int(value), LONGEST_DEADLINE_MS)
+
+
+def read_prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
+    """The parts of a prompt in order, of "ID:TOKENS,ID:TOKENS"."""
+    if not value:
+        return ()
+    words = value.split(",")
+    if len(words) > MAX_PARTS:
+        return ()
+    parts = []
+    for word in words:
+        match = _PART.fullmatch(word)
+        if match is None:
+            return ()
+        parts.append(PromptPart(match[1].lower(), int(match[2])))
+    return tuple(parts)
+
+
+def read_traits(
+    headers: CIMultiDictProxy[str], route: Route, exclude: frozenset[str] = frozenset()
+) -> CallTraits:
+    """The traits that the choice of a server rests on."""
+    usage = _USAGE.fullmatch(headers.get(TOKEN_USAGE, ""))
+    parts = read_prompt_parts(headers.get(PROMPT_PREFIX))
+    prompt_tokens = int(usage[1]) if usage else sum([part.tokens for part in parts])
+    return CallTraits(
+        route=route,
+        parts=parts,
+        prompt_tokens=min(prompt_tokens, MOST_TOKENS),
+        output_tokens=int(usage[2]) if usage else 0,
+        model=headers.get(MODEL, ""),
+        idempotent=is_idempotent(route),
+        exclude=exclude,
+    )
+
+
+def is_idempotent(route: Route) -> bool:
+    """Whether a request of this route may run more than once."""
+    if route.kind is RouteKind.STREAMING:
+        return route.resumable
+    return route.kind is RouteKind.SAFE
--- /dev/null
+++ b/brackenladder/gateway/outcomes.py
@@ -0,0 +1,33 @@
+"""What a server's status and headers say about the attempt."""
+
+from __future__ import annotations
+
+from multidict import CIMultiDictProxy
+
+from brackenladder.gateway.answers import PROMISES
+from brackenladder.gateway.headers import NOT_EXECUTED
+from brackenladder.interface import Outcome
+
+MISDIRECTED = 421
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+FIRST_FAILURE = 400
+
+
+def outcome_of(status: int, headers: CIMultiDictProxy[str]) -> Outcome:
+    """The outcome of an attempt that got a whole answer with this head."""
+    if status == MISDIRECTED or (status >= FIRST_FAILURE and NOT_EXECUTED in headers):
+        return Outcome.REJECTED
+    if status == GATEWAY_TIMEOUT:
+        return Outcome.TIMEOUT
+    if status >= SERVER_ERROR or status in PROMISES:
+        return Outcome.ERROR
+    return Outcome.OK
+
+
+def may_be_passed_on(status: int) -> bool:
+    """Whether a failure that a server gave after it may have run can go to the client as it is.
+
+    A promise status can't: only the server that says `Not-Executed` may make that promise.
+    """
+    return status not in PROMISES
--- /dev/null
+++ b/brackenladder/gateway/pools.py
@@ -0,0 +1,155 @@
+"""The pools of the configured services, the route table and the limits, as the newest configuration says."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Protocol
+from zlib import crc32
+
+from brackenladder.catalog.configuration import Limits, Route, Service
+from brackenladder.catalog.routes import RouteTable
+from brackenladder.core.clock import Clock
+from brackenladder.delivery.view import SystemView, ViewChange
+from brackenladder.gateway.connections import ServerConnections
+from brackenladder.gateway.failures import FailureLog
+from brackenladder.gateway.upstream import ServiceUpstream, connection_part
+from brackenladder.placement.pool import ServicePool
+from brackenladder.placement.traits import PromptPart
+from brackenladder.platform_settings import Platform
+
+HASH_RANGE = 1 << 32
+
+
+class PoolFactory(Protocol):
+    """Makes the pool of a service."""
+
+    def __call__(self, service: str, upstream: ServiceUpstream) -> ServicePool:
+        """A pool that sends by that upstream."""
+
+
+class GatewayClock(Clock):
+    """The gateway's clock as the core wants it."""
+
+    def __init__(self, now: Callable[[], int]) -> None:
+        super().__init__()
+        self._now = now
+
+    def now(self) -> int:
+        return self._now()
+
+
+class ServicePools:
+    """Follows the view: one pool for each configured service."""
+
+    def __init__(
+        self,
+        view: SystemView,
+        connections: ServerConnections,
+        now: Callable[[], int],
+        random: Random,
+        failures: FailureLog,
+        make_pool: PoolFactory,
+    ) -> None:
+        self.view = view
+        self.connections = connections
+        self.now = now
+        self.random = random
+        self.failures = failures
+        self.make_pool = make_pool
+        self.routes = RouteTable(None)
+        self.limits = Limits()
+        self._services: dict[str, Service] = {}
+        self._pools: dict[str, ServicePool] = {}
+        self._leaving: list[ServicePool] = []  # of services that are no more, until their calls have ended
+        self._read_configuration()
+        self._unsubscribe = view.subscribe(self._changed)
+
+    @property
+    def configured(self) -> bool:
+        """Whether a configuration is known."""
+        return self.view.configuration is not None
+
+    def choose(self, route: Route, parts: tuple[PromptPart, ...]) -> ServicePool | None:
+        """The pool that a request of this route goes to, by the targets' weights."""
+        targets = route.split
+        if len(targets) == 1:
+            return self._pools.get(targets[0].service)
+        total = sum([target.weight for target in targets])
+        at = self._point(route, parts) * total
+        for target in targets:
+            at -= target.weight
+            if at < 0:
+                return self._pools.get(target.service)
+        return self._pools.get(targets[-1].service) if targets else None
+
+    def close(self) -> None:
+        """End all pools."""
+        self._unsubscribe()
+        for pool in (*self._pools.values(), *self._leaving):
+            pool.close()
+
+    def _point(self, route: Route, parts: tuple[PromptPart, ...]) -> float:
+        """Where among the weights a request falls, from 0 up to 1."""
+        if route.sticky and parts:
+            return crc32(parts[-1].id.encode()) / HASH_RANGE
+        return self.random.random()
+
+    def _changed(self, change: ViewChange) -> None:
+        if ViewChange.CATALOG in change:
+            self._read_configuration()
+        for pool in self._pools.values():
+            pool.refresh()
+        if ViewChange.SERVERS in change:
+            self.connections.keep_only({record.address for record in self.view.servers.values()})
+
+    def _read_configuration(self) -> None:
+        configuration = self.view.configuration
+        if configuration is None:
+            return
+        self.limits = configuration.limits
+        self._services = {service.name: service for service in configuration.services}
+        for name in [name for name in self._pools if name not in self._services]:
+            self._leaving.append(self._pools.pop(name))
+        for name in self._services:
+            if name not in self._pools:
+                self._pools[name] = self._new_pool(name)
+        self.routes = RouteTable(configuration)
+        self._close_idle_pools()
+
+    def _close_idle_pools(self) -> None:
+        idle = [pool for pool in self._leaving if not pool.host.calls]
+        for pool in idle:
+            pool.close()
+            self._leaving.remove(pool)
+
+    def _new_pool(self, name: str) -> ServicePool:
+        limit = partial(self._connection_limit, name)
+        upstream = ServiceUpstream(self.view, self.connections, self.now, limit, self.failures)
+        pool = self.make_pool(name, upstream)
+        upstream.records = pool
+        return pool
+
+    def _connection_limit(self, name: str) -> int:
+        service = self._services.get(name)
+        most = service.max_connections if service is not None else 0
+        return connection_part(most, self.view.gateways)
+
+
+def pool_factory(
+    view: SystemView,
+    platform: Platform,
+    now: Callable[[], int],
+    random: Random,
+    log: Callable[[str], None],
+) -> PoolFactory:
+    """The factory of the gateway's real pools."""
+    clock = GatewayClock(now)
+
+    def make(service: str, upstream: ServiceUpstream) -> ServicePool:
+        loop = asyncio.get_running_loop()
+        return ServicePool(service, view, platform, upstream, loop, clock, random, log)
+
+    return make
--- /dev/null
+++ b/brackenladder/gateway/relay.py
@@ -0,0 +1,138 @@
+"""Passes an open answer on as it comes; a broken stream that may be resumed is taken up elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+from brackenladder.gateway.calls import GatewayCall
+from brackenladder.gateway.connections import AnswerBroken
+from brackenladder.gateway.contracts import ClientExchange
+from brackenladder.gateway.events import EventTooLarge
+from brackenladder.gateway.open_answer import OpenAnswer
+from brackenladder.gateway.resume import EventOrder, resume
+
+US_PER_S = 1e6
+US_PER_MS = 1000
+DEADLINE_MARGIN = 250_000  # microseconds after the client's deadline until a stream is broken off
+PATIENT_GAPS = 3  # pauses of the aim after which a stream is taken up elsewhere
+LEAST_PATIENCE = 800_000  # microseconds
+
+
+class SilentAnswer(Exception):
+    """A stream pauses for so long that another server had better go on with it."""
+
+
+class RelayedResponse(web.StreamResponse):
+    """Sends its head together with the first bytes of its body."""
+
+    _send_headers_immediately = False
+
+
+class Relay:
+    """Relays one answer to its client."""
+
+    def __init__(
+        self,
+        exchange: ClientExchange,
+        call: GatewayCall,
+        answer: OpenAnswer,
+        successor_call: Callable[[GatewayCall, int, int], GatewayCall],
+    ) -> None:
+        self.exchange = exchange
+        self.call = call
+        self.answer = answer
+        self.order = EventOrder()
+        self._successor_call = successor_call
+        self._ordered = answer.streaming and exchange.route.resumable
+        self._patient = False  # no further look for another server while this one is only silent
+        self._heard_at = 0
+
+    async def run(self) -> web.StreamResponse:
+        """Relay to the end; an answer that can't be completed ends with a broken connection."""
+        exchange = self.exchange
+        answer = self.answer
+        response = RelayedResponse(status=answer.status, reason=answer.reason, headers=answer.headers)
+        exchange.finished(response)
+        complete = False
+        left = exchange.client_deadline + DEADLINE_MARGIN - exchange.context.now()
+        try:
+            async with asyncio.timeout(left / US_PER_S):
+                await response.prepare(exchange.request)
+                complete = await self._pass_all(response)
+        except TimeoutError:
+            exchange.context.failures("stream broken off at its deadline", self.answer.server_id)
+        except ConnectionError:  # the client has gone
+            pass
+        finally:
+            self._end()
+        if not complete:
+            self._break_off()
+        return response
+
+    async def _pass_all(self, response: web.StreamResponse) -> bool:
+        """Pass on what comes; False if the answer breaks and can't be taken up."""
+        while True:
+            try:
+                data = await self._read()
+            except (AnswerBroken, EventTooLarge) as error:
+                self.exchange.context.failures("stream broken", f"{self.answer.server_id}: {error}")
+                self._end()
+                if not await self._take_up():
+                    return False
+                continue
+            except SilentAnswer:
+                self._patient = not await self._take_up()
+                continue
+            if not data:
+                return True
+            self._heard_at = self.exchange.context.now()
+            if self._ordered:
+                data = self.order.pass_on(data)
+            if data:
+                await response.write(data)
+
+    async def _read(self) -> bytes:
+        if self._patient or not self._may_resume():
+            return await self.answer.read()
+        gap = self.exchange.route.gap_aim_ms * US_PER_MS
+        patience = max(PATIENT_GAPS * gap, LEAST_PATIENCE)
+        try:
+            async with asyncio.timeout(patience / US_PER_S):
+                return await self.answer.read()
+        except TimeoutError:
+            raise SilentAnswer from None
+
+    def _may_resume(self) -> bool:
+        return self._ordered and self.order.last_id is not None and self.exchange.may_resume()
+
+    async def _take_up(self) -> bool:
+        """Go on with the stream of another server, if there is one; the present one is closed then."""
+        last_id = self.order.last_id
+        if last_id is None or not self._may_resume():
+            return False
+        exchange = self.exchange
+        now = exchange.context.now()
+        silent_at = self._heard_at + exchange.longest_silence
+        left = min(silent_at, exchange.client_deadline) - now
+        successor = await resume(self._successor_call(self.call, last_id, max(0, left)))
+        if successor is None:
+            return False
+        self._end()
+        self.call = successor.call
+        self.answer = successor.answer
+        self._patient = False
+        return True
+
+    def _end(self) -> None:
+        """The present server's answer is over, whole or not."""
+        self.answer.close()
+        self.call.end_stream()
+
+    def _break_off(self) -> None:
+        """Show the client that the answer is not whole."""
+        transport = self.exchange.request.transport
+        if transport is not None:
+            transport.abort()
--- /dev/null
+++ b/brackenladder/gateway/server.py
@@ -0,0 +1,129 @@
+"""The gateway role's servers: clients on `Front`, the platform's check on `Ready`, and the orderly end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import logbook
+from aiohttp import web
+
+from brackenladder.delivery.view import SystemView
+from brackenladder.gateway.answers import Status, own_answer
+from brackenladder.gateway.clients import ClientServer
+from brackenladder.gateway.connections import ServerConnections
+from brackenladder.gateway.context import GatewayContext
+from brackenladder.gateway.exchange import Exchange
+from brackenladder.gateway.failures import FailureLog
+from brackenladder.gateway.pools import PoolFactory, ServicePools, pool_factory
+from brackenladder.platform_settings import Platform
+
+READY_PATH = "/-/readyz"
+BACKLOG = 1024  # connections that wait to be accepted
+ACCEPT_SHARE = 0.25  # of the grace: so long new connections are still taken
+ABORT_MARGIN_SECONDS = 0.7  # before the end of the grace: what is left is broken off
+DRAIN_STEP_SECONDS = 0.1
+
+log = logbook.Logger("gateway")
+
+
+class Gateway:
+    """Serves clients from the view. `ready` is what the platform's check is told."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        view: SystemView,
+        clock: Callable[[], int],
+        random: Random,
+        make_pool: PoolFactory | None = None,
+    ) -> None:
+        self.ready = False
+        self._platform = platform
+        self._view = view
+        self._clock = clock
+        self._random = random
+        self._make_pool = make_pool
+        self._failures = FailureLog(log, clock)
+        self._listeners: list[asyncio.Server] = []
+        self._clients: ClientServer
+        self._connections: ServerConnections
+        self._context: GatewayContext
+
+    async def start(self) -> None:
+        """Listen; an OSError if an address can't be had."""
+        loop = asyncio.get_running_loop()
+        make_pool = self._make_pool or pool_factory(
+            self._view, self._platform, self._clock, self._random, log.info
+        )
+        self._connections = ServerConnections(loop)
+        pools = ServicePools(
+            self._view, self._connections, self._clock, self._random, self._failures, make_pool
+        )
+        self._context = GatewayContext(self._clock, pools, self._failures)
+        self._clients = ClientServer(self._handle, lambda: pools.limits)
+        readiness = web.Server(self._tell_ready, access_log=None)
+        listen = self._platform.listen
+        await self._listen(listen.front, self._clients)
+        await self._listen(listen.ready, readiness)
+
+    async def drain(self, grace_s: float) -> None:
+        """End in order within the grace: new requests are taken for a while, then the open ones finish."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.ready = False
+        self._context.draining = True
+        await self._drained(began + grace_s * ACCEPT_SHARE, idle_too=False)
+        self._listeners[0].close()
+        if not await self._drained(began + grace_s - ABORT_MARGIN_SECONDS, idle_too=True):
+            self._failures("broken off at the end of the grace", str(len(self._clients.connections)))
+            self._clients.abort_all()
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        for listener in self._listeners:
+            listener.close()
+        self._clients.abort_all()
+        self._context.pools.close()
+        await self._connections.close()
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        """Where it listens: for clients, for the check."""
+        return [listener.sockets[0].getsockname()[:2] for listener in self._listeners]
+
+    async def _listen(self, address: str, factory: Callable[[], asyncio.BaseProtocol]) -> None:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(factory, host, int(port), backlog=BACKLOG, reuse_address=True)
+        self._listeners.append(listener)
+
+    async def _drained(self, until: float, idle_too: bool) -> bool:
+        """Wait until then, or until no connection is left; whether that came."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            if idle_too:
+                self._clients.close_idle()
+                if not self._clients.busy():
+                    return True
+            await asyncio.sleep(min(DRAIN_STEP_SECONDS, max(0.0, until - loop.time())))
+        return not self._clients.busy()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await Exchange(self._context, request).handle()
+        except Exception as error:  # whatever it is, it is this request's failure alone
+            self._failures(f"fault in a request: {type(error).__name__}", repr(error))
+            if request.writer.output_size > 0:
+                self._abort(request)
+            return own_answer(Status.BAD_GATEWAY)
+
+    def _abort(self, request: web.BaseRequest) -> None:
+        if request.transport is not None:
+            request.transport.abort()
+
+    async def _tell_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != READY_PATH:
+            return own_answer(Status.NOT_FOUND)
+        return web.Response(status=200) if self.ready else own_answer(Status.UNAVAILABLE)
--- /dev/null
+++ b/brackenladder/gateway/upstream.py
@@ -0,0 +1,248 @@
+"""The upstream of one service: attempts at its servers, and what became of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+from multidict import CIMultiDictProxy
+
+from brackenladder.core.call import Attempt, Call, Done, Probed
+from brackenladder.delivery.view import SystemView
+from brackenladder.gateway.answers import WholeAnswer
+from brackenladder.gateway.calls import GatewayCall
+from brackenladder.gateway.connections import (
+    NO_BODY_STATUSES,
+    AnswerBroken,
+    ConnectFailed,
+    ServerConnection,
+    ServerConnections,
+    TooManyConnections,
+)
+from brackenladder.gateway.contracts import AttemptEnd
+from brackenladder.gateway.events import EventTooLarge
+from brackenladder.gateway.headers import CONTENT_LENGTH, CONTENT_TYPE, answer_headers
+from brackenladder.gateway.open_answer import OpenAnswer
+from brackenladder.gateway.outcomes import outcome_of
+from brackenladder.interface import Outcome
+from brackenladder.registry.records import ServerRecord, ServerState
+
+EVENT_STREAM = "text/event-stream"
+LARGEST_WHOLE = 1024 * 1024  # bytes; a larger body is relayed as it comes
+LEAST_CONNECTIONS = 4  # to a server, whatever this gateway's part is
+CONNECTION_SHARE = 0.8  # of `MaxConnections` that all gateways use together
+MICROSECONDS_PER_SECOND = 1e6
+
+
+class Records(Protocol):
+    """Tells the server that an attempt names."""
+
+    def record(self, number: int) -> ServerRecord | None:
+        """The server's record; None if it is gone."""
+
+
+class ServiceUpstream:
+    """Makes the attempts of one service's pool. It chooses no server and repeats nothing."""
+
+    def __init__(
+        self,
+        view: SystemView,
+        connections: ServerConnections,
+        now: Callable[[], int],
+        connection_limit: Callable[[], int],
+        log: Callable[[str, str], None],
+    ) -> None:
+        self.view = view
+        self.connections = connections
+        self.now = now
+        self.connection_limit = connection_limit
+        self.log = log
+        self.records: Records | None = None  # the pool, once it is made
+
+    def record(self, server: int) -> ServerRecord | None:
+        """The server of that number, if it may still be used."""
+        return None if self.records is None else self.records.record(server)
+
+    def usable(self, server: int, server_id: str) -> bool:
+        """Whether something new may still be sent to a server."""
+        record = self.record(server)
+        if record is None or record.id != server_id or record.state is not ServerState.READY:
+            return False
+        return record.zone not in self.view.evacuated
+
+    def attempt(self, server: int, call: Call, expires: int, done: Done) -> Attempt | None:
+        """An attempt at a server; None if nothing may be sent there."""
+        record = self.record(server)
+        gateway_call: GatewayCall = call  # type: ignore[assignment]  # the gateway's pools get no other
+        if record is None or not gateway_call.exchange.may_be_sent_to(record.id):
+            return None
+        return ServerAttempt(self, server, record, gateway_call, expires, done)
+
+    def probe(self, server: int, done: Probed) -> None:
+        """Servers are not probed: a probe takes a slot, and its price is not worth what it tells."""
+        done(False, ())
+
+    def close_idle(self, server: int) -> None:
+        """Close the connections to a server that carry nothing."""
+        record = self.record(server)
+        if record is not None:
+            self.connections.close_idle(record.address)
+
+
+def connection_part(most: int, gateways: int) -> int:
+    """This gateway's part of the connections that a server accepts."""
+    return max(LEAST_CONNECTIONS, int(most * CONNECTION_SHARE / max(1, gateways)))
+
+
+class ServerAttempt:
+    """One attempt. It runs in the task of the client's request, which waits for it."""
+
+    def __init__(
+        self,
+        upstream: ServiceUpstream,
+        number: int,
+        record: ServerRecord,
+        call: GatewayCall,
+        expires: int,
+        done: Done,
+    ) -> None:
+        self.upstream = upstream
+        self.number = number
+        self.record = record
+        self.call = call
+        self.expires = expires
+        self.done = done
+        self.timeout = 0.0
+        self.written = False
+        self.ended = False
+        self._stopped: Outcome | None = None
+        self._scope: asyncio.Timeout | None = None
+        self._connection: ServerConnection | None = None
+
+    def start(self, timeout: float) -> None:
+        """Hand the attempt to the task of its request; it may take `timeout` seconds."""
+        self.timeout = timeout
+        self.call.begin(self)
+
+    def stop(self, outcome: Outcome) -> None:
+        """Give it up: it ends with this outcome, unless it has ended."""
+        if self.ended or self._stopped is not None:
+            return
+        self._stopped = outcome
+        scope = self._scope
+        if scope is not None and not scope.expired():
+            scope.reschedule(asyncio.get_running_loop().time())
+
+    async def run(self) -> None:
+        """Make the attempt, and tell its end."""
+        try:
+            end = await self._make()
+        except asyncio.CancelledError:
+            self.call.abandon()
+            self._finish(AttemptEnd(self._given_up(Outcome.CANCELLED)))
+            raise
+        self._finish(end)
+
+    def drop(self) -> None:
+        """It will never run."""
+        if not self.ended:
+            self._finish(AttemptEnd(Outcome.NOT_SENT))
+
+    # ---- the exchange ---------------------------------------------------------------------------------
+
+    async def _make(self) -> AttemptEnd:
+        try:
+            async with asyncio.timeout(self.timeout) as self._scope:
+                return await self._exchange()
+        except TimeoutError:
+            return AttemptEnd(self._given_up(self._stopped or Outcome.TIMEOUT))
+        except ConnectFailed:
+            self.upstream.log("connect failed", self.record.address)
+            return AttemptEnd(Outcome.CONNECT_FAILED)
+        except TooManyConnections:
+            self.upstream.log("connection limit", self.record.address)
+            return AttemptEnd(Outcome.NOT_SENT)
+        except (AnswerBroken, EventTooLarge) as error:
+            self.upstream.log("answer broken", f"{self.record.address}: {error}")
+            return AttemptEnd(Outcome.RESET)
+        except Exception as error:  # a fault here is this attempt's alone, and it may have run
+            self.upstream.log(f"fault in an attempt: {type(error).__name__}", repr(error))
+            return AttemptEnd(self._given_up(Outcome.RESET))
+        finally:
+            self._scope = None
+
+    def _given_up(self, outcome: Outcome) -> Outcome:
+        """The outcome of an attempt that was given up; what was not written has not run."""
+        if self.written:
+            return outcome
+        return Outcome.CONNECT_FAILED if outcome is Outcome.TIMEOUT else Outcome.NOT_SENT
+
+    async def _exchange(self) -> AttemptEnd:
+        if not self._may_write():
+            return AttemptEnd(Outcome.NOT_SENT)
+        upstream = self.upstream
+        connection = await upstream.connections.open(self.record.address, upstream.connection_limit())
+        self._connection = connection
+        if not self._may_write():
+            connection.release()
+            return AttemptEnd(Outcome.NOT_SENT)
+        exchange = self.call.exchange
+        left = (self.call.server_deadline - upstream.now()) // 1000
+        data = exchange.compose(self.record.id, max(1, left), self.call.last_event_id)
+        if not connection.send(data, exchange.request_id, exchange.method == "HEAD"):
+            return AttemptEnd(Outcome.NOT_SENT)
+        self.written = True
+        exchange.sent_to(self.record.id)
+        message, payload = await connection.read_head()
+        return await self._read(connection, message, payload)
+
+    def _may_write(self) -> bool:
+        if self._stopped is not None:
+            return False
+        now = self.upstream.now()
+        if now >= self.expires or not self.call.may_go(now):
+            return False
+        return self.upstream.usable(self.number, self.record.id)
+
+    async def _read(
+        self, connection: ServerConnection, message: RawResponseMessage, payload: StreamReader
+    ) -> AttemptEnd:
+        headers = message.headers
+        outcome = outcome_of(message.code, headers)
+        if not self._length_is_told(message):
+            raise AnswerBroken("no length")
+        streaming = message.code == 200 and is_event_stream(headers)
+        answer = OpenAnswer(self.record.id, connection, message, payload, streaming)
+        if streaming:
+            await answer.read_first_event()
+            return AttemptEnd(outcome, answer)
+        body = await answer.read_whole(LARGEST_WHOLE)
+        if body is None:
+            return AttemptEnd(outcome, answer)
+        connection.release()
+        whole = WholeAnswer(self.record.id, message.code, message.reason, answer_headers(headers), body)
+        return AttemptEnd(outcome, whole)
+
+    def _length_is_told(self, message: RawResponseMessage) -> bool:
+        if message.chunked or message.code in NO_BODY_STATUSES or self.call.exchange.method == "HEAD":
+            return True
+        return CONTENT_LENGTH in message.headers
+
+    # ---- the end --------------------------------------------------------------------------------------
+
+    def _finish(self, end: AttemptEnd) -> None:
+        """Tell the end; the connection stays open only for an answer that the request takes over."""
+        self.ended = True
+        self.call.attempt_ended(self, end)
+        self.done(end.outcome, end.answer if end.outcome is Outcome.OK else None, ())
+        connection = self._connection
+        if connection is not None and not self.call.holds(end.answer):
+            connection.discard()
+
+
+def is_event_stream(headers: CIMultiDictProxy[str]) -> bool:
+    """Whether a body is a series of events."""
+    return headers.get(CONTENT_TYPE, "").partition(";")[0].strip().lower() == EVENT_STREAM
--- /dev/null
+++ b/brackenladder/node/control_links.py
@@ -0,0 +1,119 @@
+"""A gateway's links to the control nodes: whom it dials, what it tells them, what they tell it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import logbook
+
+from brackenladder.delivery.presence import Presence
+from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.transport.errors import LinkClosed
+from brackenladder.transport.link import Dialer, Link, Transport
+
+MOST_LINKS = 5
+UNREACHED = 2_000_000  # microseconds without any link after which the seeds are dialled again too
+
+log = logbook.Logger("links")
+
+
+class ControlLinks:
+    """Keeps a link to every control node, `MOST_LINKS` at most but always to more than half of them."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        subscriber: Subscriber,
+        presence: Presence,
+        clock: Callable[[], int],
+        random: Random,
+    ) -> None:
+        self._transport = transport
+        self._subscriber = subscriber
+        self._presence = presence
+        self._clock = clock
+        self._random = random
+        self._seeds: tuple[str, ...] = ()
+        self._told: tuple[str, ...] = ()
+        self._dialers: dict[str, Dialer] = {}
+        self._links: dict[str, Link] = {}
+        self._linked_at = clock()
+
+    def set_seeds(self, addresses: tuple[str, ...]) -> None:
+        """Takes the inner addresses of the seeds; they count until control nodes tell their own list."""
+        self._seeds = addresses
+        self._choose()
+
+    def announce(self) -> None:
+        """Tells all control nodes the gateway's presence now."""
+        message = self._presence.announce(self._clock(), self._subscriber.view.revision)
+        for link in self._links.values():
+            link.send(message)
+
+    def tick(self) -> None:
+        """Repeats the presence when it is due and follows the list of control nodes."""
+        now = self._clock()
+        if self._links:
+            self._linked_at = now
+        if self._presence.due(now):
+            self.announce()
+        if self._subscriber.control_nodes != self._told or now - self._linked_at > UNREACHED:
+            self._told = self._subscriber.control_nodes
+            self._choose()
+
+    def up(self, address: str, link: Link) -> None:
+        """A link to a control node is up."""
+        self._links[address] = link
+        self._subscriber.connected(self._clock(), address)
+        link.send(self._presence.message(self._subscriber.view.revision))
+
+    def received(self, address: str, link: Link, message: object) -> None:
+        """A control node has told something."""
+        for answer in self._subscriber.told(self._clock(), address, message):
+            link.send(answer)
+
+    def down(self, address: str, link: Link, reason: LinkClosed) -> None:
+        """A link has gone."""
+        if self._links.get(address) is not link:
+            return
+        log.info("link to control node {} closed: {}", address, reason)
+        del self._links[address]
+        self._subscriber.lost(self._clock(), address)
+
+    def _choose(self) -> None:
+        wanted = self._wanted()
+        for address in wanted:
+            if address not in self._dialers:
+                self._dialers[address] = self._transport.dial(address, _ControlLink(self, address))
+        for address in self._dialers.keys() - wanted:
+            self._dialers.pop(address).close()
+
+    def _wanted(self) -> set[str]:
+        unreached = self._clock() - self._linked_at > UNREACHED
+        wanted = set(self._seeds) if unreached or not self._told else set()
+        most = max(MOST_LINKS, len(self._told) // 2 + 1)
+        told = list(self._told)
+        if len(told) > most:
+            kept = [address for address in told if address in self._dialers]
+            others = [address for address in told if address not in self._dialers]
+            self._random.shuffle(others)
+            told = [*kept, *others][:most]
+        return wanted.union(told)
+
+
+class _ControlLink:
+    """Handler of the link to one control node."""
+
+    def __init__(self, links: ControlLinks, address: str) -> None:
+        self._links = links
+        self._address = address
+
+    def connected(self, link: Link) -> None:
+        self._links.up(self._address, link)
+
+    def received(self, link: Link, message: object) -> None:
+        self._links.received(self._address, link, message)
+
+    def closed(self, link: Link, reason: LinkClosed) -> None:
+        self._links.down(self._address, link, reason)
--- /dev/null
+++ b/brackenladder/node/gateway_role.py
@@ -0,0 +1,86 @@
+"""The gateway role of one process: follows the control nodes and serves clients from what they tell."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from random import Random
+
+import logbook
+
+from brackenladder.control_plane.wire import gateway_codec
+from brackenladder.delivery.presence import Presence
+from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.gateway.server import Gateway
+from brackenladder.node.control_links import ControlLinks
+from brackenladder.node.role_runner import RoleError, monotonic_microseconds
+from brackenladder.platform_settings import Platform
+from brackenladder.registry.gateways import GatewayState
+from brackenladder.transport.link import LinkTiming
+from brackenladder.transport.tcp import TcpTransport
+
+TICK_SECONDS = 0.2
+STARTING_TICK_SECONDS = 0.05  # until the view is complete: each moment is one without this gateway
+
+log = logbook.Logger("gateway")
+
+
+class GatewayRole:
+    """A `RoleProcess`."""
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+        self._subscriber = Subscriber()
+        self._presence = Presence(
+            platform.node_name, platform.listen.front, platform.zone, platform.region, time.time_ns() // 1000
+        )
+        self._gateway = Gateway(platform, self._subscriber.view, monotonic_microseconds, Random())
+        self._timer: asyncio.TimerHandle | None = None
+        self._loop: asyncio.AbstractEventLoop
+        self._transport: TcpTransport
+        self._links: ControlLinks
+
+    async def start(self) -> None:
+        """Begins to listen and to follow the control nodes; ready once the view is complete."""
+        self._loop = asyncio.get_running_loop()
+        self._transport = TcpTransport(gateway_codec(), LinkTiming(), Random(), name=self._platform.node_name)
+        self._links = ControlLinks(
+            self._transport, self._subscriber, self._presence, monotonic_microseconds, Random()
+        )
+        try:
+            await self._gateway.start()
+        except OSError as error:
+            raise RoleError(f"can't listen: {error}") from error
+        self._links.set_seeds(self._platform.seed_inner_addresses)
+        self._tick()
+
+    def reload(self, platform: Platform) -> None:
+        """Takes the seeds of changed settings."""
+        self._platform = platform
+        self._links.set_seeds(platform.seed_inner_addresses)
+
+    async def stop(self) -> None:
+        """Leaves the directory at once, ends what is in flight, then goes."""
+        self._gateway.ready = False
+        self._presence.set_state(GatewayState.LEAVING)
+        self._links.announce()
+        await self._gateway.drain(self._platform.bounds.grace_s)
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._gateway.close()
+        await self._transport.close()
+
+    def _tick(self) -> None:
+        starting = self._presence.state is GatewayState.STARTING
+        self._timer = self._loop.call_later(STARTING_TICK_SECONDS if starting else TICK_SECONDS, self._tick)
+        now = monotonic_microseconds()
+        self._subscriber.tick(now)
+        if starting and self._subscriber.ready_by_timeout(now):
+            self._become_ready()
+        self._links.tick()
+
+    def _become_ready(self) -> None:
+        view = self._subscriber.view
+        log.info("ready: catalog {}, {} servers", view.revision, len(view.servers))
+        self._gateway.ready = True
+        self._presence.set_state(GatewayState.READY)
--- /dev/null
+++ b/brackenladder/placement/balancer.py
@@ -0,0 +1,378 @@
+"""The decision module of a gateway's service: the Balancer, with prompts, regions, homes and shares in view.
+
+What it keeps of the Balancer is the ordinary path: the gradient limit, a refusal at once at the limit with
+advice when to come back, minRTT passes, the small subset, ejection. What it adds stands in the modules beside
+it. A call is in flight, for the limit, until its first event; the latency that the limit is told leaves out
+the way and what the unread tokens of the prompt cost, so that a long prompt is no overload.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from brackenladder.catalog.configuration import RouteKind
+from brackenladder.core.roster import number_of
+from brackenladder.interface import (
+    NEVER_RAN,
+    Actions,
+    Effect,
+    ListKind,
+    Outcome,
+    ServerEntry,
+    Settings,
+)
+from brackenladder.placement.choice import Choice, Chooser
+from brackenladder.placement.cost import CostModel, Job, job_of
+from brackenladder.placement.limit import PlacesController
+from brackenladder.placement.load import PRESSED_TIME, Placed
+from brackenladder.placement.regions import RegionTimes
+from brackenladder.placement.site import ServiceSite
+from brackenladder.placement.traits import CallTraits
+from brackenladder.policy.balancer import Balancer
+from brackenladder.policy.ejection import EJECT_TIME
+from brackenladder.policy.retry import Request
+from brackenladder.policy.server import Server
+from brackenladder.shares.cold_share import ColdShare
+from brackenladder.shares.retry_budget import RetryBudget
+
+LEAST_LATENCY = 1_000  # microseconds that the limit is told at least
+MOST_RANK = 3  # headrooms below the limit at which the least urgent are refused
+MOST_ADOPTED = 24  # servers that are members for the prompts they keep
+SILENT_LEAST = 1_000_000  # microseconds: a server is not silent sooner
+TRY_PART = 0.5  # of the time left that the first try of a call which may be repeated gets
+MOST_UNSENT = 3  # further attempts of a call after ones that were never sent
+STREAM_MOST = 600_000_000  # microseconds after which a stream whose end was not told is forgotten
+
+NEVER_SENT = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # these ends are no arrivals at a server
+TraitsOf = Callable[[int], CallTraits | None]
+
+
+class PromptBalancer(Balancer):
+    """A Balancer that places prompts. `traits_of` gives the traits of an open call by its id."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        actions: Actions,
+        site: ServiceSite,
+        traits_of: TraitsOf,
+        cold: ColdShare,
+        budget: RetryBudget,
+    ) -> None:
+        Balancer.__init__(self, settings, seed, actions)
+        known = self.controller
+        self.places = PlacesController(known.allowance, known.ceiling, self.rng, 0)
+        self.controller = self.places
+        self.site = site
+        self.traits_of = traits_of
+        self.cold = cold
+        self.budget = budget
+        self.costs = CostModel(site)
+        self.chooser = Chooser(site, self.costs, self.rng)
+        self.regions = RegionTimes()
+        self.jobs: dict[int, Job] = {}
+        self.out: dict[int, Placed] = {}  # attempts without a first event, by request
+        self.streams: dict[int, Placed] = {}  # those that answer
+        self.adopted: dict[int, Server] = {}
+
+    # ---- events ---------------------------------------------------------------------------------------
+
+    def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
+        super().server_list(now, kind, entries)
+        listed = [server for server in self.servers.values() if server.in_list]
+        self.site.sort(listed)
+        self.costs.loads.forget(set(self.servers))
+        self.cold.forget(now)
+        self.forget_lost_streams(now)
+
+    def request(self, now: int, request: int, klass: int, tenant: int, time_left: int, repeat: bool) -> None:
+        """A request. `repeat`, or excluded servers: it was sent before, and takes from the budget."""
+        traits = self.traits_of(request)
+        if traits is None:
+            self.actions.fail(request)
+            return
+        job = job_of(traits, {number_of(server) for server in traits.exclude})
+        job.ran = sum([number in self.site.places for number in job.excluded])
+        if repeat or job.excluded:
+            job.arrived = 1
+        else:
+            self.budget.request(now)
+        if 0 < self.site.kv_tokens < job.tokens or job.ran >= traits.route.max_attempts:
+            self.blocked += 1
+            self.actions.refuse(request, self.settings.max_retry_after)
+            return
+        self.jobs[request] = job
+        self.places.places = self.free_places(now)
+        super().request(now, request, klass, tenant, time_left, repeat)
+        self.forget(request)
+
+    def outcome(
+        self,
+        now: int,
+        request: int,
+        attempt: int,
+        server: int,
+        outcome: Outcome,
+        latency: int,
+        final: bool,
+        report: Sequence[float],
+    ) -> None:
+        placed = self.out.get(request)
+        job = self.jobs.get(request)
+        if placed is not None and job is not None:
+            if outcome in NEVER_SENT:
+                self.book_unsent(job)
+            else:
+                job.arrived += 1
+            job.ran += outcome not in NEVER_RAN
+            self.book(now, placed, outcome, latency)
+        super().outcome(now, request, attempt, server, outcome, latency, final, report)
+        if placed is not None and self.out.get(request) is placed:
+            del self.out[request]
+        self.forget(request)
+
+    def client_left(self, now: int, request: int) -> None:
+        super().client_left(now, request)
+        self.forget(request)
+
+    def stream_ended(self, now: int, request: int) -> None:
+        """After a first event: the stream is over, its place and memory are free again."""
+        placed = self.streams.pop(request, None)
+        if placed is None:
+            placed = self.out.get(request)
+            if placed is not None:
+                placed.over = True
+            return
+        self.costs.loads.end(placed)
+        self.costs.output.add(placed.output_tokens, now - placed.begun_at)
+
+    # ---- admission ------------------------------------------------------------------------------------
+
+    def free_places(self, now: int) -> float:
+        """This gateway's share of the free places; a server that has just turned a call away has none."""
+        loads = self.costs.loads.servers
+        slots = 0
+        for number, place in self.site.places.items():
+            load = loads.get(number)
+            if load is None or now - load.rejected_at >= PRESSED_TIME:
+                slots += place.slots
+        return slots / self.site.gateways - len(self.streams)
+
+    def rank_classes(self, mean_rtt: Sequence[float]) -> None:
+        """The more urgent a class, the lower its rank: the others leave room for it below the limit."""
+        worths = sorted({c.worth for c in self.settings.classes}, reverse=True)
+        self.rank = [min(MOST_RANK, worths.index(c.worth)) for c in self.settings.classes]
+
+    # ---- attempts -------------------------------------------------------------------------------------
+
+    def attempt(self, now: int, r: Request) -> None:
+        """Sends the request to the server chosen for it, or answers it when there is none."""
+        job = self.jobs[r.id]
+        harmless = r.ran_on is None or r.effect == Effect.SAFE
+        choice = self.choose(now, r, job)
+        if choice is None and harmless:
+            self.refuse_for_lack(r)
+            return
+        if choice is None or self.gives_way(now, r, choice):
+            self.finish(r, refuse=harmless)
+            return
+        if job.arrived and not self.budget.spend(now, self.site.gateways):
+            self.finish(r, refuse=harmless)
+            return
+        self.go(now, r, job, choice)
+
+    def refuse_for_lack(self, r: Request) -> None:
+        """No server may take the call now: it is to come back when one may, not at once."""
+        del self.requests[r.id]
+        self.blocked += 1
+        aim = self.settings.classes[r.klass].aim
+        self.actions.refuse(r.id, min(self.settings.max_retry_after, int(aim)))
+
+    def go(self, now: int, r: Request, job: Job, choice: Choice) -> None:
+        """The attempt begins."""
+        server = choice.server
+        if choice.adopt:
+            self.adopt(now, server)
+        place = self.site.places[server.id]
+        if self.is_cold(now, server):
+            self.cold.take(now, server.id, self.site.gateways, self.site.gateway_names)
+        if server.in_flight == 0:
+            server.quiet_since = now
+        server.in_flight += 1
+        if not server.aside:
+            self.controller.note(now, 1)
+        r.out = server
+        r.sent_at = now
+        r.attempts += 1
+        job.excluded.add(server.id)
+        known = self.costs.prefill.time(choice.unread) + self.costs.way(place)
+        placed = Placed(
+            request=r.id,
+            server=server.id,
+            chain=job.chain,
+            unread=choice.unread,
+            tokens=job.tokens,
+            output_tokens=job.traits.output_tokens,
+            streams=job.traits.route.kind is RouteKind.STREAMING,
+            known_cost=known,
+        )
+        self.out[r.id] = placed
+        self.costs.loads.place(placed)
+        self.actions.send(r.id, server.id, self.time_for(now, r, job, choice))
+
+    def time_for(self, now: int, r: Request, job: Job, choice: Choice) -> int:
+        """How long an attempt may take. One that may be repeated elsewhere leaves time for that."""
+        left = r.useful_until - now
+        more = job.ran + 1 < job.traits.route.max_attempts and self.site.size() > 1
+        if r.effect == Effect.SAFE and (more or choice.server.aside):
+            return max(self.settings.tick, int(TRY_PART * left))
+        return left
+
+    def after_failure(self, now: int, r: Request, srv: Server | None, outcome: Outcome) -> None:
+        """A further attempt where class, time, servers and budget allow it; a final answer otherwise.
+
+        A call that may have run is repeated only if it may run again, and on no more servers than its route
+        allows. One that was turned away may go to one server more, one that was never sent to any.
+        """
+        r.may_have_run(srv, outcome)
+        job = self.jobs[r.id]
+        most = job.traits.route.max_attempts
+        if (
+            r.repeatable(now, self.settings.classes[r.klass])
+            and job.ran < most
+            and job.arrived <= most
+            and job.unsent <= MOST_UNSENT
+            and r.attempts < self.settings.max_attempts
+            and now + self.mean_rtt[r.klass] < r.useful_until
+        ):
+            self.attempt(now, r)
+            return
+        self.finish(r, refuse=r.ran_on is None or r.effect == Effect.SAFE)
+
+    def choose(self, now: int, r: Request, job: Job) -> Choice | None:
+        """The trial of a server that was set aside, or the cheaper of two draws."""
+        trial = self.due_trial(now, r, job)
+        if trial is not None:
+            return Choice(trial, 0.0, self.costs.unread(trial, job, own_server=False))
+
+        def base(server: Server) -> float:
+            region = self.site.places[server.id].region
+            return self.controller.target[r.klass] * self.regions.ratio(now, region)
+
+        def may_send(server: Server) -> bool:
+            return self.may_take(now, server)
+
+        return self.chooser.choose(now, job, base, may_send)
+
+    def due_trial(self, now: int, r: Request, job: Job) -> Server | None:
+        """An ejected server whose trial is due.
+
+        Failure prevented: a service has no requests that may be repeated, and what was set aside stays
+        so: after some time any request is a trial.
+        """
+        if not self.ejected or now < self.next_trial:
+            return None
+        patience = 0 if r.effect == Effect.SAFE else EJECT_TIME
+        near = any(self.chooser.allows(job, server) for server in self.site.local)
+
+        def may_try(now: int, server: Server) -> bool:
+            if now < server.trial_at + patience or not self.chooser.allows(job, server):
+                return False
+            away = self.site.places[server.id].region != self.site.region
+            return not (near and away) and not self.is_cold(now, server)
+
+        return self.trial(now, may_try)
+
+    def gives_way(self, now: int, r: Request, choice: Choice) -> bool:
+        """Whether a less urgent call is refused since the best server has just turned calls away."""
+        rank = self.rank[r.klass]
+        load = self.costs.loads.servers.get(choice.server.id)
+        if rank == 0 or load is None:
+            return False
+        return self.rng.random() < load.pressed(now) * rank / (rank + 1)
+
+    # ---- servers --------------------------------------------------------------------------------------
+
+    def is_cold(self, now: int, server: Server) -> bool:
+        """Whether the server is cold and takes its share only."""
+        place = self.site.places.get(server.id)
+        return place is not None and self.site.cold_until(place.id) > now
+
+    def may_take(self, now: int, server: Server) -> bool:
+        """Whether the server answers, and whether it is warm or its cold share has room."""
+        if self.is_silent(now, server, min(self.mean_rtt)):
+            return False
+        if not self.is_cold(now, server):
+            return True
+        return self.cold.allows(now, server.id, self.site.gateways, self.site.gateway_names)
+
+    def is_silent(self, now: int, srv: Server, least: float) -> bool:
+        """As the Balancer has it, but what the server still reads is no silence."""
+        load = self.costs.loads.servers.get(srv.id)
+        reading = self.costs.prefill.time(load.unread) if load is not None else 0.0
+        if srv.in_flight and now - srv.quiet_since < SILENT_LEAST + reading:
+            return srv.ejected
+        return super().is_silent(now, srv, least)
+
+    def adopt(self, now: int, server: Server) -> None:
+        """The server keeps prompts of this gateway: it is a member, so that it can be set aside."""
+        self.adopted.pop(server.id, None)
+        self.adopted[server.id] = server
+        while len(self.adopted) > MOST_ADOPTED:
+            del self.adopted[next(iter(self.adopted))]
+        self.refill(now)
+
+    def take_members(self) -> None:
+        """This copy's stretch of the shuffle, and the servers that keep its prompts."""
+        super().take_members()
+        for server in self.adopted.values():
+            if server.in_list and not server.member and self.servers.get(server.id) is server:
+                server.member = True
+                self.members.append(server)
+
+    # ---- ends -----------------------------------------------------------------------------------------
+
+    def settle(self, now: int, srv: Server, r: Request | None, outcome: Outcome, latency: int) -> None:
+        """Books an attempt's end with its latency less what is known not to be load."""
+        placed = self.out.get(r.id) if r is not None else None
+        if placed is not None and r is not None:
+            latency = max(LEAST_LATENCY, latency - int(placed.known_cost))
+            place = self.site.places.get(srv.id)
+            if outcome in (Outcome.OK, Outcome.TIMEOUT) and place is not None:
+                self.regions.heard(now, place.region, latency / self.controller.target[r.klass])
+        super().settle(now, srv, r, outcome, latency)
+
+    def book_unsent(self, job: Job) -> None:
+        """The attempt never reached its server: what it took of the budget is given back."""
+        job.unsent += 1
+        if job.arrived:
+            self.budget.give_back()
+
+    def book(self, now: int, placed: Placed, outcome: Outcome, latency: int) -> None:
+        """Books the load of an attempt that has ended, or begun to answer."""
+        loads = self.costs.loads
+        load = loads.of(placed.server)
+        if outcome == Outcome.REJECTED:
+            load.rejected_at = now
+        if outcome == Outcome.OK:
+            place = self.site.places.get(placed.server)
+            if placed.chain and place is not None:
+                self.costs.prefill.add(placed.unread, latency - self.costs.way(place))
+            loads.first_event(placed, now, self.site.kv_tokens)
+            if placed.streams and not placed.over:
+                self.streams[placed.request] = placed
+                return
+        loads.end(placed)
+
+    def forget(self, request: int) -> None:
+        """Drops the job of a call for which nothing is out and nothing is owed."""
+        if request not in self.requests and request not in self.out:
+            self.jobs.pop(request, None)
+
+    def forget_lost_streams(self, now: int) -> None:
+        """Ends the streams whose end nobody has told."""
+        for request, placed in list(self.streams.items()):
+            if now - placed.begun_at > STREAM_MOST:
+                del self.streams[request]
+                self.costs.loads.end(placed)
--- /dev/null
+++ b/brackenladder/placement/choice.py
@@ -0,0 +1,122 @@
+"""Two draws: the server that keeps a prompt, and a random member; the one of lower cost takes the call."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+from attrs import frozen
+
+from brackenladder.placement import rendezvous
+from brackenladder.placement.cost import CROSS_REGION, REGION_PRICE, CostModel, Job
+from brackenladder.placement.site import ServiceSite
+from brackenladder.policy.server import Server
+
+RENDEZVOUS_DEPTH = 3  # so many servers in a prompt's order are looked at
+ENDING_MARGIN = 300_000  # microseconds before a server's end by which a call must be over
+
+
+@frozen
+class Choice:
+    """The server for an attempt."""
+
+    server: Server
+    cost: float
+    unread: float  # tokens that it must read
+    adopt: bool = False  # it was found by its prompt and is to be a member of the subset
+
+
+Usable = Callable[[Server], bool]
+Base = Callable[[Server], float]
+
+
+class Chooser:
+    """Draws servers of one service. `may_send`: the cold share; `base`: a call's own time in a region."""
+
+    def __init__(self, site: ServiceSite, costs: CostModel, random: Random) -> None:
+        self.site = site
+        self.costs = costs
+        self.random = random
+
+    def choose(self, now: int, job: Job, base: Base, may_send: Usable) -> Choice | None:
+        """The server that takes the call, None if there is none. Other regions only where that pays."""
+        choice = self._draw(now, job, self._pool(job, self.site.local), base, may_send)
+        if choice is not None and choice.cost <= CROSS_REGION + REGION_PRICE:
+            return choice
+        other = self._draw(now, job, self._pool(job, self.site.far), base, may_send)
+        if choice is None or other is not None and other.cost < choice.cost:
+            return other
+        return choice
+
+    def allows(self, job: Job, server: Server) -> bool:
+        """Whether the server may take the call at all: by the homes, and where it was before."""
+        place = self.site.places.get(server.id)
+        homes = job.traits.route.homes
+        if place is None or homes and place.region not in homes:
+            return False
+        return server.id not in job.excluded
+
+    def _pool(self, job: Job, servers: Sequence[Server]) -> list[Server]:
+        return [server for server in servers if not server.ejected and self.allows(job, server)]
+
+    def _draw(
+        self, now: int, job: Job, pool: Sequence[Server], base: Base, may_send: Usable
+    ) -> Choice | None:
+        able = [server for server in pool if self._in_time(now, server, job) and may_send(server)]
+        if not able:
+            return None
+        first = self._keeper(now, job, able, base) if job.key is not None else None
+        second = self._any_member(able, first)
+        one = None if first is None else self._choice(now, job, first, base, own_server=True)
+        if second is None:
+            return one
+        if one is None:
+            third = self._any_member(able, second)
+            first_choice = self._choice(now, job, second, base, own_server=False)
+            if third is None:
+                return first_choice
+            return self._cheaper(first_choice, self._choice(now, job, third, base, own_server=False))
+        return self._cheaper(one, self._choice(now, job, second, base, own_server=False))
+
+    def _keeper(self, now: int, job: Job, able: Sequence[Server], base: Base) -> Server:
+        """The server that keeps most of the prompt, the prompt's own one where they are alike.
+
+        A server whose wait is longer than reading the prompt anew elsewhere is passed over.
+        """
+        assert job.key is not None
+        order = rendezvous.order(job.key, able, RENDEZVOUS_DEPTH)
+        own = self._bounded(now, job, order, base)
+        loads = self.costs.loads.servers
+        kept = {server.id: loads[server.id].kept.kept(job.chain) for server in able if server.id in loads}
+        best = max(able, key=lambda server: (kept.get(server.id, 0), server is own))
+        if kept.get(best.id, 0) > max(kept.get(own.id, 0), job.shared):
+            return self._bounded(now, job, (best, own), base)
+        return own
+
+    def _bounded(self, now: int, job: Job, order: Sequence[Server], base: Base) -> Server:
+        patience = self.costs.rereading(job)
+        for server in order:
+            if self.costs.queue(now, server, job, base(server)) <= patience:
+                return server
+        return order[0]
+
+    def _any_member(self, able: Sequence[Server], other: Server | None) -> Server | None:
+        pool = [server for server in able if server.member and server is not other]
+        pool = pool or [server for server in able if server is not other]
+        return pool[int(self.random.random() * len(pool))] if pool else None
+
+    def _choice(self, now: int, job: Job, server: Server, base: Base, own_server: bool) -> Choice:
+        cost = self.costs.cost(now, server, job, base(server), own_server)
+        unread = self.costs.unread(server, job, own_server)
+        return Choice(server, cost, unread, adopt=not server.member)
+
+    def _cheaper(self, one: Choice, other: Choice) -> Choice:
+        return other if other.cost < one.cost else one
+
+    def _in_time(self, now: int, server: Server, job: Job) -> bool:
+        """Whether the call can be over before a server that is taken away is gone."""
+        ends_at = self.site.places[server.id].ends_at
+        if ends_at == 0:
+            return True
+        duration = self.costs.rereading(job) + self.costs.output.time(job.traits.output_tokens)
+        return now + duration + ENDING_MARGIN < ends_at
--- /dev/null
+++ b/brackenladder/placement/pool.py
@@ -0,0 +1,234 @@
+"""One service of one gateway: hosts its decision module and keeps it up to date with the system's view."""
+
+from __future__ import annotations
+
+from asyncio import AbstractEventLoop
+from collections.abc import Callable
+from random import Random
+
+from brackenladder.catalog.configuration import Service
+from brackenladder.core.call import Attempt, Call, Done, Probed, Upstream
+from brackenladder.core.clock import Clock
+from brackenladder.core.host import Host
+from brackenladder.core.roster import number_of, numbered
+from brackenladder.delivery.view import SystemView
+from brackenladder.interface import Actions, ListKind, ServerEntry, Settings
+from brackenladder.placement.balancer import PromptBalancer
+from brackenladder.placement.classes import CallShape, ClassTable, add_class, shape_of
+from brackenladder.placement.site import ServerPlace, ServiceSite
+from brackenladder.placement.traits import CallTraits
+from brackenladder.platform_settings import Platform
+from brackenladder.registry.records import ServerRecord, ServerState
+from brackenladder.shares.cold_share import ColdBound, ColdShare
+from brackenladder.shares.retry_budget import BudgetBound, RetryBudget
+
+US_PER_S = 1_000_000
+US_PER_MS = 1_000
+# A Balancer starts with a class; no route has this one's priority, so that it ranks below all others.
+FIRST_SHAPE = CallShape(idempotent=False, aim=US_PER_S, timeout=10 * US_PER_S, priority=100)
+MOST_TRIES = 8  # attempts of a call, with those that were never sent
+MOST_RETRY_AFTER = US_PER_S
+ZONE_PRICE = 0.01  # above the policy's least: the subset has members in each zone
+INDEXES = 1 << 16  # a gateway's place among the copies that share the servers, by its name
+BEATS_AFTER_RETURN = 2.5  # heartbeats after a zone's return until its servers have told that they are cold
+
+
+class PoolCall(Call):
+    """A call for a service. A front derives its own, which carries the payload and the conclusion.
+
+    `repeat`: this gateway has sent the request to a server before, as when it takes up a broken stream; its
+    first attempt then counts against the budget of repeats.
+    """
+
+    __slots__ = ("traits", "number_of_server")
+
+    def __init__(self, traits: CallTraits, left: int, repeat: bool = False) -> None:
+        super().__init__(klass=0, tenant=0, left=left, repeat=repeat)
+        self.traits = traits
+        self.number_of_server = 0  # the server of the newest attempt
+
+
+class _PoolUpstream:
+    """Notes the server of each attempt in its call."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        self.upstream = upstream
+
+    def attempt(self, server: int, call: Call, expires: int, done: Done) -> Attempt | None:
+        if isinstance(call, PoolCall):
+            call.number_of_server = server
+        return self.upstream.attempt(server, call, expires, done)
+
+    def probe(self, server: int, done: Probed) -> None:
+        self.upstream.probe(server, done)
+
+    def close_idle(self, server: int) -> None:
+        self.upstream.close_idle(server)
+
+
+class ServicePool:
+    """The servers of one service, and the calls to them. The view's times are those of `clock`."""
+
+    def __init__(
+        self,
+        service: str,
+        view: SystemView,
+        platform: Platform,
+        upstream: Upstream,
+        loop: AbstractEventLoop,
+        clock: Clock,
+        random: Random,
+        log: Callable[[str], None],
+    ) -> None:
+        self.service = service
+        self.view = view
+        self.platform = platform
+        self.clock = clock
+        self.classes = ClassTable(FIRST_SHAPE)
+        self.site = ServiceSite(platform.zone, platform.region, cold_until=self.cold_until)
+        self.cold = ColdShare(platform.node_name, None)
+        self.budget = RetryBudget(_budget_bound(platform))
+        self.records: dict[int, ServerRecord] = {}
+        self.zones = {name: number for number, name in enumerate(sorted(platform.zones))}
+        self.region_numbers: dict[str, int] = {}
+        self.listed: tuple[ServerEntry, ...] = ()
+        self.evacuated = view.evacuated
+        self.returned: dict[str, int] = {}  # zones taken back, and until when their servers may be cold
+        self.closed = False
+        settings = _settings(platform, self.zones, self.region_numbers)
+        seed = random.getrandbits(32)
+        self.host = Host(settings, seed, loop, _PoolUpstream(upstream), log, clock, self._module)
+        self.host.start()
+        self.refresh()
+
+    @property
+    def balancer(self) -> PromptBalancer:
+        """The decision module."""
+        module = self.host.balancer
+        assert isinstance(module, PromptBalancer)
+        return module
+
+    def take(self, call: PoolCall) -> None:
+        """A call begins; its conclusion may come before this returns."""
+        call.klass = self._class_of(call.traits)
+        call.left = min(call.left, call.traits.route.timeout_ms * US_PER_MS)
+        self.host.take(call)
+
+    def record(self, number: int) -> ServerRecord | None:
+        """The server that an attempt names, while it is listed or drains."""
+        return self.records.get(number)
+
+    def stream_ended(self, call: PoolCall) -> None:
+        """After `served`: the call's place and memory are free again."""
+        self.host.post(self.balancer.stream_ended, call.id)
+
+    def refresh(self) -> None:
+        """The view has changed."""
+        if self.closed:
+            return
+        self._note_returns()
+        self._read_service()
+        records = [r for r in self.view.servers.values() if r.service == self.service]
+        self.records = {number_of(record.id): record for record in records}
+        usable = {number: r for number, r in self.records.items() if self._usable(r)}
+        self.site.places = {number: self._place(record) for number, record in usable.items()}
+        entries = tuple([self._entry(number, record) for number, record in sorted(usable.items())])
+        if entries != self.listed:
+            self.listed = entries
+            self.host.servers(ListKind.FULL, entries)
+        self._share()
+
+    def cold_until(self, server_id: str) -> int:
+        """When a server is warm; servers of a zone that was just taken back may be cold unsaid."""
+        until = self.view.cold_until(server_id)
+        if self.returned:
+            record = self.view.servers.get(server_id)
+            if record is not None:
+                until = max(until, self.returned.get(record.zone, 0))
+        return until
+
+    def close(self) -> None:
+        """No more calls; those that are open go on."""
+        self.closed = True
+
+    def _module(self, settings: Settings, seed: int, actions: Actions) -> PromptBalancer:
+        return PromptBalancer(settings, seed, actions, self.site, self._traits_of, self.cold, self.budget)
+
+    def _traits_of(self, request: int) -> CallTraits | None:
+        call = self.host.calls.get(request)
+        return call.traits if isinstance(call, PoolCall) else None
+
+    def _class_of(self, traits: CallTraits) -> int:
+        shape = shape_of(traits)
+        number = self.classes.find(shape)
+        if number is None:
+            number = self.classes.add(shape)
+            add_class(self.balancer, shape.settings())
+            self.host.settings = self.balancer.settings
+        return number
+
+    def _usable(self, record: ServerRecord) -> bool:
+        return record.state is ServerState.READY and record.zone not in self.view.evacuated
+
+    def _place(self, record: ServerRecord) -> ServerPlace:
+        region = self.platform.region_of(record.zone)
+        return ServerPlace(record.id, record.zone, region, record.slots, self.view.ends_at(record.id))
+
+    def _entry(self, number: int, record: ServerRecord) -> ServerEntry:
+        zone = numbered(self.zones, record.zone)
+        region = numbered(self.region_numbers, self.platform.region_of(record.zone))
+        return ServerEntry(number, zone=zone, kind=region)
+
+    def _share(self) -> None:
+        gateways = max(1, self.view.gateways)
+        if gateways != self.site.gateways:
+            self.site.gateways = gateways
+            self.host.shared(gateways)
+
+    def _note_returns(self) -> None:
+        now = self.clock.now()
+        until = now + int(BEATS_AFTER_RETURN * self.platform.heartbeat_ms * US_PER_MS)
+        self.returned = {zone: at for zone, at in self.returned.items() if at > now}
+        for zone in self.evacuated - self.view.evacuated:
+            self.returned[zone] = until
+        self.evacuated = self.view.evacuated
+
+    def _read_service(self) -> None:
+        """What the configuration says of the service. One that has been removed is left as it was."""
+        service = self._configured()
+        if service is None:
+            return
+        self.site.kv_tokens = service.engine.kv_tokens if service.engine is not None else 0
+        bounds = self.platform.bounds
+        bound = None
+        if service.cold_per_s > 0:
+            bound = ColdBound(service.cold_per_s, bounds.cold_overshoot, bounds.cold_slack)
+        self.cold.bound = bound
+
+    def _configured(self) -> Service | None:
+        if self.view.configuration is None:
+            return None
+        for service in self.view.configuration.services:
+            if service.name == self.service:
+                return service
+        return None
+
+
+def _budget_bound(platform: Platform) -> BudgetBound:
+    bounds = platform.bounds
+    window = int(bounds.budget_window_s * US_PER_S)
+    return BudgetBound(bounds.retry_budget_ratio, bounds.budget_slack, window)
+
+
+def _settings(platform: Platform, zones: dict[str, int], regions: dict[str, int]) -> Settings:
+    numbered(regions, platform.region)
+    return Settings(
+        classes=(FIRST_SHAPE.settings(),),
+        zone=numbered(zones, platform.zone),
+        index=number_of(platform.node_name) % INDEXES,
+        max_attempts=MOST_TRIES,
+        cancel=True,
+        retry_after=True,
+        max_retry_after=MOST_RETRY_AFTER,
+        cross_zone_price=ZONE_PRICE,
+    )
--- /dev/null
+++ b/brackenladder/placement/traits.py
@@ -0,0 +1,30 @@
+"""What a call asks of the server that takes it."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from brackenladder.catalog.configuration import Route
+
+
+@frozen
+class PromptPart:
+    """A part of a prompt. Requests that share a part name it by the same id."""
+
+    id: str
+    tokens: int
+
+
+@frozen
+class CallTraits:
+    """What decides the placement of one call."""
+
+    route: Route
+    parts: tuple[
+        PromptPart, ...
+    ] = ()  # in the prompt's order; the last one is the request's own or its session's
+    prompt_tokens: int = 0
+    output_tokens: int = 0  # the most that the request may get
+    model: str = ""
+    idempotent: bool = False  # it may run any number of times: a safe route, or a stream that may be resumed
+    exclude: frozenset[str] = frozenset()  # ids of servers that must not take it, as those of a broken stream
