--- /dev/null
+++ b/brackenladder/platform_settings.py
@@ -0,0 +1,292 @@
+"""The settings file of a process: who it is, where it runs, and the bounds that hold.
+
+Unknown fields are ignored. A field that is empty counts as absent.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+import tomllib
+from collections.abc import Iterator
+from typing import Any
+
+from attrs import Factory, field, frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.catalog.faults import FaultKind
+from brackenladder.catalog.structuring import Name, Number, PositiveNumber, Whole, named, structure
+
+FRONT, CONTROL, DIRECTORY = "front", "control", "directory"  # what a role may serve
+READY = "ready"  # the address of the platform's own checks
+LARGEST_PORT = 65535
+
+
+@frozen
+class SettingsFault:
+    """One fault of the settings file and its place, as `Limits.MaxFds`; an empty place: the whole file."""
+
+    place: str
+    kind: FaultKind
+    detail: str
+
+    def __str__(self) -> str:
+        return f"settings: {self.place or 'file'}: {self.detail}"
+
+
+Faults = tuple[SettingsFault, ...]
+
+
+@frozen
+class PortRange:
+    """Ports for traffic between nodes, the same on every machine; both ends belong to it."""
+
+    first: int
+    last: int
+
+
+@frozen
+class Listen:
+    """Addresses, as `ip:port`, for what the role serves; empty for what it doesn't."""
+
+    front: str = named("Front", "")
+    ready: str = named("Ready", "")
+    control: str = named("Control", "")
+    directory: str = named("Directory", "")
+
+
+@frozen
+class ProcessLimits:
+    """What the process may use."""
+
+    cpu_share: PositiveNumber = named("CpuShare", 1.0)  # of one core
+    cores: PositiveNumber = named("Cores", 1)  # how many times as fast that core runs
+    memory_mb: Whole = named("MemoryMb", 256)
+    max_fds: Whole = named("MaxFds", 1024)
+    link_mbps: Number = named("LinkMbps", 1000.0)
+    disk_mb: Whole = named("DiskMb", 0)
+
+
+@frozen
+class Tolerate:
+    """How much may be lost at one time: machines that count for the quorum, or zones, or regions."""
+
+    machines: Whole = named("Machines", 1)
+    zones: Whole = named("Zones", 1)
+    regions: Whole = named("Regions", 1)
+
+
+@frozen
+class Bounds:
+    """The figures of the rules in force, in the unit of each name. A missing one has its usual value."""
+
+    seed_lag_s: Number = named("SeedLagS", 3)
+    reuse_after_s: Number = named("ReuseAfterS", 2)
+    contact_ms: Number = named("ContactMs", 4000)
+    ack_ms: Number = named("AckMs", 5000)
+    catch_up_s: Number = named("CatchUpS", 4)
+    drain_ms: Number = named("DrainMs", 3000)
+    grace_s: Number = named("GraceS", 8)
+    loss_slack_ms: Number = named("LossSlackMs", 200)
+    config_ms: Number = named("ConfigMs", 3000)
+    rollback_slack_ms: Number = named("RollbackSlackMs", 250)
+    outer_ms: Number = named("OuterMs", 6000)
+    retry_budget_ratio: Number = named("RetryBudgetRatio", 0.2)
+    budget_window_s: Number = named("BudgetWindowS", 10)
+    budget_slack: Number = named("BudgetSlack", 54)
+    cold_overshoot: Number = named("ColdOvershoot", 1.5)
+    cold_slack: Number = named("ColdSlack", 5)
+    evacuate_ms: Number = named("EvacuateMs", 5000)
+    recovery_s: Number = named("RecoveryS", 12)
+    pass_ms: Number = named("pass_ms", 400)
+    again_s: Number = named("again_s", 10)
+    ttl_max_s: Number = named("ttl_max_s", 5)
+
+
+DEFAULT_HEARTBEAT_MS = 1200
+DEFAULT_LISTEN = Listen()
+DEFAULT_LIMITS = ProcessLimits()
+DEFAULT_TOLERATE = Tolerate()
+DEFAULT_BOUNDS = Bounds()
+
+
+@frozen
+class Platform:
+    """A process's settings, checked."""
+
+    node_name: str
+    role: str
+    machine_class: str
+    serves: tuple[str, ...]
+    ip: str
+    zone: str
+    region: str
+    ports: PortRange
+    seeds: tuple[str, ...] = ()  # `Control` addresses, as `ip:port`
+    bootstrap: bool = False  # the very first start of the whole system, on empty disks
+    counts_for_quorum: bool = False
+    data_dir: str = ""  # empty: the process has no disk
+    heartbeat_ms: float = DEFAULT_HEARTBEAT_MS
+    contracts: tuple[str, ...] = ()
+    zones: dict[str, str] = field(default=Factory(dict))  # region by zone
+    listen: Listen = DEFAULT_LISTEN
+    limits: ProcessLimits = DEFAULT_LIMITS
+    tolerate: Tolerate = DEFAULT_TOLERATE
+    bounds: Bounds = DEFAULT_BOUNDS
+
+    def region_of(self, zone: str) -> str:
+        """The region of a zone; empty for a zone that is not known."""
+        return self.region if zone == self.zone else self.zones.get(zone, "")
+
+    @property
+    def inner_address(self) -> str:
+        """Where this process listens for other nodes, if it does."""
+        return self._inner(self.ip)
+
+    @property
+    def seed_inner_addresses(self) -> tuple[str, ...]:
+        """Where the seeds listen for other nodes."""
+        return tuple(dict.fromkeys(self._inner(seed.rpartition(":")[0]) for seed in self.seeds))
+
+    def _inner(self, ip: str) -> str:
+        return f"{ip}:{self.ports.first}"
+
+
+@frozen
+class _Settings:
+    """The file as it is written."""
+
+    node_name: Name = named("NodeName")
+    role: Name = named("Role")
+    ip: Name = named("Ip")
+    zone: Name = named("Zone")
+    region: Name = named("Region")
+    port_range: tuple[Whole, ...] = named("PortRange")
+    machine_class: str = named("MachineClass", "")
+    serves: tuple[str, ...] = named("Serves", ())
+    seeds: tuple[str, ...] = named("Seeds", ())
+    bootstrap: bool = named("Bootstrap", False)
+    counts_for_quorum: bool = named("CountsForQuorum", False)
+    data_dir: str = named("DataDir", "")
+    heartbeat_ms: PositiveNumber = named("HeartbeatMs", DEFAULT_HEARTBEAT_MS)
+    contracts: tuple[str, ...] = named("Contracts", ())
+    zones: dict[str, str] = named("Zones", Factory(dict))
+    listen: Listen = named("Listen", DEFAULT_LISTEN)
+    limits: ProcessLimits = named("Limits", DEFAULT_LIMITS)
+    tolerate: Tolerate = named("Tolerate", DEFAULT_TOLERATE)
+    bounds: Bounds = named("Bounds", DEFAULT_BOUNDS)
+
+
+def load_platform(path: str | os.PathLike[str]) -> Result[Platform, Faults]:
+    """The settings in the file at `path`, or everything that is wrong with them."""
+    try:
+        with open(path, "rb") as file:
+            text = file.read()
+    except OSError as error:
+        detail = f"cannot be read: {error.strerror or type(error).__name__}"
+        return Failure((SettingsFault("", FaultKind.UNREADABLE, detail),))
+    return parse_platform(text)
+
+
+def parse_platform(text: bytes) -> Result[Platform, Faults]:
+    """The settings that a TOML text holds, or everything that is wrong with them."""
+    try:
+        table = tomllib.loads(text.decode())
+    except (ValueError, RecursionError) as error:
+        return Failure((SettingsFault("", FaultKind.MALFORMED, f"not TOML: {_one_line(error)}"),))
+    structured = structure(_Settings, _without_empty(table))
+    if isinstance(structured, Failure):
+        return Failure(
+            tuple(SettingsFault(fault.place, fault.kind, fault.detail) for fault in structured.failure())
+        )
+    settings = structured.unwrap()
+    faults = tuple(_settings_faults(settings))
+    return Failure(faults) if faults else Success(_platform(settings))
+
+
+def _one_line(error: Exception) -> str:
+    return " ".join(str(error).split()) or type(error).__name__
+
+
+def _without_empty(table: dict[str, Any]) -> dict[str, Any]:
+    """The table without empty fields, and without bounds that are true or false: no known one is."""
+    kept: dict[str, Any] = {}
+    for key, value in table.items():
+        if type(value) is dict:
+            value = _without_empty(value)
+        if key == "Bounds" and type(value) is dict:
+            value = {name: bound for name, bound in value.items() if type(bound) is not bool}
+        if value not in ("", [], {}):
+            kept[key] = value
+    return kept
+
+
+def _settings_faults(settings: _Settings) -> Iterator[SettingsFault]:
+    """What is wrong with settings that have the right form."""
+    if not _is_ip(settings.ip):
+        yield SettingsFault("Ip", FaultKind.OUT_OF_RANGE, "not an IP number")
+    if not _is_port_range(settings.port_range):
+        detail = "two ports are needed, the second not below the first"
+        yield SettingsFault("PortRange", FaultKind.OUT_OF_RANGE, detail)
+    for index, seed in enumerate(settings.seeds):
+        if not _is_address(seed):
+            yield SettingsFault(f"Seeds[{index}]", FaultKind.OUT_OF_RANGE, "not of the form ip:port")
+    yield from _listen_faults(settings)
+
+
+def _listen_faults(settings: _Settings) -> Iterator[SettingsFault]:
+    listen = settings.listen
+    addresses = {
+        FRONT: listen.front,
+        CONTROL: listen.control,
+        DIRECTORY: listen.directory,
+        "ready": listen.ready,
+    }
+    for word, address in addresses.items():
+        place = f"Listen.{word.capitalize()}"
+        if not address and word in settings.serves:
+            yield SettingsFault(place, FaultKind.MISSING, f"is missing, though the role serves {word!r}")
+        if address and not _is_address(address):
+            yield SettingsFault(place, FaultKind.OUT_OF_RANGE, "not of the form ip:port")
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_address(text: str) -> bool:
+    ip, _, port = text.rpartition(":")
+    return _is_ip(ip) and port.isascii() and port.isdigit() and 0 < int(port) <= LARGEST_PORT
+
+
+def _is_port_range(ports: tuple[int, ...]) -> bool:
+    return len(ports) == 2 and 0 < ports[0] <= ports[1] <= LARGEST_PORT
+
+
+def _platform(settings: _Settings) -> Platform:
+    first, last = settings.port_range
+    return Platform(
+        node_name=settings.node_name,
+        role=settings.role,
+        machine_class=settings.machine_class,
+        serves=settings.serves,
+        ip=settings.ip,
+        zone=settings.zone,
+        region=settings.region,
+        ports=PortRange(first, last),
+        seeds=settings.seeds,
+        bootstrap=settings.bootstrap,
+        counts_for_quorum=settings.counts_for_quorum,
+        data_dir=settings.data_dir,
+        heartbeat_ms=settings.heartbeat_ms,
+        contracts=settings.contracts,
+        zones=settings.zones,
+        listen=settings.listen,
+        limits=settings.limits,
+        tolerate=settings.tolerate,
+        bounds=settings.bounds,
+    )
--- /dev/null
+++ b/brackenladder/shares/cold_share.py
@@ -0,0 +1,141 @@
+"""A gateway's part of what a cold server may be sent.
+
+The sum over all gateways that arrives at a cold server in any one second is bounded. Each gateway that sends
+keeps a bucket of one call, refilled at `rate`: in any second it sends no more than 1 + rate calls. The parts
+of all gateways together stay within SAFE_PART of the bound. Where the gateways are so many that each had
+hardly a call a second, only a few of them send, by a hash that all of them share.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import floor, sqrt
+
+from attrs import define, frozen
+
+from brackenladder.core.roster import number_of
+from brackenladder.policy.subset import mix
+
+US_PER_S = 1_000_000
+SAFE_PART = 0.75  # of the bound; the rest is for calls that a slow link delivers together
+LEAST_RATE = 1.0  # calls a second: with less for each gateway, only some of them send
+CALLS_EACH = 3.0  # of the bound, for each gateway that sends
+DEVIATIONS = 4.0  # standard deviations of a random number of senders that are provided for
+HASH_RANGE = 2.0**64
+FORGET_TIME = 30 * US_PER_S  # a bucket is full again long before
+
+
+@frozen
+class ColdBound:
+    """What all gateways together may send a cold server in any second."""
+
+    per_s: float  # what it bears
+    overshoot: float  # multiple of that
+    slack: float  # calls beside it
+
+    @property
+    def calls(self) -> float:
+        """The bound, in calls."""
+        return self.per_s * self.overshoot + self.slack
+
+
+@frozen
+class ColdPart:
+    """One gateway's part of a cold server's calls."""
+
+    sends: bool
+    rate: float = 0.0  # calls a second, beside a burst of one
+
+
+NO_PART = ColdPart(sends=False)
+
+
+@define(eq=False)
+class _Bucket:
+    tokens: float
+    at: int
+
+
+class ColdShare:
+    """The buckets of one gateway and service. Without a bound everything is allowed."""
+
+    def __init__(self, gateway: str, bound: ColdBound | None) -> None:
+        self.gateway = gateway
+        self.bound = bound
+        self._number = number_of(gateway)
+        self._buckets: dict[int, _Bucket] = {}
+        self._parts: dict[int, ColdPart] = {}  # for one bound, number and list of gateways
+        self._parts_for: tuple[ColdBound | None, int, tuple[str, ...]] = (None, 0, ())
+
+    def part(self, server: int, gateways: int, names: Sequence[str] = ()) -> ColdPart:
+        """This gateway's part. `gateways`: the living ones; `names`: theirs, this one's too, if known."""
+        known_for = (self.bound, gateways, tuple(names))
+        if known_for != self._parts_for:
+            self._parts.clear()
+            self._parts_for = known_for
+        part = self._parts.get(server)
+        if part is None:
+            part = self._parts[server] = self._part(server, gateways, names)
+        return part
+
+    def _part(self, server: int, gateways: int, names: Sequence[str]) -> ColdPart:
+        if self.bound is None:
+            return ColdPart(sends=True, rate=float("inf"))
+        calls = self.bound.calls * SAFE_PART
+        number = max(gateways, len(names), 1)
+        if calls / number >= 1 + LEAST_RATE:
+            return ColdPart(sends=True, rate=calls / number - 1)
+        senders = max(1, floor(self.bound.calls / CALLS_EACH))
+        if calls / senders <= 1:
+            return NO_PART
+        if self.gateway in names:
+            return self._elected(server, names, senders, calls)
+        return self._drawn(server, number, senders, calls)
+
+    def allows(self, now: int, server: int, gateways: int, names: Sequence[str] = ()) -> bool:
+        """Whether a call may go to a cold server now."""
+        if self.bound is None:
+            return True
+        part = self.part(server, gateways, names)
+        return part.sends and self._fill(now, server, part.rate).tokens >= 1
+
+    def take(self, now: int, server: int, gateways: int, names: Sequence[str] = ()) -> None:
+        """A call goes to a cold server."""
+        if self.bound is None:
+            return
+        part = self.part(server, gateways, names)
+        self._fill(now, server, part.rate).tokens -= 1
+
+    def forget(self, now: int) -> None:
+        """Drop the buckets that nothing has been taken from, or asked of, for a while."""
+        for server in [s for s, bucket in self._buckets.items() if now - bucket.at > FORGET_TIME]:
+            del self._buckets[server]
+        self._parts.clear()
+
+    def _elected(self, server: int, names: Sequence[str], senders: int, calls: float) -> ColdPart:
+        mine = mix(self._number, server)
+        ahead = sum([mix(number_of(name), server) > mine for name in names])
+        if ahead >= senders:
+            return NO_PART
+        return ColdPart(sends=True, rate=calls / senders - 1)
+
+    def _drawn(self, server: int, gateways: int, senders: int, calls: float) -> ColdPart:
+        """Each gateway is a sender by its own hash: so many are provided for as hardly ever come together."""
+        wanted = senders / 2
+        most = max(1.0, min(wanted + DEVIATIONS * sqrt(wanted), float(gateways)))
+        while calls / most <= 1 and wanted > 1 / 8:
+            wanted /= 2
+            most = max(1.0, wanted + DEVIATIONS * sqrt(wanted))
+        if calls / most <= 1 or mix(self._number, server) / HASH_RANGE >= wanted / gateways:
+            return NO_PART
+        return ColdPart(sends=True, rate=calls / most - 1)
+
+    def _fill(self, now: int, server: int, rate: float) -> _Bucket:
+        bucket = self._buckets.get(server)
+        if bucket is None:
+            # Failure prevented: the gateways' buckets fill together, and all send at one moment.
+            phase = mix(server, self._number) / HASH_RANGE
+            bucket = self._buckets[server] = _Bucket(phase, now)
+        bucket.tokens = min(1.0, bucket.tokens + rate * (now - bucket.at) / US_PER_S)
+        bucket.at = now
+        return bucket
--- /dev/null
+++ b/brackenladder/storage/sqlite_errors.py
@@ -0,0 +1,43 @@
+"""The errors of sqlite3 and of the file system as typed errors of a log store."""
+
+from __future__ import annotations
+
+import errno
+import sqlite3
+
+from brackenladder.storage.log_store import (
+    StoreCorrupt,
+    StoreError,
+    StoreFailed,
+    StoreForeign,
+    StoreFull,
+    StoreInUse,
+)
+
+PRIMARY_CODE = 0xFF  # the bits of an extended result code that name the kind of error
+_ERROR_TYPES: dict[int, type[StoreError]] = {
+    sqlite3.SQLITE_ERROR: StoreCorrupt,  # tables or text that are not as this program writes them
+    sqlite3.SQLITE_CONSTRAINT: StoreCorrupt,
+    sqlite3.SQLITE_FULL: StoreFull,
+    sqlite3.SQLITE_CORRUPT: StoreCorrupt,
+    sqlite3.SQLITE_NOTADB: StoreForeign,
+    sqlite3.SQLITE_BUSY: StoreInUse,
+    sqlite3.SQLITE_LOCKED: StoreInUse,
+}
+_FULL_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+
+
+class CorruptRow(Exception):
+    """A row of the store fails its check; the text says which and how."""
+
+
+def store_error(error: sqlite3.Error | OSError | CorruptRow, path: str) -> StoreError:
+    """What a store at `path` reports for an error that it ran into."""
+    if isinstance(error, CorruptRow):
+        return StoreCorrupt(f"{path}: {error}")
+    if isinstance(error, OSError):
+        kind = StoreFull if error.errno in _FULL_ERRNOS else StoreFailed
+        return kind(f"{path}: {error.strerror or error}")
+    code = getattr(error, "sqlite_errorcode", sqlite3.SQLITE_ERROR)
+    name = getattr(error, "sqlite_errorname", type(error).__name__)
+    return _ERROR_TYPES.get(code & PRIMARY_CODE, StoreFailed)(f"{path}: {error} ({name})")
--- /dev/null
+++ b/brackenladder/transport/memory.py
@@ -0,0 +1,346 @@
+"""Links inside one process for tests: nothing happens until the test lets it, always in the same order."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from attrs import frozen
+
+from brackenladder.transport.address import Address, parse_address
+from brackenladder.transport.codec import Codec
+from brackenladder.transport.errors import LinkClosed, ListenError, TransportError
+from brackenladder.transport.link import LinkHandler, LinkLimits, OnRefused, ProtocolVersions
+from brackenladder.transport.memory_link import Ending, Event, MemoryLink, Opening
+
+FIRST_FREE_PORT = 20_000  # for listeners on port 0
+FIRST_DIALING_PORT = 40_000  # for the dialling ends of links
+EVENT_LIMIT = 100_000  # events of one `run`
+
+
+class RunawayNetwork(TransportError):
+    """The nodes keep sending: `run` does not come to an end."""
+
+
+@frozen
+class Listener:
+    """A bound address."""
+
+    address: Address
+    transport: MemoryTransport
+    handler: LinkHandler
+
+
+class MemoryNetwork:
+    """Carries what memory transports send. Nodes are named by their transport.
+
+    `run` delivers all that can be delivered; `deliver` a single event. A cut holds back what is sent across
+    it; healed, it lets it through in order. Links across a cut end at `expire_silent` only. With a codec
+    messages travel as bytes, as they would over TCP.
+    """
+
+    def __init__(self, codec: Codec | None = None) -> None:
+        self.codec = codec
+        self._events: deque[Event] = deque()
+        self._held: list[Event] = []
+        self._cuts: set[tuple[str, str]] = set()
+        self._listeners: dict[str, Listener] = {}
+        self._dialers: list[MemoryDialer] = []
+        self._links: list[MemoryLink] = []
+        self._gone: set[MemoryLink] = set()  # ends whose node lost power
+        self._next_port = FIRST_FREE_PORT
+        self._next_dialing_port = FIRST_DIALING_PORT
+
+    # driving
+
+    @property
+    def pending(self) -> int:
+        """Events that wait, those held back by cuts among them."""
+        return len(self._events) + len(self._held)
+
+    def deliver(self, count: int = 1) -> int:
+        """Delivers up to `count` events, oldest first; how many there were that no cut held back."""
+        done = 0
+        while done < count and self._events:
+            event = self._events.popleft()
+            if (event.sender, event.receiver) in self._cuts:
+                self._held.append(event)
+                continue
+            event.happen()
+            done += 1
+        return done
+
+    def run(self, redial: bool = True) -> int:
+        """Lets idle dialers try once, then delivers until nothing is left; the number of events."""
+        if redial:
+            self.redial()
+        done = self.deliver(EVENT_LIMIT)
+        if self._events:
+            raise RunawayNetwork(f"{done} events and no end")
+        return done
+
+    def redial(self) -> None:
+        """Each dialer without a link tries once more when events are delivered."""
+        for dialer in self._dialers:
+            dialer.try_again()
+
+    # faults
+
+    def cut(self, one: str, other: str) -> None:
+        """Holds back all between two nodes, both ways."""
+        self.cut_one_way(one, other)
+        self.cut_one_way(other, one)
+
+    def cut_one_way(self, sender: str, receiver: str) -> None:
+        """Holds back all from one node to another."""
+        self._cuts.add((sender, receiver))
+
+    def heal(self, one: str, other: str) -> None:
+        """Ends the cuts between two nodes; what was held goes first."""
+        self._cuts -= {(one, other), (other, one)}
+        self._release()
+
+    def heal_all(self) -> None:
+        """Ends all cuts."""
+        self._cuts.clear()
+        self._release()
+
+    def expire_silent(self) -> None:
+        """Ends the links that hear nothing: those across a cut, and those to a node without power."""
+        for link in self._standing():
+            if link.other in self._gone or (link.peer, link.owner) in self._cuts:
+                link.abort(LinkClosed.SILENT)
+
+    def lose_links(self, one: str, other: str) -> None:
+        """Resets the links between two nodes; what is under way on them is lost."""
+        for link in self._standing():
+            if link.owner == one and link.peer == other:
+                link.abort(LinkClosed.LOST)
+                link.other.abort(LinkClosed.LOST)
+
+    def power_off(self, name: str) -> None:
+        """A node falls silent: it is told nothing more, and others learn of it at `expire_silent`."""
+        for link in self._standing():
+            if link.owner == name:
+                link.vanish()
+                self._gone.add(link)
+        self._forget(name)
+
+    def kill(self, name: str) -> None:
+        """A process ends: it is told nothing more, and its links are reset."""
+        for link in self._standing():
+            if link.owner == name:
+                link.vanish()
+                self.queue(Ending(link.owner, link.peer, link.other, LinkClosed.LOST))
+        self._forget(name)
+
+    # for the transports
+
+    def queue(self, event: Event) -> None:
+        """Adds an event."""
+        self._events.append(event)
+
+    def bind(self, address: Address, transport: MemoryTransport, handler: LinkHandler) -> Address:
+        """Binds an address; port 0 takes a free one."""
+        if address.port == 0:
+            address = Address(address.ip, self._next_port)
+            self._next_port += 1
+        if str(address) in self._listeners:
+            raise ListenError(f"{address}: Address already in use")
+        self._listeners[str(address)] = Listener(address, transport, handler)
+        return address
+
+    def unbind(self, address: Address) -> None:
+        """Frees an address."""
+        self._listeners.pop(str(address), None)
+
+    def add_dialer(self, dialer: MemoryDialer) -> None:
+        """Keeps a dialer, to let it try again."""
+        self._dialers.append(dialer)
+
+    def discard_dialer(self, dialer: MemoryDialer) -> None:
+        """The dialer is closed."""
+        if dialer in self._dialers:
+            self._dialers.remove(dialer)
+
+    def links_of(self, name: str) -> tuple[MemoryLink, ...]:
+        """The ends at a node that have not ended."""
+        return tuple(link for link in self._standing() if link.owner == name)
+
+    def connect(self, dialer: MemoryDialer) -> MemoryLink | LinkClosed:
+        """Makes a link for a dialer, or tells why there is none."""
+        listener = self._listeners.get(dialer.address)
+        if listener is None or self._is_cut(dialer.transport.name, listener.transport.name):
+            return LinkClosed.UNREACHABLE
+        near, far = dialer.transport, listener.transport
+        if far.incoming >= far.limits.incoming:
+            far.refused(near.name, LinkClosed.CROWDED)
+            return LinkClosed.LOST
+        version = near.versions.common(far.versions.lowest, far.versions.highest)
+        if version is None:
+            far.refused(near.name, LinkClosed.INCOMPATIBLE)
+            return LinkClosed.INCOMPATIBLE
+        return self._join(dialer, listener, version)
+
+    # inner parts
+
+    def _join(self, dialer: MemoryDialer, listener: Listener, version: int) -> MemoryLink:
+        near = dialer.transport.make_link(dialer.handler, dialer.ended)
+        far = listener.transport.make_link(listener.handler, listener.transport.incoming_ended)
+        listener.transport.incoming += 1
+        dialing = Address(listener.address.ip, self._next_dialing_port)
+        self._next_dialing_port += 1
+        near.join(far, str(listener.address), version)
+        far.join(near, str(dialing), version)
+        self._links += (near, far)
+        self.queue(Opening(near.owner, far.owner, far))
+        self.queue(Opening(far.owner, near.owner, near))
+        return near
+
+    def _standing(self) -> list[MemoryLink]:
+        self._links = [link for link in self._links if not link.ended]
+        return list(self._links)
+
+    def _is_cut(self, one: str, other: str) -> bool:
+        return (one, other) in self._cuts or (other, one) in self._cuts
+
+    def _release(self) -> None:
+        held, self._held = self._held, []
+        self._events.extendleft(reversed(held))
+
+    def _forget(self, name: str) -> None:
+        self._dialers = [each for each in self._dialers if each.transport.name != name]
+        self._listeners = {
+            address: each for address, each in self._listeners.items() if each.transport.name != name
+        }
+
+
+@frozen(eq=False)
+class Attempt(Event):
+    """A dialer tries to connect. It is an event of its own node, so it passes any cut."""
+
+    dialer: MemoryDialer
+
+    def happen(self) -> None:
+        """Makes the attempt."""
+        self.dialer.attempt()
+
+
+class MemoryDialer:
+    """A `Dialer` that tries at once and then whenever the network lets it."""
+
+    def __init__(self, transport: MemoryTransport, address: str, handler: LinkHandler) -> None:
+        self.transport = transport
+        self.address = address
+        self.handler = handler
+        self.last_reason: LinkClosed | None = None
+        self.attempts = 0
+        self._link: MemoryLink | None = None
+        self._trying = False
+        self._closed = False
+        transport.network.add_dialer(self)
+        self.try_again()
+
+    @property
+    def link(self) -> MemoryLink | None:
+        """The link that stands now."""
+        return self._link if self._link is not None and self._link.opened else None
+
+    def close(self) -> None:
+        """Stops dialling and closes the link."""
+        self._closed = True
+        self.transport.network.discard_dialer(self)
+        if self._link is not None:
+            self._link.close()
+
+    def try_again(self) -> None:
+        """Queues an attempt, unless there is one or a link."""
+        if self._link is None and not self._trying and not self._closed:
+            self._trying = True
+            name = self.transport.name
+            self.transport.network.queue(Attempt(name, name, self))
+
+    def attempt(self) -> None:
+        """Tries to connect now."""
+        self._trying = False
+        if self._closed:
+            return
+        self.attempts += 1
+        made = self.transport.network.connect(self)
+        if isinstance(made, MemoryLink):
+            self._link = made
+            return
+        self.last_reason = made
+        if made is not LinkClosed.UNREACHABLE:
+            self.transport.refused(self.address, made)
+
+    def ended(self, link: MemoryLink, reason: LinkClosed) -> None:
+        """The link is gone."""
+        self._link = None
+        self.last_reason = reason
+        if not link.opened:
+            self.transport.refused(self.address, reason)
+
+
+class MemoryTransport:
+    """A `Transport` on a `MemoryNetwork`; `codec` stands in for the network's."""
+
+    def __init__(
+        self,
+        network: MemoryNetwork,
+        name: str,
+        *,
+        codec: Codec | None = None,
+        versions: ProtocolVersions | None = None,
+        limits: LinkLimits | None = None,
+        on_refused: OnRefused | None = None,
+    ) -> None:
+        self.network = network
+        self.name = name
+        self.versions = versions or ProtocolVersions()
+        self.limits = limits or LinkLimits()
+        self.incoming = 0
+        self._codec = codec or network.codec
+        self._on_refused = on_refused
+        self._bound: list[Address] = []
+        self._dialers: list[MemoryDialer] = []
+
+    @property
+    def listening(self) -> tuple[str, ...]:
+        """The addresses bound, in the order of the calls of `listen`."""
+        return tuple(str(each) for each in self._bound)
+
+    async def listen(self, address: str, handler: LinkHandler) -> None:
+        """Accepts links at "ip:port"; ListenError at once if the address is in use."""
+        self._bound.append(self.network.bind(parse_address(address), self, handler))
+
+    def dial(self, address: str, handler: LinkHandler) -> MemoryDialer:
+        """Keeps a link to `address` until the dialer is closed."""
+        dialer = MemoryDialer(self, str(parse_address(address)), handler)
+        self._dialers.append(dialer)
+        return dialer
+
+    async def close(self) -> None:
+        """Ends listeners, dialers and links; the others learn of it when events are delivered."""
+        for address in self._bound:
+            self.network.unbind(address)
+        for dialer in self._dialers:
+            dialer.close()
+        for link in self.network.links_of(self.name):
+            link.close()
+            link.finish(LinkClosed.LOCAL)
+
+    def make_link(self, handler: LinkHandler, ended: Callable[[MemoryLink, LinkClosed], None]) -> MemoryLink:
+        """One end of a new link."""
+        return MemoryLink(self.name, self._codec, self.limits, handler, self.network.queue, ended)
+
+    def incoming_ended(self, link: MemoryLink, reason: LinkClosed) -> None:
+        """A link that was accepted is gone."""
+        self.incoming -= 1
+        if not link.opened:
+            self.refused(link.remote, reason)
+
+    def refused(self, remote: str, reason: LinkClosed) -> None:
+        """A connection failed before its handshake was done."""
+        if self._on_refused is not None:
+            self._on_refused(remote, reason)
--- /dev/null
+++ b/brackenladder/transport/record.py
@@ -0,0 +1,142 @@
+"""The plan by which instances of one attrs class become arrays and arrays become instances."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from operator import attrgetter, itemgetter
+from typing import Any
+
+import attrs
+
+from brackenladder.transport.errors import DecodeError, DecodeFault
+
+Convert = Callable[[Any], Any]
+
+
+class Record:
+    """Encodes and decodes one class; `add` its fields in order, then `complete`.
+
+    An array may be shorter than the class has fields (the rest take their defaults) or longer (the surplus
+    is ignored), so that two versions of a class understand each other.
+    """
+
+    def __init__(self, message_type: type) -> None:
+        self.message_type = message_type
+        self._fields: list[attrs.Attribute[Any]] = []
+        self._encoders: list[Convert | None] = []
+        self._decoders: list[Convert] = []
+        self._plain: list[type | None] = []
+        self._make: Callable[..., object] = message_type
+        self._read: Callable[[Any], tuple[Any, ...]] = _nothing
+        self._to_encode: tuple[tuple[int, Convert], ...] = ()
+        self._to_decode: tuple[tuple[int, Convert], ...] = ()
+        self._plain_values: Callable[[Any], tuple[Any, ...]] = _nothing
+        self._plain_types: tuple[type, ...] = ()
+        self._required = 0
+        self._count = 0
+
+    def add(
+        self, field: attrs.Attribute[Any], encode: Convert | None, decode: Convert, plain: type | None
+    ) -> None:
+        """The next field. `plain`: the exact type to check when the value is taken as it is."""
+        self._fields.append(field)
+        self._encoders.append(encode)
+        self._decoders.append(decode)
+        self._plain.append(plain)
+        if field.default is attrs.NOTHING:
+            self._required = len(self._fields)
+
+    def complete(self) -> None:
+        """All fields are known: prepare what each message needs."""
+        self._count = len(self._fields)
+        self._read = _reader([each.name for each in self._fields])
+        if any(each.kw_only for each in self._fields):
+            self._make = _by_keyword(self.message_type, [each.alias or each.name for each in self._fields])
+        encoders = enumerate(self._encoders)
+        self._to_encode = tuple((index, encode) for index, encode in encoders if encode is not None)
+        decoders = enumerate(zip(self._decoders, self._plain, strict=True))
+        plain = [(index, each) for index, each in enumerate(self._plain) if each is not None]
+        self._plain_values = _picker([index for index, _ in plain])
+        self._plain_types = tuple(each for _, each in plain)
+        self._to_decode = tuple((index, decode) for index, (decode, plain) in decoders if plain is None)
+
+    def to_wire(self, message: Any) -> tuple[Any, ...] | list[Any]:
+        """The fields in order, as msgpack takes them."""
+        values = self._read(message)
+        if not self._to_encode:
+            return values
+        converted = list(values)
+        for index, encode in self._to_encode:
+            converted[index] = encode(converted[index])
+        return converted
+
+    def from_wire(self, values: Any) -> object:
+        """An instance; DecodeError when the array does not fit the class."""
+        if type(values) is not tuple:
+            found = type(values).__name__
+            raise DecodeError(DecodeFault.WRONG_TYPE, f"{found} instead of {self.message_type.__qualname__}")
+        if len(values) < self._required:
+            missing = self._fields[len(values)].name
+            raise DecodeError(DecodeFault.MISSING_FIELD, f"{self.message_type.__qualname__}.{missing}")
+        return self._instance(self._checked(values[: self._count]))
+
+    def _checked(self, values: tuple[Any, ...]) -> list[Any]:
+        if len(values) < self._count or tuple(map(type, self._plain_values(values))) != self._plain_types:
+            self._check_each(values)
+        return self._converted(list(values))
+
+    def _check_each(self, values: tuple[Any, ...]) -> None:
+        """The slow way: for an array with fields missing, or to say which of them is wrong."""
+        for index, (value, expected) in enumerate(zip(values, self._plain, strict=False)):
+            if expected is not None and type(value) is not expected:
+                raise self._wrong(index, value, expected)
+
+    def _converted(self, values: list[Any]) -> list[Any]:
+        for index, decode in self._to_decode:
+            if index >= len(values):
+                break
+            values[index] = decode(values[index])
+        return values
+
+    def _wrong(self, index: int, value: object, expected: type) -> DecodeError:
+        place = f"{self.message_type.__qualname__}.{self._fields[index].name}"
+        found = f"{type(value).__name__} instead of {expected.__name__}"
+        return DecodeError(DecodeFault.WRONG_TYPE, f"{place}: {found}")
+
+    def _instance(self, values: list[Any]) -> object:
+        try:
+            return self._make(*values)
+        except (ValueError, TypeError, LookupError, ArithmeticError) as fault:
+            place = self.message_type.__qualname__
+            raise DecodeError(DecodeFault.REFUSED_VALUE, f"{place}: {fault}") from fault
+
+
+def _nothing(source: Any) -> tuple[Any, ...]:
+    return ()
+
+
+def _reader(names: list[str]) -> Callable[[Any], tuple[Any, ...]]:
+    """Reads the named attributes as a tuple (attrgetter of one name gives no tuple)."""
+    if not names:
+        return _nothing
+    if len(names) > 1:
+        return attrgetter(*names)
+    read_one = attrgetter(names[0])
+    return lambda message: (read_one(message),)
+
+
+def _picker(indexes: list[int]) -> Callable[[Any], tuple[Any, ...]]:
+    """Picks the items of a sequence as a tuple (itemgetter of one index gives no tuple)."""
+    if not indexes:
+        return _nothing
+    if len(indexes) > 1:
+        return itemgetter(*indexes)
+    only = indexes[0]
+    return lambda values: (values[only],)
+
+
+def _by_keyword(message_type: type, names: list[str]) -> Callable[..., object]:
+    def make(*values: Any) -> object:
+        return message_type(**dict(zip(names, values, strict=False)))
+
+    return make
--- /dev/null
+++ b/brackenladder/transport/tcp_link.py
@@ -0,0 +1,244 @@
+"""One TCP connection: handshake, frames, batched writes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from enum import Enum, auto
+
+from attrs import frozen
+
+from brackenladder.transport.address import Address
+from brackenladder.transport.codec import Codec
+from brackenladder.transport.errors import DecodeError, DecodeFault, FrameTooLarge, LinkClosed
+from brackenladder.transport.framing import PING, FrameReader, frame
+from brackenladder.transport.handshake import decode_hello, encode_hello
+from brackenladder.transport.keepalive import Keepalive
+from brackenladder.transport.link import LinkHandler, LinkLimits, LinkTiming, OnRefused, ProtocolVersions
+
+MICROSECONDS_PER_MILLISECOND = 1_000
+
+
+class LinkState(Enum):
+    """Where a connection stands."""
+
+    GREETING = auto()  # the other side has not named itself yet
+    OPEN = auto()
+    CLOSING = auto()  # nothing more is handed over or taken; the connection is about to end
+    CLOSED = auto()
+
+
+@frozen
+class LinkSettings:
+    """What all links of a transport share."""
+
+    loop: asyncio.AbstractEventLoop
+    codec: Codec
+    timing: LinkTiming
+    limits: LinkLimits
+    versions: ProtocolVersions
+    name: str
+    keepalive: Keepalive
+
+
+class TcpLink(asyncio.Protocol):
+    """A `Link`. `ended` is called once, when the connection is gone, whether it was ever open or not."""
+
+    def __init__(
+        self, settings: LinkSettings, handler: LinkHandler, ended: Callable[[TcpLink, LinkClosed], None]
+    ) -> None:
+        self.remote = ""
+        self.peer = ""
+        self.version = 0
+        self.sent_at = self.heard_at = settings.loop.time()
+        self.excused = False
+        self.opened_at: float | None = None  # loop time at which the handshake was done
+        self._settings = settings
+        self._handler = handler
+        self._ended = ended
+        self._state = LinkState.GREETING
+        self._reason: LinkClosed | None = None
+        self._transport: asyncio.Transport | None = None
+        self._reader = FrameReader(settings.limits.hello_bytes)
+        self._batch: list[bytes] = []
+        self._batch_bytes = 0
+
+    # the interface of a link
+
+    def send(self, message: object) -> bool:
+        """See `Link.send`."""
+        if self._state is not LinkState.OPEN:
+            return False
+        limits = self._settings.limits
+        data = frame(self._settings.codec.encode(message), limits.frame_bytes)
+        queued = self.queued_bytes
+        if queued and queued + len(data) > limits.queue_bytes:
+            return False
+        self._queue(data)
+        return True
+
+    def close(self) -> None:
+        """See `Link.close`."""
+        if self._state in (LinkState.GREETING, LinkState.OPEN):
+            self._flush()
+            self._end(LinkClosed.LOCAL, graceful=True)
+
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes taken by `send` that the kernel has not taken yet."""
+        waiting = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        return waiting + self._batch_bytes
+
+    # what the keepalive timer calls
+
+    def ping(self, now: float) -> None:
+        """See `WatchedLink.ping`."""
+        self.sent_at = now
+        if self._transport is not None and not self.queued_bytes and not self._transport.is_closing():
+            self._transport.write(PING)
+
+    def silent(self) -> None:
+        """See `WatchedLink.silent`."""
+        self.abort(LinkClosed.SILENT)
+
+    def abort(self, reason: LinkClosed) -> None:
+        """Ends the link at once, dropping what is queued."""
+        self._end(reason, graceful=False)
+
+    # what asyncio calls
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection stands: name this node."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.remote = remote_of(transport)
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            set_options(connection, self._settings.timing)
+        self._settings.keepalive.add(self)
+        if self._state is LinkState.CLOSING:
+            transport.abort()
+            return
+        hello = encode_hello(self._settings.versions, self._settings.name)
+        transport.write(frame(hello, self._settings.limits.hello_bytes))
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes have arrived: hand over the messages that are whole."""
+        self.heard_at = self._settings.loop.time()
+        self.excused = False
+        self._reader.feed(data)
+        try:
+            self._take_frames()
+        except FrameTooLarge:
+            self.abort(LinkClosed.OVERSIZED)
+        except DecodeError:
+            self.abort(LinkClosed.MALFORMED)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone."""
+        was_open = self.opened_at is not None
+        self._state = LinkState.CLOSED
+        self._batch.clear()
+        self._batch_bytes = 0
+        self._settings.keepalive.discard(self)
+        reason = self._reason or (LinkClosed.REMOTE if exc is None else LinkClosed.LOST)
+        try:
+            if was_open:
+                self._handler.closed(self, reason)
+        finally:
+            self._ended(self, reason)
+
+    # inner parts
+
+    def _take_frames(self) -> None:
+        while self._state in (LinkState.GREETING, LinkState.OPEN):
+            body = self._reader.next_body()
+            if body is None:
+                return
+            if self._state is LinkState.GREETING:
+                self._greeted(body)
+            elif body:
+                self._received(body)
+
+    def _greeted(self, body: bytes) -> None:
+        hello = decode_hello(body)
+        version = self._settings.versions.common(hello.lowest, hello.highest)
+        if version is None:
+            self._end(LinkClosed.INCOMPATIBLE, graceful=True)
+            return
+        self.peer = hello.name
+        self.version = version
+        self._reader.limit = self._settings.limits.frame_bytes
+        self._state = LinkState.OPEN
+        self.opened_at = self._settings.loop.time()
+        self._handler.connected(self)
+
+    def _received(self, body: bytes) -> None:
+        try:
+            message = self._settings.codec.decode(body)
+        except DecodeError as fault:
+            if fault.fault is DecodeFault.UNKNOWN_TAG:
+                return  # a message type that only a newer node knows
+            raise
+        self._handler.received(self, message)
+
+    def _queue(self, data: bytes) -> None:
+        if not self._batch:
+            self._settings.loop.call_soon(self._flush)
+        self._batch.append(data)
+        self._batch_bytes += len(data)
+
+    def _flush(self) -> None:
+        """Writes what was sent in this iteration of the loop at once."""
+        if not self._batch or self._transport is None:
+            return
+        batch, self._batch = self._batch, []
+        self._batch_bytes = 0
+        if self._transport.is_closing():
+            return
+        self.sent_at = self._settings.loop.time()
+        self._transport.write(batch[0] if len(batch) == 1 else b"".join(batch))
+
+    def _end(self, reason: LinkClosed, graceful: bool) -> None:
+        if self._state is LinkState.CLOSED:
+            return
+        self._state = LinkState.CLOSING
+        self._reason = self._reason or reason
+        if self._transport is None:
+            return  # `connection_made` ends it
+        if graceful:
+            self._transport.close()
+        else:
+            self._transport.abort()
+
+
+class RefusedConnection(asyncio.Protocol):
+    """An accepted connection beyond the limit: ended at once."""
+
+    def __init__(self, refused: OnRefused) -> None:
+        self._refused = refused
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection stands: end it."""
+        assert isinstance(transport, asyncio.Transport)
+        transport.abort()
+        self._refused(remote_of(transport), LinkClosed.CROWDED)
+
+
+def remote_of(transport: asyncio.Transport) -> str:
+    """The other end's "ip:port"; empty if the connection is gone already."""
+    peername = transport.get_extra_info("peername")
+    return str(Address(peername[0], peername[1])) if peername else ""
+
+
+def set_options(connection: socket.socket, timing: LinkTiming) -> None:
+    """Small writes leave at once; what is not acknowledged in time ends the connection."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    option = getattr(socket, "TCP_USER_TIMEOUT", None)
+    if option is None:
+        return
+    try:
+        connection.setsockopt(socket.IPPROTO_TCP, option, timing.silence // MICROSECONDS_PER_MILLISECOND)
+    except OSError:
+        return  # not offered here; the keepalive timer ends silent links
--- /dev/null
+++ b/tests/catalog/test_catalog_properties.py
@@ -0,0 +1,166 @@
+"""Replicas that are fed alike are alike, whatever the operators send and wherever a snapshot is taken."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from catalog_samples import Document, replace, route, text, update, whole
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenladder.catalog.catalog import Catalog
+from brackenladder.catalog.configuration import parse_configuration
+from brackenladder.catalog.orders import (
+    Accepted,
+    BeginEvacuation,
+    FinishEvacuation,
+    Order,
+    Outcome,
+    ReplaceConfiguration,
+    UpdateConfiguration,
+    encode_order,
+)
+
+VERSIONS = st.integers(0, 6)
+NAMES = st.sampled_from(["r-chat", "r-bulk", "a", "b"])
+BACKENDS = st.sampled_from(["cards", "model", "new"])
+ROUTES = st.lists(
+    st.builds(route, NAMES, Backend=BACKENDS, TimeoutMs=st.integers(0, 4).map(lambda n: n * 100)),
+    max_size=3,
+)
+PARTS = st.fixed_dictionaries(
+    {}, optional={"Routes": ROUTES, "Services": st.just([{"Name": "new"}]), "Limits": st.just({})}
+)
+REMOVED = st.fixed_dictionaries(
+    {}, optional={"Routes": st.lists(NAMES, max_size=2), "Services": st.just(["new"])}
+)
+ORDERS: st.SearchStrategy[Order] = st.one_of(
+    st.builds(replace, VERSIONS, st.builds(whole, VERSIONS)),
+    st.builds(replace, VERSIONS, st.builds(whole, VERSIONS, Routes=ROUTES)),
+    st.builds(update, VERSIONS, VERSIONS, PARTS, REMOVED),
+    st.builds(ReplaceConfiguration, VERSIONS, st.binary(max_size=8)),
+    st.builds(BeginEvacuation, st.sampled_from("abc")),
+    st.builds(FinishEvacuation, st.sampled_from("abc")),
+)
+LOGS = st.lists(ORDERS, max_size=25)
+
+
+def feed(catalog: Catalog, orders: list[Order], start: int = 1) -> list[Outcome]:
+    return [catalog.apply(index, encode_order(order)) for index, order in enumerate(orders, start)]
+
+
+def state(catalog: Catalog) -> tuple[Any, ...]:
+    visible = (catalog.document, catalog.configuration, catalog.evacuated, catalog.revision)
+    return (*visible, catalog.snapshot())
+
+
+class Determinism(unittest.TestCase):
+    @given(LOGS)
+    def test_two_that_are_fed_alike_are_alike(self, log: list[Order]) -> None:
+        one, other = Catalog(), Catalog()
+        for index, order in enumerate(log, 1):
+            other.check(order)  # only one of them is asked beforehand
+            data = encode_order(order)
+            self.assertEqual(one.apply(index, data), other.apply(index, data))
+            self.assertEqual(state(one), state(other))
+
+    @given(LOGS, st.integers(0, 25))
+    def test_one_that_begins_with_a_snapshot_is_alike(self, log: list[Order], cut: int) -> None:
+        whole_log, late = Catalog(), Catalog()
+        feed(whole_log, log[:cut])
+        late.restore(whole_log.snapshot())
+        self.assertEqual(state(late), state(whole_log))
+        rest = feed(whole_log, log[cut:], cut + 1)
+        self.assertEqual(feed(late, log[cut:], cut + 1), rest)
+        self.assertEqual(state(late), state(whole_log))
+
+
+class Rules(unittest.TestCase):
+    @given(LOGS)
+    def test_what_was_taken_is_taken_for_ever(self, log: list[Order]) -> None:
+        catalog = Catalog()
+        outcomes = feed(catalog, log)
+        before = catalog.snapshot()
+        for order, outcome in zip(log, outcomes, strict=True):
+            if isinstance(outcome, Accepted) and isinstance(
+                order, ReplaceConfiguration | UpdateConfiguration
+            ):
+                self.assertEqual(catalog.check(order), outcome)
+                self.assertEqual(catalog.apply(len(log) + 1, encode_order(order)), outcome)
+        self.assertEqual(catalog.snapshot(), before)
+
+    @given(LOGS)
+    def test_only_one_change_is_taken_on_top_of_a_version(self, log: list[Order]) -> None:
+        catalog = Catalog()
+        taken: dict[int, Order] = {}
+        version = 0
+        for index, order in enumerate(log, 1):
+            before = catalog.snapshot()
+            outcome = catalog.apply(index, encode_order(order))
+            if isinstance(order, BeginEvacuation | FinishEvacuation):
+                continue
+            if isinstance(outcome, Accepted) and catalog.snapshot() != before:
+                self.assertNotIn(order.base, taken)
+                self.assertEqual(order.base, version)
+                self.assertGreater(outcome.version, version)
+                taken[order.base] = order
+                version = outcome.version
+            else:
+                self.assertEqual(catalog.snapshot(), before)
+
+    @given(LOGS)
+    def test_what_is_read_back_is_what_is_in_force(self, log: list[Order]) -> None:
+        catalog = Catalog()
+        feed(catalog, log)
+        if catalog.document:
+            self.assertEqual(parse_configuration(catalog.document).unwrap(), catalog.configuration)
+        else:
+            self.assertIsNone(catalog.configuration)
+
+    @given(LOGS)
+    def test_an_order_that_arrives_twice_counts_once(self, log: list[Order]) -> None:
+        """Each configuration order is in the log again after the next entry."""
+        catalog, doubled = Catalog(), Catalog()
+        last: Order | None = None
+        for index, order in enumerate(log, 1):
+            outcome = catalog.apply(index, encode_order(order))
+            self.assertEqual(doubled.apply(index, encode_order(order)), outcome)
+            if isinstance(last, ReplaceConfiguration | UpdateConfiguration):
+                was_taken = isinstance(catalog.check(last), Accepted)
+                again = doubled.check(last)
+                self.assertEqual(isinstance(again, Accepted), was_taken)
+                if was_taken:
+                    doubled.apply(index, encode_order(last))
+                    catalog.apply(index, encode_order(last))
+            last = order
+            self.assertEqual(doubled.snapshot(), catalog.snapshot())
+
+
+class Documents(unittest.TestCase):
+    @settings(max_examples=50)
+    @given(st.lists(st.tuples(PARTS, REMOVED), max_size=8))
+    def test_updates_against_whole_configurations(self, changes: list[tuple[Document, Document]]) -> None:
+        """An update leaves what a whole configuration with the same items would."""
+        catalog = Catalog()
+        current = whole(version=1)
+        feed(catalog, [replace(0, current)])
+        for version, (upsert, remove) in enumerate(changes, 2):
+            outcome = catalog.apply(
+                version, encode_order(update(current["Version"], version, upsert, remove))
+            )
+            if isinstance(outcome, Accepted):
+                current = self.by_hand(current, upsert, remove) | {"Version": version}
+            self.assertEqual(json.loads(catalog.document), current)
+            self.assertEqual(catalog.configuration, parse_configuration(text(current)).unwrap())
+
+    def by_hand(self, current: Document, upsert: Document, remove: Document) -> Document:
+        result = dict(current)
+        for part in ("Routes", "Services"):
+            items = {item["Name"]: item for item in current[part]}
+            for name in remove.get(part, ()):
+                items.pop(name, None)
+            items |= {item["Name"]: item for item in upsert.get(part, ())}
+            result[part] = list(items.values())
+        return result | {key: upsert[key] for key in ("Limits",) if key in upsert}
--- /dev/null
+++ b/tests/control_plane/test_consensus_host.py
@@ -0,0 +1,108 @@
+"""The host of a replica: the event loop goes on whatever the store does."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from threading import Event
+from unittest import IsolatedAsyncioTestCase
+
+from returns.result import Failure, Result, Success
+
+from brackenladder.catalog.catalog import Catalog
+from brackenladder.catalog.orders import Accepted, BeginEvacuation, encode_order
+from brackenladder.consensus.replica import Replica, Timing
+from brackenladder.consensus.types import DurableState, Member, Members, Write
+from brackenladder.control_plane.consensus_host import Answer, ConsensusHost
+from brackenladder.control_plane.errors import Unavailable
+from brackenladder.node.role_runner import monotonic_microseconds
+from brackenladder.storage.log_store import StoreError, StoreFailed
+from brackenladder.storage.memory_log import MemoryLogStore
+from brackenladder.storage.writer import StoreWriter
+
+PATIENCE = 20.0  # seconds; only a failure waits so long
+POLL_SECONDS = 0.005
+ORDER = encode_order(BeginEvacuation("hall-1"))
+
+
+class TroubledStore(MemoryLogStore):
+    """A store whose disk hangs or refuses."""
+
+    def __init__(self, replica_id: str) -> None:
+        super().__init__(replica_id)
+        self.answers = Event()
+        self.answers.set()
+        self.refuses = False
+
+    def apply(self, write: Write) -> Result[None, StoreError]:
+        self.answers.wait(PATIENCE)
+        return Failure(StoreFailed("the disk refuses")) if self.refuses else super().apply(write)
+
+
+class ConsensusHostTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        member = Member("one", "127.0.0.1:1")
+        self.store = TroubledStore("one")
+        writer = StoreWriter(self.store, asyncio.get_running_loop())
+        timing = Timing(election_min=50_000, election_max=100_000, write_limit=200_000, write_retry=50_000)
+        now = monotonic_microseconds()
+        replica = Replica(member, DurableState(), timing, Random(1), now, Members((member,)))
+        self.catalog = Catalog()
+        self.changes = 0
+        self.host = ConsensusHost(
+            replica, writer, self.catalog, monotonic_microseconds, self.no_peer, self.changed
+        )
+        self.host.start()
+        self.addCleanup(writer.join, PATIENCE)
+        self.addCleanup(writer.close)
+        self.addCleanup(self.host.close)
+        self.addCleanup(self.store.answers.set)
+        await self.until(lambda: self.host.leads)
+
+    def no_peer(self, replica_id: str, message: object) -> None:
+        self.fail(f"{message} for {replica_id}")
+
+    def changed(self) -> None:
+        self.changes += 1
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not condition():
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def propose(self) -> Answer:
+        """The answer to an order once there is a leader."""
+        while (answer := await self.host.propose(ORDER)) == Failure(Unavailable.NO_LEADER):
+            await self.host.leadership_changed(POLL_SECONDS)
+        return answer
+
+    async def test_a_proposal_gets_the_answer_of_the_catalog(self) -> None:
+        self.assertEqual(await self.propose(), Success(Accepted(0)))
+        self.assertEqual(self.catalog.evacuated, {"hall-1"})
+        self.assertEqual(self.changes, 1)
+        self.assertEqual(await self.host.confirm_read(), Success(None))
+
+    async def test_a_hanging_store_ends_the_wait_without_an_answer(self) -> None:
+        self.store.answers.clear()
+        self.assertEqual(await self.host.propose(ORDER), Failure(Unavailable.LOST))
+        self.assertFalse(self.host.leads)
+        self.assertEqual(await self.host.confirm_read(), Failure(Unavailable.NO_LEADER))
+        self.store.answers.set()
+        self.assertEqual(await self.propose(), Success(Accepted(0)))
+
+    async def test_a_refusing_store_is_never_counted(self) -> None:
+        self.store.refuses = True
+        self.assertEqual(await self.host.propose(ORDER), Failure(Unavailable.LOST))
+        self.assertEqual(self.catalog.evacuated, frozenset())
+        self.store.refuses = False
+        self.assertEqual(await self.propose(), Success(Accepted(0)))
+
+    async def test_closing_ends_all_waits(self) -> None:
+        self.store.answers.clear()
+        waiting = asyncio.create_task(self.host.propose(ORDER))
+        reading = asyncio.create_task(self.host.confirm_read())
+        await self.until(lambda: self.host.replica.last_index > self.host.applied_index)
+        self.host.close()
+        self.assertEqual(await waiting, Failure(Unavailable.LOST))
+        self.assertIn(await reading, (Success(None), Failure(Unavailable.LOST)))
--- /dev/null
+++ b/tests/control_plane/test_control_servers.py
@@ -0,0 +1,101 @@
+"""Servers and gateways: what a control node hears reaches every gateway, clients are sent to gateways."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from control_cluster import ControlCluster, configuration, heartbeat
+
+from brackenladder.control_plane.wire import gateway_codec
+from brackenladder.delivery.presence import Presence
+from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.node.control_links import ControlLinks
+from brackenladder.node.role_runner import monotonic_microseconds
+from brackenladder.registry.gateways import GatewayState
+from brackenladder.registry.records import ServerState
+from brackenladder.transport.link import LinkTiming
+from brackenladder.transport.tcp import TcpTransport
+
+FRONT = "127.0.0.1:8144"
+SERVER = "i-1"
+HEARTBEAT = f"/-/Instances.Heartbeat/{SERVER}"
+DEREGISTER = f"/-/Instances.Deregister/{SERVER}"
+
+
+class FollowingGateway:
+    """A gateway without its servers: it follows the control nodes."""
+
+    def __init__(self, cluster: ControlCluster) -> None:
+        self.subscriber = Subscriber()
+        self.presence = Presence("gateway-1", FRONT, "hall-1", "north", 1)
+        self.transport = TcpTransport(gateway_codec(), LinkTiming(), Random(1))
+        self.links = ControlLinks(
+            self.transport, self.subscriber, self.presence, monotonic_microseconds, Random(1)
+        )
+        self.links.set_seeds(cluster.platforms[0].seed_inner_addresses)
+
+    def state(self) -> ServerState | None:
+        """The server's state as the gateway sees it."""
+        record = self.subscriber.view.servers.get(SERVER)
+        return record.state if record is not None else None
+
+
+class ServersTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = await self.enterAsyncContext(ControlCluster())
+        await self.cluster.leader()
+        self.gateway = FollowingGateway(self.cluster)
+        self.addAsyncCleanup(self.gateway.transport.close)
+
+    async def test_a_server_is_known_everywhere_whichever_node_it_calls(self) -> None:
+        for number, state, seen in (
+            (0, "ready", ServerState.READY),
+            (1, "draining", ServerState.DRAINING),
+        ):
+            answer = await self.cluster.insist(number, HEARTBEAT, heartbeat(number + 1, state))
+            self.assertEqual((answer.status, answer.document), (HTTPStatus.OK, {}))
+            await self.cluster.until(lambda seen=seen: self.gateway.state() is seen)
+        self.assertEqual((await self.cluster.insist(2, DEREGISTER)).status, HTTPStatus.OK)
+        await self.cluster.until(lambda: self.gateway.state() is None)
+
+    async def test_a_late_heartbeat_changes_nothing(self) -> None:
+        await self.cluster.insist(0, HEARTBEAT, heartbeat(5, "draining"))
+        self.assertEqual((await self.cluster.insist(1, HEARTBEAT, heartbeat(4))).status, HTTPStatus.OK)
+        await self.cluster.until(lambda: self.gateway.state() is ServerState.DRAINING)
+
+    async def test_out_of_touch_nothing_is_acknowledged(self) -> None:
+        for number in (0, 1):
+            await self.cluster.crash(number)
+        await self.cluster.until(lambda: self.cluster.node(2).host.contact_age() > 1_500_000)
+        answer = await self.cluster.post(2, HEARTBEAT, heartbeat(1, "draining"))
+        self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def test_the_catalog_reaches_a_gateway(self) -> None:
+        answer = await self.cluster.insist(0, "/-/Config.Replace", configuration(7, "a"), 0)
+        self.assertEqual(answer.status, HTTPStatus.OK)
+        await self.cluster.insist(1, "/-/Evacuations.Begin/hall-2")
+        view = self.gateway.subscriber.view
+        await self.cluster.until(lambda: view.evacuated == {"hall-2"} and view.configuration is not None)
+        self.assertEqual(view.configuration.version, 7)
+        await self.cluster.until(lambda: self.gateway.subscriber.complete)
+        self.assertEqual(
+            self.gateway.subscriber.control_nodes, self.cluster.platforms[0].seed_inner_addresses
+        )
+
+    async def test_the_directory_names_ready_gateways_only(self) -> None:
+        directory = self.cluster.platforms[1].listen.directory
+        path = "/-/resolve?Name=jobs.example&Region=south&Zone=hall-2"
+        self.assertEqual((await self.cluster.get(directory, path)).status, HTTPStatus.SERVICE_UNAVAILABLE)
+        self.gateway.presence.set_state(GatewayState.READY)
+        self.gateway.links.announce()
+        answer = await self.cluster.get(directory, path)
+        while answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            answer = await self.cluster.get(directory, path)
+        self.assertEqual(answer.document, {"Addresses": [FRONT], "TtlS": 1})
+        self.gateway.presence.set_state(GatewayState.LEAVING)
+        self.gateway.links.announce()
+        while answer.status == HTTPStatus.OK:
+            answer = await self.cluster.get(directory, path)
+        self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE)
--- /dev/null
+++ b/tests/control_plane/test_peer_links.py
@@ -0,0 +1,112 @@
+"""Links between control nodes, over a network in memory."""
+
+from __future__ import annotations
+
+from unittest import IsolatedAsyncioTestCase
+
+from attrs import define, field
+
+from brackenladder.control_plane.messages import ForwardRead, Hello
+from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.control_plane.wire import control_codec
+from brackenladder.delivery.messages import ServersWanted
+from brackenladder.transport.link import Link
+from brackenladder.transport.memory import MemoryNetwork, MemoryTransport
+
+ADDRESSES = {"a": "10.0.0.1:7000", "b": "10.0.0.2:7000"}
+CALL = ForwardRead(1, 2)
+
+
+@define(eq=False)
+class Node:
+    """One end: its links, and what they told it."""
+
+    network: MemoryNetwork
+    name: str
+    replica_id: str
+    connected: list[str] = field(factory=list)
+    received: list[tuple[str, object]] = field(factory=list)
+    strangers: list[object] = field(factory=list)
+    links: PeerLinks = field(init=False)
+    transport: MemoryTransport = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.transport = MemoryTransport(self.network, self.name)
+        self.links = PeerLinks(self.transport, self, self.hello)
+
+    async def start(self) -> None:
+        await self.links.listen(ADDRESSES[self.name])
+        self.links.keep(ADDRESSES.values())
+
+    def hello(self) -> Hello:
+        return Hello(self.replica_id, ADDRESSES[self.name])
+
+    def peer_connected(self, peer: Hello, link: Link) -> None:
+        self.connected.append(peer.replica_id)
+
+    def peer_received(self, peer: Hello, link: Link, message: object) -> None:
+        self.received.append((peer.replica_id, message))
+
+    def stranger_received(self, link: Link, message: object) -> None:
+        self.strangers.append(message)
+
+    def link_closed(self, link: Link) -> None:
+        pass
+
+
+class Talker:
+    """A handler that says one thing and no hello."""
+
+    def __init__(self, message: object) -> None:
+        self.message = message
+
+    def connected(self, link: Link) -> None:
+        link.send(self.message)
+
+    def received(self, link: Link, message: object) -> None:
+        pass
+
+    def closed(self, link: Link, reason: object) -> None:
+        pass
+
+
+class PeerLinksTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.network = MemoryNetwork(control_codec())
+        self.a, self.b = (Node(self.network, name, f"replica-{name}") for name in "ab")
+        for node in (self.a, self.b):
+            await node.start()
+        self.network.run()
+
+    async def test_replicas_reach_one_another_by_id(self) -> None:
+        self.assertTrue(self.a.links.send("replica-b", CALL))
+        self.assertTrue(self.b.links.send("replica-a", CALL))
+        self.network.run()
+        self.assertEqual(self.b.received, [("replica-a", CALL)])
+        self.assertEqual(self.a.received, [("replica-b", CALL)])
+        self.assertEqual(self.a.links.connected_addresses(), (ADDRESSES["b"],))
+        self.assertEqual([peer.replica_id for peer, _ in self.a.links.peers()], ["replica-b"])
+
+    async def test_nothing_meant_for_a_replica_reaches_its_successor_at_the_address(self) -> None:
+        self.network.kill("b")
+        self.network.run()
+        self.assertFalse(self.a.links.send("replica-b", CALL))
+        successor = Node(self.network, "b", "replica-new")
+        await successor.start()
+        self.network.run()
+        self.assertFalse(self.a.links.send("replica-b", CALL))
+        self.assertTrue(self.a.links.send("replica-new", CALL))
+        self.network.run()
+        self.assertEqual(successor.received, [("replica-a", CALL)])
+
+    async def test_a_node_that_is_no_longer_kept_is_left(self) -> None:
+        self.b.links.close()
+        self.a.links.keep(())
+        self.network.run()
+        self.assertEqual(self.a.links.connected_addresses(), ())
+
+    async def test_who_says_no_hello_is_no_control_node(self) -> None:
+        wanted = ServersWanted(("i-1",))
+        MemoryTransport(self.network, "gateway").dial(ADDRESSES["a"], Talker(wanted))
+        self.network.run()
+        self.assertEqual((self.a.strangers, self.a.received), ([wanted], []))
--- /dev/null
+++ b/tests/gateway/test_gateway_clients.py
@@ -0,0 +1,168 @@
+"""Client connections: limits, malformed requests, readiness and the orderly end."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import evolve
+from gateway_loopback import (
+    LAST_CHUNK,
+    PATIENCE,
+    PLAIN,
+    GatewayTest,
+    RawClient,
+    Received,
+    answer,
+    chunk,
+    event,
+    post,
+    stream_head,
+)
+
+from brackenladder.catalog.configuration import Limits
+
+
+class Malformed(GatewayTest):
+    async def test_two_lengths_are_refused_and_nothing_is_smuggled(self) -> None:
+        inner = post("/plain/smuggled", "evil", b"")
+        both = post("/plain/x", body=b"", extra=["Content-Length: 4", "Transfer-Encoding: chunked"])
+        two = post("/plain/x", body=b"", extra=["Content-Length: 4", "Content-Length: 5"])
+        odd = post("/plain/x", body=b"", extra=["Transfer-Encoding: chunked, identity"])
+        space = post("/plain/x", body=b"", extra=["Content-Length : 4"])
+        for head in (both, two, odd, space):
+            with self.subTest(head):
+                client = await self.client()
+                client.send(head + b"0\r\n\r\n" + inner)
+                got = await asyncio.wait_for(client.read(), PATIENCE)
+                self.assertEqual(got.status, 400)
+                self.assertTrue(await asyncio.wait_for(client.at_end(), PATIENCE))
+        self.assertEqual(self.script.requests, [])
+
+    async def test_a_body_in_bad_chunks(self) -> None:
+        client = await self.client()
+        chunked = post("/plain/x", body=b"", extra=["Transfer-Encoding: chunked"])
+        client.send(chunked + b"5\r\nhello\r\n")
+        client.send(b"nonsense\r\n")
+        self.assertEqual((await asyncio.wait_for(client.read(), PATIENCE)).status, 400)
+        self.assertTrue(await asyncio.wait_for(client.at_end(), PATIENCE))
+        self.assertEqual(self.script.requests, [])
+
+    async def test_no_request_at_all(self) -> None:
+        client = await self.client()
+        client.send(b"\x16\x03\x01\x00 nonsense\r\n\r\n")
+        self.assertEqual((await asyncio.wait_for(client.read(), PATIENCE)).status, 400)
+        self.assertTrue(await asyncio.wait_for(client.at_end(), PATIENCE))
+
+    async def test_an_upgrade_is_not_taken_up(self) -> None:
+        client = await self.client()
+        upgrade = ["Connection: Upgrade", "Upgrade: websocket"]
+        client.send(post("/plain/x", "a", b"body", extra=upgrade) + post("/plain/x", "b"))
+        for name in ("a", "b"):
+            got = await asyncio.wait_for(client.read(), PATIENCE)
+            self.assertEqual((got.status, got.headers["x-brackenladder-request-id"]), (200, name))
+        self.assertEqual([r.body for r in self.script.requests], [b"body", b"hello"])
+        self.assertIsNone(self.script.requests[0].header("Upgrade"))
+
+    async def test_absolute_targets(self) -> None:
+        got = await self.ask(post("http://shop.example/plain/x?q"))
+        self.assertEqual((got.status, self.script.requests[0].target), (200, "/plain/x?q"))
+        self.assertEqual((await self.ask(post("*", method="OPTIONS"))).status, 400)
+
+
+class Bounds(GatewayTest):
+    limits = Limits(max_header_bytes=400, max_body_bytes=10, header_timeout_ms=50, idle_timeout_ms=600)
+
+    async def test_bodies_over_the_bound(self) -> None:
+        self.assertEqual((await self.ask(post("/plain/x", body=b"0123456789"))).status, 200)
+        self.assertEqual((await self.ask(post("/plain/x", body=b"0123456789a"))).status, 413)
+        chunked = post("/plain/x", body=b"", extra=["Transfer-Encoding: chunked"])
+        got = await self.ask(chunked + b"6\r\n012345\r\n6\r\n012345\r\n0\r\n\r\n")
+        self.assertEqual(got.status, 413)
+        self.assertEqual(len(self.script.requests), 1)
+
+    async def test_heads_over_the_bound(self) -> None:
+        self.assertEqual((await self.ask(post("/plain/x", extra=["X: " + "x" * 400]))).status, 431)
+
+    async def test_a_head_that_comes_too_slowly_ends_the_connection(self) -> None:
+        client = await self.client()
+        client.send(b"POST /plain/x HTT")
+        self.assertTrue(await asyncio.wait_for(client.at_end(), PATIENCE))
+        self.assertEqual(self.script.requests, [])
+
+    async def test_a_body_that_does_not_come_ends_with_408(self) -> None:
+        client = await self.client()
+        client.send(post("/plain/x", body=b"", extra=["Content-Length: 5"], deadline_ms=40))
+        self.assertEqual((await asyncio.wait_for(client.read(), PATIENCE)).status, 408)
+        self.assertEqual(self.script.requests, [])
+
+    async def test_an_idle_connection_is_closed(self) -> None:
+        client = await self.client()
+        await asyncio.wait_for(client.ask(post("/plain/x")), PATIENCE)
+        self.assertTrue(await asyncio.wait_for(client.at_end(), PATIENCE))
+
+
+class Readiness(GatewayTest):
+    async def check_ready(self) -> int:
+        client = await RawClient.connect(self.check, self.script)
+        self.clients.append(client)
+        got = await asyncio.wait_for(client.ask(b"GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n"), PATIENCE)
+        return got.status
+
+    async def test_readiness_is_what_the_role_says(self) -> None:
+        self.assertEqual(await self.check_ready(), 503)
+        self.gateway.ready = True
+        self.assertEqual(await self.check_ready(), 200)
+
+    async def test_drain_lets_open_requests_end(self) -> None:
+        go = asyncio.Event()
+
+        async def wait(request: Received) -> None:
+            await go.wait()
+            request.write(stream_head(request.id) + chunk(event(1)) + LAST_CHUNK)
+
+        self.play(wait)
+        self.gateway.ready = True
+        idle = await self.client()
+        self.play(serve_at_once, wait)
+        await asyncio.wait_for(idle.ask(post("/plain/x", "r0")), PATIENCE)
+        busy = await self.client()
+        busy.send(post("/stream/x"))
+        await self.arrival()
+        await self.arrival()
+        ended = asyncio.ensure_future(self.gateway.drain(1.5))
+        self.assertTrue(await asyncio.wait_for(idle.at_end(), PATIENCE))
+        self.assertEqual(await self.check_ready(), 503)
+        with self.assertRaises(ConnectionRefusedError):
+            await RawClient.connect(self.front, self.script)
+        go.set()
+        got = await asyncio.wait_for(busy.read(), PATIENCE)
+        self.assertEqual((got.body, got.whole, got.headers["connection"]), (event(1), True, "close"))
+        await asyncio.wait_for(ended, PATIENCE)
+
+    async def test_drain_still_takes_requests_at_first(self) -> None:
+        ended = asyncio.ensure_future(self.gateway.drain(1.0))
+        got = await self.ask(post("/plain/x"))
+        self.assertEqual((got.status, got.headers["connection"]), (200, "close"))
+        await asyncio.wait_for(ended, PATIENCE)
+
+    async def test_drain_breaks_off_what_outlasts_the_grace(self) -> None:
+        async def never(request: Received) -> None:
+            await request.client_closed()
+
+        self.play(never)
+        client = await self.client()
+        client.send(post("/plain/x"))
+        await self.arrival()
+        await asyncio.wait_for(self.gateway.drain(0.8), PATIENCE)
+        self.assertTrue(await asyncio.wait_for(client.at_end(), PATIENCE))
+
+
+class Split(GatewayTest):
+    routes = (evolve(PLAIN, split=(evolve(PLAIN.split[0], weight=0.0), PLAIN.split[0])),)
+
+    async def test_targets_without_weight_get_nothing(self) -> None:
+        self.assertEqual((await self.ask(post("/plain/x"))).status, 200)
+
+
+async def serve_at_once(request: Received) -> None:
+    request.write(answer(request.id))
--- /dev/null
+++ b/tests/gateway/test_gateway_surplus.py
@@ -0,0 +1,127 @@
+"""Bytes from servers that belong to no request, or to another one."""
+
+from __future__ import annotations
+
+import asyncio
+
+from gateway_loopback import (
+    LAST_CHUNK,
+    PATIENCE,
+    GatewayTest,
+    Received,
+    answer,
+    chunk,
+    event,
+    post,
+    serve_ok,
+    stream_head,
+)
+
+
+class Surplus(GatewayTest):
+    servers = 1
+
+    async def test_an_answer_to_another_request_is_passed_over(self) -> None:
+        async def late(request: Received) -> None:
+            request.write(answer("other", b"wrong") + answer(request.id, b"right"))
+
+        self.play(late, serve_ok)
+        got = await self.ask(post("/plain/x"))
+        self.assertEqual((got.status, got.body), (200, b"right"))
+        self.assertEqual((await self.ask(post("/plain/x", "r2"))).body, b"ok")
+        self.assertEqual([r.connection for r in self.script.requests], [1, 2])
+
+    async def test_only_an_answer_to_another_request_is_a_doubt(self) -> None:
+        async def wrong(request: Received) -> None:
+            request.write(answer("other", b"wrong"))
+            await request.writer.drain()
+            request.writer.write_eof()
+            await request.client_closed()
+
+        self.play(wrong)
+        got = await self.ask(post("/plain/x"))
+        self.assertEqual((got.status, got.body), (502, b""))
+
+    async def test_an_answer_without_an_id_is_a_doubt(self) -> None:
+        async def nameless(request: Received) -> None:
+            request.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+        self.play(nameless)
+        self.assertEqual((await self.ask(post("/plain/x"))).status, 502)
+
+    async def test_bytes_after_an_answer_end_the_connection(self) -> None:
+        surplus = (
+            answer("r1", b"again"),
+            answer("r1", b"again")[:30],
+            b"garbage",
+            b"\r\n",
+            stream_head("r1") + chunk(event(9)) + LAST_CHUNK,
+        )
+        for number, extra in enumerate(surplus):
+            with self.subTest(extra):
+
+                async def more(request: Received, extra: bytes = extra) -> None:
+                    request.write(answer(request.id, b"right") + extra)
+
+                self.play(more, serve_ok)
+                got = await self.ask(post("/plain/x", f"a{number}"))
+                self.assertEqual((got.status, got.body), (200, b"right"))
+                self.assertEqual((await self.ask(post("/plain/x", f"b{number}"))).body, b"ok")
+        connections = [r.connection for r in self.script.requests]
+        for first, second in zip(connections[::2], connections[1::2], strict=True):
+            self.assertNotEqual(first, second)
+
+    async def test_bytes_on_an_idle_connection_end_it(self) -> None:
+        go = asyncio.Event()
+
+        async def later(request: Received) -> None:
+            request.write(answer(request.id, b"right"))
+            await go.wait()
+            request.write(answer("r1", b"surplus"))
+            await request.client_closed()
+
+        self.play(later, serve_ok)
+        self.assertEqual((await self.ask(post("/plain/x"))).body, b"right")
+        request = self.script.requests[0]
+        go.set()
+        await asyncio.wait_for(request.closed.wait(), PATIENCE)
+        self.assertEqual((await self.ask(post("/plain/x", "r2"))).body, b"ok")
+
+    async def test_a_connection_that_the_server_ends_is_not_used_again(self) -> None:
+        async def last(request: Received) -> None:
+            request.write(answer(request.id, b"bye", extra=["Connection: close"]))
+            await request.client_closed()
+
+        self.play(last, serve_ok)
+        got = await self.ask(post("/plain/x"))
+        self.assertEqual(got.body, b"bye")
+        self.assertNotIn("connection", got.headers)
+        self.assertEqual((await self.ask(post("/plain/x", "r2"))).body, b"ok")
+        self.assertEqual([r.connection for r in self.script.requests], [1, 2])
+
+
+class ConnectionLimit(GatewayTest):
+    servers = 1
+    max_connections = 5  # this gateway's part of which is four
+
+    async def test_no_more_connections_than_this_gateways_part(self) -> None:
+        go = asyncio.Event()
+
+        async def wait(request: Received) -> None:
+            await go.wait()
+            request.write(answer(request.id))
+
+        self.play(wait)
+        clients = [await self.client() for _ in range(4)]
+        for number, client in enumerate(clients):
+            client.send(post("/safe/x", f"r{number}"))
+        refused = self.ask(post("/safe/x", "r9"))
+        for _ in range(3):
+            await self.arrival()
+        got = await refused
+        if len(self.script.requests) == 4:
+            self.assertEqual(got.status, 503)
+        go.set()
+        for client in clients:
+            await asyncio.wait_for(client.read(), PATIENCE)
+        self.assertLessEqual(self.stand_ins[0].connections, 4)
--- /dev/null
+++ b/tests/registry/test_gateway_registry.py
@@ -0,0 +1,130 @@
+"""Gateways by their presence: who is offered, who counts."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from registry.registry_samples import SECOND, gateway
+
+from brackenladder.registry.gateways import (
+    COUNT_WINDOW,
+    OFFER_SILENCE,
+    SETTLE_TIME,
+    GatewayRecord,
+    GatewayRegistry,
+    GatewayState,
+    HeardGateway,
+)
+
+AT = 100 * SECOND
+
+
+class PresenceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = GatewayRegistry()
+
+    def test_only_ready_ones_are_offered(self) -> None:
+        self.registry.presence(AT, gateway("a", state=GatewayState.STARTING))
+        self.registry.presence(AT, gateway("b", state=GatewayState.READY))
+        self.registry.presence(AT, gateway("c", state=GatewayState.LEAVING))
+        self.assertEqual([one.node for one in self.registry.ready(AT)], ["b"])
+
+    def test_a_silent_one_is_not_offered(self) -> None:
+        self.registry.presence(AT, gateway())
+        self.assertEqual(len(self.registry.ready(AT + OFFER_SILENCE - 1)), 1)
+        self.assertEqual(self.registry.ready(AT + OFFER_SILENCE), ())
+
+    def test_a_leaving_one_is_not_offered_from_then_on(self) -> None:
+        self.registry.presence(AT, gateway(seq=1))
+        self.assertTrue(self.registry.presence(AT, gateway(seq=2, state=GatewayState.LEAVING)))
+        self.assertEqual(self.registry.ready(AT), ())
+
+    def test_a_late_message_is_ignored(self) -> None:
+        self.registry.presence(AT, gateway(seq=2, state=GatewayState.LEAVING))
+        self.assertFalse(self.registry.presence(AT, gateway(seq=1)))
+        self.assertEqual(self.registry.ready(AT), ())
+
+    def test_a_new_incarnation_starts_anew(self) -> None:
+        self.registry.presence(AT, gateway(seq=9, state=GatewayState.LEAVING))
+        self.assertTrue(self.registry.presence(AT, gateway(seq=1, incarnation=2)))
+        self.assertEqual(len(self.registry.ready(AT)), 1)
+
+    def test_presence_that_says_the_same_is_no_change(self) -> None:
+        self.registry.presence(AT, gateway(seq=1))
+        self.assertFalse(self.registry.presence(AT, gateway(seq=2)))
+
+    def test_a_peers_word_counts_from_when_it_heard(self) -> None:
+        self.registry.merge(AT, [HeardGateway(gateway(), age=2 * SECOND)])
+        self.assertEqual(len(self.registry.ready(AT)), 1)
+        self.assertEqual(self.registry.ready(AT + SECOND), ())
+
+    def test_a_pause_is_not_held_against_gateways(self) -> None:
+        self.registry.presence(AT, gateway())
+        self.registry.resumed(AT + 10 * SECOND, gap=10 * SECOND)
+        self.assertEqual(len(self.registry.ready(AT + 10 * SECOND)), 1)
+
+
+class LivingNumberTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = GatewayRegistry()
+
+    def test_all_states_count_for_a_while(self) -> None:
+        self.registry.presence(AT, gateway("a", state=GatewayState.STARTING))
+        self.registry.presence(AT + SECOND, gateway("b", state=GatewayState.LEAVING))
+        self.assertEqual(self.registry.living(AT + SECOND), 2)
+        self.assertEqual(self.registry.living(AT + COUNT_WINDOW), 1)
+        self.assertEqual(self.registry.living(AT + COUNT_WINDOW + SECOND), 0)
+
+    def test_incarnations_of_one_node_count_once(self) -> None:
+        self.registry.presence(AT, gateway("a", incarnation=1))
+        self.registry.presence(AT, gateway("a", incarnation=2))
+        self.assertEqual(self.registry.living(AT), 1)
+
+    def test_old_ones_are_forgotten(self) -> None:
+        self.registry.presence(AT, gateway("a"))
+        self.registry.forget(AT + COUNT_WINDOW)
+        self.assertEqual(self.registry.heard(AT), ())
+
+
+class SettledTest(unittest.TestCase):
+    def test_a_node_that_just_started_waits_for_the_gateways(self) -> None:
+        registry = GatewayRegistry()
+        self.assertFalse(registry.settled(AT))
+        registry.presence(AT, gateway())
+        self.assertFalse(registry.settled(AT + SETTLE_TIME - 1))
+        self.assertTrue(registry.settled(AT + SETTLE_TIME))
+
+    def test_a_peer_that_tells_all_ends_the_wait(self) -> None:
+        registry = GatewayRegistry()
+        registry.merge(AT, [HeardGateway(gateway(), 0)])
+        self.assertFalse(registry.settled(AT))
+        registry.merge(AT, [], full=True)
+        self.assertTrue(registry.settled(AT))
+
+
+class GatewayOrderTest(unittest.TestCase):
+    @given(
+        st.lists(
+            st.builds(
+                gateway,
+                node=st.sampled_from("ab"),
+                seq=st.integers(0, 5),
+                incarnation=st.integers(1, 2),
+                state=st.sampled_from(GatewayState),
+            ),
+            max_size=10,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_any_order_gives_the_same(self, records: list[GatewayRecord], random: object) -> None:
+        shuffled = list(records)
+        random.shuffle(shuffled)  # type: ignore[attr-defined]
+        self.assertEqual(self._merged(records), self._merged(shuffled))
+
+    def _merged(self, records: list[GatewayRecord]) -> set[GatewayRecord]:
+        registry = GatewayRegistry()
+        for record in records:
+            registry.merge(AT, [HeardGateway(record, age=0)])
+        return {one.gateway for one in registry.heard(AT)}
--- /dev/null
+++ b/tests/registry/test_peer_exchange.py
@@ -0,0 +1,334 @@
+"""Control nodes tell one another what they hear."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from registry.control_mesh import STEP, ControlMesh, ControlNode
+from registry.registry_samples import MS, SECOND, SILENCE, draining, gateway, server
+
+from brackenladder.registry.exchange import HEARD_INTERVAL, MOST_RECORDS, SETTLE_TIME, PeerDelivery
+from brackenladder.registry.gateways import HeardGateway
+from brackenladder.registry.messages import GatewaysTold, ServersHeard, ServersTold, ServersWanted
+from brackenladder.registry.records import HeardServer, ServerRecord, ServerState
+from brackenladder.registry.registry import DOUBT_LEAD
+
+AT = 100 * SECOND
+BEAT = 1200 * MS
+
+
+def messages(deliveries: tuple[PeerDelivery, ...]) -> list[object]:
+    return [delivery.message for delivery in deliveries]
+
+
+class TellingTest(unittest.TestCase):
+    """One node with one peer that knows all."""
+
+    def setUp(self) -> None:
+        self.node = ControlNode(AT)
+        self.node.servers.heartbeat(AT, server())
+        self.node.exchange.connected("b")
+        self.first = self.node.exchange.take(AT)
+
+    def test_a_new_peer_is_told_all(self) -> None:
+        told, gateways = messages(self.first)
+        self.assertEqual(told, ServersTold((server(),), (HeardServer("i-1", 1, 0, 1),)))
+        self.assertEqual(gateways, GatewaysTold((), settled=False))
+        self.assertEqual(self.node.exchange.take(AT), ())
+
+    def test_a_change_is_told_at_once(self) -> None:
+        self.node.servers.heartbeat(AT + MS, draining(seq=2))
+        (told,) = messages(self.node.exchange.take(AT + MS))
+        self.assertEqual(told, ServersTold((draining(seq=2),), (HeardServer("i-1", 2, 0, 2),)))
+
+    def test_heartbeats_that_change_nothing_go_in_batches(self) -> None:
+        self.node.servers.heartbeat(AT + MS, server(seq=2))
+        self.assertEqual(self.node.exchange.take(AT + MS), ())
+        (told,) = messages(self.node.exchange.take(AT + HEARD_INTERVAL))
+        self.assertEqual(told, ServersHeard((HeardServer("i-1", 2, HEARD_INTERVAL - MS, 1),)))
+        self.assertEqual(self.node.exchange.take(AT + 2 * HEARD_INTERVAL), ())
+
+    def test_peers_are_asked_once_before_a_server_ends(self) -> None:
+        asked_at = AT + SILENCE - DOUBT_LEAD + 1
+        self.assertEqual(self.node.exchange.take(asked_at - 1), ())
+        self.assertEqual(messages(self.node.exchange.take(asked_at)), [ServersWanted(("i-1",))])
+        self.assertEqual(self.node.exchange.take(asked_at + MS), ())
+        self.node.servers.heard(asked_at + MS, [HeardServer("i-1", 2, 0, 1)])
+        self.assertEqual(self.node.exchange.take(asked_at + SECOND), ())
+        again = self.node.exchange.take(asked_at + MS + SILENCE)
+        self.assertEqual(messages(again), [ServersWanted(("i-1",))])
+
+    def test_what_peers_told_is_not_passed_on(self) -> None:
+        self.node.exchange.told(AT, "c", ServersTold((server("i-2"),)))
+        self.assertEqual(self.node.exchange.take(AT + SECOND), ())
+
+    def test_a_statement_that_is_not_known_is_asked_for(self) -> None:
+        self.node.exchange.told(AT, "b", ServersHeard((HeardServer("i-2", 4, 0, 1),)))
+        self.assertEqual(self.node.exchange.take(AT), (PeerDelivery("b", ServersWanted(("i-2",))),))
+
+    def test_it_answers_what_it_is_asked_for(self) -> None:
+        self.node.exchange.told(AT, "b", ServersWanted(("i-1", "i-9")))
+        (told,) = messages(self.node.exchange.take(AT))
+        self.assertEqual(told, ServersTold((server(),), (HeardServer("i-1", 1, 0, 1),)))
+
+    def test_a_peer_that_is_behind_is_put_right(self) -> None:
+        self.node.servers.heartbeat(AT, draining(seq=5))
+        self.node.exchange.take(AT)
+        self.node.exchange.told(AT, "b", ServersTold((server(seq=2),)))
+        (told,) = messages(self.node.exchange.take(AT))
+        self.assertEqual(told.records, (draining(seq=5),))
+
+    def test_nothing_is_kept_for_a_lost_peer(self) -> None:
+        self.node.exchange.told(AT, "b", ServersWanted(("i-1",)))
+        self.node.exchange.lost("b")
+        self.assertEqual(self.node.exchange.take(AT + SECOND), ())
+
+    def test_long_news_come_in_parts(self) -> None:
+        node = ControlNode(AT)
+        for number in range(MOST_RECORDS + 1):
+            node.servers.heartbeat(AT, server(f"i-{number}"))
+        node.exchange.connected("b")
+        told = [one for one in messages(node.exchange.take(AT)) if isinstance(one, ServersTold)]
+        self.assertEqual([len(one.records) for one in told], [MOST_RECORDS, 1])
+
+    def test_other_messages_are_refused(self) -> None:
+        self.assertFalse(self.node.exchange.told(AT, "b", object()))
+
+
+class GatewayNewsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.node = ControlNode(AT)
+        self.node.exchange.connected("b")
+        self.node.exchange.take(AT)
+
+    def test_a_change_is_told_at_once_and_the_rest_each_second(self) -> None:
+        self.node.gateways.presence(AT, gateway(seq=1))
+        told = GatewaysTold((HeardGateway(gateway(seq=1), 0),))
+        self.assertEqual(messages(self.node.exchange.take(AT)), [told])
+        self.node.gateways.presence(AT, gateway(seq=2))
+        self.assertEqual(self.node.exchange.take(AT), ())
+        (batch,) = messages(self.node.exchange.take(AT + SECOND))
+        self.assertEqual(batch, GatewaysTold((HeardGateway(gateway(seq=2), SECOND),)))
+
+
+class SettledTest(unittest.TestCase):
+    def test_a_node_knows_the_servers_after_a_while(self) -> None:
+        node = ControlNode(AT)
+        self.assertFalse(node.exchange.settled(AT + SETTLE_TIME - 1))
+        self.assertTrue(node.exchange.settled(AT + SETTLE_TIME))
+
+    def test_or_once_a_peer_that_knows_them_has_told_all(self) -> None:
+        node = ControlNode(AT)
+        node.exchange.told(AT, "b", GatewaysTold((), settled=False))
+        self.assertFalse(node.exchange.settled(AT))
+        node.exchange.told(AT, "b", GatewaysTold((), settled=True))
+        self.assertTrue(node.exchange.settled(AT))
+
+    def test_two_that_start_at_once_do_not_take_each_others_word(self) -> None:
+        mesh = ControlMesh("ab")
+        mesh.run(SECOND)
+        self.assertFalse(mesh.nodes["a"].exchange.settled(mesh.now))
+        mesh.run(SECOND)
+        mesh.restart("b")
+        mesh.run(SECOND)
+        self.assertTrue(mesh.nodes["b"].exchange.settled(mesh.now))
+
+
+class MeshTest(unittest.TestCase):
+    """Three nodes, a server that calls one of them."""
+
+    def setUp(self) -> None:
+        self.mesh = ControlMesh()
+        self.seq = 0
+
+    def beat_for(self, time: int, name: str = "a") -> None:
+        end = self.mesh.now + time
+        while self.mesh.now < end:
+            self.seq += 1
+            self.mesh.heartbeat(name, server(seq=self.seq))
+            self.mesh.run(BEAT)
+
+    def everywhere(self, state: ServerState) -> None:
+        for name, node in self.mesh.nodes.items():
+            self.assertEqual(node.states(self.mesh.now), {"i-1": state}, name)
+
+    def test_a_server_that_calls_one_node_lives_on_all(self) -> None:
+        self.beat_for(30 * SECOND)
+        self.everywhere(ServerState.READY)
+
+    def test_a_change_is_known_everywhere_one_step_later(self) -> None:
+        self.beat_for(3 * SECOND)
+        self.mesh.heartbeat("b", draining(seq=self.seq + 1))
+        self.mesh.step()
+        self.everywhere(ServerState.DRAINING)
+
+    def test_a_server_that_falls_silent_ends_everywhere(self) -> None:
+        self.beat_for(5 * SECOND)
+        self.mesh.run(6 * SECOND)
+        self.everywhere(ServerState.GONE)
+
+    def test_a_server_may_change_the_node_that_it_calls(self) -> None:
+        for name in "abcabc":
+            self.beat_for(2 * SECOND, name)
+        self.everywhere(ServerState.READY)
+
+    def test_a_node_that_is_cut_off_keeps_what_it_knew(self) -> None:
+        self.beat_for(5 * SECOND)
+        self.mesh.cut("a", "c")
+        self.mesh.cut("b", "c")
+        self.beat_for(20 * SECOND)
+        self.everywhere(ServerState.READY)
+        self.mesh.heal("a", "c")
+        self.mesh.heal("b", "c")
+        self.beat_for(20 * SECOND)
+        self.everywhere(ServerState.READY)
+
+    def test_what_ended_during_a_cut_ends_after_it(self) -> None:
+        self.beat_for(5 * SECOND)
+        self.mesh.cut("a", "c")
+        self.mesh.cut("b", "c")
+        self.mesh.nodes["a"].servers.deregister(self.mesh.now, "i-1")
+        self.mesh.run(10 * SECOND)
+        self.assertEqual(self.mesh.nodes["c"].states(self.mesh.now), {"i-1": ServerState.READY})
+        self.mesh.heal("a", "c")
+        self.mesh.run(SECOND)
+        self.everywhere(ServerState.GONE)
+
+    def test_a_node_that_restarts_learns_all_and_ends_nobody(self) -> None:
+        self.beat_for(5 * SECOND)
+        self.mesh.restart("a")
+        self.mesh.step()
+        self.mesh.step()
+        self.everywhere(ServerState.READY)
+        self.beat_for(20 * SECOND, "b")
+        self.everywhere(ServerState.READY)
+
+    def test_a_revived_server_is_revived_everywhere(self) -> None:
+        self.beat_for(5 * SECOND)
+        self.mesh.run(6 * SECOND)
+        self.beat_for(3 * SECOND, "b")
+        self.everywhere(ServerState.READY)
+
+    def test_a_restarted_node_is_told_of_ends(self) -> None:
+        self.beat_for(5 * SECOND)
+        self.mesh.nodes["a"].servers.deregister(self.mesh.now, "i-1")
+        self.mesh.run(SECOND)
+        self.mesh.restart("c")
+        self.mesh.run(SECOND)
+        self.everywhere(ServerState.GONE)
+
+    def test_nodes_that_agree_fall_silent(self) -> None:
+        self.beat_for(5 * SECOND)
+        self.mesh.run(10 * SECOND)
+        before = self.mesh.sent
+        self.mesh.run(10 * SECOND)
+        self.assertEqual(self.mesh.sent, before)
+
+
+class PartialCutTest(unittest.TestCase):
+    """Two nodes are cut from each other, but both hear the leader."""
+
+    def setUp(self) -> None:
+        self.mesh = ControlMesh("abc", leader="a")
+        self.mesh.run(3 * SECOND)
+        self.mesh.heartbeat("c", server(seq=0))
+        self.mesh.step()
+        self.mesh.cut("b", "c")
+
+    def test_a_server_that_only_one_of_them_hears_lives_on_all(self) -> None:
+        for seq in range(1, 30):
+            self.mesh.heartbeat("c", server(seq=seq))
+            for _ in range(BEAT // STEP):
+                self.mesh.step()
+                for name, node in self.mesh.nodes.items():
+                    self.assertEqual(node.states(self.mesh.now), {"i-1": ServerState.READY}, name)
+
+    def test_once_it_is_silent_it_ends_on_all(self) -> None:
+        self.mesh.heartbeat("c", server(seq=1))
+        self.mesh.run(SILENCE + SECOND)
+        for name, node in self.mesh.nodes.items():
+            self.assertEqual(node.states(self.mesh.now), {"i-1": ServerState.GONE}, name)
+
+    def test_a_server_that_drains_is_known_to_drain(self) -> None:
+        self.mesh.heartbeat("c", draining(seq=1))
+        self.mesh.run(SILENCE)
+        node = self.mesh.nodes["b"]
+        self.assertEqual(node.states(self.mesh.now), {"i-1": ServerState.DRAINING})
+
+
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("beat"), st.sampled_from("abc"), st.sampled_from(["i-1", "i-2"])),
+        st.tuples(st.just("deregister"), st.sampled_from("abc"), st.sampled_from(["i-1", "i-2"])),
+        st.tuples(st.just("cut"), st.sampled_from("abc"), st.sampled_from("abc")),
+        st.tuples(st.just("heal"), st.sampled_from("abc"), st.sampled_from("abc")),
+        st.tuples(st.just("restart"), st.sampled_from("abc"), st.just("")),
+        st.tuples(st.just("run"), st.sampled_from("147"), st.just("")),
+    ),
+    max_size=25,
+)
+
+
+class ConvergenceTest(unittest.TestCase):
+    """Whatever happened: once connected, all nodes know who lives, and what it says, and nobody else.
+
+    What a node missed of a server it learns at the latest by the next heartbeat that anybody hears; of one
+    that has ended by the silence. So the servers that live go on with their heartbeats here.
+    """
+
+    @settings(max_examples=150, deadline=None)
+    @given(EVENTS)
+    def test_connected_nodes_know_who_lives(self, events: list[tuple[str, str, str]]) -> None:
+        self.mesh = ControlMesh()
+        self.seqs = {"i-1": 0, "i-2": 0}
+        self.ended: set[str] = set()
+        for kind, one, other in events:
+            self._play(kind, one, other)
+        for cut in tuple(self.mesh.cuts):
+            self.mesh.heal(*cut)
+        living = {server_id for server_id, seq in self.seqs.items() if seq} - self.ended
+        for name in "abcab":
+            for server_id in living:
+                self._beat(name, server_id)
+            self.mesh.run(BEAT)
+        expected = {server_id: self._newest(server_id).state for server_id in living}
+        for node in self.mesh.nodes.values():
+            self.assertEqual(self._alive(node), expected)
+        self.mesh.run(SILENCE + SECOND)
+        for node in self.mesh.nodes.values():
+            self.assertEqual(self._alive(node), {})
+
+    def _play(self, kind: str, one: str, other: str) -> None:
+        if kind == "beat":
+            self._beat(one, other)
+        elif kind == "deregister":
+            self.ended.add(other)
+            self.mesh.nodes[one].servers.deregister(self.mesh.now, other)
+        elif kind == "restart":
+            self.mesh.restart(one)
+        elif kind == "run":
+            self.mesh.run(int(one) * SECOND // 4)
+        elif one != other:
+            self._change_link(kind, one, other)
+
+    def _beat(self, name: str, server_id: str) -> None:
+        if server_id not in self.ended:
+            self.seqs[server_id] += 1
+            self.mesh.heartbeat(name, self._newest(server_id))
+
+    def _newest(self, server_id: str) -> ServerRecord:
+        """What a server says: it drains from its fourth heartbeat on."""
+        seq = self.seqs[server_id]
+        return server(server_id, seq) if seq < 4 else draining(server_id, seq)
+
+    def _alive(self, node: ControlNode) -> dict[str, ServerState]:
+        return {record.id: record.state for record in node.servers.alive(self.mesh.now)}
+
+    def _change_link(self, kind: str, one: str, other: str) -> None:
+        is_cut = frozenset((one, other)) in self.mesh.cuts
+        if kind == "cut" and not is_cut:
+            self.mesh.cut(one, other)
+        elif kind == "heal" and is_cut:
+            self.mesh.heal(one, other)
--- /dev/null
+++ b/tests/registry/test_resolve.py
@@ -0,0 +1,44 @@
+"""Which gateways a client is sent to."""
+
+from __future__ import annotations
+
+import unittest
+
+from registry.registry_samples import gateway
+
+from brackenladder.registry.directory import MOST_ADDRESSES, resolve
+from brackenladder.registry.gateways import GatewayState
+
+A1 = gateway("a1", zone="hall-a", region="north")
+A2 = gateway("a2", zone="hall-a", region="north")
+B1 = gateway("b1", zone="hall-b", region="north")
+C1 = gateway("c1", zone="hall-c", region="south")
+
+
+def nodes(addresses: tuple[str, ...]) -> list[str]:
+    return [address.split(":")[0] for address in addresses]
+
+
+class ResolveTest(unittest.TestCase):
+    def test_those_of_the_zone(self) -> None:
+        self.assertEqual(nodes(resolve([C1, B1, A2, A1], "north", "hall-a")), ["a1", "a2"])
+
+    def test_else_those_of_the_region(self) -> None:
+        self.assertEqual(nodes(resolve([C1, B1, A1], "north", "hall-x")), ["a1", "b1"])
+
+    def test_else_all(self) -> None:
+        self.assertEqual(nodes(resolve([C1, B1, A1], "east", "hall-x")), ["a1", "b1", "c1"])
+
+    def test_only_ready_ones(self) -> None:
+        leaving = gateway("a3", state=GatewayState.LEAVING)
+        starting = gateway("a4", state=GatewayState.STARTING)
+        self.assertEqual(nodes(resolve([leaving, starting, B1], "north", "hall-a")), ["b1"])
+        self.assertEqual(resolve([leaving, starting], "north", "hall-a"), ())
+
+    def test_no_more_than_the_limit_and_all_in_turn(self) -> None:
+        many = [gateway(f"n{number:03}") for number in range(100)]
+        first = resolve(many, "north", "hall-a")
+        second = resolve(many, "north", "hall-a", offset=MOST_ADDRESSES)
+        self.assertEqual((len(first), len(second)), (MOST_ADDRESSES, MOST_ADDRESSES))
+        self.assertEqual(len({*first, *second}), 100)
+        self.assertEqual(first[0], "n000:8144")
--- /dev/null
+++ b/tests/registry/test_server_registry.py
@@ -0,0 +1,274 @@
+"""The server registry: heartbeats, ends, silence; what a node that restarts or stood still does not do."""
+
+from __future__ import annotations
+
+import unittest
+
+from registry.registry_samples import MS, SECOND, SILENCE, deregistered, draining, server, silent
+
+from brackenladder.registry.records import HeardServer, ServerState
+from brackenladder.registry.registry import SETTLE_TIME, TOMBSTONE_LIFETIME, ServerRegistry
+
+AT = 100 * SECOND
+
+
+def settled_registry() -> ServerRegistry:
+    """A registry that has trusted its peers for long."""
+    registry = ServerRegistry(SILENCE)
+    registry.expire(AT - 10 * SECOND)
+    return registry
+
+
+def state_of(registry: ServerRegistry, server_id: str = "i-1", now: int = AT) -> ServerState | None:
+    record = registry.get(now, server_id)
+    return None if record is None else record.state
+
+
+class HeartbeatTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = settled_registry()
+
+    def test_a_server_first_seen_is_worth_telling(self) -> None:
+        self.assertTrue(self.registry.heartbeat(AT, server()))
+        self.assertEqual(self.registry.records(AT), (server(),))
+
+    def test_a_heartbeat_that_changes_nothing_is_not_worth_telling(self) -> None:
+        self.registry.heartbeat(AT, server(seq=1))
+        version = self.registry.version
+        self.assertFalse(self.registry.heartbeat(AT + SECOND, server(seq=2)))
+        self.assertEqual(self.registry.version, version)
+
+    def test_a_changed_state_or_address_is_worth_telling(self) -> None:
+        self.registry.heartbeat(AT, server(seq=1))
+        self.assertTrue(self.registry.heartbeat(AT, draining(seq=2)))
+        self.assertTrue(self.registry.heartbeat(AT, server(seq=3, address="10.0.0.2:8080")))
+
+    def test_a_late_heartbeat_is_ignored(self) -> None:
+        self.registry.heartbeat(AT, draining(seq=5))
+        self.assertFalse(self.registry.heartbeat(AT + SECOND, server(seq=4)))
+        self.assertEqual(state_of(self.registry), ServerState.DRAINING)
+        self.assertEqual(self.registry.age(AT + SECOND, "i-1"), SECOND)
+
+    def test_the_cold_time_is_told_as_what_remains(self) -> None:
+        self.registry.heartbeat(AT, server(cold_for=3 * SECOND))
+        self.assertEqual(self.registry.records(AT + SECOND)[0].cold_for, 2 * SECOND)
+        self.assertEqual(self.registry.records(AT + 5 * SECOND)[0].cold_for, 0)
+        self.assertEqual(self.registry.cold_until("i-1"), AT + 3 * SECOND)
+
+    def test_a_cold_time_that_passes_as_told_is_no_change(self) -> None:
+        self.registry.heartbeat(AT, server(seq=1, cold_for=3 * SECOND))
+        self.assertFalse(
+            self.registry.heartbeat(AT + SECOND + 20 * MS, server(seq=2, cold_for=2 * SECOND - 40 * MS))
+        )
+
+    def test_a_server_that_goes_cold_again_is_worth_telling(self) -> None:
+        self.registry.heartbeat(AT, server(seq=1))
+        self.assertTrue(self.registry.heartbeat(AT + SECOND, server(seq=2, cold_for=SECOND)))
+        self.assertEqual(self.registry.cold_until("i-1"), AT + 2 * SECOND)
+
+    def test_a_server_that_turns_warm_early_is_worth_telling(self) -> None:
+        self.registry.heartbeat(AT, server(seq=1, cold_for=3 * SECOND))
+        self.assertTrue(self.registry.heartbeat(AT + SECOND, server(seq=2)))
+        self.assertLessEqual(self.registry.cold_until("i-1"), AT + SECOND)
+
+    def test_the_announced_end_is_told_as_what_remains(self) -> None:
+        self.registry.heartbeat(AT, server(seq=1))
+        self.assertTrue(self.registry.heartbeat(AT, server(seq=2, remaining=5 * SECOND)))
+        self.assertEqual(self.registry.records(AT + SECOND)[0].remaining, 4 * SECOND)
+        self.assertEqual(self.registry.ends_at("i-1"), AT + 5 * SECOND)
+
+
+class EndTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = settled_registry()
+        self.registry.heartbeat(AT, server(seq=5))
+
+    def test_a_deregistered_server_is_gone_for_good(self) -> None:
+        self.assertTrue(self.registry.deregister(AT, "i-1"))
+        self.assertFalse(self.registry.heartbeat(AT, server(seq=9)))
+        self.registry.merge(AT, [server(seq=10)])
+        self.registry.heard(AT, [HeardServer("i-1", seq=11, age=0, changed_seq=5)])
+        self.assertEqual(state_of(self.registry), ServerState.GONE)
+        self.assertFalse(self.registry.deregister(AT, "i-1"))
+
+    def test_an_unknown_server_can_deregister(self) -> None:
+        self.assertTrue(self.registry.deregister(AT, "i-2"))
+        self.registry.merge(AT, [server("i-2", seq=7)])
+        self.assertEqual(state_of(self.registry, "i-2"), ServerState.GONE)
+
+    def test_silence_ends_a_server(self) -> None:
+        self.assertEqual(self.registry.expire(AT + SILENCE), ())
+        self.assertEqual(self.registry.expire(AT + SILENCE + 1), (silent(seq=5),))
+        self.assertEqual(self.registry.expire(AT + SILENCE + 2), ())
+
+    def test_a_later_heartbeat_revives_a_silent_server(self) -> None:
+        self.registry.expire(AT + 5 * SECOND)
+        self.assertFalse(self.registry.heartbeat(AT + 6 * SECOND, server(seq=5)))
+        self.assertEqual(state_of(self.registry), ServerState.GONE)
+        self.assertTrue(self.registry.heartbeat(AT + 6 * SECOND, server(seq=6)))
+        self.assertEqual(state_of(self.registry), ServerState.READY)
+
+    def test_silence_covers_the_heartbeats_that_others_heard(self) -> None:
+        self.registry.heard(AT, [HeardServer("i-1", seq=8, age=0, changed_seq=7)])
+        self.assertEqual(self.registry.expire(AT + 5 * SECOND), (silent(seq=8),))
+        self.registry.merge(AT + 5 * SECOND, [server(seq=8)])
+        self.assertEqual(state_of(self.registry), ServerState.GONE)
+
+    def test_a_server_is_gone_once_its_announced_end_has_passed(self) -> None:
+        self.registry.heartbeat(AT, server(seq=6, remaining=SECOND))
+        self.assertEqual(self.registry.expire(AT + SECOND, trusted=False), ())
+        self.assertEqual(len(self.registry.expire(AT + 2 * SECOND, trusted=False)), 1)
+
+    def test_tombstones_are_forgotten_after_a_while(self) -> None:
+        self.registry.deregister(AT, "i-1")
+        self.registry.expire(AT + TOMBSTONE_LIFETIME)
+        self.assertEqual(state_of(self.registry), ServerState.GONE)
+        self.registry.expire(AT + TOMBSTONE_LIFETIME + 1)
+        self.assertEqual(self.registry.records(AT), ())
+
+    def test_a_stale_record_of_a_forgotten_server_does_not_bring_it_back(self) -> None:
+        other = ServerRegistry(SILENCE)
+        self.assertEqual(other.merge(AT, [server(seq=5)], {"i-1": SILENCE + 1}), ())
+        self.assertEqual(other.records(AT), ())
+
+
+class TrustTest(unittest.TestCase):
+    """Only the silence that everybody observed ends a server."""
+
+    def setUp(self) -> None:
+        self.registry = settled_registry()
+        self.registry.heartbeat(AT, server(seq=5))
+
+    def test_a_node_that_does_not_hear_its_peers_ends_nobody(self) -> None:
+        for second in range(60):
+            self.assertEqual(self.registry.expire(AT + second * SECOND, trusted=False), ())
+
+    def test_after_a_cut_the_peers_have_time_to_tell(self) -> None:
+        self.registry.expire(AT + 10 * SECOND, trusted=False)
+        healed = AT + 20 * SECOND
+        self.assertEqual(self.registry.expire(healed, trusted=True), ())
+        self.assertEqual(self.registry.expire(healed + SETTLE_TIME - 1), ())
+        self.registry.heard(healed + SECOND, [HeardServer("i-1", seq=20, age=SECOND, changed_seq=5)])
+        self.assertEqual(self.registry.expire(healed + SETTLE_TIME), ())
+        self.assertEqual(len(self.registry.expire(healed + SILENCE + 1)), 1)
+
+    def test_a_node_that_just_started_waits_before_it_judges(self) -> None:
+        registry = ServerRegistry(SILENCE)
+        registry.merge(AT, [server()], {"i-1": SILENCE})
+        self.assertEqual(registry.expire(AT + SECOND), ())
+        self.assertEqual(registry.expire(AT + 2 * SECOND), ())
+        self.assertEqual(len(registry.expire(AT + 3 * SECOND)), 1)
+
+    def test_heartbeats_that_a_peer_heard_count(self) -> None:
+        for second in range(1, 30):
+            now = AT + second * SECOND
+            self.registry.heard(now, [HeardServer("i-1", seq=5 + second, age=300 * MS, changed_seq=5)])
+            self.assertEqual(self.registry.expire(now), ())
+
+    def test_an_old_word_of_a_peer_counts_from_when_it_heard(self) -> None:
+        self.registry.heard(AT + 4 * SECOND, [HeardServer("i-1", seq=6, age=3 * SECOND, changed_seq=5)])
+        self.assertEqual(self.registry.age(AT + 4 * SECOND, "i-1"), 3 * SECOND)
+
+    def test_a_node_that_stood_still_does_not_end_everybody_when_it_wakes(self) -> None:
+        woken = AT + 30 * SECOND
+        self.registry.resumed(woken, gap=30 * SECOND)
+        self.assertEqual(self.registry.expire(woken), ())
+        self.assertEqual(self.registry.expire(woken + SILENCE), ())
+        self.assertEqual(len(self.registry.expire(woken + SILENCE + 1)), 1)
+
+    def test_a_node_that_wakes_hears_its_peers_before_it_judges(self) -> None:
+        woken = AT + 34 * SECOND
+        self.registry.resumed(woken, gap=30 * SECOND)
+        self.assertEqual(self.registry.age(woken, "i-1"), 4 * SECOND)
+        self.assertEqual(self.registry.expire(woken), ())
+        self.assertEqual(self.registry.expire(woken + SETTLE_TIME - 1), ())
+        self.assertEqual(len(self.registry.expire(woken + SETTLE_TIME)), 1)
+
+    def test_a_pause_does_not_make_evidence_newer_than_now(self) -> None:
+        self.registry.resumed(AT + SECOND, gap=30 * SECOND)
+        self.assertEqual(self.registry.age(AT + SECOND, "i-1"), 0)
+
+
+class EvidenceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = settled_registry()
+        self.registry.heartbeat(AT, server(seq=5))
+
+    def test_what_is_known_to_hold_takes_the_newer_seq(self) -> None:
+        self.assertEqual(self.registry.heard(AT, [HeardServer("i-1", seq=9, age=0, changed_seq=4)]), ())
+        self.assertEqual(self.registry.records(AT), (server(seq=9),))
+
+    def test_a_statement_that_is_not_known_is_asked_for_and_the_old_one_is_not_made_newer(self) -> None:
+        wanted = self.registry.heard(AT, [HeardServer("i-1", seq=9, age=0, changed_seq=7)])
+        self.assertEqual(wanted, ("i-1",))
+        self.assertEqual(self.registry.records(AT), (server(seq=5),))
+        self.registry.merge(AT, [draining(seq=7)])
+        self.assertEqual(state_of(self.registry), ServerState.DRAINING)
+
+    def test_an_unknown_server_is_asked_for(self) -> None:
+        self.assertEqual(self.registry.heard(AT, [HeardServer("i-2", 1, 0, 1)]), ("i-2",))
+
+    def test_a_newer_heartbeat_at_a_peer_revives(self) -> None:
+        self.registry.expire(AT + 5 * SECOND)
+        version = self.registry.version
+        self.registry.heard(AT + 5 * SECOND, [HeardServer("i-1", seq=6, age=0, changed_seq=5)])
+        self.assertEqual(
+            self.registry.changed_since(AT + 5 * SECOND, version),
+            (server(seq=6),),
+        )
+
+    def test_the_silence_of_a_node_that_heard_less_is_refuted(self) -> None:
+        self.registry.heard(AT, [HeardServer("i-1", seq=9, age=0, changed_seq=4)])
+        self.assertEqual(self.registry.merge(AT, [silent(seq=7)]), (server(seq=9),))
+        self.assertEqual(self.registry.superseding(AT, [silent(seq=7)]), (server(seq=9),))
+
+    def test_the_silence_of_a_node_that_heard_as_much_holds(self) -> None:
+        self.assertEqual(self.registry.merge(AT, [silent(seq=5)]), (silent(seq=5),))
+        self.assertEqual(self.registry.superseding(AT, [silent(seq=5)]), ())
+
+    def test_what_is_older_elsewhere_supersedes(self) -> None:
+        self.registry.heartbeat(AT, draining(seq=6))
+        self.assertEqual(self.registry.superseding(AT, [server(seq=5)]), (draining(seq=6),))
+        self.assertEqual(self.registry.superseding(AT, [draining(seq=5)]), ())
+        self.registry.deregister(AT, "i-1")
+        self.assertEqual(self.registry.superseding(AT, [server(seq=9)]), (deregistered(seq=6),))
+
+
+class ChangesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = settled_registry()
+        for name in ("i-1", "i-2", "i-3"):
+            self.registry.heartbeat(AT, server(name))
+
+    def test_only_what_changed_since_is_told(self) -> None:
+        version = self.registry.version
+        self.registry.heartbeat(AT, draining("i-2", seq=2))
+        self.registry.heartbeat(AT, server("i-3", seq=2))
+        self.assertEqual(self.registry.changed_since(AT, version), (draining("i-2", seq=2),))
+        self.assertEqual(self.registry.changed_since(AT, self.registry.version), ())
+
+    def test_all_has_to_be_told_once_an_end_is_forgotten(self) -> None:
+        version = self.registry.version
+        self.registry.deregister(AT, "i-2")
+        end = self.registry.version
+        self.registry.expire(AT + TOMBSTONE_LIFETIME + 1, trusted=False)
+        self.assertIsNone(self.registry.changed_since(AT, version))
+        self.assertEqual(self.registry.changed_since(AT, end), ())
+
+    def test_news_of_this_node_are_told_apart(self) -> None:
+        self.registry.take_local_news()
+        self.registry.heartbeat(AT, draining("i-2", seq=2))
+        self.registry.heartbeat(AT, server("i-3", seq=2))
+        self.registry.merge(AT, [server("i-4")])
+        news = self.registry.take_local_news()
+        self.assertEqual((news.changed, news.heard), (("i-2",), ("i-3",)))
+        again = self.registry.take_local_news()
+        self.assertEqual((again.changed, again.heard), ((), ()))
+
+
+class RestartTest(unittest.TestCase):
+    def test_a_registry_that_just_started_says_nothing_of_what_it_does_not_know(self) -> None:
+        registry = ServerRegistry(SILENCE)
+        self.assertEqual(registry.records(AT), ())
+        self.assertEqual(registry.expire(AT), ())
+        self.assertIsNone(registry.get(AT, "i-1"))
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -11,15 +11,21 @@
 FLOORS = {
     **dict.fromkeys(["interface", "settings"], 0),
     **dict.fromkeys(["policy", "membership", "operations", "routing", "control", "cluster", "recovery"], 1),
+    # The whole system's pure packages: what is agreed, what is known of servers, what gateways are told.
+    **dict.fromkeys(["consensus", "catalog"], 1),
     "core": 2,
+    **dict.fromkeys(["registry", "platform_settings"], 2),
+    **dict.fromkeys(["delivery", "shares"], 3),
     "sockets": 3,
-    **dict.fromkeys(["http", "rpc", "discovery", "peers", "storage"], 4),
-    **dict.fromkeys(["node", "adapter"], 5),
+    **dict.fromkeys(["http", "rpc", "discovery", "peers", "storage", "transport"], 4),
+    "placement": 4,
+    **dict.fromkeys(["gateway", "control_plane", "node", "adapter"], 5),
     # The rehearsal meets a node through its sockets and its command line; the model hosts the core.
     "rehearsal": 0,
     "fleet": 2,
     "cli": 6,
     "__main__": 7,
+    "serve": 7,
 }
 BESIDE = {("fleet", "rehearsal")}  # the tools' own order
 
