--- /dev/null
+++ b/tests/node/test_node_process.py
@@ -0,0 +1,223 @@
+"""Start and end of a node: bad configuration, SIGTERM, a kill, a restart under load."""
+
+import asyncio
+import signal
+import socket
+
+import pytest
+from loopback import (
+    OK,
+    Bench,
+    Client,
+    Discovery,
+    Server,
+    call,
+    connected,
+    free_port,
+    node_table,
+    play,
+    settings,
+    until,
+)
+from node_samples import spawn
+
+from brackenladder.node.config import ConfigError, load, read
+
+
+def test_bad_configuration_is_one_plain_line(tmp_path):
+    file = tmp_path / "config.json"
+    with pytest.raises(ConfigError, match="not set"):
+        load({})
+    with pytest.raises(ConfigError, match="LB_CONFIG"):
+        load({"LB_CONFIG": str(file)})
+    for text in ("{", "[]", "{}", '{"name":"n","listen":"x","discovery":"y:1"}'):
+        file.write_text(text)
+        with pytest.raises(ConfigError) as e:
+            load({"LB_CONFIG": str(file)})
+        assert "\n" not in str(e.value)
+    with pytest.raises(ValueError, match="max_attempts"):
+        read(node_table(0, settings(policy_limits={"max_attempts": None})))
+
+
+def test_the_program_says_what_it_cannot_start_with(tmp_path):
+    async def scene():
+        process = await spawn(tmp_path, {"name": "n0"})
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        assert errors.startswith(b"brackenladder: ") and errors.count(b"\n") == 1
+
+    play(scene)
+
+
+def test_sigterm_answers_what_is_open_and_ends_with_status_0(tmp_path):
+    """Failure prevented: a request that is out is lost at a planned restart, or the second signal ends it."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def held(request, writer):
+            await release.wait()
+            return OK
+
+        await (server := Server(held)).start()
+        await (discovery := Discovery()).start()
+        port = free_port()
+        listen = f"127.0.0.1:{port}"
+        process = await spawn(tmp_path, node_table(discovery.port, settings(), listen, server.entry("s0")))
+        await connected(client := Client(port))
+        assert (await (idle := await Client(port).open()).ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
+        client.send(call("invite"))
+        await until(lambda: len(server.requests) == 1)
+        process.send_signal(signal.SIGTERM)
+        assert await idle.ended()  # the signal has been heard
+        process.send_signal(signal.SIGTERM)
+        release.set()
+        status, headers, body = await client.receive()
+        assert (status, body, headers["connection"]) == (200, b"ok", "close")
+        assert await client.ended()
+        client.writer.close()
+        assert await asyncio.wait_for(process.wait(), 20) == 0
+
+    play(scene)
+
+
+def test_a_killed_node_starts_again_under_its_address(tmp_path):
+    """Failure prevented: what is left of the old process's connections keeps the new one from listening."""
+
+    async def scene():
+        await (server := Server()).start()
+        await (discovery := Discovery()).start()
+        port = free_port()
+        table = node_table(discovery.port, settings(), f"127.0.0.1:{port}", server.entry("s0"))
+        for _ in range(2):
+            process = await spawn(tmp_path, table)
+            await connected(client := Client(port))
+            assert (await client.ask(call("invite")))[0] == 200
+            process.kill()
+            assert await client.ended()
+            assert await asyncio.wait_for(process.wait(), 20) == -signal.SIGKILL
+
+    play(scene)
+
+
+def test_a_node_that_ends_answers_all_that_it_has_taken(monkeypatch):
+    """Failure prevented: requests that come late, or that wait in the backlog, are lost at a planned restart;
+    an idle client is reset."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def held(request, writer):
+            await release.wait()
+            return OK
+
+        monkeypatch.setattr("brackenladder.http.callers.TAKING", 600.0)  # until the test says so
+        monkeypatch.setattr("brackenladder.sockets.listener.TAKING", 600.0)
+        bench = await Bench(server := Server(held)).start()
+        callers = bench.node.front.callers
+        callers.handover = 0.0
+        idle, early = await bench.client(), await bench.client()
+        assert (await idle.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 200
+        early.send(call("invite"))
+        await until(lambda: len(server.requests) == 1)
+        drain = asyncio.create_task(bench.node.drain())
+        assert await idle.ended()  # idle ones end while new ones are still taken
+        monkeypatch.setattr("brackenladder.http.callers.SETTLE", 600.0)
+        late = await bench.client()
+        late.send(call("invite"))
+        await until(lambda: len(server.requests) == 2)
+        with socket.create_connection(("127.0.0.1", bench.port)) as waiting:  # the loop has not seen it
+            waiting.settimeout(20)
+            callers.listener.stop()
+            waiting.send(call("invite"))
+            await until(lambda: len(server.requests) == 3)
+            with pytest.raises(ConnectionRefusedError):
+                await bench.client()
+            release.set()
+            for client in (early, late):
+                status, headers, body = await client.receive()
+                assert (status, body, headers["connection"]) == (200, b"ok", "close")
+                assert await client.ended()
+                client.writer.close()
+            await until(lambda: all(c.deaf for c in callers.callers))
+            assert waiting.recv(9999).startswith(b"HTTP/1.1 200 ")
+        await asyncio.wait_for(drain, 20)
+
+    play(scene)
+
+
+def test_clients_keep_their_connections_for_a_while_after_sigterm():
+    """Failure prevented: the node is of use to nobody long before its end, while others are not back yet."""
+
+    async def scene():
+        bench = await Bench(server := Server()).start()
+        callers = bench.node.front.callers
+        callers.handover = 600.0  # until the test says so
+        client, idle = await bench.client(), await bench.client()
+        assert (await idle.ask(call()))[0] == 200
+        drain = asyncio.create_task(bench.node.drain())
+        await until(lambda: bench.node.front.callers.listener.sock is None)
+        status, headers, _ = await client.ask(call("invite", 15000))
+        assert status == 200 and "connection" not in headers
+        # By then the process may be killed, whatever the client's own patience.
+        assert int(server.requests[-1].headers["x-budget-ms"]) <= 3400
+        assert (await client.ask(b"GET /ready HTTP/1.1\r\n\r\n"))[0] == 503
+        callers.handover = 0.0
+        assert await idle.ended()
+        await asyncio.wait_for(drain, 20)
+
+    play(scene)
+
+
+def test_a_planned_restart_under_load_loses_nothing(monkeypatch):
+    """Failure prevented: a client that uses its connection just as the node ends is reset or left unheard."""
+
+    async def scene():
+        # Nobody here is idle, however slow the machine, and new ones are taken until the test says so.
+        monkeypatch.setattr("brackenladder.http.callers.TAKING", 600.0)
+        monkeypatch.setattr("brackenladder.sockets.listener.TAKING", 600.0)
+        monkeypatch.setattr("brackenladder.http.callers.SETTLE", 600.0)
+        bench = await Bench(Server()).start()
+        bench.node.front.callers.handover = 0.0
+        answers = 0
+        last = 0
+
+        async def keep_asking() -> None:
+            nonlocal answers, last
+            client = await bench.client()
+            while True:
+                status, headers, _ = await client.ask(call("invite"))
+                assert status in (200, 503)  # served, or refused by the module
+                answers += 1
+                if "connection" in headers:
+                    assert await client.ended()
+                    client.writer.close()
+                    last += 1
+                    try:
+                        client = await bench.client()
+                    except ConnectionRefusedError:
+                        return
+
+        crowd = [asyncio.create_task(keep_asking()) for _ in range(20)]
+        await until(lambda: answers > 200)
+        drain = asyncio.create_task(bench.node.drain())
+        await until(lambda: last > 200)
+        bench.node.front.callers.listener.stop()
+        await asyncio.wait_for(asyncio.gather(*crowd, drain), 20)
+
+    play(scene)
+
+
+def test_a_client_that_has_just_sent_is_not_idle():
+    """Failure prevented: closing its connection at a planned restart resets it and loses the request."""
+
+    async def scene():
+        bench = await Bench(Server()).start()
+        with socket.create_connection(("127.0.0.1", bench.port)) as client:
+            await until(lambda: any(c.transport for c in bench.node.front.callers.callers))
+            (caller,) = bench.node.front.callers.callers
+            assert caller.idle()
+            client.send(b"G")  # the node's loop has no turn until the next line
+            assert not caller.idle()
+
+    play(scene)
--- /dev/null
+++ b/tests/node/test_node_reload.py
@@ -0,0 +1,231 @@
+"""A new configuration in a running node: another discovery service, SIGHUP."""
+
+import asyncio
+import json
+import os
+import signal
+from dataclasses import replace
+from pathlib import Path
+
+from loopback import (
+    MOMENT,
+    OK,
+    Bench,
+    Client,
+    Discovery,
+    Server,
+    call,
+    connected,
+    free_port,
+    node_table,
+    play,
+    settings,
+    until,
+)
+from node_samples import FULL, spawn, start
+
+
+def renewed(bench: Bench, port: int) -> None:
+    """The node is told that discovery is on another port."""
+    bench.node.reload(replace(bench.node.config, discovery=("127.0.0.1", port)))
+
+
+def test_a_new_discovery_begins_with_its_whole_list_and_keeps_all_else():
+    """Failure prevented: the new address numbers versions otherwise, so its list would be dropped as old
+    or changes missed; or clients, requests and connections to servers are lost."""
+
+    async def scene():
+        release = asyncio.Event()
+
+        async def held(request, writer):
+            await release.wait()
+            return OK
+
+        bench = await Bench(server := Server(held)).start()
+        await Server.start(second := Server())
+        await Server.start(new := Discovery())
+        old = bench.discovery
+        await until(lambda: len(old.requests) == 1)
+        (client := await bench.client()).send(call("invite"))
+        await until(lambda: len(server.requests) == 1)
+        renewed(bench, new.port)
+        old.say(99, True)  # too late: nobody listens
+        await until(lambda: old.closed == 1)
+        new.say(3, True, server.entry("s0"), second.entry("s1"))
+        await until(lambda: len(new.requests) == 2)
+        assert [r.target.split("&")[0] for r in new.requests] == ["/v1/endpoints", "/v1/endpoints?since=3"]
+        assert sorted(e.port for e in bench.pool.upstream.pool.endpoints.values()) == sorted(
+            (server.port, second.port)
+        )
+        new.say(4, False, second.entry("s1", "draining"))
+        await until(lambda: len(new.requests) == 3)
+        release.set()
+        assert (await client.receive())[0] == 200
+        assert (await client.ask(call("invite")))[0] == 200
+        assert server.connections == 1 and len(server.requests) == 2 and not second.requests
+        assert old.connections == new.connections == 1
+
+    play(scene)
+
+
+def test_a_new_discovery_that_fails_at_first_is_asked_for_its_whole_list_again():
+    """Failure prevented: the retry goes on from the old address's version, or takes changes for a list."""
+
+    async def scene():
+        rules = settings()["rules"] | {"ask_within": MOMENT}  # asks again soon
+        bench = await Bench(server := Server(), rules=rules).start()
+        await Server.start(new := Discovery())
+        new.raw(b"", b"503 Busy")
+        new.say(50, False, server.entry("s0", "gone"))
+        new.say(3, True, server.entry("s0"))
+        renewed(bench, new.port)
+        await until(lambda: len(new.requests) == 4)
+        assert [r.target.split("&")[0] for r in new.requests[:3]] == ["/v1/endpoints"] * 3
+        assert "since=3&" in new.requests[3].target
+        assert (await bench.once(call()))[0] == 200
+
+    play(scene)
+
+
+def test_of_two_new_discoveries_in_a_row_the_last_one_holds():
+    """Failure prevented: the first one's answer, on its way already, brings its list back."""
+
+    async def scene():
+        bench = await Bench(old := Server()).start()
+        await Server.start(new := Server())
+        await Server.start(first := Discovery())
+        await Server.start(last := Discovery())
+        renewed(bench, first.port)
+        await until(lambda: len(first.requests) == 1)
+        renewed(bench, last.port)
+        first.say(900, True, old.entry("s0"))
+        last.say(2, True, new.entry("s1"))
+        await until(lambda: len(last.requests) == 2 and first.closed == 1)
+        assert (await bench.once(call()))[0] == 200 and new.requests and not old.requests
+
+    play(scene)
+
+
+def test_a_new_configuration_while_the_node_ends_is_taken_on():
+    """Failure prevented: the list stands still from then on, and retries go to servers that drain."""
+
+    async def scene():
+        tell = asyncio.Event()
+
+        async def late(request, writer):
+            await tell.wait()
+            return FULL
+
+        bench = await Bench(full := Server(late)).start()
+        await Server.start(new := Server())
+        await Server.start(discovery := Discovery())
+        (client := await bench.client()).send(call("invite"))
+        await until(lambda: len(full.requests) == 1)
+        end = asyncio.create_task(bench.node.drain())
+        await until(lambda: bench.node.front.callers.draining)
+        renewed(bench, discovery.port)
+        discovery.say(1, True, new.entry("s1"))
+        await until(lambda: len(discovery.requests) == 2)
+        tell.set()
+        assert (await client.receive())[0] == 200 and len(new.requests) == 1
+        client.writer.close()
+        await end
+
+    play(scene)
+
+
+def test_what_only_a_start_can_take_on_is_named(capsys):
+    async def scene():
+        bench = await Bench(Server(), Server()).start()
+        config = bench.node.config
+        peers = (("127.0.0.1", 1), ("127.0.0.1", 2))
+        bench.node.reload(replace(config, tenants=("other",), connections=7, peers=peers, seed=1, known=None))
+        assert "needs a restart: connections, tenants\n" in capsys.readouterr().err
+        assert bench.node.config == replace(config, peers=peers)
+        assert list(bench.node.peers.numbers) == list(peers)
+        assert len(bench.discovery.requests) <= 1  # the address is the same: its watch goes on
+        assert (await bench.once(call()))[0] == 200
+
+    play(scene)
+
+
+def test_sighup_reads_the_file_anew(tmp_path):
+    """Failure prevented: the signal ends the node, a bad file stops it, or the environment of its start
+    hides the file's new address for good."""
+
+    async def scene():
+        await (server := Server()).start()
+        for discovery in (discoveries := [Discovery() for _ in range(4)]):
+            await discovery.start()
+            discovery.say(1, True, server.entry("s0"))
+        outside, first, second, third = discoveries
+        port = free_port()
+
+        def table(discovery):
+            return node_table(discovery.port, settings(), f"127.0.0.1:{port}", server.entry("s0"))
+
+        file = tmp_path / "config.json"
+        environ = {"LB_DISCOVERY": f"127.0.0.1:{outside.port}"}
+        process = await spawn(tmp_path, table(first), environ)
+        assert process.stderr is not None
+        await connected(client := Client(port))
+        await until(lambda: len(outside.requests) == 2)
+        for text in ("{", "[]", json.dumps(table(second) | {"settings": {}})):  # none can be used
+            file.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            assert b"the old configuration stays" in await process.stderr.readline()
+        file.write_text(json.dumps(table(first)))  # as it was: the environment's holds
+        process.send_signal(signal.SIGHUP)
+        assert b"%d\n" % outside.port in await process.stderr.readline()
+        for discovery in (second, third):
+            file.write_text(json.dumps(table(discovery)))
+            process.send_signal(signal.SIGHUP)
+            assert b"%d\n" % discovery.port in await process.stderr.readline()
+        outside.say(99, True)  # nobody listens there any more
+        await until(lambda: len(third.requests) == 2 and outside.closed == 1)
+        assert not first.requests
+        assert (await client.ask(call("invite")))[0] == 200  # on the connection from before
+        process.terminate()
+        assert await asyncio.wait_for(process.wait(), 20) == 0
+
+    play(scene)
+
+
+def test_a_sighup_during_the_start_is_kept_until_it_can_be_taken(tmp_path):
+    """Failure prevented: it ends a node that is still being imported, or what it told of is lost."""
+
+    async def scene():
+        await (server := Server()).start()
+        for discovery in (discoveries := [Discovery() for _ in range(2)]):
+            await discovery.start()
+            discovery.say(1, True, server.entry("s0"))
+        old, new = discoveries
+        os.mkfifo(tmp_path / "config.json")  # the node stands still here until its file is written
+        port = free_port()
+        table = node_table(old.port, settings(), f"127.0.0.1:{port}", server.entry("s0"))
+        process = await start(tmp_path)
+
+        def held() -> bool:
+            lines = (Path("/proc") / str(process.pid) / "status").read_text().splitlines()
+            blocked = next(line.split()[1] for line in lines if line.startswith("SigBlk"))
+            return bool(int(blocked, 16) >> (signal.SIGHUP - 1) & 1)
+
+        await until(held)
+        process.send_signal(signal.SIGHUP)
+
+        async def tell(discovery: Discovery) -> None:
+            text = json.dumps(table | {"discovery": f"127.0.0.1:{discovery.port}"})
+            await asyncio.get_running_loop().run_in_executor(
+                None, (tmp_path / "config.json").write_text, text
+            )
+
+        await tell(old)
+        await until(lambda: not held())  # it has read that, and takes the signal
+        await tell(new)
+        await connected(client := Client(port))
+        await until(lambda: len(new.requests) == 2)
+        assert (await client.ask(call("invite")))[0] == 200
+        process.terminate()
+        assert await asyncio.wait_for(process.wait(), 20) == 0
+
+    play(scene)
