Control nodes tell operators their view of the system: GET /-/Status

Cause: nothing but log lines told who leads, who votes, which revision is in force at which gateway. Ruled out: an own port for operators (one more listener a process; the control address takes operators already); every server by name (a megabyte at thousands of servers; counts by service and state do).

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -23,6 +23,7 @@
 from brackenladder.control_plane.orders import OrderService
 from brackenladder.control_plane.peers import PeerLinks
 from brackenladder.control_plane.soft_state import TICK_SECONDS, SoftState
+from brackenladder.control_plane.status import ControlStatus, age_ms, member_statuses
 from brackenladder.platform_settings import Platform
 from brackenladder.storage.writer import StoreWriter
 from brackenladder.transport.link import Link, Transport
@@ -75,7 +76,7 @@
         self.orders = OrderService(self.host, self.peers)
         heartbeat = int(platform.heartbeat_ms * MICROSECONDS_PER_MILLISECOND)
         self.soft_state = SoftState(clock, self.host.contact_age, self.peers, heartbeat)
-        operator_api = OperatorApi(self.orders, self.soft_state, self._zones)
+        operator_api = OperatorApi(self.orders, self.soft_state, self._zones, self.status)
         self._control_listener = HttpListener(operator_api.handle)
         self._directory_listener = HttpListener(DirectoryApi(self.soft_state.resolve).handle)
         self._writer = writer
@@ -120,6 +121,31 @@
         self.platform = platform
         self._dial()
 
+    def status(self) -> ControlStatus:
+        """This node's view of itself and of the system, for operators."""
+        replica, leader, catalog = self.host.replica, self.host.leader, self.catalog
+        places = {peer.replica_id: (peer.zone, peer.region) for peer, _ in self.peers.peers()}
+        places[self.member.replica_id] = (self.member.zone, self.member.region)
+        return ControlStatus(
+            node=member_statuses((self.member,), places)[0],
+            role=replica.role.name.lower(),
+            term=replica.term,
+            leader=None if leader is None else member_statuses((leader,), places)[0],
+            contact_age_ms=age_ms(self.host.contact_age()),
+            in_touch=self.soft_state.in_touch,
+            voters=member_statuses(replica.members.voters, places),
+            outgoing=member_statuses(replica.members.outgoing, places),
+            learners=member_statuses(replica.members.learners, places),
+            last_index=replica.last_index,
+            commit_index=replica.commit_index,
+            applied_index=self.host.applied_index,
+            revision=catalog.revision,
+            configuration_version=catalog.configuration.version if catalog.configuration else 0,
+            evacuated_zones=tuple(sorted(catalog.evacuated)),
+            services=self.soft_state.services(),
+            gateways=self.soft_state.gateways(),
+        )
+
     # -- PeerListener
 
     def peer_connected(self, peer: Hello, link: Link) -> None:
--- a/brackenladder/control_plane/operator_api.py
+++ b/brackenladder/control_plane/operator_api.py
@@ -21,6 +21,7 @@
 from brackenladder.control_plane.instances import parse_heartbeat
 from brackenladder.control_plane.messages import OrderOutcome, OrderReply
 from brackenladder.control_plane.orders import OrderService
+from brackenladder.control_plane.status import ControlStatus, status_document
 from brackenladder.registry.records import ServerRecord
 
 BASE_VERSION_HEADER = "X-Brackenladder-Base-Version"
@@ -43,11 +44,16 @@
     """Handles one call at a time of `Listen.Control`."""
 
     def __init__(
-        self, orders: OrderService, servers: ServerEvents, zones: Callable[[], Collection[str]]
+        self,
+        orders: OrderService,
+        servers: ServerEvents,
+        zones: Callable[[], Collection[str]],
+        status: Callable[[], ControlStatus],
     ) -> None:
         self._orders = orders
         self._servers = servers
         self._zones = zones
+        self._read_status = status
         self._calls: dict[tuple[str, str], Call] = {
             ("POST", "Instances.Heartbeat"): self._heartbeat,
             ("POST", "Instances.Deregister"): self._deregister,
@@ -56,6 +62,7 @@
             ("GET", "Config.Fetch"): self._fetch,
             ("POST", "Evacuations.Begin"): self._begin_evacuation,
             ("POST", "Evacuations.Finish"): self._finish_evacuation,
+            ("GET", "Status"): self._status,
         }
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -120,6 +127,9 @@
                 return unavailable(reason.value)
         raise AssertionError("a result is a success or a failure")
 
+    async def _status(self, _request: web.BaseRequest, _subject: str) -> web.Response:
+        return json_response(HTTPStatus.OK, status_document(self._read_status()))
+
     async def _submit(self, order: Order) -> web.Response:
         return _order_response(await self._orders.submit(encode_order(order)))
 
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -8,6 +8,12 @@
 
 from brackenladder.catalog.catalog import Catalog
 from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.control_plane.status import (
+    GatewayStatus,
+    ServiceStatus,
+    gateway_statuses,
+    service_statuses,
+)
 from brackenladder.delivery.messages import UNKNOWN_AGE, Ack, Subscribe
 from brackenladder.delivery.publisher import Publisher
 from brackenladder.registry.directory import resolve
@@ -51,6 +57,7 @@
         self._publisher = Publisher(self._servers)
         self._subscribers: dict[str, Link] = {}
         self._names: dict[Link, str] = {}
+        self._nodes: dict[str, str] = {}  # subscribed gateways: subscriber -> node
         self._informed: dict[str, Link] = {}  # the link over which a peer is told, by replica id
         self._last_name = 0
         self._ticked_at = now
@@ -80,6 +87,22 @@
         self._answers += 1
         return resolve(self._gateways.ready(now), region, zone, offset=self._answers)
 
+    # -- what operators ask
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether the word of servers is acknowledged."""
+        return self._in_touch()
+
+    def services(self) -> tuple[ServiceStatus, ...]:
+        """The living servers, counted by service."""
+        return service_statuses(self._servers.alive(self._clock()))
+
+    def gateways(self) -> tuple[GatewayStatus, ...]:
+        """The gateways that were heard lately, with what they have acknowledged here."""
+        revisions = {node: self._publisher.revision_of(name) for name, node in self._nodes.items()}
+        return gateway_statuses(self._gateways.heard(self._clock()), revisions)
+
     # -- events of links
 
     def peer_connected(self, replica_id: str) -> None:
@@ -116,6 +139,7 @@
         name = self._names.pop(link, None)
         if name is not None:
             del self._subscribers[name]
+            self._nodes.pop(name, None)
             self._publisher.lost(name)
 
     # -- changes of the agreed state
@@ -166,6 +190,7 @@
 
     def _subscribed(self, link: Link, name: str, message: Subscribe) -> None:
         self._publisher.subscribed(name, message)
+        self._nodes[name] = message.node
         self._gateways.presence(self._clock(), message.gateway)
         self._count_gateways()
 
--- a/brackenladder/delivery/publisher.py
+++ b/brackenladder/delivery/publisher.py
@@ -80,6 +80,11 @@
         if subscription is not None and subscription.acknowledged(ack):
             self._dirty[subscriber] = None
 
+    def revision_of(self, subscriber: str) -> int:
+        """The catalog that a subscriber says or has acknowledged to have; 0: none."""
+        subscription = self._subscriptions.get(subscriber)
+        return 0 if subscription is None else subscription.have_revision
+
     def lost(self, subscriber: str) -> None:
         """The link of a subscriber is down, or would not take a message: it has to subscribe anew."""
         self._subscriptions.pop(subscriber, None)
--- /dev/null
+++ b/tests/control_plane/test_status.py
@@ -0,0 +1,91 @@
+"""`GET /-/Status`: what a control node tells operators."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from random import Random
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from control_cluster import ZONES, ControlCluster, configuration, heartbeat
+
+from brackenladder.catalog.structuring import structure
+from brackenladder.control_plane.status import ControlStatus, age_ms, service_statuses, status_document
+from brackenladder.control_plane.wire import gateway_codec
+from brackenladder.delivery.presence import Presence
+from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.node.control_links import ControlLinks
+from brackenladder.node.role_runner import monotonic_microseconds
+from brackenladder.registry.gateways import GatewayState
+from brackenladder.registry.records import ServerRecord, ServerState
+from brackenladder.transport.link import LinkTiming
+from brackenladder.transport.tcp import TcpTransport
+
+STATUS = "/-/Status"
+
+
+class ServiceCountsTest(TestCase):
+    def test_servers_are_counted_by_service_and_state(self) -> None:
+        records = [
+            ServerRecord("a", "chat", "127.0.0.1:1", "z", 4, ServerState.READY, 1, cold_for=5),
+            ServerRecord("b", "chat", "127.0.0.1:2", "z", 4, ServerState.READY, 1),
+            ServerRecord("c", "chat", "127.0.0.1:3", "z", 4, ServerState.DRAINING, 1, cold_for=5),
+            ServerRecord("d", "cards", "127.0.0.1:4", "z", 4, ServerState.READY, 1),
+        ]
+        counts = [(one.name, one.ready, one.draining, one.cold) for one in service_statuses(records)]
+        self.assertEqual(counts, [("cards", 1, 0, 0), ("chat", 2, 1, 1)])
+
+    def test_an_age_that_was_never_measured_is_none(self) -> None:
+        self.assertEqual([age_ms(age) for age in (2500, -3, 1 << 60)], [2, 0, None])
+
+
+class StatusTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = await self.enterAsyncContext(ControlCluster())
+        self.leader = await self.cluster.leader()
+
+    async def status(self, number: int) -> ControlStatus:
+        """The document read back into the type that it was made from."""
+        answer = await self.cluster.get(self.cluster.platforms[number].listen.control, STATUS)
+        self.assertEqual(answer.status, HTTPStatus.OK)
+        status = structure(ControlStatus, answer.document).unwrap()
+        self.assertEqual(status_document(status), answer.document)
+        return status
+
+    async def test_leader_members_version_servers_and_gateways_are_told(self) -> None:
+        await self.cluster.insist(0, "/-/Config.Replace", configuration(7, "a"), base=0)
+        await self.cluster.insist(0, "/-/Evacuations.Begin/hall-2")
+        await self.cluster.insist(1, "/-/Instances.Heartbeat/i-1", heartbeat(1))
+        links = self.follow()
+        node = self.cluster.node(self.leader)
+        revision = node.catalog.revision
+        await self.cluster.until(lambda: [one.revision for one in node.status().gateways] == [revision])
+        status = await self.status(self.leader)
+        self.assertEqual((status.role, status.leader), ("leader", status.node))
+        self.assertEqual({voter.zone for voter in status.voters}, set(ZONES))
+        self.assertEqual((len(status.voters), status.outgoing, status.learners), (3, (), ()))
+        self.assertEqual((status.configuration_version, status.revision), (7, revision))
+        self.assertEqual(status.evacuated_zones, ("hall-2",))
+        self.assertEqual([(one.name, one.ready) for one in status.services], [("api", 1)])
+        self.assertTrue(status.in_touch)
+        gateway = status.gateways[0]
+        self.assertEqual((gateway.node, gateway.state), ("gateway-1", "ready"))
+        await links.close()
+        await self.cluster.until(lambda: node.status().gateways[0].revision is None)
+
+    async def test_a_node_without_a_quorum_says_so(self) -> None:
+        for number in {0, 1, 2} - {self.leader}:
+            await self.cluster.crash(number)
+        await self.cluster.until(lambda: not self.cluster.node(self.leader).soft_state.in_touch)
+        status = await self.status(self.leader)
+        self.assertFalse(status.in_touch)
+        self.assertGreater(status.contact_age_ms or 0, 1000)
+
+    def follow(self) -> TcpTransport:
+        """A gateway that follows the control nodes; to be closed."""
+        transport = TcpTransport(gateway_codec(), LinkTiming(), Random(1))
+        self.addAsyncCleanup(transport.close)
+        presence = Presence("gateway-1", "127.0.0.1:8144", "hall-1", "north", 1)
+        presence.set_state(GatewayState.READY)
+        links = ControlLinks(transport, Subscriber(), presence, monotonic_microseconds, Random(1))
+        links.set_seeds(self.cluster.platforms[0].seed_inner_addresses)
+        return transport
