--- a/brackenladder/consensus/election.py
+++ b/brackenladder/consensus/election.py
@@ -19,12 +19,20 @@
         self._votes: set[str] = set()
         self.active = False
         self.pre_vote = False
+        self._starting = True  # since the replica's start no election has ended
         self.wait(now)
 
     def wait(self, now: int) -> None:
-        """Start the timer anew."""
+        """Start the timer anew.
+
+        A replica that has just started waits less: after a loss of power of all replicas nobody leads, and
+        where somebody does, the others refuse its pre-vote.
+        """
         timing = self._core.timing
-        self._deadline = now + self._random.randint(timing.election_min, timing.election_max)
+        least, most = timing.election_min, timing.election_max
+        if self._starting:
+            least, most = timing.first_election_min, timing.first_election_max
+        self._deadline = now + self._random.randint(least, most)
 
     def due(self, now: int) -> bool:
         """Whether the timer has run out."""
@@ -32,6 +40,7 @@
 
     def end(self, now: int) -> None:
         """No campaign is under way any more."""
+        self._starting = False
         self.active = False
         self.pre_vote = False
         self.wait(now)
--- a/brackenladder/consensus/timing.py
+++ b/brackenladder/consensus/timing.py
@@ -15,6 +15,8 @@
     heartbeat: int = 150_000  # a leader speaks to each follower at least this often
     election_min: int = 700_000  # a follower waits at least this long for its leader
     election_max: int = 1_200_000
+    first_election_min: int = 300_000  # the same until the first election since its start has ended
+    first_election_max: int = 650_000
     write_limit: int = 900_000  # a leader whose write hangs for longer steps down
     write_retry: int = 200_000  # pause before a refused write is tried again
     pause: int = 400_000  # a longer gap between ticks: this replica itself stood still
--- a/brackenladder/node/role_runner.py
+++ b/brackenladder/node/role_runner.py
@@ -81,6 +81,7 @@
             return EXIT_FAILED
         gc.collect()
         gc.freeze()
+        gc.enable()
         watch = asyncio.create_task(self._watch_settings())
         await self._ending.wait()
         watch.cancel()
--- a/brackenladder/serve.py
+++ b/brackenladder/serve.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 
@@ -16,6 +17,9 @@
 SETTINGS_PATH = "/etc/brackenladder/local.toml"
 EXIT_USAGE = 2
 USAGE = "usage: python3 -m brackenladder.serve gateway|control"
+# aiohttp reads the machine's certificate bundle as it is imported, a quarter of a role's start. Roles speak
+# plain HTTP and TCP only, so they are given an empty one.
+NO_CERTIFICATES = {"SSL_CERT_FILE": os.devnull, "SSL_CERT_DIR": os.devnull}
 
 
 def main(arguments: list[str]) -> int:
@@ -31,6 +35,8 @@
             for fault in faults:
                 print(f"{path}: {fault}", file=sys.stderr)
             return EXIT_USAGE
+    os.environ.update(NO_CERTIFICATES)
+    gc.disable()  # the runner enables it once all that stays has been loaded
     from brackenladder.node.role_runner import run_role
 
     if arguments == ["gateway"]:
--- /dev/null
+++ b/tests/consensus/test_first_election.py
@@ -0,0 +1,56 @@
+"""How soon replicas that have just started elect, and that they leave a living leader alone."""
+
+from __future__ import annotations
+
+import unittest
+
+from consensus.cluster import TICK, Cluster
+
+from brackenladder.consensus.replica import Role
+from brackenladder.consensus.timing import Timing
+
+TIMING = Timing()
+MARGIN = 100_000  # microseconds for ticks and messages
+MOST_STEPS = 400
+
+
+def leaders(cluster: Cluster) -> list[str]:
+    return [name for name, host in cluster.hosts.items() if host.replica.role is Role.LEADER]
+
+
+class FirstElectionTest(unittest.TestCase):
+    def run_until_led(self, cluster: Cluster) -> int:
+        began = cluster.now
+        for _ in range(MOST_STEPS):
+            if leaders(cluster):
+                return cluster.now - began
+            cluster.run(TICK)
+        self.fail("no leader")
+
+    def test_replicas_that_start_together_elect_before_a_usual_wait_ends(self):
+        cluster = Cluster()
+        self.assertLess(self.run_until_led(cluster), TIMING.first_election_max + MARGIN)
+
+    def test_replicas_that_restart_together_elect_as_soon(self):
+        cluster = Cluster()
+        self.run_until_led(cluster)
+        cluster.run(TIMING.election_max)
+        for host in list(cluster.hosts.values()):
+            cluster.restart(host)
+        self.assertLess(self.run_until_led(cluster), TIMING.first_election_max + MARGIN)
+
+    def test_one_that_restarts_leaves_the_leader_alone(self):
+        cluster = Cluster()
+        self.run_until_led(cluster)
+        cluster.run(TIMING.election_max)
+        leader = leaders(cluster)
+        term = cluster.hosts[leader[0]].replica.term
+        follower = next(host for name, host in cluster.hosts.items() if name not in leader)
+        cluster.restart(follower)
+        cluster.run(3 * TIMING.election_max)
+        self.assertEqual(leaders(cluster), leader)
+        self.assertEqual(cluster.hosts[leader[0]].replica.term, term)
+
+
+if __name__ == "__main__":
+    unittest.main()
