The rehearsal's checker is a package, a module a rule; code moved, verdicts the same

Ruled out: mixins over one object, which would keep every rule able to reach into the others. Change: rehearsal/checker/ has the types (verdicts), the indexed events (history), what nodes knew (knowledge), what is found (evidence) and lost, effect, drain, cold; `from brackenladder.rehearsal.checker import check` stays. Names: Try is Request, Life is ServerProcess, able is capacity_between, tempting is overload_chance, news is server_states.

--- a/brackenladder/fleet/servers.py
+++ b/brackenladder/fleet/servers.py
@@ -14,7 +14,7 @@
 
 from brackenladder.fleet.choke import Choke
 from brackenladder.fleet.queue import Queue
-from brackenladder.rehearsal.checker import able
+from brackenladder.rehearsal.checker import capacity_between
 from brackenladder.rehearsal.events import Arrived, Begun, Closed, Down, Event, Replied, Up
 from brackenladder.rehearsal.plan import MICRO, ServerPlan, Step, work_of
 from brackenladder.rehearsal.scenario import Class, Rules
@@ -319,9 +319,10 @@
         self.came_work += work
         while self.came[0][0] < now - span:
             self.came_work -= self.came.popleft()[1]
-        if now - span < self.up.t + self.up.warm and self.came_work > work + self.rules.fall_multiple * able(
-            self.up, max(self.up.t, now - span), max(self.up.t, now - span) + span
-        ):
+        start = max(self.up.t, now - span)
+        warming = now - span < self.up.t + self.up.warm
+        multiple = self.rules.fall_multiple
+        if warming and self.came_work > work + multiple * capacity_between(self.up, start, start + span):
             self.die()
             self.fell(self.plan)
 
--- /dev/null
+++ b/brackenladder/rehearsal/checker/drain.py
@@ -0,0 +1,65 @@
+"""The rule `drain`: nothing new to a server a grace after the node was told that it drains or is gone."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
+from collections.abc import Sequence
+
+from brackenladder.rehearsal.checker.evidence import RuleCheck
+from brackenladder.rehearsal.checker.history import FAR, Attempt, Request
+from brackenladder.rehearsal.checker.knowledge import Knowledge
+
+
+class DrainCheck(RuleCheck):
+    """First bytes of attempts against what the node knew by then."""
+
+    def check(self, knowledge: Knowledge) -> None:
+        """Attempts by their first byte, against what the node had been told by then."""
+        by_pair: defaultdict[tuple[str, str], list[tuple[Attempt, Request]]] = defaultdict(list)
+        taken: defaultdict[str, list[int]] = defaultdict(list)
+        for request in self.history.requests.values():
+            if request.sent is not None:
+                taken[request.sent.node].append(request.sent.t)
+                for attempt in request.attempts:
+                    by_pair[request.sent.node, attempt.server].append((attempt, request))
+        for times in taken.values():
+            times.sort()
+        for node in sorted(set(self.history.told) | set(self.history.began)):
+            for server, steps in knowledge.server_states(node).items():
+                sends = sorted(by_pair[node, server], key=lambda pair: pair[0].first)
+                for i, (t, ready, _) in enumerate(steps):
+                    if ready:
+                        continue
+                    until = steps[i + 1][0] if i + 1 < len(steps) else FAR
+                    self.check_interval(node, server, t, until, sends, taken[node])
+
+    def check_interval(
+        self,
+        node: str,
+        server: str,
+        told: int,
+        until: int,
+        sends: Sequence[tuple[Attempt, Request]],
+        taken: Sequence[int],
+    ) -> None:
+        """A time in which the node knew that it must leave a server alone."""
+        limit = told + self.terms.drain
+        sure = limit + self.terms.slack
+        # A chance: the node had used the server, it could still be reached, and there was work to send.
+        reachable = min(
+            until, next((x.down for x in self.history.processes[server] if x.up.t <= told < x.down), told)
+        )
+        if any(a.first <= told for a, _ in sends) and bisect_left(taken, reachable) > bisect_right(
+            taken, sure
+        ):
+            self.evidence.chances["drain"] += 1
+        for attempt, request in sends:
+            if attempt.queued or not limit < attempt.first < until:
+                continue
+            late = (attempt.first - told) / 1000
+            text = f"sent {late:.0f} ms after {node} was told that {server} is not ready"
+            if attempt.first > sure:
+                self.evidence.broke("drain", "sent", attempt.first, request, server, text, True)
+            else:
+                self.evidence.edge("drain", "sent", attempt.first, request, server, text)
--- /dev/null
+++ b/brackenladder/rehearsal/checker/knowledge.py
@@ -0,0 +1,99 @@
+"""What each node knew of servers, and since when: what it was told, and what counts as told."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from brackenladder.rehearsal.checker.history import FAR, History
+from brackenladder.rehearsal.events import Asked, Changed, Told, Untold
+
+ASK_WITHIN = 10_000_000  # microseconds without a call, after which what was listed counts as told...
+AFTER_FAILURE = 4  # ...so many times that after a call that failed
+SILENT = 6_000_000  # microseconds after which what a silent call misses counts as told...
+AFTER_WAIT = 2_000_000  # ...or so long after the wait it asked for, if that is later
+
+
+class Knowledge:
+    """What nodes knew, from the history of their discovery calls."""
+
+    def __init__(self, history: History) -> None:
+        self.history = history
+
+    def server_states(self, node: str) -> dict[str, list[tuple[int, bool, int]]]:
+        """For each server what the node knew and since when: (time, ready, started_ms), by time.
+
+        The highest version told holds, whatever older one comes after it; another source begins anew.
+        """
+        out: dict[str, list[tuple[int, bool, int]]] = defaultdict(list)
+        state: dict[str, tuple[bool, int]] = {}
+        source, version = -1, -1
+        pending = self.treated_as_told(node)
+        steps: list[tuple[int, Told | Changed]] = [(told.t, told) for told in self.history.told[node]]
+        steps += pending
+        steps.sort(key=lambda step: step[0])
+
+        def put(t: int, server: str, ready: bool, started: int) -> None:
+            if state.get(server) != (ready, started):
+                state[server] = (ready, started)
+                out[server].append((t, ready, started))
+
+        for t, step in steps:
+            if isinstance(step, Changed):
+                if step.source == source and step.version > version:
+                    put(t, step.server, step.state == "ready", step.started)
+                continue
+            if step.source != source:
+                source, version = step.source, -1
+            if step.version < version:
+                continue
+            version = step.version
+            for server, line_state, started in step.servers:
+                put(t, server, line_state == "ready", started)
+            if step.full:
+                listed = {server for server, _, _ in step.servers}
+                for server in [s for s in state if s not in listed]:
+                    put(t, server, False, state[server][1])
+        return out
+
+    def treated_as_told(self, node: str) -> list[tuple[int, Told | Changed]]:
+        """Changes that count as told: the node has made no call for too long, or its call fell silent."""
+        spans: list[tuple[int, int, int]] = []  # no call is out: from, to, until what was listed counts
+        calls = self.history.calls[node]
+        out_since: set[int] = set()
+        free_since, wait = 0, ASK_WITHIN
+        for call in calls:
+            if isinstance(call, Asked):
+                if not out_since and call.t - free_since >= wait:
+                    spans.append((free_since, call.t, wait))
+                out_since.add(call.call)
+            else:
+                out_since.discard(call.call)
+                wait = ASK_WITHIN * (AFTER_FAILURE if isinstance(call, Untold) else 1)
+                free_since = call.t
+        if not out_since and (calls or self.history.began[node]):
+            spans.append((free_since, self.history.last, wait))
+        found: list[tuple[int, Told | Changed]] = []
+        start = min(self.history.began[node], default=0)
+        for begin, end, wait in spans:
+            begin = max(begin, start)
+            for change in self.history.changed:
+                time = max(change.t, begin) + wait
+                if change.t < end and time <= end:
+                    found.append((time, change))
+        return found + self.missed_changes(node)
+
+    def missed_changes(self, node: str) -> list[tuple[int, Told | Changed]]:
+        """What silent calls of a node missed, and from when on it counts as told."""
+        found: list[tuple[int, Told | Changed]] = []
+        asked: dict[int, Asked] = {}
+        for call in self.history.calls[node]:
+            if isinstance(call, Asked):
+                asked[call.call] = call
+        over = {call.call: call.t for call in self.history.calls[node] if isinstance(call, Untold)}
+        for number, hushed in self.history.hushed[node].items():
+            watch = asked[number]
+            due = max(hushed + SILENT, watch.t + watch.wait + AFTER_WAIT)
+            for change in self.history.changed:
+                if hushed <= change.t < min(due, over.get(number, FAR)):
+                    found.append((due, change))
+        return found
