A lost control machine's successor takes its vote within 1.5 s of silence, not 20 s

The successor at another address was only taken as a learner; the lost machine stayed a voter for 20 s, though it counts as lost for no longer than `CatchUpS` (4 s) after its successor's start. The next loss took the majority. Ruled out: the store (the log was whole on the one machine left), the read path. Change: `replace_after` 20 s -> 1.5 s. A voter that was only cut off and comes back asks to be taken in again and stands by; the number of voters stays.

--- a/brackenladder/consensus/timing.py
+++ b/brackenladder/consensus/timing.py
@@ -21,7 +21,7 @@
     write_retry: int = 200_000  # pause before a refused write is tried again
     pause: int = 400_000  # a longer gap between ticks: this replica itself stood still
     snapshot_retry: int = 2 * SECOND  # an unanswered snapshot is sent again; doubles each time
-    replace_after: int = 20 * SECOND  # a silent voter is replaced by a learner that stands by
+    replace_after: int = 1_500_000  # a silent voter is replaced by a learner that stands by
     forget_learner: int = 60 * SECOND  # a silent learner is dropped; it can ask again
     max_voters: int = 5
     catch_up_entries: int = 16  # a learner that is at most this far behind has caught up
