The failure detector in three modules: what is sent, the probes, the states of members

Cause: 552 lines in one class. Ruled out: three objects that call one another, since the detector's surface (view, health, counters, keys, extra) is used by the node, the model and the rogues as it is. Change: cluster/sender.py (datagrams, gossip, digests, byte budget), prober.py (SWIM's probes) and detector.py (records, suspicion, death), each a class on the one before; code moved, draws of the random source in the same order. Names: bury is declare_dead, last_call is ask_before_death, woke is check_pause, probing is advance_probe. The rogue that floods lifts the budget where it now stands.

--- a/brackenladder/fleet/rivals/members.py
+++ b/brackenladder/fleet/rivals/members.py
@@ -123,7 +123,7 @@
         self.heard_at.clear()  # only an answer counts
         super().tick(now)
 
-    def woke(self, now: int) -> None:
+    def check_pause(self, now: int) -> None:
         self.health.last_tick = now
 
     def dead(self) -> set[int]:
--- a/tests/rehearsal/rogue_members.py
+++ b/tests/rehearsal/rogue_members.py
@@ -11,7 +11,7 @@
 sys.path[0] = str(Path(__file__).parents[2])  # this folder has modules of other names
 
 from brackenladder import __main__ as program  # noqa: E402
-from brackenladder.cluster import detector, suspicion  # noqa: E402
+from brackenladder.cluster import detector, sender, suspicion  # noqa: E402
 from brackenladder.cluster.health import Health  # noqa: E402
 from brackenladder.cluster.view import Record, View  # noqa: E402
 from brackenladder.cluster.wire import Recorded  # noqa: E402
@@ -38,7 +38,8 @@
     View.merge = merge  # type: ignore[method-assign]
     detector.Detector.recorded = recorded  # type: ignore[method-assign,assignment]
 elif mode == "floods":
-    detector.BYTES_A_SECOND, detector.BURST, detector.GOSSIP = 10**9, 10**9, 1
+    detector.BYTES_A_SECOND = sender.BYTES_A_SECOND = sender.BURST = 10**9
+    detector.GOSSIP = 1
     plain = detector.Detector.gossip
 
     def gossip(self: detector.Detector, now: int) -> None:
