The whole system on loopback by one command, and a command line for its operators

Ruled out: control nodes and gateways as tasks of one process (a killed process is then only played); new stand-ins inside tests (the end-to-end test and `local` share one set); click (house style: typer). Change: `python -m brackenladder.system`: `local` (3 control nodes and 3 gateways as real processes in 3 regions, stand-in servers and clients, faults), `status`, `config show|check|diff|apply`, `evacuate`, `store inspect|verify|backup`; `make local`; the end-to-end test in tests/system. Role processes import nothing of it: tests/test_imports.py.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 # From a fresh clone, with nothing but python3 and make. All is installed into .venv, pinned.
 PYTHON ?= python3
 BIN = .venv/bin
-NEEDS = requirements.txt requirements-tools.txt requirements-dev.txt requirements-system.txt
+NEEDS = requirements.txt requirements-tools.txt requirements-dev.txt requirements-system.txt \
+	requirements-cli.txt
 
-.PHONY: test rehearse demo gate fleet-test
+.PHONY: test rehearse demo local gate fleet-test
 # All checks: style, types, tests.
 test: .venv/ready
 	$(BIN)/ruff check .
@@ -27,6 +28,10 @@
 demo: .venv/ready
 	$(BIN)/python -m brackenladder demo
 
+# A whole small system in three regions on loopback, until Ctrl-C (docs/system-operations.md).
+local: .venv/ready
+	@$(BIN)/python -m brackenladder.system local
+
 .venv/ready: $(NEEDS) requirements-operator.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps $(addprefix -r ,$(NEEDS))
--- /dev/null
+++ b/brackenladder/rehearsal/standins/model_server.py
@@ -0,0 +1,205 @@
+"""A stand-in server of the whole system: a model server, or a plain application behind the same interface.
+
+It speaks what the servers of the system speak: streams of numbered events, `/-/report`, `/healthz`, 421 for
+another instance, `Not-Executed` where a request has not run. Its heartbeats: `heartbeats.py`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+from attrs import frozen
+
+from brackenladder.rehearsal.standins.model_engine import EngineSettings, Prompt, PromptCache, parse_prompt
+
+REQUEST_ID = "X-Brackenladder-Request-Id"
+SIGNATURE = "X-Brackenladder-Response-Signature"
+EXPECTED_INSTANCE = "X-Brackenladder-Expected-Instance"
+INSTANCE_ID = "X-Brackenladder-Instance-Id"
+NOT_EXECUTED = "X-Brackenladder-Not-Executed"
+TOKEN_USAGE = "X-Brackenladder-Token-Usage"
+PROMPT_PREFIX = "X-Brackenladder-Prompt-Prefix"
+LAST_EVENT_ID = "Last-Event-Id"
+KEEP_ALIVE = "timeout=15"
+KEEP_ALIVE_SECONDS = 15.0
+PLAIN_WORK_SECONDS = 0.02
+CLOSE_SECONDS = 0.2
+LARGEST_BODY = 4 * 1024 * 1024  # bytes
+
+
+@frozen
+class ServerSettings:
+    """Who a server is."""
+
+    id: str  # of this incarnation
+    service: str
+    address: str  # "ip:port"
+    zone: str
+    engine: EngineSettings | None = None  # None: a plain application
+    slots: int = 16
+    model: str = "m"
+
+
+class ModelServer:
+    """One server. `executed` counts by request id what it has begun to work on."""
+
+    def __init__(self, settings: ServerSettings) -> None:
+        self.settings = settings
+        self.draining = False
+        self.executed: Counter[str] = Counter()
+        self.prefilled_tokens = 0
+        self.running = 0
+        self._engine = settings.engine or EngineSettings(slots=settings.slots, queue=settings.slots)
+        self._cache = PromptCache(self._engine.kv_tokens)
+        self._slots = asyncio.Semaphore(self._engine.slots)
+        self._waiting = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._protocols = web.Server(
+            self._handle, handler_cancellation=True, access_log=None, keepalive_timeout=KEEP_ALIVE_SECONDS
+        )
+        self._listener: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listens; an OSError if the address can't be had."""
+        host, _, port = self.settings.address.rpartition(":")
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._protocols, host, int(port), reuse_address=True
+        )
+
+    async def finish(self) -> None:
+        """Waits until nothing runs, then ends."""
+        await self._idle.wait()
+        await self._end(CLOSE_SECONDS)
+
+    async def crash(self) -> None:
+        """Ends at once: connections are reset, streams break off."""
+        for protocol in self._protocols.connections:
+            if protocol.transport is not None:
+                protocol.transport.abort()
+        await self._end(0.0)
+
+    async def _end(self, grace_seconds: float) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        await self._protocols.shutdown(grace_seconds)
+
+    # -- requests
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.method == "GET" and request.path == "/healthz":
+            headers = {INSTANCE_ID: self.settings.id}
+            return web.Response(status=503 if self.draining else 200, headers=headers)
+        if request.method == "GET" and request.path == "/-/report":
+            return web.json_response(self._report())
+        await request.read()
+        return await self._serve(request)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers.get(REQUEST_ID, "")
+        if not request_id:
+            return self._refused(request_id, 400)
+        if request.headers.get(EXPECTED_INSTANCE, self.settings.id) != self.settings.id:
+            return self._refused(request_id, 421)
+        if self._waiting >= self._engine.queue:
+            return self._refused(request_id, 503)
+        try:
+            prompt = self._prompt(request)
+        except ValueError:
+            return self._refused(request_id, 400)
+        async with self._slot():
+            self.executed[request_id] += 1
+            if self.settings.engine is None:
+                return await self._answer(request_id)
+            return await self._stream(request, request_id, prompt)
+
+    @asynccontextmanager
+    async def _slot(self) -> AsyncIterator[None]:
+        """Waits for a slot and holds it."""
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self.running += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self.running -= 1
+            self._slots.release()
+            if not self.running:
+                self._idle.set()
+
+    async def _answer(self, request_id: str) -> web.Response:
+        await asyncio.sleep(PLAIN_WORK_SECONDS)
+        body = {"Service": self.settings.service, "Server": self.settings.id, "Zone": self.settings.zone}
+        return web.json_response(body, headers=self._headers(request_id))
+
+    async def _stream(self, request: web.BaseRequest, request_id: str, prompt: Prompt) -> web.StreamResponse:
+        await self._prefill(prompt)
+        answer = web.StreamResponse(headers=self._headers(request_id))
+        answer.content_type = "text/event-stream"
+        answer.enable_chunked_encoding()
+        first = int(request.headers.get(LAST_EVENT_ID) or 0) + 1
+        for number in range(first, prompt.events + 1):
+            if number > first:
+                await asyncio.sleep(self._pace())
+            if not answer.prepared:
+                await answer.prepare(request)
+            await answer.write(b"id: %d\ndata: piece %d of %d\n\n" % (number, number, prompt.events))
+        if not answer.prepared:
+            await answer.prepare(request)
+        await answer.write_eof()
+        return answer
+
+    async def _prefill(self, prompt: Prompt) -> None:
+        """Reads what is not kept of the prompt; the time is that of an engine that others use as well."""
+        unread = self._cache.unread(prompt)
+        self.prefilled_tokens += unread
+        await asyncio.sleep(unread / self._engine.prefill_tokens_a_second * self._crowding())
+        self._cache.keep(prompt)
+
+    def _pace(self) -> float:
+        return self._engine.event_seconds * self._crowding()
+
+    def _crowding(self) -> float:
+        return 1.0 + self.running / self._engine.slots
+
+    def _prompt(self, request: web.BaseRequest) -> Prompt:
+        prefix = request.headers.get(PROMPT_PREFIX, "")
+        usage = request.headers.get(TOKEN_USAGE, "")
+        return parse_prompt(prefix, usage, self._engine.tokens_an_event)
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        headers = {
+            REQUEST_ID: request_id,
+            SIGNATURE: f"{self.settings.id}.{request_id}",
+            "Keep-Alive": KEEP_ALIVE,
+        }
+        return headers | {"Connection": "close"} if self.draining else headers
+
+    def _refused(self, request_id: str, status: int) -> web.Response:
+        """The request has not run."""
+        return web.Response(status=status, headers=self._headers(request_id) | {NOT_EXECUTED: "true"})
+
+    def _report(self) -> dict[str, object]:
+        return {
+            "Stage": "both",
+            "Models": [self.model_entry()],
+            "Busy": False,
+            "Seq": 0,
+            "Queued": self._waiting,
+            "Running": self.running,
+            "KvUsed": 0,
+            "KvTotal": self._engine.kv_tokens,
+            "Handles": 0,
+        }
+
+    def model_entry(self) -> dict[str, object]:
+        """The model as reports and heartbeats name it."""
+        return {"Name": self.settings.model, "Version": 1, "Adapters": []}
--- /dev/null
+++ b/brackenladder/rehearsal/standins/server_context.py
@@ -0,0 +1,28 @@
+"""What the servers of one stand-in process share: the plan's faults, classes of requests, addresses."""
+
+from __future__ import annotations
+
+from itertools import count
+from random import Random
+
+from brackenladder.rehearsal.plan import ServerPlan, Step
+from brackenladder.rehearsal.standins.process import Host
+
+
+class ServerContext:
+    """`places`: the address of each place; `steps`: each server's faults; `numbers`: of attempts."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.scenario = host.scenario
+        self.classes = {c.name: c for c in host.scenario.classes}
+        self.rng = Random(f"reports {host.brief.seed} {host.brief.number}")
+        self.numbers = count(host.brief.number << 40)
+        self.places: dict[int, str] = {}
+        self.steps: dict[str, list[Step]] = {}
+        for step in host.plan.steps:
+            self.steps.setdefault(step.target, []).append(step)
+
+    def pod(self, plan: ServerPlan) -> str:
+        """The group that shares keys: the cell."""
+        return f"{plan.zone}/{plan.cell}"
--- /dev/null
+++ b/brackenladder/system/app.py
@@ -0,0 +1,51 @@
+"""The commands together, and how errors end."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+import typer
+from typer.exceptions import Abort, TyperException
+
+from brackenladder.system.config_commands import config
+from brackenladder.system.errors import CommandError, ExitCode
+from brackenladder.system.evacuate_command import evacuate
+from brackenladder.system.local_command import local
+from brackenladder.system.status_command import status
+from brackenladder.system.store_commands import store
+
+PROGRAM = "brackenladder.system"
+
+app = typer.Typer(
+    help="The whole system: run it on loopback, ask and change it, look into its stores.",
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    context_settings={"help_option_names": ["-h", "--help"]},
+)
+app.command()(local)
+app.command()(status)
+app.add_typer(config, name="config")
+app.command()(evacuate)
+app.add_typer(store, name="store")
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Runs a command; its exit code. What goes wrong is one line."""
+    try:
+        result = typer.main.get_command(app).main(
+            list(arguments), prog_name=f"python -m {PROGRAM}", standalone_mode=False
+        )
+    except CommandError as error:
+        return _end(error.line, error.code)
+    except TyperException as error:
+        return _end(error.format_message(), ExitCode.UNUSABLE)
+    except (Abort, KeyboardInterrupt):
+        return _end("interrupted", ExitCode.NO)
+    return int(result or ExitCode.DONE)
+
+
+def _end(line: str, code: ExitCode) -> int:
+    print(f"brackenladder: {line}", file=sys.stderr)
+    return code
--- /dev/null
+++ b/brackenladder/system/config_commands.py
@@ -0,0 +1,163 @@
+"""`config show`, `check`, `diff` and `apply`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from returns.result import Failure, Result
+
+from brackenladder.system.config_change import ConfigurationFile, PlannedChange, plan_change, read_file
+from brackenladder.system.control_client import DEFAULT_PATIENCE_SECONDS, ControlClient
+from brackenladder.system.errors import CommandError, ControlError, ExitCode, NoAnswer, Unusable
+from brackenladder.system.options import (
+    ControlOption,
+    JsonOption,
+    OptionalControlOption,
+    PatienceOption,
+    control_client,
+)
+from brackenladder.system.output import note, print_json, say
+
+config = typer.Typer(help="The operator's configuration.")
+FileArgument = Annotated[
+    Path, typer.Argument(help="JSON: a whole configuration, or an update with Upsert and Remove.")
+]
+
+
+@config.command()
+def show(
+    control: ControlOption, patience: PatienceOption = DEFAULT_PATIENCE_SECONDS, as_json: JsonOption = False
+) -> None:
+    """The configuration in force, confirmed by a quorum."""
+    document = json.loads(_current(control, patience) or b"{}")
+    if not document:
+        raise CommandError("there is no configuration yet")
+    if as_json:
+        print_json(document)
+    else:
+        say(json.dumps(document, ensure_ascii=False, indent=2))
+
+
+@config.command()
+def check(
+    file: FileArgument,
+    control: OptionalControlOption = None,
+    patience: PatienceOption = DEFAULT_PATIENCE_SECONDS,
+    as_json: JsonOption = False,
+) -> int:
+    """Everything that is wrong with a file; of an update: on top of the configuration in force.
+
+    Exit code 0: nothing. 1: it would be refused.
+    """
+    read = read_file(file)
+    if read.is_update and not control:
+        raise Unusable(f"{file}: an update is checked on top of a configuration: give --control")
+    planned = plan_change(read, _current(control, patience) if control else b"")
+    if as_json:
+        print_json({"File": str(file), "Faults": list(planned.faults)})
+    elif not planned.faults:
+        say(f"{file}: nothing is wrong")
+    _note_faults(file, planned, as_json)
+    return ExitCode.NO if planned.faults else ExitCode.DONE
+
+
+@config.command()
+def diff(
+    file: FileArgument,
+    control: ControlOption,
+    patience: PatienceOption = DEFAULT_PATIENCE_SECONDS,
+    as_json: JsonOption = False,
+) -> int:
+    """What a file would change, item by item.
+
+    Exit code 0: nothing. 1: something, or it would be refused.
+    """
+    planned = plan_change(read_file(file), _current(control, patience))
+    if as_json:
+        changes = [
+            {"Place": one.place, "Before": one.before, "After": one.after} for one in planned.differences
+        ]
+        print_json({"Base": planned.base, "Differences": changes, "Faults": list(planned.faults)})
+    elif not planned.faults:
+        _print_differences(planned)
+    _note_faults(file, planned, as_json)
+    return ExitCode.NO if planned.faults or planned.differences else ExitCode.DONE
+
+
+@config.command()
+def apply(
+    file: FileArgument,
+    control: ControlOption,
+    base: Annotated[
+        int | None, typer.Option("--base", min=0, help="Refuses if another version than this is in force.")
+    ] = None,
+    patience: PatienceOption = DEFAULT_PATIENCE_SECONDS,
+    as_json: JsonOption = False,
+) -> int:
+    """Puts a file in force; may be repeated with the same file until it is acknowledged."""
+    read = read_file(file)
+    planned = plan_change(read, _current(control, patience))
+    if planned.in_force:
+        return _applied(planned.base, as_json, "is in force already")
+    if base is not None and base != planned.base:
+        raise CommandError(f"{file}: version {planned.base} is in force, not {base}: nothing was sent")
+    if planned.faults:
+        _note_faults(file, planned, as_json=False)
+        return ExitCode.NO
+    done = asyncio.run(_send(control_client(control, patience), read, planned.base))
+    if isinstance(done, Failure):
+        raise CommandError(f"{file}: {_failure_line(done.failure())}")
+    if not as_json:
+        _print_differences(planned)
+    return _applied(done.unwrap(), as_json, "is in force")
+
+
+def _failure_line(error: ControlError) -> str:
+    if isinstance(error, NoAnswer):
+        return f"{error}: the change may be in force or not; apply the same file again"
+    return f"refused: {error}"
+
+
+def _applied(version: int, as_json: bool, text: str) -> int:
+    if as_json:
+        print_json({"Version": version})
+    else:
+        say(f"version {version} {text}")
+    return ExitCode.DONE
+
+
+def _print_differences(planned: PlannedChange) -> None:
+    for difference in planned.differences:
+        say(str(difference))
+    if not planned.differences:
+        say(f"nothing differs from version {planned.base}")
+
+
+def _note_faults(file: Path, planned: PlannedChange, as_json: bool) -> None:
+    if not as_json:
+        for fault in planned.faults:
+            note(f"{file}: {fault}")
+
+
+def _current(control: list[str], patience: float) -> bytes:
+    """The configuration in force; empty if there is none."""
+    fetched = asyncio.run(_fetch(control_client(control, patience)))
+    if isinstance(fetched, Failure):
+        raise CommandError(str(fetched.failure()))
+    return fetched.unwrap()
+
+
+async def _fetch(client: ControlClient) -> Result[bytes, ControlError]:
+    async with client:
+        return await client.fetch()
+
+
+async def _send(client: ControlClient, file: ConfigurationFile, base: int) -> Result[int, ControlError]:
+    async with client:
+        if file.is_update:
+            return await client.update(base, file.body)
+        return await client.replace(base, file.body)
--- /dev/null
+++ b/brackenladder/system/control_client.py
@@ -0,0 +1,166 @@
+"""Calls of an operator to the control nodes: any node, again after a failure, until the answer is clear."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.catalog.structuring import structure
+from brackenladder.control_plane.status import ControlStatus
+from brackenladder.system.errors import ControlError, NoAnswer, Refusal
+
+BASE_VERSION_HEADER = "X-Brackenladder-Base-Version"
+CALL_SECONDS = 4.0  # for one call; a node may hold an order for 2.5 s before it says that it is unclear
+DEFAULT_PATIENCE_SECONDS = 15.0
+FIRST_PAUSE_SECONDS = 0.1
+LONGEST_PAUSE_SECONDS = 1.0
+MOST_REDIRECTS = 2
+UNCLEAR = frozenset({408, 429})  # and every 5xx: another node may know better
+
+
+@frozen
+class Answer:
+    """A clear answer of a control node."""
+
+    status: int
+    body: bytes
+    node: str
+
+    @property
+    def document(self) -> Any:
+        """The JSON object of the body; an empty one if it holds none."""
+        try:
+            document = json.loads(self.body)
+        except ValueError:
+            return {}
+        return document if isinstance(document, dict) else {}
+
+
+class ControlClient:
+    """An operator's client; to be used with `async with`."""
+
+    def __init__(self, nodes: tuple[str, ...], patience_s: float = DEFAULT_PATIENCE_SECONDS) -> None:
+        self._nodes = nodes
+        self._patience_s = patience_s
+        self._session: aiohttp.ClientSession
+
+    async def __aenter__(self) -> ControlClient:
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_SECONDS))
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        await self._session.close()
+
+    async def status(self) -> Result[ControlStatus, ControlError]:
+        """What the first node that answers tells of itself and the system."""
+        answer = await self.call("GET", "/-/Status")
+        return answer.bind(_read_status)
+
+    async def statuses(self) -> dict[str, Result[ControlStatus, str]]:
+        """What each node tells, each asked once; a failure says why a node told nothing."""
+        answers = await asyncio.gather(
+            *(self._call_node(node, "GET", "/-/Status", b"", None) for node in self._nodes)
+        )
+        return {
+            node: answer.bind(lambda one: _read_status(one).alt(str))
+            for node, answer in zip(self._nodes, answers, strict=True)
+        }
+
+    async def fetch(self) -> Result[bytes, ControlError]:
+        """The newest configuration as it was written; empty if there is none yet."""
+        answer = await self.call("GET", "/-/Config.Fetch", also=frozenset({HTTPStatus.NOT_FOUND}))
+        return answer.map(lambda one: one.body if one.status == HTTPStatus.OK else b"")
+
+    async def replace(self, base: int, body: bytes) -> Result[int, ControlError]:
+        """Puts a whole configuration in force; the version."""
+        return (await self.call("POST", "/-/Config.Replace", body, base)).map(_version)
+
+    async def update(self, base: int, body: bytes) -> Result[int, ControlError]:
+        """Changes items by name; the version."""
+        return (await self.call("POST", "/-/Config.Update", body, base)).map(_version)
+
+    async def evacuate(self, zone: str, finish: bool = False) -> Result[None, ControlError]:
+        """Begins or finishes the evacuation of a zone."""
+        path = f"/-/Evacuations.{'Finish' if finish else 'Begin'}/{quote(zone, safe='')}"
+        return (await self.call("POST", path)).map(lambda _: None)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        base: int | None = None,
+        also: frozenset[int] = frozenset(),
+    ) -> Result[Answer, ControlError]:
+        """The first clear answer: a 200, a status of `also`, or a refusal."""
+        last = "nothing was tried"
+        pause = FIRST_PAUSE_SECONDS
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._patience_s
+        while True:
+            for node in self._nodes:
+                match await self._call_node(node, method, path, body, base):
+                    case Success(answer):
+                        return _clear(answer, also)
+                    case Failure(problem):
+                        last = problem
+                if loop.time() >= until:
+                    return Failure(NoAnswer(self._nodes, last))
+            await asyncio.sleep(min(pause, max(0.0, until - loop.time())))
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+
+    async def _call_node(
+        self, node: str, method: str, path: str, body: bytes, base: int | None
+    ) -> Result[Answer, str]:
+        """One call of one node; a failure if another node may know better."""
+        headers = {} if base is None else {BASE_VERSION_HEADER: str(base)}
+        try:
+            async with self._session.request(
+                method, f"http://{node}{path}", data=body, headers=headers, max_redirects=MOST_REDIRECTS
+            ) as received:
+                answer = Answer(received.status, await received.read(), node)
+        except TimeoutError:
+            return Failure(f"{node}: no answer within {CALL_SECONDS:g} s")
+        except (aiohttp.ClientError, OSError) as error:
+            return Failure(f"{node}: {_reason(error)}")
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR or answer.status in UNCLEAR:
+            return Failure(f"{node}: {answer.document.get('Error', f'status {answer.status}')}")
+        return Success(answer)
+
+
+def _reason(error: Exception) -> str:
+    if isinstance(error, OSError) and error.errno:
+        return os.strerror(error.errno)
+    return str(error) or type(error).__name__
+
+
+def _clear(answer: Answer, also: frozenset[int]) -> Result[Answer, ControlError]:
+    if answer.status == HTTPStatus.OK or answer.status in also:
+        return Success(answer)
+    if answer.status == HTTPStatus.PRECONDITION_FAILED:
+        reason = f"version {answer.document.get('Version', '?')} is in force, not the one that this builds on"
+        return Failure(Refusal(answer.status, (reason,)))
+    told = answer.document.get("Error", [])
+    reasons = [told] if isinstance(told, str) else told
+    return Failure(Refusal(answer.status, tuple(str(reason) for reason in reasons)))
+
+
+def _version(answer: Answer) -> int:
+    return int(answer.document.get("Version", 0))
+
+
+def _read_status(answer: Answer) -> Result[ControlStatus, ControlError]:
+    match structure(ControlStatus, answer.document):
+        case Success(status):
+            return Success(status)
+        case faults:
+            reasons = tuple(str(fault) for fault in faults.failure())
+            return Failure(Refusal(answer.status, (f"{answer.node}: not this build's status", *reasons[:1])))
--- /dev/null
+++ b/brackenladder/system/local/layout.py
@@ -0,0 +1,152 @@
+"""Who runs where in a local system: three regions of one zone each, and their settings files."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from attrs import field, frozen
+
+from brackenladder.rehearsal.standins.model_engine import EngineSettings
+from brackenladder.rehearsal.standins.model_server import ServerSettings
+
+REGIONS = ("north", "south", "east")
+ZONES = {f"{region}-a": region for region in REGIONS}
+FRONT_PORT, READY_PORT, CONTROL_PORT, DIRECTORY_PORT, SERVER_PORT = 8144, 8140, 8146, 8148, 8080
+INNER_PORTS = (7660, 7675)
+FIRST_CONTROL, FIRST_GATEWAY, FIRST_SERVER = 1, 11, 21  # last numbers of their addresses
+HEARTBEAT_MS = 600
+GRACE_S = 8
+DEFAULT_NETWORK = "127.77.0"
+MODEL_SERVICE, PLAIN_SERVICE = "chat", "cards"
+MODEL_SERVER_ZONES = ("north-a", "north-a", "south-a", "east-a")
+PLAIN_SERVER_ZONES = ("north-a", "south-a", "east-a")
+ENGINE = EngineSettings()
+
+
+@frozen
+class Machine:
+    """A process of the system and where it runs."""
+
+    name: str
+    role: str  # gateway or control
+    ip: str
+    zone: str
+
+    @property
+    def front(self) -> str:
+        """Where clients connect."""
+        return f"{self.ip}:{FRONT_PORT}"
+
+    @property
+    def ready(self) -> str:
+        """Where a gateway tells whether it is ready."""
+        return f"{self.ip}:{READY_PORT}"
+
+    @property
+    def control(self) -> str:
+        """Where operators and servers call."""
+        return f"{self.ip}:{CONTROL_PORT}"
+
+    @property
+    def directory(self) -> str:
+        """Where clients ask for gateways."""
+        return f"{self.ip}:{DIRECTORY_PORT}"
+
+    @property
+    def region(self) -> str:
+        """The region of its zone."""
+        return ZONES[self.zone]
+
+
+@frozen
+class Layout:
+    """All machines and servers, in a network of loopback such as `127.77.0`, with files in a folder."""
+
+    network: str
+    folder: Path
+    control: tuple[Machine, ...] = field(init=False)
+    gateways: tuple[Machine, ...] = field(init=False)
+
+    @control.default
+    def _control(self) -> tuple[Machine, ...]:
+        return self._machines("control", FIRST_CONTROL)
+
+    @gateways.default
+    def _gateways(self) -> tuple[Machine, ...]:
+        return self._machines("gateway", FIRST_GATEWAY)
+
+    def _machines(self, role: str, first: int) -> tuple[Machine, ...]:
+        return tuple(
+            Machine(f"{role}-{zone}", role, f"{self.network}.{first + number}", zone)
+            for number, zone in enumerate(ZONES)
+        )
+
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """The control addresses."""
+        return tuple(machine.control for machine in self.control)
+
+    @property
+    def directories(self) -> tuple[str, ...]:
+        """The directory addresses."""
+        return tuple(machine.directory for machine in self.control)
+
+    def servers(self) -> tuple[ServerSettings, ...]:
+        """The stand-in servers of the first start."""
+        places = [(MODEL_SERVICE, zone, ENGINE) for zone in MODEL_SERVER_ZONES]
+        plain = [(PLAIN_SERVICE, zone, None) for zone in PLAIN_SERVER_ZONES]
+        return tuple(
+            ServerSettings(
+                f"i-{service}-{number}",
+                service,
+                f"{self.network}.{FIRST_SERVER + number}:{SERVER_PORT}",
+                zone,
+                engine,
+            )
+            for number, (service, zone, engine) in enumerate((*places, *plain))
+        )
+
+    def data_dir(self, machine: Machine) -> Path:
+        """Where a control node keeps its store."""
+        return self.folder / machine.name
+
+    def settings_path(self, machine: Machine) -> Path:
+        """Where the settings file of a machine lies."""
+        return self.folder / f"{machine.name}.toml"
+
+    def log_path(self, machine: Machine) -> Path:
+        """Where the log of a machine lies."""
+        return self.folder / f"{machine.name}.log"
+
+    def settings_text(self, machine: Machine, bootstrap: bool) -> str:
+        """The settings file of a machine."""
+        is_control = machine.role == "control"
+        listen = {"Front": machine.front, "Ready": machine.ready}
+        if is_control:
+            listen = {"Control": machine.control, "Directory": machine.directory}
+        lines = [
+            f"NodeName = {json.dumps(machine.name)}",
+            f"Role = {json.dumps(machine.role)}",
+            f"MachineClass = {json.dumps('core' if is_control else 'front')}",
+            f"Serves = {json.dumps(['control', 'directory'] if is_control else ['front'])}",
+            f"Ip = {json.dumps(machine.ip)}",
+            f"Zone = {json.dumps(machine.zone)}",
+            f"Region = {json.dumps(machine.region)}",
+            f"PortRange = {json.dumps(INNER_PORTS)}",
+            f"Seeds = {json.dumps(self.seeds)}",
+            f"Bootstrap = {json.dumps(bootstrap)}",
+            f"CountsForQuorum = {json.dumps(is_control)}",
+            f"DataDir = {json.dumps(str(self.data_dir(machine)) if is_control else '')}",
+            f"HeartbeatMs = {HEARTBEAT_MS}",
+            "[Zones]",
+            *(f"{zone} = {json.dumps(region)}" for zone, region in ZONES.items()),
+            "[Listen]",
+            *(f"{name} = {json.dumps(address)}" for name, address in listen.items()),
+            "[Limits]",
+            "MemoryMb = 260",
+            "MaxFds = 1024",
+            "[Bounds]",
+            f"GraceS = {GRACE_S}",
+        ]
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/brackenladder/system/local_command.py
@@ -0,0 +1,101 @@
+"""`local`: a whole small system on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from pathlib import Path
+from shutil import rmtree
+from tempfile import mkdtemp
+from typing import Annotated
+
+import typer
+
+from brackenladder.control_plane.status import status_document
+from brackenladder.system.errors import CommandError, ExitCode, Unusable
+from brackenladder.system.local.faults import Fault
+from brackenladder.system.local.layout import DEFAULT_NETWORK
+from brackenladder.system.local.local_system import LocalError
+from brackenladder.system.local.run import LocalPlan, LocalSummary, run_local
+from brackenladder.system.options import JsonOption
+from brackenladder.system.output import note, print_json, say
+from brackenladder.system.status_text import status_lines
+
+_NETWORK = re.compile(r"127(\.(25[0-5]|2[0-4]\d|1?\d?\d)){2}")
+
+
+def local(
+    seconds: Annotated[
+        float | None, typer.Option("--seconds", min=0.0, help="Ends by itself after so long, with a summary.")
+    ] = None,
+    fault: Annotated[Fault | None, typer.Option("--fault", help="Makes this happen once.")] = None,
+    network: Annotated[
+        str, typer.Option("--network", help="First three numbers of the loopback addresses to use.")
+    ] = DEFAULT_NETWORK,
+    folder: Annotated[
+        Path | None, typer.Option("--folder", help="An empty folder for settings files, logs and stores.")
+    ] = None,
+    as_json: JsonOption = False,
+) -> int:
+    """Runs a whole system until Ctrl-C: 3 control nodes, 3 gateways, 7 servers, clients, in 3 regions.
+
+    Exit code 0: every request was served. 1: some were not, or the system did not come up.
+    """
+    if not _NETWORK.fullmatch(network):
+        raise Unusable(f"--network: {network!r} is not of the form 127.a.b")
+    plan = LocalPlan(network, _folder(folder), seconds, fault)
+    try:
+        summary = asyncio.run(run_local(plan, note if as_json else say))
+    except LocalError as error:
+        raise CommandError(f"{error}; settings files and logs are kept in {plan.folder}") from None
+    if folder is None and summary.sound:
+        rmtree(plan.folder, ignore_errors=True)
+    else:
+        note(f"settings files, logs and stores are kept in {plan.folder}")
+    if as_json:
+        print_json(_document(summary))
+    else:
+        for line in _lines(summary):
+            say(line)
+    return ExitCode.DONE if summary.sound else ExitCode.NO
+
+
+def _folder(folder: Path | None) -> Path:
+    if folder is None:
+        return Path(mkdtemp(prefix="brackenladder-"))
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        empty = not any(folder.iterdir())
+    except OSError as error:
+        raise Unusable(f"--folder: {folder}: {error.strerror}") from None
+    if not empty:
+        raise Unusable(f"--folder: {folder} is not empty")
+    return folder.absolute()
+
+
+def _document(summary: LocalSummary) -> dict[str, object]:
+    fault = summary.fault
+    return {
+        "Traffic": summary.traffic,
+        "Fault": None if fault is None else {"Done": fault.done, "Seen": fault.seen},
+        "Ends": [str(end) for end in summary.ends],
+        "Status": None if summary.status is None else status_document(summary.status),
+        "Sound": summary.sound,
+    }
+
+
+def _lines(summary: LocalSummary) -> list[str]:
+    if summary.status is None:
+        return ["ended before the system was there"]
+    lines = status_lines(summary.status)
+    for kind, counts in summary.traffic.items():
+        lines.append(
+            f"requests      {kind}: {counts['served']} served, {counts['retried']} served after a retry,"
+            f" {counts['refused']} refused, {counts['failed']} failed;"
+            f" p50 {counts['p50_ms']} ms, p99 {counts['p99_ms']} ms"
+        )
+        lines += [f"              {number} x {detail}" for detail, number in counts["details"].items()]
+    lines += [f"ended         {end}" for end in summary.ends]
+    if summary.fault is not None:
+        lines.append(f"fault         {summary.fault.done}: {summary.fault.seen}")
+    return lines
--- /dev/null
+++ b/brackenladder/system/options.py
@@ -0,0 +1,41 @@
+"""Options that several commands share."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from brackenladder.system.control_client import ControlClient
+from brackenladder.system.errors import Unusable
+from brackenladder.transport.address import parse_address
+from brackenladder.transport.errors import AddressError
+
+CONTROL_VARIABLE = "BRACKENLADDER_CONTROL"
+
+ControlOption = Annotated[
+    list[str],
+    typer.Option(
+        "--control",
+        envvar=CONTROL_VARIABLE,
+        help="Control address of a node, ip:port; several times, or separated by spaces in the variable.",
+    ),
+]
+OptionalControlOption = Annotated[
+    list[str] | None,
+    typer.Option("--control", envvar=CONTROL_VARIABLE, help="As for the other commands; for an update."),
+]
+PatienceOption = Annotated[
+    float, typer.Option("--patience", min=0.0, help="Seconds after which a call without a clear answer ends.")
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Prints one JSON object.")]
+
+
+def control_client(nodes: list[str], patience_s: float) -> ControlClient:
+    """A client for the nodes that an option names."""
+    if not nodes:
+        raise Unusable(f"no control node is named: give --control ip:port or set {CONTROL_VARIABLE}")
+    try:
+        return ControlClient(tuple(str(parse_address(node)) for node in nodes), patience_s)
+    except AddressError as error:
+        raise Unusable(f"--control: {error}") from None
--- /dev/null
+++ b/brackenladder/system/status_text.py
@@ -0,0 +1,65 @@
+"""`status` for people."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from brackenladder.control_plane.status import ControlStatus, GatewayStatus, MemberStatus
+
+
+def in_order(status: ControlStatus) -> bool:
+    """Whether changes are acknowledged: a leader is known and this node is in touch with it."""
+    return status.leader is not None and status.in_touch
+
+
+def status_lines(status: ControlStatus) -> list[str]:
+    """A line for each thing."""
+    evacuated = ", ".join(status.evacuated_zones) or "none"
+    lines = [
+        f"asked         {status.node.address} ({status.role}, term {status.term})",
+        f"leader        {_leader(status)}",
+        f"voters        {_members(status.voters)}",
+        f"learners      {_members(status.learners)}",
+        f"log           committed {status.commit_index} of {status.last_index}, revision {status.revision}",
+        f"configuration version {status.configuration_version}, evacuated zones: {evacuated}",
+    ]
+    if status.outgoing:
+        lines.insert(3, f"outgoing      {_members(status.outgoing)}: a change of members is under way")
+    lines += [
+        f"servers       {one.name}: {one.ready} ready ({one.cold} cold), {one.draining} draining"
+        for one in status.services
+    ] or ["servers       none"]
+    lines += [_gateway(one, status.revision) for one in status.gateways] or ["gateways      none"]
+    if not in_order(status):
+        lines.append("NO QUORUM     changes are not acknowledged here; traffic goes on with what is known")
+    return lines
+
+
+def _leader(status: ControlStatus) -> str:
+    contact = (
+        "contact was never made"
+        if status.contact_age_ms is None
+        else f"contact {status.contact_age_ms / 1000:.1f} s ago"
+    )
+    if status.leader is None:
+        return f"none known, {contact}"
+    return f"{_member(status.leader)}, {contact}"
+
+
+def _members(members: Iterable[MemberStatus]) -> str:
+    return ", ".join(map(_member, members)) or "none"
+
+
+def _member(member: MemberStatus) -> str:
+    return f"{member.address} {member.zone}".rstrip()
+
+
+def _gateway(gateway: GatewayStatus, revision: int) -> str:
+    if gateway.revision is None:
+        has = "not connected here"
+    elif gateway.revision < revision:
+        has = f"revision {gateway.revision}, behind"
+    else:
+        has = f"revision {gateway.revision}"
+    silent = gateway.silent_ms / 1000
+    return f"gateway       {gateway.node} {gateway.zone}: {gateway.state}, {has}, heard {silent:.1f} s ago"
--- /dev/null
+++ b/brackenladder/system/store_report.py
@@ -0,0 +1,136 @@
+"""What a store holds: its identity, votes, members, entries, and the state that the log leads to."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.catalog.catalog import Catalog, SnapshotError
+from brackenladder.catalog.orders import OrderDecodeError, decode_order
+from brackenladder.consensus.members import decode_members
+from brackenladder.consensus.types import DurableState, Entry, EntryKind, Member, Members
+from brackenladder.storage.log_store import StoreError
+from brackenladder.storage.sqlite_log import SqliteLogStore
+
+
+@frozen
+class StoreReport:
+    """A store as `store inspect` tells it.
+
+    The newest entries may not be committed: what they change counts only once a majority has them.
+    """
+
+    replica_id: str
+    format: int
+    term: int
+    voted_for: str
+    snapshot_index: int  # 0: there is none
+    snapshot_bytes: int
+    first_index: int
+    last_index: int
+    entries: dict[str, int]  # by kind
+    entry_bytes: int
+    members: Members
+    revision: int
+    configuration_version: int  # 0: there is none
+    configuration: bytes
+    evacuated_zones: tuple[str, ...]
+
+    def document(self) -> dict[str, Any]:
+        """For `--json`."""
+        return {
+            "ReplicaId": self.replica_id,
+            "Format": self.format,
+            "Term": self.term,
+            "VotedFor": self.voted_for,
+            "SnapshotIndex": self.snapshot_index,
+            "SnapshotBytes": self.snapshot_bytes,
+            "FirstIndex": self.first_index,
+            "LastIndex": self.last_index,
+            "Entries": self.entries,
+            "EntryBytes": self.entry_bytes,
+            "Voters": _addresses(self.members.voters),
+            "Outgoing": _addresses(self.members.outgoing),
+            "Learners": _addresses(self.members.learners),
+            "Revision": self.revision,
+            "ConfigurationVersion": self.configuration_version,
+            "EvacuatedZones": list(self.evacuated_zones),
+        }
+
+    def lines(self) -> list[str]:
+        """For people."""
+        kinds = ", ".join(f"{count} {kind}" for kind, count in self.entries.items()) or "none"
+        snapshot = f"at {self.snapshot_index}, {self.snapshot_bytes} bytes" if self.snapshot_index else "none"
+        return [
+            f"replica       {self.replica_id} (format {self.format})",
+            f"term          {self.term}, voted for {self.voted_for or 'nobody'}",
+            f"snapshot      {snapshot}",
+            f"entries       {self.first_index} to {self.last_index}: {kinds}, {self.entry_bytes} bytes",
+            f"voters        {', '.join(_addresses(self.members.voters)) or 'none'}",
+            f"outgoing      {', '.join(_addresses(self.members.outgoing)) or 'none'}",
+            f"learners      {', '.join(_addresses(self.members.learners)) or 'none'}",
+            f"configuration version {self.configuration_version} (revision {self.revision})",
+            f"evacuated     {', '.join(self.evacuated_zones) or 'none'}",
+        ]
+
+
+def report_of(store: SqliteLogStore) -> Result[StoreReport, str]:
+    """The report, or the first thing that is wrong with the content."""
+    loaded: Result[DurableState, StoreError] = store.load()
+    if isinstance(loaded, Failure):
+        return Failure(str(loaded.failure()))
+    state = loaded.unwrap()
+    catalog = Catalog()
+    try:
+        members = _replay(catalog, state)
+    except (SnapshotError, OrderDecodeError, ValueError) as error:
+        return Failure(f"{type(error).__name__}: {error}")
+    base = state.snapshot.index if state.snapshot else 0
+    return Success(
+        StoreReport(
+            replica_id=store.identity.replica_id,
+            format=store.identity.format,
+            term=state.hard_state.term,
+            voted_for=state.hard_state.voted_for,
+            snapshot_index=base,
+            snapshot_bytes=len(state.snapshot.data) if state.snapshot else 0,
+            first_index=base + 1,
+            last_index=base + len(state.entries),
+            entries=dict(sorted(Counter(entry.kind.name.lower() for entry in state.entries).items())),
+            entry_bytes=sum(len(entry.data) for entry in state.entries),
+            members=members,
+            revision=catalog.revision,
+            configuration_version=catalog.configuration.version if catalog.configuration else 0,
+            configuration=catalog.document,
+            evacuated_zones=tuple(sorted(catalog.evacuated)),
+        )
+    )
+
+
+def _replay(catalog: Catalog, state: DurableState) -> Members:
+    """Leads the catalog through the log; the newest members."""
+    members = Members()
+    if state.snapshot is not None:
+        members = state.snapshot.members
+        if state.snapshot.data:
+            catalog.restore(state.snapshot.data)
+    for entry in state.entries:
+        members = _replay_entry(catalog, entry, members)
+    return members
+
+
+def _replay_entry(catalog: Catalog, entry: Entry, members: Members) -> Members:
+    if entry.kind is EntryKind.MEMBERS:
+        return decode_members(entry.data)
+    if entry.kind is EntryKind.COMMAND:
+        decode_order(entry.data)  # `apply` would take what it does not know for an invalid order
+        catalog.apply(entry.index, entry.data)
+    return members
+
+
+def _addresses(members: Iterable[Member]) -> list[str]:
+    return [f"{member.address} ({member.replica_id})" for member in members]
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -23,7 +23,7 @@
     # The rehearsal meets a node through its sockets and its command line; the model hosts the core.
     "rehearsal": 0,
     "fleet": 2,
-    "cli": 6,
+    **dict.fromkeys(["cli", "system"], 6),
     "__main__": 7,
     "serve": 7,
 }
@@ -124,3 +124,21 @@
         path.write_text(text)
     graph = imports(tmp_path)
     assert circles(graph) == circle and above(graph) == high
+
+
+def test_no_role_process_imports_the_command_line():
+    """`typer` and what it brings cost memory in every process that has them."""
+    graph = imports(ROOT)
+    todo, seen = ["serve"], set()
+    while todo:
+        name = todo.pop()
+        if name not in seen:
+            seen.add(name)
+            todo += graph[name]
+    assert not [name for name in seen if name.split(".")[0] in ("system", "cli", "rehearsal")]
+    outside = {"typer", "click", "rich", "pydantic"}
+    for name in seen:
+        for node in ast.walk(ast.parse(modules(ROOT)[name].read_text())):
+            named = [a.name for a in node.names] if isinstance(node, ast.Import) else []
+            named += [node.module or ""] if isinstance(node, ast.ImportFrom) and not node.level else []
+            assert not outside & {one.split(".")[0] for one in named}, name
