One definition for what storage and settings wrote twice: decode, sync to disk, a fault

Ruled out, as they are the same only in shape: constructor signatures, the balancer's `outcome` (its interface), the two range checks of catalog/structuring.py, field lists. Change: log_codec has one `_decode`; `sqlite_file.sync_to_disk` serves the backup too (store_copy had its own); `SettingsFault` is a `ConfigurationFault` with another wording. The test that ends a creation at every sync patches the function by its new name, unchanged otherwise. tests/storage 107 passed; tests/catalog, tests/system, tests/test_platform_settings.py passed.

--- a/brackenladder/platform_settings.py
+++ b/brackenladder/platform_settings.py
@@ -14,7 +14,7 @@
 from attrs import Factory, field, frozen
 from returns.result import Failure, Result, Success
 
-from brackenladder.catalog.faults import FaultKind
+from brackenladder.catalog.faults import ConfigurationFault, FaultKind
 from brackenladder.catalog.structuring import Name, Number, PositiveNumber, Whole, named, structure
 
 FRONT, CONTROL, DIRECTORY = "front", "control", "directory"  # what a role may serve
@@ -23,13 +23,9 @@
 
 
 @frozen
-class SettingsFault:
+class SettingsFault(ConfigurationFault):
     """One fault of the settings file and its place, as `Limits.MaxFds`; an empty place: the whole file."""
 
-    place: str
-    kind: FaultKind
-    detail: str
-
     def __str__(self) -> str:
         return f"settings: {self.place or 'file'}: {self.detail}"
 
--- a/brackenladder/storage/log_codec.py
+++ b/brackenladder/storage/log_codec.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
 
 import msgpack
 from attrs import fields, frozen
@@ -15,6 +15,8 @@
 
 from brackenladder.consensus.types import Member, Members, Snapshot
 
+T = TypeVar("T")
+
 MEMBER_FIELDS = len(fields(Member))
 MEMBERS_FIELDS = len(fields(Members))
 SNAPSHOT_FIELDS = len(fields(Snapshot))
@@ -38,10 +40,7 @@
 
 def decode_members(data: bytes) -> Result[Members, LogCodecError]:
     """The reverse of `encode_members`."""
-    try:
-        return Success(_read_members(_unpack(data)))
-    except _Malformed as error:
-        return Failure(LogCodecError(f"members: {error}"))
+    return _decode("members", _read_members, data)
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
@@ -51,10 +50,14 @@
 
 def decode_snapshot(data: bytes) -> Result[Snapshot, LogCodecError]:
     """The reverse of `encode_snapshot`."""
+    return _decode("snapshot", _read_snapshot, data)
+
+
+def _decode(name: str, read: Callable[[Any], T], data: bytes) -> Result[T, LogCodecError]:
     try:
-        return Success(_read_snapshot(_unpack(data)))
+        return Success(read(_unpack(data)))
     except _Malformed as error:
-        return Failure(LogCodecError(f"snapshot: {error}"))
+        return Failure(LogCodecError(f"{name}: {error}"))
 
 
 def _pack(value: object) -> bytes:
--- a/brackenladder/storage/sqlite_file.py
+++ b/brackenladder/storage/sqlite_file.py
@@ -90,11 +90,11 @@
         connection.execute("BEGIN IMMEDIATE")
         create_tables(connection, replica_id)
         connection.execute("COMMIT")
-    _sync(unfinished)
+    sync_to_disk(unfinished)
     _remove_journals(path)
-    _sync(os.path.dirname(path))  # else a journal may come back beside the new file
+    sync_to_disk(os.path.dirname(path))  # else a journal may come back beside the new file
     os.replace(unfinished, path)
-    _sync(os.path.dirname(path))
+    sync_to_disk(os.path.dirname(path))
 
 
 def connect(path: str) -> sqlite3.Connection:
@@ -193,7 +193,7 @@
     _remove_journals(path)
 
 
-def _sync(path: str) -> None:
+def sync_to_disk(path: str | os.PathLike[str]) -> None:
     """Makes a file's content, or a folder's names, durable."""
     number = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
     try:
--- a/brackenladder/system/store_copy.py
+++ b/brackenladder/system/store_copy.py
@@ -14,7 +14,7 @@
 from returns.result import Failure
 
 from brackenladder.storage.log_store import StoreInUse
-from brackenladder.storage.sqlite_file import FILE_NAME, WAL_SUFFIX, has_store
+from brackenladder.storage.sqlite_file import FILE_NAME, WAL_SUFFIX, has_store, sync_to_disk
 from brackenladder.storage.sqlite_log import SqliteLogStore, open_store
 from brackenladder.system.errors import CommandError, Unusable
 
@@ -60,9 +60,9 @@
         unfinished = target.with_name(f"{target.name}.new")
         try:
             shutil.copyfile(source, unfinished)
-            _sync(unfinished)
+            sync_to_disk(unfinished)
             os.link(unfinished, target)  # fails where a file has appeared meanwhile
-            _sync(target.absolute().parent)
+            sync_to_disk(target.absolute().parent)
         except OSError as error:
             raise Unusable(f"{target}: cannot be written: {error.strerror}") from None
         finally:
@@ -97,11 +97,3 @@
 def _named(error: object, copy: Path, source: Path) -> str:
     """An error's line with the name of the original."""
     return str(error).replace(str(copy), str(source))
-
-
-def _sync(path: Path) -> None:
-    number = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
-    try:
-        os.fsync(number)
-    finally:
-        os.close(number)
--- a/tests/storage/test_log_store_power_loss.py
+++ b/tests/storage/test_log_store_power_loss.py
@@ -170,7 +170,7 @@
             return call
 
         with (
-            patch.object(sqlite_file, "_sync", counted(sqlite_file._sync)),
+            patch.object(sqlite_file, "sync_to_disk", counted(sqlite_file.sync_to_disk)),
             patch.object(sqlite_file.os, "replace", counted(os.replace)),
         ):
             opened = open_store(self.folder, lambda: "unfinished")
