Short prompts first, far directory answers kept longer, a gateway that starts holds requests

Clients of a lost region asked a dead directory each second, a second in vain each time. A gateway called itself ready with an empty catalog that a restarted control node told. Ruled out: addresses of other regions in each answer (a third of new connections would cross in ordinary times); one home for a prompt in all regions (its bytes cost what is saved on shared parts, and the way makes more late). Change: Priority is the route's plus up to three steps by the prompt's length, 0 for a stream that is taken up; TtlS 4 for answers outside the client's region; a gateway that a control node hears itself is offered for 1.7 s of silence instead of 2.5; requests wait for configuration and servers for a quarter of their time, 1.2 s at most; ready needs a configuration.

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -78,7 +78,8 @@
         self.soft_state = SoftState(clock, self.host.contact_age, self.peers, heartbeat)
         operator_api = OperatorApi(self.orders, self.soft_state, self._zones, self.status)
         self._control_listener = HttpListener(operator_api.handle)
-        self._directory_listener = HttpListener(DirectoryApi(self.soft_state.resolve).handle)
+        directory_api = DirectoryApi(self.soft_state.resolve, platform.bounds.ttl_max_s)
+        self._directory_listener = HttpListener(directory_api.handle)
         self._writer = writer
         self._transport = transport
         self._clock = clock
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -16,7 +16,7 @@
 )
 from brackenladder.delivery.messages import UNKNOWN_AGE, Ack, Subscribe
 from brackenladder.delivery.publisher import Publisher
-from brackenladder.registry.directory import resolve
+from brackenladder.registry.directory import NO_OFFER, Offer, resolve
 from brackenladder.registry.exchange import PeerExchange
 from brackenladder.registry.gateways import GatewayRegistry
 from brackenladder.registry.records import ServerRecord
@@ -79,11 +79,11 @@
             self.flush()
         return self._in_touch()
 
-    def resolve(self, region: str, zone: str) -> tuple[str, ...]:
+    def resolve(self, region: str, zone: str) -> Offer:
         """The front addresses for a client; none while this node can't know of all gateways."""
         now = self._clock()
         if not self._gateways.settled(now):
-            return ()
+            return NO_OFFER
         self._answers += 1
         return resolve(self._gateways.ready(now), region, zone, offset=self._answers)
 
--- a/brackenladder/delivery/subscriber.py
+++ b/brackenladder/delivery/subscriber.py
@@ -170,4 +170,7 @@
         return (Ack(UpdateKind.GATEWAY_COUNT, message.sequence),)
 
     def _note_complete(self, source: _Source) -> None:
-        self.complete = self.complete or source.complete
+        """Failure prevented: a control node that just restarted hears its leader before it knows what was
+        committed, tells an empty catalog, and a gateway calls itself ready without a configuration."""
+        configured = self.view.configuration is not None
+        self.complete = self.complete or (configured and source.complete)
--- a/brackenladder/gateway/context.py
+++ b/brackenladder/gateway/context.py
@@ -8,6 +8,7 @@
 
 from brackenladder.gateway.failures import FailureLog
 from brackenladder.gateway.pools import ServicePools
+from brackenladder.gateway.start_gate import StartGate
 
 
 @define
@@ -17,4 +18,5 @@
     now: Callable[[], int]  # microseconds of the monotonic clock
     pools: ServicePools
     failures: FailureLog
+    start_gate: StartGate
     draining: bool = False
--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -34,6 +34,7 @@
 from brackenladder.gateway.outcomes import may_be_passed_on
 from brackenladder.gateway.relay import Relay
 from brackenladder.placement.traits import CallTraits
+from brackenladder.placement.urgency import urgency_of
 
 if TYPE_CHECKING:
     from brackenladder.gateway.context import GatewayContext
@@ -44,7 +45,7 @@
 LEAST_SILENCE = 2_000_000  # microseconds; a client never gives a stream up sooner
 AIMS_OF_SILENCE = 4
 GAPS_OF_SILENCE = 8
-MOST_URGENT, LEAST_URGENT = 0, 9
+UNTOLD_PATIENCE_MS = 1000  # of a client that does not say how long it waits
 
 Response = TypeVar("Response", bound=web.StreamResponse)
 
@@ -64,15 +65,18 @@
         self.request_id = ""
         self.route: Route
         self.body = b""
+        self.prompt_tokens = 0
         self.client_deadline = 0  # by the gateway's clock, as are all times here
         self.servers: set[str] = set()  # that may have run the request
         self._lines: bytes | None = None
 
     async def handle(self) -> web.StreamResponse:
         """Serve the request; what is returned was or will be sent by the caller."""
+        await self._until_started()
         read = await self._read()
         if isinstance(read, Failure):
             return self._turned_away(read.failure())
+        self.prompt_tokens = read.unwrap().prompt_tokens
         pool = self.context.pools.choose(self.route, read.unwrap().parts)
         if pool is None:
             return self._turned_away(RequestFault.NOT_CONFIGURED)
@@ -85,6 +89,12 @@
             return await Relay(self, call, conclusion, self.successor_call).run()
         return self._unserved(call, conclusion)
 
+    async def _until_started(self) -> None:
+        gate = self.context.start_gate
+        if not gate.is_open:
+            told = read_deadline_ms(self.request.headers)
+            await gate.wait((told or UNTOLD_PATIENCE_MS) * US_PER_MS)
+
     # ---- reading --------------------------------------------------------------------------------------
 
     async def _read(self) -> Result[CallTraits, RequestFault]:
@@ -199,7 +209,7 @@
         """The request as a server gets it."""
         lines = self._forwarded(last_event_id is not None)
         target = self.target.encode("utf-8", "surrogateescape")
-        urgency = min(max(self.route.priority, MOST_URGENT), LEAST_URGENT)
+        urgency = urgency_of(self.route, self.prompt_tokens, resumed=last_event_id is not None)
         resumed = b"" if last_event_id is None else b"Last-Event-Id: %d\r\n" % last_event_id
         has_length = self.body or CONTENT_LENGTH in self.request.headers or self.method not in ("GET", "HEAD")
         length = b"Content-Length: %d\r\n" % len(self.body) if has_length else b""
--- a/brackenladder/gateway/server.py
+++ b/brackenladder/gateway/server.py
@@ -17,6 +17,7 @@
 from brackenladder.gateway.exchange import Exchange
 from brackenladder.gateway.failures import FailureLog
 from brackenladder.gateway.pools import PoolFactory, ServicePools, pool_factory
+from brackenladder.gateway.start_gate import StartGate
 from brackenladder.platform_settings import Platform
 
 READY_PATH = "/-/readyz"
@@ -29,7 +30,7 @@
 
 
 class Gateway:
-    """Serves clients from the view. `ready` is what the platform's check is told."""
+    """Serves clients from the view."""
 
     def __init__(
         self,
@@ -39,7 +40,8 @@
         random: Random,
         make_pool: PoolFactory | None = None,
     ) -> None:
-        self.ready = False
+        self._ready = False
+        self._start_gate: StartGate
         self._platform = platform
         self._view = view
         self._clock = clock
@@ -61,7 +63,8 @@
         pools = ServicePools(
             self._view, self._connections, self._clock, self._random, self._failures, make_pool
         )
-        self._context = GatewayContext(self._clock, pools, self._failures)
+        self._start_gate = StartGate(self._view)
+        self._context = GatewayContext(self._clock, pools, self._failures, self._start_gate)
         self._clients = ClientServer(self._handle, lambda: pools.limits)
         readiness = web.Server(self._tell_ready, access_log=None)
         listen = self._platform.listen
@@ -88,6 +91,17 @@
         self._context.pools.close()
         await self._connections.close()
 
+    @property
+    def ready(self) -> bool:
+        """What the platform's check is told."""
+        return self._ready
+
+    @ready.setter
+    def ready(self, ready: bool) -> None:
+        self._ready = ready
+        if ready:
+            self._start_gate.open()
+
     @property
     def addresses(self) -> list[tuple[str, int]]:
         """Where it listens: for clients, for the check."""
--- a/brackenladder/registry/gateways.py
+++ b/brackenladder/registry/gateways.py
@@ -8,6 +8,9 @@
 from attrs import define, frozen
 
 OFFER_SILENCE = 2_500_000  # microseconds without a word after which a gateway is not offered to clients
+# The same for one that this node hears itself: its words come more regularly than what peers tell of it.
+OWN_SILENCE = 1_700_000
+SAME_WORD = 1_000_000  # microseconds by which peers' word of a gateway is newer only because it goes round
 COUNT_WINDOW = 20_000_000  # microseconds in which a gateway that was heard counts as living
 SETTLE_TIME = 1_500_000  # microseconds in which every gateway has found a control node that just started
 
@@ -44,7 +47,16 @@
 @define
 class _Known:
     gateway: GatewayRecord
-    heard_at: int
+    heard_at: int  # by any control node
+    heard_here_at: int | None = None
+
+    def offered(self, now: int) -> bool:
+        """Whether clients may be sent to it."""
+        here = self.heard_here_at
+        silence = OFFER_SILENCE
+        if here is not None and self.heard_at - here < SAME_WORD:
+            silence = OWN_SILENCE
+        return self.gateway.state is GatewayState.READY and now - self.heard_at < silence
 
 
 class GatewayRegistry:
@@ -62,6 +74,7 @@
         if self._first_heard_at is None:
             self._first_heard_at = now
         changed = self._merge(gateway, now)
+        self._known[gateway.node].heard_here_at = now
         news = self._local_changes if changed else self._local_heard
         news[gateway.node] = None
         return changed
@@ -74,11 +87,7 @@
 
     def ready(self, now: int) -> tuple[GatewayRecord, ...]:
         """The gateways that clients may be sent to."""
-        return tuple(
-            known.gateway
-            for known in self._known.values()
-            if known.gateway.state is GatewayState.READY and now - known.heard_at < OFFER_SILENCE
-        )
+        return tuple(known.gateway for known in self._known.values() if known.offered(now))
 
     def settled(self, now: int) -> bool:
         """Whether this node had time to hear of every gateway: before that its answers may leave some out."""
@@ -108,6 +117,8 @@
         """This node stood still for `gap` microseconds: what it missed is not held against the gateways."""
         for known in self._known.values():
             known.heard_at = min(now, known.heard_at + gap)
+            if known.heard_here_at is not None:
+                known.heard_here_at = min(now, known.heard_here_at + gap)
 
     def take_local_changes(self, now: int) -> tuple[HeardGateway, ...]:
         """Gateways whose own word changed something since the last call."""
--- a/tests/delivery/test_subscriber.py
+++ b/tests/delivery/test_subscriber.py
@@ -295,6 +295,13 @@
         self.told(Freshness(FRESH))
         self.assertFalse(self.subscriber.complete)
 
+    def test_an_empty_catalog_is_not_enough(self) -> None:
+        self.told(CatalogUpdate(0, 0, leader_contact_age=FRESH), "a")
+        self.told(servers(full=True), "a")
+        self.assertFalse(self.subscriber.complete)
+        self.told(catalog(1), "a")
+        self.assertTrue(self.subscriber.complete)
+
     def test_once_complete_it_stays_so(self) -> None:
         self.told(catalog(1))
         self.told(servers(full=True))
