The gateway listens before it is loaded; what a server still reads does not make it slow

A server that was reading a long prompt counted as slower the longer it read, beside the wait for it that was counted already: prompts left their region and its kept parts. New connections were taken for 2 s of a stop, while a client may hold an answer of the directory for 3 s. Ruled out: directory answers kept for 3 s or 5 s instead of 1 s. Change: serve.py opens the clients' socket as soon as the settings are read; the factor for a silent server counts silence beyond the expected work; a stop takes connections for 0.4 of the grace.

--- a/brackenladder/gateway/server.py
+++ b/brackenladder/gateway/server.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
+from socket import socket
 
 import logbook
 from aiohttp import web
@@ -22,7 +23,7 @@
 
 READY_PATH = "/-/readyz"
 BACKLOG = 1024  # connections that wait to be accepted
-ACCEPT_SHARE = 0.25  # of the grace: so long new connections are still taken
+ACCEPT_SHARE = 0.4  # of the grace: so long clients may hold to an old answer of the directory
 ABORT_MARGIN_SECONDS = 0.7  # before the end of the grace: what is left is broken off
 DRAIN_STEP_SECONDS = 0.1
 
@@ -39,7 +40,9 @@
         clock: Callable[[], int],
         random: Random,
         make_pool: PoolFactory | None = None,
+        front: socket | None = None,
     ) -> None:
+        """`front`: a socket that listens for clients already."""
         self._ready = False
         self._start_gate: StartGate
         self._platform = platform
@@ -47,6 +50,7 @@
         self._clock = clock
         self._random = random
         self._make_pool = make_pool
+        self._front = front
         self._failures = FailureLog(log, clock)
         self._listeners: list[asyncio.Server] = []
         self._clients: ClientServer
@@ -68,7 +72,10 @@
         self._clients = ClientServer(self._handle, lambda: pools.limits)
         readiness = web.Server(self._tell_ready, access_log=None)
         listen = self._platform.listen
-        await self._listen(listen.front, self._clients)
+        if self._front is not None:
+            self._listeners.append(await loop.create_server(self._clients, sock=self._front, backlog=BACKLOG))
+        else:
+            await self._listen(listen.front, self._clients)
         await self._listen(listen.ready, readiness)
 
     async def drain(self, grace_s: float) -> None:
--- a/brackenladder/node/gateway_role.py
+++ b/brackenladder/node/gateway_role.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from random import Random
+from socket import socket
 
 import logbook
 
@@ -28,13 +29,16 @@
 class GatewayRole:
     """A `RoleProcess`."""
 
-    def __init__(self, platform: Platform) -> None:
+    def __init__(self, platform: Platform, front: socket | None = None) -> None:
+        """`front`: listens for clients already."""
         self._platform = platform
         self._subscriber = Subscriber()
         self._presence = Presence(
             platform.node_name, platform.listen.front, platform.zone, platform.region, time.time_ns() // 1000
         )
-        self._gateway = Gateway(platform, self._subscriber.view, monotonic_microseconds, Random())
+        self._gateway = Gateway(
+            platform, self._subscriber.view, monotonic_microseconds, Random(), front=front
+        )
         self._timer: asyncio.TimerHandle | None = None
         self._loop: asyncio.AbstractEventLoop
         self._transport: TcpTransport
--- a/brackenladder/placement/cost.py
+++ b/brackenladder/placement/cost.py
@@ -105,7 +105,8 @@
         place = self.site.places[server.id]
         prefill = self.prefill.time(self.charged(server, job, own_server))
         work = base + self.queue(now, server, job, base) + prefill
-        slowness = server.slowness(now, base + prefill) / server.kind.value
+        # What is being read there is in `work` already: only a silence beyond it makes the server slow.
+        slowness = server.slowness(now, work) / server.kind.value
         load = self.loads.servers.get(server.id)
         streams = load.streams if load is not None else 0
         price = REGION_PRICE if place.region != self.site.region else 0
--- a/brackenladder/serve.py
+++ b/brackenladder/serve.py
@@ -8,9 +8,11 @@
 import gc
 import os
 import sys
+from functools import partial
 
 from returns.result import Failure, Success
 
+from brackenladder.node.early_listener import open_early
 from brackenladder.platform_settings import load_platform
 
 SETTINGS_VARIABLE = "BRACKENLADDER_CONFIG"
@@ -36,13 +38,14 @@
                 print(f"{path}: {fault}", file=sys.stderr)
             return EXIT_USAGE
     os.environ.update(NO_CERTIFICATES)
+    front = open_early(platform.listen.front) if arguments == ["gateway"] else None
     gc.disable()  # the runner enables it once all that stays has been loaded
     from brackenladder.node.role_runner import run_role
 
     if arguments == ["gateway"]:
         from brackenladder.node.gateway_role import GatewayRole
 
-        return run_role(GatewayRole, platform, path)
+        return run_role(partial(GatewayRole, front=front), platform, path)
     from brackenladder.node.control_role import ControlRole
 
     return run_role(ControlRole, platform, path)
--- a/tests/placement/test_prompt_balancer.py
+++ b/tests/placement/test_prompt_balancer.py
@@ -23,6 +23,7 @@
 from brackenladder.catalog.configuration import RouteKind
 from brackenladder.core.roster import number_of
 from brackenladder.interface import Outcome
+from brackenladder.placement.cost import job_of
 
 NORTH = servers_in("north-1", 4)
 SOUTH = servers_in("south-1", 3)
@@ -54,6 +55,20 @@
             stage.module.stream_ended(stage.now, sent.request)
         self.assertLess(stage.counts()[slow], 300 / 4 / 2)
 
+    def test_a_long_prompt_that_is_being_read_makes_its_server_no_slower(self) -> None:
+        stage = Stage(servers_in("north-1", 2))
+        stage.serve()
+        reading = stage.send(traits("long", prompt_tokens=20_000))
+        server = stage.module.servers[number_of(reading.server)]
+        job = job_of(traits("short"), set())
+        before = stage.module.costs.cost(stage.now, server, job, 50.0 * MS, own_server=False)
+        stage.now += 400 * MS  # of the half second that the long prompt takes
+        after = stage.module.costs.cost(stage.now, server, job, 50.0 * MS, own_server=False)
+        self.assertLess(after, 1.1 * before)
+        stage.now += 1_000 * MS
+        silent = stage.module.costs.cost(stage.now, server, job, 50.0 * MS, own_server=False)
+        self.assertGreater(silent, 1.5 * before)
+
     def test_a_server_that_turned_a_call_away_is_avoided_for_a_while(self) -> None:
         stage = Stage(NORTH)
         full = stage.send()
