A gateway that has just started spends 0.15 of its slack of repeats, not 0.7, for one window

Cause: found by reading: a process that starts knows nothing of what its predecessor repeated in the window that still counts; gateways that all restart twice within it could repeat 2.1 times 0.7 of `BudgetSlack` (BUDGET). Ruled out: a shared count, which is gone with the same fault. Change: `RetryBudget` takes the process's start; in the first window the slack's part is 0.15.

--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -87,7 +87,7 @@
         self.classes = ClassTable(FIRST_SHAPE)
         self.site = ServiceSite(platform.zone, platform.region, cold_until=self.cold_until)
         self.cold = ColdShare(platform.node_name, None)
-        self.budget = RetryBudget(_budget_bound(platform))
+        self.budget = RetryBudget(_budget_bound(platform), clock.now())
         self.records: dict[int, ServerRecord] = {}
         self.zones = {name: number for number, name in enumerate(sorted(platform.zones))}
         self.region_numbers: dict[str, int] = {}
--- a/brackenladder/shares/retry_budget.py
+++ b/brackenladder/shares/retry_budget.py
@@ -14,6 +14,7 @@
 US_PER_S = 1_000_000
 RATIO_PART = 0.5  # of the ratio allowed: the windows of the bound and the ones here are not the same
 SLACK_PART = 0.7  # of the slack allowed, over all gateways: some may not know of the newest ones
+START_SLACK_PART = 0.15  # the same in the first window of a process: what the last one spent is not known
 SLICES = 50  # into which the requests of a window are counted
 
 
@@ -33,10 +34,14 @@
 
 
 class RetryBudget:
-    """The budget of one gateway at one service, by a sliding window."""
+    """The budget of one gateway at one service, by a sliding window.
 
-    def __init__(self, bound: BudgetBound) -> None:
+    `started_at`: when this process began, if another may have spent of the same budget right before.
+    """
+
+    def __init__(self, bound: BudgetBound, started_at: int | None = None) -> None:
         self.bound = bound
+        self._whole_at = None if started_at is None else started_at + bound.window
         self._slices: deque[_Slice] = deque()
         self._requests = 0
         self._repeats: deque[int] = deque()
@@ -52,7 +57,7 @@
     def spare(self, now: int, gateways: int) -> bool:
         """Whether there is room for one more repeat."""
         self._fade(now)
-        return len(self._repeats) + 1 <= self._most(gateways)
+        return len(self._repeats) + 1 <= self._most(now, gateways)
 
     def spend(self, now: int, gateways: int) -> bool:
         """Take one repeat if there is room. `gateways`: the living ones, this one included."""
@@ -66,9 +71,11 @@
         if self._repeats:
             self._repeats.pop()
 
-    def _most(self, gateways: int) -> float:
+    def _most(self, now: int, gateways: int) -> float:
         own = RATIO_PART * self.bound.ratio * self._requests
-        return own + SLACK_PART * self.bound.slack / max(gateways, 1)
+        starting = self._whole_at is not None and now < self._whole_at
+        part = START_SLACK_PART if starting else SLACK_PART
+        return own + part * self.bound.slack / max(gateways, 1)
 
     def _fade(self, now: int) -> None:
         oldest = now - self.bound.window
--- a/tests/shares/test_retry_budget.py
+++ b/tests/shares/test_retry_budget.py
@@ -50,6 +50,23 @@
         self.assertFalse(budget.spend(BOUND.window - 1, 7))
         self.assertTrue(budget.spend(BOUND.window, 7))
 
+    def test_gateways_that_all_restart_twice_in_a_window_stay_under_the_slack(self) -> None:
+        """A process doesn't know what the one before it has spent in the window that still counts."""
+        bound = BudgetBound(ratio=0, slack=54, window=10 * SECOND)
+        repeats = 0
+        for _ in range(7):
+            for start, age in ((0, 20 * SECOND), (23 * SECOND, 2 * SECOND), (25 * SECOND, 2 * SECOND)):
+                budget = RetryBudget(bound, started_at=start)
+                while budget.spend(start + age, 7):
+                    repeats += 1
+        self.assertLessEqual(repeats, bound.slack)
+
+    def test_a_process_has_its_whole_part_after_its_first_window(self) -> None:
+        budget = RetryBudget(BudgetBound(ratio=0, slack=54, window=10 * SECOND), started_at=5 * SECOND)
+        self.assertTrue(budget.spend(6 * SECOND, 7))
+        self.assertFalse(budget.spend(14 * SECOND, 7))
+        self.assertTrue(budget.spend(15 * SECOND, 7))
+
     def test_requests_earn_for_one_window(self) -> None:
         budget = RetryBudget(BudgetBound(ratio=0.2, slack=0, window=10 * SECOND))
         for _ in range(10):
