--- a/brackenladder/consensus/planning.py
+++ b/brackenladder/consensus/planning.py
@@ -93,8 +93,8 @@
     def remove(self, removing: Collection[str]) -> Members | None:
         """A planned departure. A learner that stands by takes a voter's place.
 
-        Without one, voters leave only so that an odd number stays: an even number survives no more losses,
-        and could not be left again if another disk were lost meanwhile.
+        Without one, voters leave only once they are silent, and only so that an odd number stays: until then
+        a smaller number survives no more losses, and disks may be lost that this leader still takes for well.
         """
         for learner in self._members.learners:
             if learner.replica_id in removing:
@@ -103,9 +103,10 @@
         leaving = [voter for voter in self._members.voters if voter.replica_id in removing]
         if leaving and self._standby:
             return self._changed(leaving[:1], self._standby[:1])
+        gone = [voter for voter in leaving if not self._heard(voter)]
         surplus = 2 if len(self._members.voters) % 2 else 1
-        if len(leaving) >= surplus and len(self._members.voters) - surplus >= LEAST_VOTERS:
-            return self._changed(leaving[:surplus], ())
+        if len(gone) >= surplus and len(self._members.voters) - surplus >= LEAST_VOTERS:
+            return self._changed(gone[:surplus], ())
         return None
 
     def replace_wiped(self) -> Members | None:
