--- a/brackenladder/rehearsal/standins/simulated_server.py
+++ b/brackenladder/rehearsal/standins/simulated_server.py
@@ -67,7 +67,9 @@
 
     async def listen(self) -> None:
         """Opens the port."""
-        self.sock = listener(self.context.places[self.plan.place], small=self.fault("reset-early") is not None)
+        self.sock = listener(
+            self.context.places[self.plan.place], small=self.fault("reset-early") is not None
+        )
         self.listening = await self.loop.create_server(lambda: Connection(self), sock=self.sock)
 
     def shut(self) -> None:
