--- a/brackenladder/rehearsal/standins/model_server.py
+++ b/brackenladder/rehearsal/standins/model_server.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 
 from aiohttp import web
@@ -105,7 +105,7 @@
             return self._refused(request_id, 400)
         if request.headers.get(EXPECTED_INSTANCE, self.settings.id) != self.settings.id:
             return self._refused(request_id, 421)
-        if self._waiting >= self._engine.queue:
+        if self._slots.locked() and self._waiting >= self._engine.queue:
             return self._refused(request_id, 503)
         try:
             prompt = self._prompt(request)
@@ -146,7 +146,7 @@
         answer.content_type = "text/event-stream"
         answer.enable_chunked_encoding()
         first = int(request.headers.get(LAST_EVENT_ID) or 0) + 1
-        for number in range(first, prompt.events + 1):
+        for number in self.event_numbers(first, prompt.events):
             if number > first:
                 await asyncio.sleep(self._pace())
             if not answer.prepared:
@@ -157,6 +157,10 @@
         await answer.write_eof()
         return answer
 
+    def event_numbers(self, first: int, last: int) -> Iterable[int]:
+        """The numbers of a stream's events; a server that is to go wrong overrides it."""
+        return range(first, last + 1)
+
     async def _prefill(self, prompt: Prompt) -> None:
         """Reads what is not kept of the prompt; the time is that of an engine that others use as well."""
         unread = self._cache.unread(prompt)
--- a/brackenladder/system/store_commands.py
+++ b/brackenladder/system/store_commands.py
@@ -11,7 +11,7 @@
 from brackenladder.system.errors import CommandError, ExitCode
 from brackenladder.system.options import JsonOption
 from brackenladder.system.output import note, print_json, say
-from brackenladder.system.store_copy import integrity_faults, opened_copy, write_backup
+from brackenladder.system.store_copy import integrity_faults, opened_copy, source_of, write_backup
 from brackenladder.system.store_report import report_of
 
 store = typer.Typer(help="The store of a control node that is stopped.")
@@ -29,7 +29,7 @@
 ) -> None:
     """What a store holds. It is read, never changed."""
     with opened_copy(place) as opened:
-        reported = report_of(opened)
+        reported = report_of(opened, str(source_of(place)))
     if isinstance(reported, Failure):
         raise CommandError(reported.failure())
     report = reported.unwrap()
@@ -50,7 +50,7 @@
     faults: list[str] = []
     try:
         with opened_copy(place) as opened:
-            reported = report_of(opened)
+            reported = report_of(opened, str(source_of(place)))
             if isinstance(reported, Failure):
                 faults.append(reported.failure())
             faults += integrity_faults(opened)
@@ -77,9 +77,9 @@
     """Writes a store as one file, and checks what was written."""
     write_backup(place, target)
     with opened_copy(target) as opened:
-        reported = report_of(opened)
+        reported = report_of(opened, str(target))
     if isinstance(reported, Failure):
-        raise CommandError(f"{target}: {reported.failure()}")
+        raise CommandError(reported.failure())
     report = reported.unwrap()
     if as_json:
         print_json(report.document() | {"File": str(target)})
--- a/brackenladder/system/store_copy.py
+++ b/brackenladder/system/store_copy.py
@@ -29,7 +29,7 @@
 
     `Unusable` where there is none, or one that is in use; a CommandError if it is damaged.
     """
-    source = place / FILE_NAME if place.is_dir() else place
+    source = source_of(place)
     if not source.is_file():
         raise Unusable(f"{place}: there is no store")
     with TemporaryDirectory(prefix="store-") as folder:
@@ -50,6 +50,11 @@
             store.close()
 
 
+def source_of(place: Path) -> Path:
+    """The file of a store: in a folder, or the place itself."""
+    return place / FILE_NAME if place.is_dir() else place
+
+
 def write_backup(place: Path, target: Path) -> None:
     """Writes the store as one file that appears whole or not at all; an existing file stays."""
     if target.exists():
--- a/brackenladder/system/store_report.py
+++ b/brackenladder/system/store_report.py
@@ -78,17 +78,17 @@
         ]
 
 
-def report_of(store: SqliteLogStore) -> Result[StoreReport, str]:
-    """The report, or the first thing that is wrong with the content."""
+def report_of(store: SqliteLogStore, name: str) -> Result[StoreReport, str]:
+    """The report, or the first thing that is wrong with the content; `name` is the file's in the message."""
     loaded: Result[DurableState, StoreError] = store.load()
     if isinstance(loaded, Failure):
-        return Failure(str(loaded.failure()))
+        return Failure(str(loaded.failure()).replace(store.path, name))
     state = loaded.unwrap()
     catalog = Catalog()
     try:
         members = _replay(catalog, state)
     except (SnapshotError, OrderDecodeError, ValueError) as error:
-        return Failure(f"{type(error).__name__}: {error}")
+        return Failure(f"{type(error).__name__}: {name}: {error}")
     base = state.snapshot.index if state.snapshot else 0
     return Success(
         StoreReport(
