A control node survives a damaged store, a taken address and whatever hangs at its end

A store that is corrupt ended the control process with status 1 at every start, for ever. An HTTP listener gave up at once on an address that a killed predecessor still held, while the listener for nodes waits 10 s. An orderly end took up to 0.6 s + 2 x 0.5 s + 0.5 s + 0.5 s, as aiohttp bounds the two steps of a shutdown each by itself; and with a grace of 0 s aiohttp knows no bound at all. A disk that hung while the store was opened blocked the event loop, and with it SIGTERM.

Foreign files and newer formats are refused as before. The store is opened in a thread. HTTP addresses in use are tried for 10 s. The end is bounded by 1.5 s: 0.6 s hand-over, 0.3 s calls, 0.3 s links, 0.2 s store.

Ruled out: setting aside at the first reading (a read that fails once may be the disk's passing trouble), and at SQLITE_NOTADB (a foreign file says the same).

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -33,9 +33,11 @@
 DIAL_INTERVAL = 5_000_000  # microseconds between two looks at who is to be dialled, without an event
 UNHEARD_LEADER = 2_000_000  # microseconds without a leader after which a member asks to be taken in again
 ELECTION_HEAD_START = 350_000  # microseconds by which a node that starts stands for election earlier
+STOP_SECONDS = 1.5  # longest orderly end, all of the waits below together
 HANDOVER_SECONDS = 0.6  # longest wait for another leader before the end
-HTTP_GRACE_SECONDS = 0.5
-STORE_GRACE_SECONDS = 0.5
+HTTP_GRACE_SECONDS = 0.3  # for calls under way
+LINK_GRACE = 300_000  # microseconds for what is queued for other nodes; a setting of the transport
+STORE_GRACE_SECONDS = 0.2  # for the store's last write; a disk may hang
 FORGET_NEIGHBOUR = 20_000_000  # microseconds after which an address that only others told of is forgotten
 
 log = logbook.Logger("control")
@@ -101,7 +103,7 @@
         log.info("{} listens at {}", self.member.replica_id, self.member.address)
 
     async def stop(self) -> None:
-        """Hands leadership over, answers what is under way, then ends."""
+        """Hands leadership over, answers what is under way, then ends; takes at most `STOP_SECONDS`."""
         await self._hand_over()
         await self._close_listeners(HTTP_GRACE_SECONDS)
         await self.close()
--- a/brackenladder/control_plane/http_server.py
+++ b/brackenladder/control_plane/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -21,6 +22,10 @@
 BACKLOG = 512
 KEEPALIVE_SECONDS = 30.0
 RETRY_AFTER_SECONDS = "0.2"
+LISTEN_PATIENCE_SECONDS = 10.0  # how long an address is tried that a killed predecessor still holds
+LISTEN_RETRY_SECONDS = 0.1  # pause between these tries
+SHORTEST_GRACE_SECONDS = 0.02  # aiohttp takes 0 as no bound at all
+SHUTDOWN_STEPS = 2  # for the answer, then for the cancelled handler; aiohttp bounds each
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -53,8 +58,7 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
-        """Binds the address and accepts connections."""
-        host, _, port = address.rpartition(":")
+        """Binds the address and accepts connections; one in use is tried for `LISTEN_PATIENCE_SECONDS`."""
         self._protocols = web.Server(
             self._handle,
             request_factory=self._make_request,
@@ -62,18 +66,29 @@
             access_log=None,
             keepalive_timeout=KEEPALIVE_SECONDS,
         )
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._protocols, host, int(port), reuse_address=True, backlog=BACKLOG
-        )
+        self._server = await self._bind(address, self._protocols)
 
     async def close(self, grace_seconds: float) -> None:
-        """Accepts nothing more and gives requests under way a moment to end."""
+        """Accepts nothing more; requests under way have `grace_seconds` to end, then are cut off."""
         if self._server is not None:
             self._server.close()
         if self._protocols is not None:
             self._protocols.pre_shutdown()
-            await self._protocols.shutdown(grace_seconds)
+            await self._protocols.shutdown(max(grace_seconds, SHORTEST_GRACE_SECONDS) / SHUTDOWN_STEPS)
+
+    async def _bind(self, address: str, protocols: web.Server) -> asyncio.Server:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        until = loop.time() + LISTEN_PATIENCE_SECONDS
+        while True:
+            try:
+                return await loop.create_server(
+                    protocols, host, int(port), reuse_address=True, backlog=BACKLOG
+                )
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or loop.time() >= until:
+                    raise
+            await asyncio.sleep(LISTEN_RETRY_SECONDS)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
--- /dev/null
+++ b/brackenladder/node/replica_store.py
@@ -0,0 +1,140 @@
+"""Opens the store that a control node starts from: tries again where it helps, sets aside what is damaged."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import threading
+from collections.abc import Callable
+from contextlib import suppress
+
+import logbook
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.consensus.types import DurableState
+from brackenladder.node.role_runner import RoleError
+from brackenladder.storage.log_store import StoreCorrupt, StoreError, StoreFailed, StoreFull, StoreInUse
+from brackenladder.storage.set_aside import set_aside, was_set_aside
+from brackenladder.storage.sqlite_file import sync_to_disk
+from brackenladder.storage.sqlite_log import SqliteLogStore, open_store
+
+OPEN_RETRY_SECONDS = 0.3
+PASSING_ERRORS = (StoreFailed, StoreFull, StoreInUse)
+CORRUPT_TRIES = 2  # a damage is read twice before it is believed
+MOST_SET_ASIDE = 2  # stores in one start; a disk that damages new ones too is of no use
+
+log = logbook.Logger("store")
+
+
+@frozen
+class OpenedStore:
+    """A store and what it holds."""
+
+    store: SqliteLogStore
+    state: DurableState
+    succeeds_damaged: bool  # a store was set aside in its folder, now or earlier
+
+
+Opened = Result[OpenedStore, StoreError]
+NewReplicaId = Callable[[bool], str]  # told whether a store was set aside in the folder
+
+
+async def open_replica_store(folder: str, new_replica_id: NewReplicaId) -> OpenedStore:
+    """Opens the store in `folder` or makes one; `RoleError` if it can't be used.
+
+    A disk that refuses for the moment is tried again. The disk is waited for in a thread: while it hangs, the
+    process still hears its signals.
+    """
+    opener = _Opener(folder, new_replica_id)
+    while True:
+        opened = await _in_thread(opener.open)
+        if isinstance(opened, Success):
+            store: OpenedStore = opened.unwrap()
+            return store
+        error = opened.failure()
+        if not isinstance(error, (*PASSING_ERRORS, StoreCorrupt)):
+            raise RoleError(str(error))
+        log.warning("{}", error)
+        await asyncio.sleep(OPEN_RETRY_SECONDS)
+
+
+class _Opener:
+    """The tries of one start."""
+
+    def __init__(self, folder: str, new_replica_id: NewReplicaId) -> None:
+        self._folder = folder
+        self._new_replica_id = new_replica_id
+        self._corrupt_tries = 0
+        self._set_aside = 0
+
+    def open(self) -> Opened:
+        """One try. A store that was found damaged before, and is still, gives way to a new one."""
+        opened = self._open()
+        error = opened.swap().value_or(None)
+        if not isinstance(error, StoreCorrupt):
+            return opened
+        self._corrupt_tries += 1
+        if self._corrupt_tries < CORRUPT_TRIES:
+            return opened
+        if self._set_aside >= MOST_SET_ASIDE:
+            raise RoleError(f"{error}; {self._set_aside} stores were set aside before it")
+        try:
+            name = set_aside(self._folder)
+        except OSError as fault:
+            return Failure(StoreFailed(f"{self._folder}: can't set the store aside: {fault.strerror}"))
+        self._corrupt_tries = 0
+        self._set_aside += 1
+        log.error("{}; set aside as {}, this node joins as a new replica", error, name)
+        return self._open()
+
+    def _open(self) -> Opened:
+        try:
+            _make_folder(self._folder)
+            succeeds_damaged = was_set_aside(self._folder)
+        except OSError as error:
+            return Failure(StoreFailed(f"{self._folder}: {error.strerror}"))
+        opened = open_store(self._folder, lambda: self._new_replica_id(succeeds_damaged))
+        if not isinstance(opened, Success):
+            return Failure(opened.failure())
+        store: SqliteLogStore = opened.unwrap()
+        loaded = store.load()
+        if not isinstance(loaded, Success):
+            store.close()
+        return loaded.map(lambda state: OpenedStore(store, state, succeeds_damaged))
+
+
+async def _in_thread(call: Callable[[], Opened]) -> Opened:
+    """Runs a call in a thread that does not keep the process from ending."""
+    loop = asyncio.get_running_loop()
+    done: asyncio.Future[Opened] = loop.create_future()
+
+    def conclude(outcome: Opened | RoleError) -> None:
+        if done.done():
+            return
+        if isinstance(outcome, RoleError):
+            done.set_exception(outcome)
+        else:
+            done.set_result(outcome)
+
+    def run() -> None:
+        outcome: Opened | RoleError
+        try:
+            outcome = call()
+        except RoleError as error:
+            outcome = error
+        except Exception as error:  # else the caller would wait for ever
+            outcome = RoleError(f"{type(error).__name__}: {error}")
+        with suppress(RuntimeError):  # the loop is closed: nobody waits any longer
+            loop.call_soon_threadsafe(conclude, outcome)
+
+    threading.Thread(target=run, name="store-opener", daemon=True).start()
+    return await done
+
+
+def _make_folder(folder: str) -> None:
+    """Makes the folder so that it outlasts a loss of power."""
+    if os.path.isdir(folder):
+        return
+    os.makedirs(folder, exist_ok=True)
+    sync_to_disk(os.path.dirname(os.path.abspath(folder)))
--- /dev/null
+++ b/tests/storage/test_set_aside.py
@@ -0,0 +1,116 @@
+"""Damaged stores that give way to new ones, also when the power fails meanwhile."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from contextlib import suppress
+from unittest import TestCase
+from unittest.mock import patch
+
+from log_store_contract import REPLICA_ID, entries
+
+from brackenladder.consensus.types import HardState, Write
+from brackenladder.storage import set_aside as module
+from brackenladder.storage.log_store import StoreCorrupt
+from brackenladder.storage.set_aside import MOST_KEPT, MOST_KEPT_BYTES, set_aside, was_set_aside
+from brackenladder.storage.sqlite_file import FILE_NAME, WAL_SUFFIX
+from brackenladder.storage.sqlite_log import open_store
+
+
+class PowerLost(Exception):
+    """The process ends here."""
+
+
+class SetAsideTest(TestCase):
+    def setUp(self) -> None:
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.path = os.path.join(self.folder, FILE_NAME)
+
+    def write(self, name: str, content: bytes) -> None:
+        with open(os.path.join(self.folder, name), "wb") as file:
+            file.write(content)
+
+    def read(self, name: str) -> bytes:
+        with open(os.path.join(self.folder, name), "rb") as file:
+            return file.read()
+
+    def test_a_store_and_its_journal_get_a_new_name(self) -> None:
+        self.write(FILE_NAME, b"pages")
+        self.write(FILE_NAME + WAL_SUFFIX, b"frames")
+        self.assertFalse(was_set_aside(self.folder))
+        name = set_aside(self.folder)
+        self.assertEqual(name, f"{FILE_NAME}.corrupt-1")
+        self.assertEqual(sorted(os.listdir(self.folder)), [name, name + WAL_SUFFIX])
+        self.assertEqual((self.read(name), self.read(name + WAL_SUFFIX)), (b"pages", b"frames"))
+        self.assertTrue(was_set_aside(self.folder))
+
+    def test_a_journal_alone_goes_too(self) -> None:
+        self.write(FILE_NAME + WAL_SUFFIX, b"frames")
+        set_aside(self.folder)
+        self.assertTrue(was_set_aside(self.folder))
+        store = open_store(self.folder, lambda: "new").unwrap()
+        self.addCleanup(store.close)
+        self.assertEqual(store.identity.replica_id, "new")
+
+    def test_the_newest_are_kept_under_numbers_of_their_own(self) -> None:
+        for number in range(1, 12):
+            self.write(FILE_NAME, b"%d" % number)
+            self.write(FILE_NAME + WAL_SUFFIX, b"frames")
+            set_aside(self.folder)
+        kept = {f"{FILE_NAME}.corrupt-{number}" for number in (10, 11)}
+        self.assertEqual(len(kept), MOST_KEPT)
+        self.assertEqual(set(os.listdir(self.folder)), kept | {name + WAL_SUFFIX for name in kept})
+        self.assertEqual(self.read(f"{FILE_NAME}.corrupt-11"), b"11")
+
+    def test_a_large_one_is_cut(self) -> None:
+        self.write(FILE_NAME, bytes(MOST_KEPT_BYTES + 1))
+        name = set_aside(self.folder)
+        self.assertEqual(os.path.getsize(os.path.join(self.folder, name)), MOST_KEPT_BYTES)
+
+    def test_other_files_do_not_count(self) -> None:
+        for name in (FILE_NAME, "notes.corrupt-1", f"{FILE_NAME}.corrupt-x", f"{FILE_NAME}.new"):
+            self.write(name, b"")
+        self.assertFalse(was_set_aside(self.folder))
+
+    def test_no_loss_of_power_leaves_the_database_without_its_journal(self) -> None:
+        """Else it might pass for an older state, in which the replica has not voted yet."""
+        for syncs in range(4):
+            with self.subTest(syncs=syncs):
+                self._lose_power_after(syncs)
+                names = set(os.listdir(self.folder))
+                self.assertFalse(FILE_NAME in names and FILE_NAME + WAL_SUFFIX not in names)
+                if FILE_NAME + WAL_SUFFIX in names:
+                    opened = open_store(self.folder, lambda: "new")
+                    self.assertIsInstance(opened.failure(), StoreCorrupt)
+                    set_aside(self.folder)
+                self.assertTrue(was_set_aside(self.folder))
+
+    def _lose_power_after(self, syncs: int) -> None:
+        """Sets a store aside; of the names only those last that were synced before the power went."""
+        for name in os.listdir(self.folder):
+            os.unlink(os.path.join(self.folder, name))
+        store = open_store(self.folder, lambda: REPLICA_ID).unwrap()
+        store.apply(Write(1, HardState(3, "replica-2"), entries=entries(1, 40))).unwrap()
+        store.close()
+        os.truncate(self.path, 5000)
+        self.write(FILE_NAME + WAL_SUFFIX, b"frames")
+        left = syncs
+        durable = self._contents()
+
+        def sync(_folder: str) -> None:
+            nonlocal left, durable
+            if left == 0:
+                raise PowerLost
+            left -= 1
+            durable = self._contents()
+
+        with patch.object(module, "sync_to_disk", sync), suppress(PowerLost):
+            set_aside(self.folder)
+        for name in os.listdir(self.folder):
+            os.unlink(os.path.join(self.folder, name))
+        for name, content in durable.items():
+            self.write(name, content)
+
+    def _contents(self) -> dict[str, bytes]:
+        return {name: self.read(name) for name in os.listdir(self.folder)}
