A gateway that restarts after its clock was stepped back is taken once its predecessor was silent for 1.5 s

Of two presence records of a node the higher (incarnation, seq) holds, and the incarnation is the time of day of the start. After a backward step a restarted gateway's is lower: its word was ignored, and it was not offered to clients, until the record of its predecessor was forgotten, 20 s later.

Of two incarnations that were heard 1.5 s or more apart the one heard last holds, told directly or by peers; closer ones go by rank as before, so that what a frozen node reads late does not win. What peers remember of the predecessor does not bring it back, and the word of a process that does not hold yet does not keep its predecessor alive. Ruled out: a random incarnation (two records of one node could not be told apart in order).

--- a/brackenladder/registry/gateways.py
+++ b/brackenladder/registry/gateways.py
@@ -12,6 +12,9 @@
 OWN_SILENCE = 1_700_000
 SAME_WORD = 1_000_000  # microseconds by which peers' word of a gateway is newer only because it goes round
 COUNT_WINDOW = 20_000_000  # microseconds in which a gateway that was heard counts as living
+# Silence of a known process after which another one of its node takes its place, whatever the incarnation:
+# the time of day may have been stepped back between their starts.
+SUCCESSION_SILENCE = 1_500_000
 SETTLE_TIME = 1_500_000  # microseconds in which every gateway has found a control node that just started
 
 
@@ -25,7 +28,10 @@
 
 @frozen
 class GatewayRecord:
-    """One gateway. Of two records of a node the one with the higher (`incarnation`, `seq`) holds."""
+    """One gateway. Of two records of a node the one with the higher (`incarnation`, `seq`) holds.
+
+    Of two incarnations heard more than `SUCCESSION_SILENCE` apart the one that was heard last holds.
+    """
 
     node: str
     front_address: str  # "ip:port", for clients
@@ -74,7 +80,9 @@
         if self._first_heard_at is None:
             self._first_heard_at = now
         changed = self._merge(gateway, now)
-        self._known[gateway.node].heard_here_at = now
+        known = self._known[gateway.node]
+        # the word of a process that does not hold yet must not keep its predecessor alive
+        known.heard_here_at = now if known.gateway.incarnation == gateway.incarnation else None
         news = self._local_changes if changed else self._local_heard
         news[gateway.node] = None
         return changed
@@ -138,7 +146,7 @@
         if known is None:
             self._known[gateway.node] = _Known(gateway, heard_at)
             return True
-        if _rank(gateway) < _rank(known.gateway):
+        if not _succeeds(gateway, known.gateway, heard_at - known.heard_at):
             return False
         changed = not _says_the_same(known.gateway, gateway)
         known.gateway = gateway
@@ -146,6 +154,13 @@
         return changed
 
 
+def _succeeds(told: GatewayRecord, known: GatewayRecord, later: int) -> bool:
+    """Whether a record takes a known one's place; it was heard `later` microseconds after that."""
+    if told.incarnation != known.incarnation and abs(later) >= SUCCESSION_SILENCE:
+        return later > 0
+    return _rank(told) >= _rank(known)
+
+
 def _rank(gateway: GatewayRecord) -> tuple[int, int, int]:
     return (gateway.incarnation, gateway.seq, gateway.state)
 
--- a/tests/registry/test_gateway_registry.py
+++ b/tests/registry/test_gateway_registry.py
@@ -13,6 +13,7 @@
     OFFER_SILENCE,
     OWN_SILENCE,
     SETTLE_TIME,
+    SUCCESSION_SILENCE,
     GatewayRecord,
     GatewayRegistry,
     GatewayState,
@@ -75,6 +76,54 @@
         self.assertEqual(len(self.registry.ready(AT + 10 * SECOND)), 1)
 
 
+class ClockStepTest(unittest.TestCase):
+    """A gateway that starts again after its clock was stepped back has a lower incarnation than before."""
+
+    def setUp(self) -> None:
+        self.registry = GatewayRegistry()
+        self.registry.presence(AT, gateway(seq=40, incarnation=9, state=GatewayState.LEAVING))
+
+    def offered(self, now: int) -> list[int]:
+        """The incarnations that clients may be sent to."""
+        return [one.incarnation for one in self.registry.ready(now)]
+
+    def test_its_own_word_holds_once_its_predecessor_was_silent(self) -> None:
+        silent_at = AT + SUCCESSION_SILENCE
+        self.assertFalse(self.registry.presence(silent_at - 1, gateway(seq=1, incarnation=2)))
+        self.assertEqual(self.offered(silent_at - 1), [])
+        self.assertTrue(self.registry.presence(silent_at, gateway(seq=2, incarnation=2)))
+        self.assertEqual(self.offered(silent_at), [2])
+
+    def test_peers_word_holds_once_its_predecessor_was_silent(self) -> None:
+        heard_at = AT + SUCCESSION_SILENCE
+        now = heard_at + SECOND // 2
+        early = HeardGateway(gateway(seq=1, incarnation=2), age=now - heard_at + 1)
+        self.assertFalse(self.registry.merge(now, [early]))
+        self.assertTrue(self.registry.merge(now, [HeardGateway(gateway(incarnation=2), now - heard_at)]))
+        self.assertEqual(self.offered(now), [2])
+
+    def test_what_peers_remember_of_its_predecessor_does_not_return(self) -> None:
+        now = AT + 2 * SECOND
+        self.registry.presence(now, gateway(seq=1, incarnation=2))
+        old = gateway(seq=41, incarnation=9, state=GatewayState.LEAVING)
+        self.assertFalse(self.registry.merge(now, [HeardGateway(old, age=now - AT)]))
+        self.assertEqual(self.offered(now), [2])
+
+    def test_nodes_that_tell_one_another_agree(self) -> None:
+        other = GatewayRegistry()
+        other.merge(AT, self.registry.heard(AT))
+        now = AT + 2 * SECOND
+        self.registry.presence(now, gateway(seq=1, incarnation=2))
+        self.registry.merge(now, other.heard(now))
+        other.merge(now, self.registry.heard(now))
+        self.assertEqual([one.incarnation for one in other.ready(now)], [2])
+        self.assertEqual(self.offered(now), [2])
+
+    def test_a_late_word_of_the_same_process_stays_late(self) -> None:
+        self.assertFalse(self.registry.presence(AT + 5 * SECOND, gateway(seq=39, incarnation=9)))
+        self.assertEqual(self.offered(AT + 5 * SECOND), [])
+
+
 class LivingNumberTest(unittest.TestCase):
     def setUp(self) -> None:
         self.registry = GatewayRegistry()
