--- a/brackenladder/system/local/local_system.py
+++ b/brackenladder/system/local/local_system.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -139,9 +140,8 @@
                     asyncio.Protocol, host, int(port), reuse_address=True
                 )
             except OSError as error:
-                raise LocalError(
-                    f"{address} can't be had ({error.strerror}): try another --network"
-                ) from None
+                reason = os.strerror(error.errno or 0)
+                raise LocalError(f"{address} can't be had ({reason}): try another --network") from None
             listener.close()
             await listener.wait_closed()
 
@@ -150,7 +150,8 @@
         try:
             await server.start()
         except OSError as error:
-            raise LocalError(f"{settings.address} can't be had ({error.strerror})") from None
+            reason = os.strerror(error.errno or 0)
+            raise LocalError(f"{settings.address} can't be had ({reason})") from None
         self.servers[settings.id] = server
         self._heartbeats[settings.id] = Heartbeats(server, self.layout.seeds, HEARTBEAT_MS / 1000)
         await self._heartbeats[settings.id].start()
--- a/brackenladder/system/local/run.py
+++ b/brackenladder/system/local/run.py
@@ -79,7 +79,7 @@
 ) -> None:
     async with LocalSystem(layout) as system:
         summary.status = await system.status()
-        say(welcome(layout, plan.seconds))
+        say(welcome(system, plan.seconds))
         traffic = Traffic(layout, plan.seed)
         await traffic.start()
         try:
@@ -114,11 +114,17 @@
         await asyncio.wait_for(interrupted.wait(), seconds)
 
 
-def welcome(layout: Layout, seconds: float | None) -> str:
-    """What to type next."""
+def welcome(system: LocalSystem, seconds: float | None) -> str:
+    """What runs, and what to type next."""
+    layout = system.layout
     gateway = layout.gateways[0]
+    processes = [
+        f"  {machine.name:<16} {machine.ip:<12} process {system.roles[machine.name].pid}"
+        for machine in (*layout.control, *layout.gateways)
+    ]
     lines = [
         f"running; settings files and logs are in {layout.folder}",
+        *processes,
         "",
         "Ask a gateway:",
         f"  curl -N -H 'Host: {HOST}' -H \"X-Brackenladder-Request-Id: $(date +%s%N)\" "
--- a/brackenladder/system/local_command.py
+++ b/brackenladder/system/local_command.py
@@ -39,7 +39,7 @@
 ) -> int:
     """Runs a whole system until Ctrl-C: 3 control nodes, 3 gateways, 7 servers, clients, in 3 regions.
 
-    Exit code 0: every request was served. 1: some were not, or the system did not come up.
+    Exit code 0: every request was served and no process ended but by --fault. 1: not so.
     """
     if not _NETWORK.fullmatch(network):
         raise Unusable(f"--network: {network!r} is not of the form 127.a.b")
@@ -47,7 +47,7 @@
     try:
         summary = asyncio.run(run_local(plan, note if as_json else say))
     except LocalError as error:
-        raise CommandError(f"{error}; settings files and logs are kept in {plan.folder}") from None
+        raise CommandError(f"{error}{_kept(plan.folder)}") from None
     if folder is None and summary.sound:
         rmtree(plan.folder, ignore_errors=True)
     else:
@@ -73,6 +73,14 @@
     return folder.absolute()
 
 
+def _kept(folder: Path) -> str:
+    """Where files are left; an empty folder is removed."""
+    if any(folder.iterdir()):
+        return f"; settings files and logs are kept in {folder}"
+    folder.rmdir()
+    return ""
+
+
 def _document(summary: LocalSummary) -> dict[str, object]:
     fault = summary.fault
     return {
--- a/brackenladder/system/status_text.py
+++ b/brackenladder/system/status_text.py
@@ -59,6 +59,8 @@
         has = "not connected here"
     elif gateway.revision < revision:
         has = f"revision {gateway.revision}, behind"
+    elif gateway.revision > revision:
+        has = f"revision {gateway.revision}, ahead of the node asked"
     else:
         has = f"revision {gateway.revision}"
     silent = gateway.silent_ms / 1000
--- a/tests/system/test_system_local.py
+++ b/tests/system/test_system_local.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from unittest import IsolatedAsyncioTestCase
 
+from test_system_commands import PAGE
 from test_system_end_to_end import own_network
 
 PATIENCE = 60.0  # seconds; only a failure waits so long
@@ -62,6 +63,17 @@
         self.assertFalse(folder.exists())
         self.assertEqual(self.processes_of(folder), [])
 
+    async def test_an_address_in_use_is_told_in_one_line(self) -> None:
+        address = f"{own_network()}.1:8146"
+        server = await asyncio.start_server(lambda _reader, _writer: None, *address.split(":"))
+        self.addCleanup(server.close)
+        process = await self.local()
+        async with asyncio.timeout(PATIENCE):
+            _, errors = await process.communicate()
+        line = f"brackenladder: {address} can't be had (Address already in use): try another --network\n"
+        self.assertEqual((process.returncode, errors.decode()), (1, line))
+        self.assertIn(line.strip().replace(address, "IP:PORT"), PAGE.read_text())
+
     def processes_of(self, folder: Path) -> list[str]:
         """Processes whose settings file lay in a folder."""
         found = []
