A closed consensus host takes nothing more; waits in control_plane's tests are bounded

Cause: `propose` and `confirm_read` on a host that had been closed waited for ever (a test run hung past 300 s). Ruled out: the writer thread (its queue was empty).

--- a/brackenladder/control_plane/consensus_host.py
+++ b/brackenladder/control_plane/consensus_host.py
@@ -130,6 +130,8 @@
 
     async def propose(self, data: bytes) -> Answer:
         """The catalog's answer once the command is committed; a failure leaves its fate open."""
+        if self._closed:
+            return Failure(Unavailable.NO_LEADER)
         match self.replica.propose(self._clock(), data):
             case Success(place):
                 pending = PendingProposal(place.term, self._loop.create_future())
@@ -145,6 +147,8 @@
 
     async def confirm_read(self) -> Confirmation:
         """Success once the catalog here holds all that was acknowledged before the call; leaders only."""
+        if self._closed:
+            return Failure(Unavailable.NO_LEADER)
         self._last_read += 1
         token = self._last_read
         match self.replica.read(self._clock(), token):
--- a/tests/control_plane/control_cluster.py
+++ b/tests/control_plane/control_cluster.py
@@ -7,7 +7,7 @@
 import os
 import shutil
 import tempfile
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from itertools import count
 from typing import Any
@@ -192,10 +192,17 @@
         self, number: int, path: str, document: object = None, base: int | None = None
     ) -> Answer:
         """As the operator does: the same order again until there is a clear answer."""
+        return await self.repeat(
+            lambda: self.post(number, path, document, base),
+            lambda answer: answer.status != HTTPStatus.SERVICE_UNAVAILABLE,
+        )
+
+    async def repeat(self, call: Callable[[], Awaitable[Answer]], accept: Callable[[Answer], bool]) -> Answer:
+        """Repeats a call until its answer is accepted."""
         async with asyncio.timeout(PATIENCE):
             while True:
-                answer = await self.post(number, path, document, base)
-                if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
+                answer = await call()
+                if accept(answer):
                     return answer
 
     async def get(self, address: str, path: str) -> Answer:
--- a/tests/control_plane/test_consensus_host.py
+++ b/tests/control_plane/test_consensus_host.py
@@ -71,11 +71,17 @@
             while not condition():
                 await asyncio.sleep(POLL_SECONDS)
 
+    async def propose_once(self) -> Answer:
+        """The answer to an order."""
+        async with asyncio.timeout(PATIENCE):
+            return await self.host.propose(ORDER)
+
     async def propose(self) -> Answer:
         """The answer to an order once there is a leader."""
-        while (answer := await self.host.propose(ORDER)) == Failure(Unavailable.NO_LEADER):
-            await self.host.leadership_changed(POLL_SECONDS)
-        return answer
+        async with asyncio.timeout(PATIENCE):
+            while (answer := await self.host.propose(ORDER)) == Failure(Unavailable.NO_LEADER):
+                await self.host.leadership_changed(POLL_SECONDS)
+            return answer
 
     async def test_a_proposal_gets_the_answer_of_the_catalog(self) -> None:
         self.assertEqual(await self.propose(), Success(Accepted(0)))
@@ -85,7 +91,7 @@
 
     async def test_a_hanging_store_ends_the_wait_without_an_answer(self) -> None:
         self.store.answers.clear()
-        self.assertEqual(await self.host.propose(ORDER), Failure(Unavailable.LOST))
+        self.assertEqual(await self.propose_once(), Failure(Unavailable.LOST))
         self.assertFalse(self.host.leads)
         self.assertEqual(await self.host.confirm_read(), Failure(Unavailable.NO_LEADER))
         self.store.answers.set()
@@ -93,16 +99,22 @@
 
     async def test_a_refusing_store_is_never_counted(self) -> None:
         self.store.refuses = True
-        self.assertEqual(await self.host.propose(ORDER), Failure(Unavailable.LOST))
+        self.assertEqual(await self.propose_once(), Failure(Unavailable.LOST))
         self.assertEqual(self.catalog.evacuated, frozenset())
         self.store.refuses = False
         self.assertEqual(await self.propose(), Success(Accepted(0)))
 
     async def test_closing_ends_all_waits(self) -> None:
         self.store.answers.clear()
-        waiting = asyncio.create_task(self.host.propose(ORDER))
+        last_index = self.host.replica.last_index
+        waiting = asyncio.create_task(self.propose_once())
         reading = asyncio.create_task(self.host.confirm_read())
-        await self.until(lambda: self.host.replica.last_index > self.host.applied_index)
+        await self.until(lambda: self.host.replica.last_index > last_index)
         self.host.close()
         self.assertEqual(await waiting, Failure(Unavailable.LOST))
         self.assertIn(await reading, (Success(None), Failure(Unavailable.LOST)))
+
+    async def test_a_closed_host_takes_nothing(self) -> None:
+        self.host.close()
+        self.assertEqual(await self.propose_once(), Failure(Unavailable.NO_LEADER))
+        self.assertEqual(await self.host.confirm_read(), Failure(Unavailable.NO_LEADER))
--- a/tests/control_plane/test_control_failures.py
+++ b/tests/control_plane/test_control_failures.py
@@ -25,9 +25,10 @@
 
     async def assert_version(self, number: int, version: int) -> None:
         """A confirmed read gives this version."""
-        fetched = await self.cluster.fetch(number)
-        while fetched.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            fetched = await self.cluster.fetch(number)
+        fetched = await self.cluster.repeat(
+            lambda: self.cluster.fetch(number),
+            lambda answer: answer.status != HTTPStatus.SERVICE_UNAVAILABLE,
+        )
         self.assertEqual(fetched.document["Version"], version)
 
     async def test_a_lost_leader_is_replaced_and_nothing_acknowledged_is_lost(self) -> None:
--- a/tests/control_plane/test_control_servers.py
+++ b/tests/control_plane/test_control_servers.py
@@ -6,7 +6,7 @@
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 
-from control_cluster import ControlCluster, configuration, heartbeat
+from control_cluster import Answer, ControlCluster, configuration, heartbeat
 
 from brackenladder.control_plane.wire import gateway_codec
 from brackenladder.delivery.presence import Presence
@@ -85,17 +85,16 @@
         )
 
     async def test_the_directory_names_ready_gateways_only(self) -> None:
-        directory = self.cluster.platforms[1].listen.directory
-        path = "/-/resolve?Name=jobs.example&Region=south&Zone=hall-2"
-        self.assertEqual((await self.cluster.get(directory, path)).status, HTTPStatus.SERVICE_UNAVAILABLE)
+        address = self.cluster.platforms[1].listen.directory
+
+        async def resolve() -> Answer:
+            self.gateway.links.tick()
+            return await self.cluster.get(address, "/-/resolve?Name=a.example&Region=north&Zone=hall-1")
+
+        self.assertEqual((await resolve()).status, HTTPStatus.SERVICE_UNAVAILABLE)
         self.gateway.presence.set_state(GatewayState.READY)
-        self.gateway.links.announce()
-        answer = await self.cluster.get(directory, path)
-        while answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            answer = await self.cluster.get(directory, path)
+        answer = await self.cluster.repeat(resolve, lambda answer: answer.status == HTTPStatus.OK)
         self.assertEqual(answer.document, {"Addresses": [FRONT], "TtlS": 1})
         self.gateway.presence.set_state(GatewayState.LEAVING)
-        self.gateway.links.announce()
-        while answer.status == HTTPStatus.OK:
-            answer = await self.cluster.get(directory, path)
+        answer = await self.cluster.repeat(resolve, lambda answer: answer.status != HTTPStatus.OK)
         self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE)
--- a/tests/control_plane/test_role_runner.py
+++ b/tests/control_plane/test_role_runner.py
@@ -15,6 +15,7 @@
 from brackenladder.node.role_runner import EXIT_FAILED, EXIT_OK, RoleError, RoleRunner
 from brackenladder.platform_settings import Platform
 
+PATIENCE = 20.0  # seconds; only a failure waits so long
 SETTINGS = """
 NodeName = "control-1"
 Role = "control"
@@ -83,12 +84,16 @@
             running = asyncio.create_task(RoleRunner(role, self.path).run())
             await role.started.wait()
             self.write(22)
-            self.assertEqual((await role.reloaded.get()).seeds, ("127.0.0.1:22",))
+            self.assertEqual((await self.reloaded(role)).seeds, ("127.0.0.1:22",))
             os.kill(os.getpid(), signal.SIGHUP)
-            self.assertEqual((await role.reloaded.get()).seeds, ("127.0.0.1:22",))
+            self.assertEqual((await self.reloaded(role)).seeds, ("127.0.0.1:22",))
             os.kill(os.getpid(), signal.SIGTERM)
             await running
 
+    async def reloaded(self, role: RecordingRole) -> Platform:
+        """The next settings that the role gets."""
+        return await asyncio.wait_for(role.reloaded.get(), PATIENCE)
+
     async def test_a_role_that_cannot_start_ends_the_process(self) -> None:
         role = RecordingRole()
         role.fault = RoleError("no disk")
