A rested connection gets the start of a request's head first: a forgotten one loses nothing

Cause: a server that silently forgets idle connections, or has ended, resets what is next sent there. The whole request was written at once; after a reset it may have run, so it could go to no other server and the client got a 502 it may not answer with a new try. Ruled out: shorter idle times (a third more connections to servers, which are dear), learning them by loss (each of 89 gateways loses its own first requests), probing (priced, and takes a slot). Change: on a connection that rested over 0.2 s all of the head but its last line end is written, and a reset is waited for during two of the quickest connects seen, 1 to 10 ms. A head without its end has not run: the request then goes over a new connection. A way over 25 ms is waited for only in the 20 s after a loss.

--- a/brackenladder/gateway/connections.py
+++ b/brackenladder/gateway/connections.py
@@ -24,6 +24,12 @@
 POOL_SECONDS = 30.0  # aiohttp's own bound on idle connections; a server's is shorter
 IDLE_UNTOLD_SECONDS = 0.3  # a server that tells no idle time closes within its first second
 IDLE_MARGIN_SECONDS = 0.7  # a request must arrive before the server closes
+RESTED_SECONDS = 0.2  # a connection that rested for longer may be forgotten by its server
+CHECK_LEAST_SECONDS = 0.001  # what a reset is waited for at the least
+CHECK_ROUND_TRIPS = 2.0  # and otherwise: so many of the quickest round trip seen
+CHECK_MOST_SECONDS = 0.01  # and at the most, within a region
+LONG_WAY_SECONDS = 0.025  # a longer round trip is waited for only after a connection was found forgotten
+FORGOTTEN_SECONDS = 20.0  # for so long after that
 LONGEST_HEAD_FIELD = 65_536  # bytes
 MOST_HEADERS = 256
 READ_BUFFER = 65_536  # bytes
@@ -54,10 +60,23 @@
         super().__init__(loop)
         self.request_id: str | None = None  # of the request that is out
         self.idle_until = 0.0  # by the monotonic clock: not to be used after that
+        self.rested_since = 0.0  # the same: the last answer's end; 0: it carried none
         self._framing = AnswerFraming(False)
         self._accepted = False  # the head of the request's own answer came
         self._answered = False  # and its last byte
         self._foreign = False  # something came that is no part of it
+        self._check: asyncio.Future[None] | None = None
+
+    async def lost_within(self, seconds: float) -> bool:
+        """Wait; whether the connection is lost by then."""
+        check = self._check = self._loop.create_future()
+        timer = self._loop.call_later(seconds, _wake, check)
+        try:
+            await check
+        finally:
+            timer.cancel()
+            self._check = None
+        return self.transport is None or self.transport.is_closing()
 
     def begin(self, request_id: str, without_body: bool) -> None:
         """A request is about to be written; its answer is read next."""
@@ -79,7 +98,8 @@
         self.request_id = None
         if self._foreign or not (self._answered or self._framing.ended):
             self.force_close()
-        self.idle_until = monotonic() + idle_seconds(message.headers.get(KEEP_ALIVE))
+        self.rested_since = monotonic()
+        self.idle_until = self.rested_since + idle_seconds(message.headers.get(KEEP_ALIVE))
 
     def data_received(self, data: bytes) -> None:
         """Give the parser what belongs to an answer, part by part."""
@@ -123,6 +143,8 @@
         payload = self._payload
         super().connection_lost(exc)
         self._fail_body(payload, AnswerBroken("connection lost"))
+        if self._check is not None:
+            _wake(self._check)
 
     def is_connected(self) -> bool:
         """Whether the connection may carry the next request."""
@@ -154,6 +176,11 @@
     return IDLE_UNTOLD_SECONDS
 
 
+def _wake(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
+
+
 def _server_socket(address: tuple[Any, ...]) -> socket.socket:
     family, kind, protocol = address[:3]
     made = socket.socket(family, kind, protocol)
@@ -193,6 +220,24 @@
         self._address = address
         self._message: RawResponseMessage | None = None
 
+    @property
+    def rested(self) -> float:
+        """Seconds since its last answer ended; 0 for a new connection."""
+        since = self.protocol.rested_since
+        return monotonic() - since if since else 0.0
+
+    async def takes(self, start: bytes, wait: float) -> bool:
+        """Write the start of a request's head; False if the connection is lost within `wait` seconds.
+
+        Failure prevented: the server has forgotten the resting connection, the whole request meets a reset,
+        and as it may have run it can't be sent elsewhere. A head without its end has not run.
+        """
+        transport = self.protocol.transport
+        if transport is None or transport.is_closing():
+            return False
+        transport.write(start)
+        return not await self.protocol.lost_within(wait)
+
     def send(self, data: bytes, request_id: str, without_body: bool) -> bool:
         """Write a request; False if the connection is lost, and nothing was written."""
         transport = self.protocol.transport
@@ -253,6 +298,23 @@
         self._timeout = ClientTimeout(sock_connect=CONNECT_SECONDS)
         self._requests: dict[str, ClientRequest] = {}
         self._in_use: Counter[str] = Counter()
+        self._round_trips: dict[str, float] = {}  # the quickest connect of each address, seconds
+        self._forgotten_at = -FORGOTTEN_SECONDS
+
+    def check_seconds(self, connection: ServerConnection, address: str) -> float:
+        """How long to wait for a reset after the start of a request's head; 0: no check is due."""
+        if connection.rested <= RESTED_SECONDS:
+            return 0.0
+        round_trip = self._round_trips.get(address, 0.0)
+        wait = max(CHECK_LEAST_SECONDS, CHECK_ROUND_TRIPS * round_trip)
+        if round_trip <= LONG_WAY_SECONDS:
+            return min(wait, CHECK_MOST_SECONDS)
+        return wait if monotonic() - self._forgotten_at <= FORGOTTEN_SECONDS else 0.0
+
+    def forgotten(self, address: str) -> None:
+        """A server has forgotten a connection: what else rests there is closed."""
+        self._forgotten_at = monotonic()
+        self.close_idle(address)
 
     async def open(self, address: str, most: int) -> ServerConnection:
         """An idle connection to a server, or a new one; raises `ConnectFailed` or `TooManyConnections`."""
@@ -284,16 +346,23 @@
         """Close what rests at other addresses: their servers are gone."""
         for address in [address for address in self._requests if address not in addresses]:
             self.close_idle(address)
+            self._round_trips.pop(address, None)
 
     async def close(self) -> None:
         """Close all connections."""
         await self._connector.close()
 
     async def _connect(self, address: str) -> Connection:
+        began = monotonic()
         try:
-            return await self._connector.connect(self._request(address), [], self._timeout)
+            connection = await self._connector.connect(self._request(address), [], self._timeout)
         except (ClientConnectionError, TimeoutError, OSError) as error:
             raise ConnectFailed(repr(error)) from error
+        protocol = connection.protocol
+        if isinstance(protocol, ServerProtocol) and not protocol.rested_since:
+            took = monotonic() - began
+            self._round_trips[address] = min(took, self._round_trips.get(address, took))
+        return connection
 
     def _request(self, address: str) -> ClientRequest:
         """What names a server to aiohttp's pool; it is never sent."""
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -35,6 +35,8 @@
 LEAST_CONNECTIONS = 4  # to a server, whatever this gateway's part is
 CONNECTION_SHARE = 0.8  # of `MaxConnections` that all gateways use together
 MICROSECONDS_PER_SECOND = 1e6
+END_OF_LINE = b"\r\n"
+END_OF_HEAD = END_OF_LINE * 2
 
 
 class Records(Protocol):
@@ -183,22 +185,41 @@
     async def _exchange(self) -> AttemptEnd:
         if not self._may_write():
             return AttemptEnd(Outcome.NOT_SENT)
-        upstream = self.upstream
-        connection = await upstream.connections.open(self.record.address, upstream.connection_limit())
-        self._connection = connection
+        connection = await self._open()
         if not self._may_write():
             connection.release()
             return AttemptEnd(Outcome.NOT_SENT)
         exchange = self.call.exchange
-        left = (self.call.server_deadline - upstream.now()) // 1000
+        left = (self.call.server_deadline - self.upstream.now()) // 1000
         data = exchange.compose(self.record.id, max(1, left), self.call.last_event_id)
-        if not connection.send(data, exchange.request_id, exchange.method == "HEAD"):
+        started = 0
+        wait = self.upstream.connections.check_seconds(connection, self.record.address)
+        if wait:
+            started = data.index(END_OF_HEAD) + len(END_OF_LINE)
+            if not await connection.takes(data[:started], wait):
+                connection, started = await self._open_another(connection), 0
+            if not self._may_write():
+                return AttemptEnd(Outcome.NOT_SENT)
+        if not connection.send(data[started:], exchange.request_id, exchange.method == "HEAD"):
             return AttemptEnd(Outcome.NOT_SENT)
         self.written = True
         exchange.sent_to(self.record.id)
         message, payload = await connection.read_head()
         return await self._read(connection, message, payload)
 
+    async def _open(self) -> ServerConnection:
+        limit = self.upstream.connection_limit()
+        self._connection = await self.upstream.connections.open(self.record.address, limit)
+        return self._connection
+
+    async def _open_another(self, lost: ServerConnection) -> ServerConnection:
+        """A connection in place of one that the server has forgotten."""
+        self._connection = None
+        lost.discard()
+        self.upstream.log("connection forgotten", self.record.address)
+        self.upstream.connections.forgotten(self.record.address)
+        return await self._open()
+
     def _may_write(self) -> bool:
         if self._stopped is not None:
             return False
--- /dev/null
+++ b/tests/gateway/test_gateway_forgotten.py
@@ -0,0 +1,121 @@
+"""Resting connections that a server has forgotten: nothing that reached no server is lost on them."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import mock
+
+from gateway_loopback import GatewayTest, Received, answer, post, serve_ok
+
+from brackenladder.gateway import connections
+from brackenladder.gateway.connections import (
+    CHECK_LEAST_SECONDS,
+    CHECK_MOST_SECONDS,
+    FORGOTTEN_SECONDS,
+    LONG_WAY_SECONDS,
+    ServerConnection,
+    ServerConnections,
+)
+
+LONG_CHECK = 5.0  # seconds; a reset comes long before
+
+
+async def forget(request: Received) -> None:
+    """Answer, and reset the connection at the next byte."""
+    request.write(answer(request.id))
+    if await request.reader.read(1):
+        request.reset()
+
+
+class CheckedTest(GatewayTest):
+    """Every resting connection is checked."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.set("RESTED_SECONDS", 0.0)
+        self.set("CHECK_LEAST_SECONDS", LONG_CHECK)
+        self.set("CHECK_MOST_SECONDS", LONG_CHECK)
+        self.set("LONG_WAY_SECONDS", LONG_CHECK)
+
+    def set(self, name: str, value: float) -> None:
+        patch = mock.patch.object(connections, name, value)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+
+class Forgotten(CheckedTest):
+    servers = 1
+
+    async def test_a_request_is_sent_on_a_new_connection(self) -> None:
+        self.play(forget, serve_ok)
+        client = await self.client()
+        for number in range(2):
+            got = await client.ask(post("/plain/x", f"r{number}"))
+            self.assertEqual((got.status, got.body), (200, b"ok"))
+        self.assertEqual([request.connection for request in self.script.requests], [1, 2])
+
+    async def test_what_else_rests_there_is_closed(self) -> None:
+        both = asyncio.Barrier(2)
+
+        async def together(request: Received) -> None:
+            await both.wait()
+            await forget(request)
+
+        self.play(together, together, serve_ok)
+        clients = [await self.client(), await self.client()]
+        await asyncio.gather(*[client.ask(post("/plain/x", f"r{id(client)}")) for client in clients])
+        got = await clients[0].ask(post("/plain/x", "last"))
+        self.assertEqual(got.status, 200)
+        self.assertEqual(self.script.requests[-1].connection, 3)
+
+    async def test_a_connection_that_is_kept_gets_the_whole_request(self) -> None:
+        self.set("CHECK_LEAST_SECONDS", 0.001)
+        client = await self.client()
+        for number in range(3):
+            body = b"body %d" % number
+            got = await client.ask(post("/plain/x", f"r{number}", body))
+            self.assertEqual(got.status, 200)
+            self.assertEqual(self.script.requests[-1].body, body)
+        self.assertEqual({request.connection for request in self.script.requests}, {1})
+
+
+class Gone(CheckedTest):
+    servers = 2
+
+    async def test_a_request_for_a_server_that_ended_goes_to_another(self) -> None:
+        self.play(forget, serve_ok)
+        client = await self.client()
+        self.assertEqual((await client.ask(post("/plain/x", "r0"))).status, 200)
+        first = self.script.requests[0].server
+        for stand_in in self.stand_ins:
+            if stand_in.name == first:
+                stand_in.stop_listening()
+        for number in range(1, 6):
+            self.assertEqual((await client.ask(post("/plain/x", f"r{number}"))).status, 200)
+        self.assertEqual(len(self.script.requests), 6)
+        self.assertNotIn(first, [request.server for request in self.script.requests[1:]])
+
+
+class When(GatewayTest):
+    async def test_only_a_rested_connection_over_a_short_way_is_checked(self) -> None:
+        kept = ServerConnections(asyncio.get_running_loop())
+        connection = mock.create_autospec(ServerConnection, instance=True)
+        connection.rested = 0.0
+        self.assertEqual(kept.check_seconds(connection, "near"), 0.0)
+        connection.rested = 1.0
+        self.assertEqual(kept.check_seconds(connection, "near"), CHECK_LEAST_SECONDS)
+        kept._round_trips["near"] = LONG_WAY_SECONDS  # of which most was spent in this process
+        self.assertEqual(kept.check_seconds(connection, "near"), CHECK_MOST_SECONDS)
+        await kept.close()
+
+    async def test_a_long_way_is_checked_after_one_was_forgotten(self) -> None:
+        kept = ServerConnections(asyncio.get_running_loop())
+        kept._round_trips["far"] = 0.07
+        connection = mock.create_autospec(ServerConnection, instance=True)
+        connection.rested = 1.0
+        self.assertEqual(kept.check_seconds(connection, "far"), 0.0)
+        kept.forgotten("near")
+        self.assertGreater(kept.check_seconds(connection, "far"), 0.07)
+        kept._forgotten_at -= FORGOTTEN_SECONDS + 1
+        self.assertEqual(kept.check_seconds(connection, "far"), 0.0)
+        await kept.close()
