Of two candidates that need one another's vote the lower-ranked one gives way in the pre-vote

Two that wait 300 to 650 ms (later 700 to 1,200) and need 1.5 round trips to take a vote collide in most draws once a round trip takes 240 ms, and in many at 110 ms. Ruled out: the lost disk's new replica (it is no voter before a leader takes it in), the read path. Change: a pre-vote that outranks (term, log, id) the own pre-vote under way ends it; both are still granted, so a one-way cut silences nobody. After four campaigns since its start a replica waits as usual, for ways longer than the first waits.

--- a/brackenladder/consensus/election.py
+++ b/brackenladder/consensus/election.py
@@ -8,6 +8,8 @@
 from brackenladder.consensus.members import voting_members
 from brackenladder.consensus.messages import Vote, VoteReply
 
+MOST_EARLY_CAMPAIGNS = 4  # since the start: links slower than the shorter waits need the usual ones
+
 
 class Election:
     """The campaign under way, if any, and when the next one is due."""
@@ -20,6 +22,7 @@
         self.active = False
         self.pre_vote = False
         self._starting = True  # since the replica's start no election has ended
+        self._campaigns = 0  # since the replica's start
         self.wait(now)
 
     def wait(self, now: int) -> None:
@@ -30,7 +33,7 @@
         """
         timing = self._core.timing
         least, most = timing.election_min, timing.election_max
-        if self._starting:
+        if self._starting and self._campaigns < MOST_EARLY_CAMPAIGNS:
             least, most = timing.first_election_min, timing.first_election_max
         self._deadline = now + self._random.randint(least, most)
 
@@ -51,6 +54,7 @@
         self.active = True
         self.pre_vote = pre_vote
         self._votes.clear()
+        self._campaigns += pre_vote
         self.wait(now)
         if pre_vote:
             self._votes.add(core.replica_id)
@@ -86,6 +90,24 @@
         own = int(self._core.replica_id in self._votes)
         return self._core.quorum(own, lambda voter: int(voter in self._votes)) >= 1
 
+    def give_way(self, now: int, vote: Vote) -> None:
+        """Another candidate's pre-vote may end the own pre-vote under way: of two only one goes on.
+
+        Without that, two replicas that need one another's vote collide again and again where the way between
+        them takes about as long as the waits differ.
+        """
+        if self.active and self.pre_vote and vote.pre_vote and self._is_outranked_by(vote):
+            self.active = False
+            self.pre_vote = False
+            self.wait(now)
+
+    def _is_outranked_by(self, vote: Vote) -> bool:
+        core = self._core
+        log = (core.log.last_term, core.log.last_index)
+        theirs = (vote.last_term, vote.last_index)
+        own = (core.term + 1, log, core.replica_id)
+        return theirs >= log and (vote.term, theirs, vote.sender) > own
+
     def refuse(self, vote: Vote) -> None:
         """Refuse a pre-vote because a leader is in touch."""
         self._reply(vote, self._core.term, granted=False)
--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -299,6 +299,7 @@
             return
         if vote.term > self._core.term and not vote.pre_vote:
             self._enter_term(now, vote.term)
+        self._election.give_way(now, vote)
         if self._election.answer(vote):
             self._election.wait(now)
 
