A zone of which nothing answers is left after two servers, before the list tells of it

Cause: a zone without power stays listed for four heartbeats. A gateway of 89 has one to three calls a second, so it meets another dark server with nearly each of them and none often enough to set it aside: each such call waits 0.6 s for a connect, or until its client leaves where a resting connection was used. Change: a gateway notes by zone the servers that gave no answer since the zone last gave one. Two of them, one by a connect that was not even refused, make it leave the zone for 2.5 s while any other server may take the call. Any answer, or a refused connect, ends that.

--- a/brackenladder/placement/balancer.py
+++ b/brackenladder/placement/balancer.py
@@ -26,6 +26,7 @@
 from brackenladder.placement.limit import PlacesController
 from brackenladder.placement.load import PRESSED_TIME, Placed
 from brackenladder.placement.regions import RegionTimes
+from brackenladder.placement.silent_zones import SilentZones
 from brackenladder.placement.site import ServiceSite
 from brackenladder.placement.traits import CallTraits
 from brackenladder.policy.balancer import Balancer
@@ -44,6 +45,7 @@
 STREAM_MOST = 600_000_000  # microseconds after which a stream whose end was not told is forgotten
 
 NEVER_SENT = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # these ends are no arrivals at a server
+NO_ANSWER = (Outcome.CANCELLED, Outcome.NOT_SENT, Outcome.TIMEOUT)  # and these are no word of it
 TraitsOf = Callable[[int], CallTraits | None]
 
 
@@ -71,6 +73,7 @@
         self.costs = CostModel(site)
         self.chooser = Chooser(site, self.costs, self.rng)
         self.regions = RegionTimes()
+        self.zones = SilentZones()
         self.jobs: dict[int, Job] = {}
         self.out: dict[int, Placed] = {}  # attempts without a first event, by request
         self.streams: dict[int, Placed] = {}  # those that answer
@@ -263,7 +266,10 @@
         def may_send(server: Server) -> bool:
             return self.may_take(now, server)
 
-        return self.chooser.choose(now, job, base, may_send)
+        def answers(server: Server) -> bool:
+            return self.may_take(now, server) and not self.zones.silent(now, self.site.places[server.id].zone)
+
+        return self.chooser.choose(now, job, base, answers) or self.chooser.choose(now, job, base, may_send)
 
     def due_trial(self, now: int, r: Request, job: Job) -> Server | None:
         """An ejected server whose trial is due.
@@ -313,6 +319,9 @@
         reading = self.costs.prefill.time(load.unread) if load is not None else 0.0
         if srv.in_flight and now - srv.quiet_since < SILENT_LEAST + reading:
             return srv.ejected
+        place = self.site.places.get(srv.id)
+        if srv.in_flight and place is not None:
+            self.zones.unanswered(now, place.zone, srv.id)
         return super().is_silent(now, srv, least)
 
     def adopt(self, now: int, server: Server) -> None:
@@ -353,10 +362,14 @@
         """Books the load of an attempt that has ended, or begun to answer."""
         loads = self.costs.loads
         load = loads.of(placed.server)
+        place = self.site.places.get(placed.server)
+        if place is not None and outcome == Outcome.CONNECT_FAILED:
+            self.zones.connect_failed(now, place.zone, placed.server, latency)
+        elif place is not None and outcome not in NO_ANSWER:
+            self.zones.answered(place.zone)
         if outcome == Outcome.REJECTED:
             load.rejected_at = now
         if outcome == Outcome.OK:
-            place = self.site.places.get(placed.server)
             if placed.chain and place is not None:
                 self.costs.prefill.add(placed.unread, latency - self.costs.way(place))
             loads.first_event(placed, now, self.site.kv_tokens)
--- /dev/null
+++ b/tests/placement/test_silent_zones.py
@@ -0,0 +1,96 @@
+"""A zone without power is left after a few calls, whatever servers they met there."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from placement_stage import MS, SECOND, Sent, Stage, servers_in
+
+from brackenladder.interface import Outcome
+from brackenladder.placement.silent_zones import DOUBT_TIME, UNANSWERED_CONNECT, SilentZones
+
+DARK = servers_in("north-1", 8)
+LIT = servers_in("north-2", 8)
+NEVER_UP = 600 * MS  # microseconds after which a connect is given up
+
+
+class SilentZonesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.zones = SilentZones()
+
+    def test_two_servers_without_an_answer_make_a_zone_silent(self) -> None:
+        self.zones.connect_failed(0, "a", 1, NEVER_UP)
+        self.assertFalse(self.zones.silent(0, "a"))
+        self.zones.unanswered(100, "a", 2)
+        self.assertTrue(self.zones.silent(100, "a"))
+        self.assertFalse(self.zones.silent(100, "b"))
+
+    def test_the_same_server_twice_does_not(self) -> None:
+        self.zones.connect_failed(0, "a", 1, NEVER_UP)
+        self.zones.connect_failed(100, "a", 1, NEVER_UP)
+        self.assertFalse(self.zones.silent(100, "a"))
+
+    def test_calls_that_wait_do_not_without_a_failed_connect(self) -> None:
+        for server in range(5):
+            self.zones.unanswered(0, "a", server)
+        self.assertFalse(self.zones.silent(0, "a"))
+
+    def test_an_answer_or_a_refused_connect_ends_it(self) -> None:
+        for end in (self.answer, self.refuse):
+            for server in (1, 2):
+                self.zones.connect_failed(0, "a", server, NEVER_UP)
+            self.assertTrue(self.zones.silent(0, "a"))
+            end()
+            self.assertFalse(self.zones.silent(0, "a"))
+
+    def test_it_lapses(self) -> None:
+        for server in (1, 2):
+            self.zones.connect_failed(0, "a", server, NEVER_UP)
+        self.assertTrue(self.zones.silent(DOUBT_TIME - 1, "a"))
+        self.assertFalse(self.zones.silent(DOUBT_TIME, "a"))
+
+    def answer(self) -> None:
+        self.zones.answered("a")
+
+    def refuse(self) -> None:
+        self.zones.connect_failed(0, "a", 3, UNANSWERED_CONNECT - 1)
+
+
+class DarkZoneTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stage = Stage(DARK | LIT, gateways=40)
+        for _ in range(40):
+            self.stage.serve()
+
+    def go_on(self, seconds: int) -> Counter[str]:
+        """Three calls a second; connects to the dark zone don't come up. How many tries met which zone."""
+        met: Counter[str] = Counter()
+        for _ in range(3 * seconds):
+            self.stage.now += SECOND // 3
+            sent: object = self.stage.send()
+            attempt = 0
+            while isinstance(sent, Sent) and sent.server in DARK:
+                met["dark"] += 1
+                sent = self.stage.end(sent, Outcome.CONNECT_FAILED, NEVER_UP, attempt)
+                attempt += 1
+            assert isinstance(sent, Sent), sent
+            met["lit"] += 1
+            self.stage.end(sent, attempt=attempt)
+        return met
+
+    def test_few_calls_meet_it(self) -> None:
+        met = self.go_on(2)
+        self.assertLessEqual(met["dark"], 3)
+        self.assertEqual(met["lit"], 6)
+
+    def test_it_is_used_where_nothing_else_may_be(self) -> None:
+        self.go_on(1)
+        self.stage.list(DARK)
+        self.assertIn(self.stage.send().server, DARK)
+
+    def test_it_is_used_again_after_a_while(self) -> None:
+        self.go_on(2)
+        self.stage.now += DOUBT_TIME
+        servers = [self.stage.serve().server for _ in range(40)]
+        self.assertTrue(any(server in DARK for server in servers))
