--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -84,6 +84,8 @@
         now = self._clock()
         if not self._gateways.settled(now):
             return NO_OFFER
+        for name, node in self._nodes.items():
+            self._gateways.linked(node, now - self._subscribers[name].silence)
         self._answers += 1
         return resolve(self._gateways.ready(now), region, zone, offset=self._answers)
 
--- a/brackenladder/registry/gateways.py
+++ b/brackenladder/registry/gateways.py
@@ -8,8 +8,8 @@
 from attrs import define, frozen
 
 OFFER_SILENCE = 2_500_000  # microseconds without a word after which a gateway is not offered to clients
-# The same for one that this node hears itself: its words come more regularly than what peers tell of it.
-OWN_SILENCE = 1_700_000
+# The same for one that has a link to this node: links that have nothing else to say send pings.
+OWN_SILENCE = 1_100_000
 SAME_WORD = 1_000_000  # microseconds by which peers' word of a gateway is newer only because it goes round
 COUNT_WINDOW = 20_000_000  # microseconds in which a gateway that was heard counts as living
 # Silence of a known process after which another one of its node takes its place, whatever the incarnation:
@@ -87,6 +87,13 @@
         news[gateway.node] = None
         return changed
 
+    def linked(self, node: str, heard_at: int) -> None:
+        """A gateway's link brought something at that time, if only a ping."""
+        known = self._known.get(node)
+        if known is not None and known.heard_here_at is not None:
+            known.heard_here_at = max(known.heard_here_at, heard_at)
+            known.heard_at = max(known.heard_at, heard_at)
+
     def merge(self, now: int, heard: Iterable[HeardGateway], full: bool = False) -> bool:
         """Take what a peer tells (`full`: all that it knows); True if anything changed."""
         changes = [self._merge(one.gateway, now - one.age) for one in heard]
--- a/brackenladder/transport/link.py
+++ b/brackenladder/transport/link.py
@@ -77,6 +77,10 @@
     def version(self) -> int:
         """The protocol version that both sides speak."""
 
+    @property
+    def silence(self) -> int:
+        """Microseconds since anything was heard from the other end, pings included."""
+
     def send(self, message: object) -> bool:
         """Queues a message; never blocks. False when closed or when the queue would exceed its bound.
 
--- a/brackenladder/transport/memory_link.py
+++ b/brackenladder/transport/memory_link.py
@@ -61,6 +61,11 @@
         self._other: MemoryLink | None = None
         self._state = EndState.GREETING
 
+    @property
+    def silence(self) -> int:
+        """Always 0: what is sent arrives, or the link ends."""
+        return 0
+
     def join(self, other: MemoryLink, remote: str, version: int) -> None:
         """Names the other end; both ends are told before anything happens on the link."""
         self._other = other
--- a/brackenladder/transport/tcp_link.py
+++ b/brackenladder/transport/tcp_link.py
@@ -18,6 +18,7 @@
 from brackenladder.transport.link import LinkHandler, LinkLimits, LinkTiming, OnRefused, ProtocolVersions
 
 MICROSECONDS_PER_MILLISECOND = 1_000
+MICROSECONDS_PER_SECOND = 1_000_000
 
 
 class LinkState(Enum):
@@ -108,6 +109,11 @@
 
     # what asyncio calls
 
+    @property
+    def silence(self) -> int:
+        """See `Link.silence`."""
+        return max(0, int((self._settings.loop.time() - self.heard_at) * MICROSECONDS_PER_SECOND))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection stands: name this node."""
         assert isinstance(transport, asyncio.Transport)
--- a/tests/registry/test_gateway_registry.py
+++ b/tests/registry/test_gateway_registry.py
@@ -39,6 +39,20 @@
         self.assertEqual(len(self.registry.ready(AT + OWN_SILENCE - 1)), 1)
         self.assertEqual(self.registry.ready(AT + OWN_SILENCE), ())
 
+    def test_pings_of_its_link_keep_it_offered(self) -> None:
+        self.registry.presence(AT, gateway())
+        self.registry.linked(gateway().node, AT + SECOND)
+        self.registry.linked(gateway().node, AT + SECOND // 2)
+        self.assertEqual(len(self.registry.ready(AT + SECOND + OWN_SILENCE - 1)), 1)
+        self.assertEqual(self.registry.ready(AT + SECOND + OWN_SILENCE), ())
+
+    def test_a_link_says_nothing_of_one_that_was_not_heard_here(self) -> None:
+        self.registry.linked(gateway().node, AT)
+        self.assertEqual(self.registry.ready(AT), ())
+        self.registry.merge(AT, [HeardGateway(gateway(), age=0)])
+        self.registry.linked(gateway().node, AT + 9 * SECOND)
+        self.assertEqual(self.registry.ready(AT + OFFER_SILENCE), ())
+
     def test_one_that_only_peers_hear_is_offered_between_their_words(self) -> None:
         self.registry.presence(AT, gateway(seq=1))
         self.registry.merge(AT + 3 * SECOND, [HeardGateway(gateway(seq=4), age=SECOND // 2)])
@@ -119,6 +133,13 @@
         self.assertEqual([one.incarnation for one in other.ready(now)], [2])
         self.assertEqual(self.offered(now), [2])
 
+    def test_pings_of_its_link_do_not_keep_its_predecessor(self) -> None:
+        silent_at = AT + SUCCESSION_SILENCE
+        self.registry.presence(silent_at - SECOND // 2, gateway(seq=1, incarnation=2))
+        self.registry.linked(gateway().node, silent_at - 1)
+        self.assertTrue(self.registry.presence(silent_at, gateway(seq=2, incarnation=2)))
+        self.assertEqual(self.offered(silent_at), [2])
+
     def test_a_late_word_of_the_same_process_stays_late(self) -> None:
         self.assertFalse(self.registry.presence(AT + 5 * SECOND, gateway(seq=39, incarnation=9)))
         self.assertEqual(self.offered(AT + 5 * SECOND), [])
--- a/tests/transport/contract.py
+++ b/tests/transport/contract.py
@@ -56,6 +56,13 @@
         self.assertEqual(self.far_side.messages, notes)
         self.assertEqual(self.near_side.messages, notes)
 
+    async def test_a_link_that_has_just_brought_something_is_not_silent(self):
+        await self.pair()
+        self.near_link.send(Empty())
+        await self.until(self.far_side, lambda: bool(self.far_side.messages))
+        self.assertLess(self.far_link.silence, 10_000_000)  # even on a machine that is slow
+        self.assertGreaterEqual(self.far_link.silence, 0)
+
     async def test_a_handler_may_send_when_it_is_told_of_the_link_and_of_a_message(self):
         self.far_side = Recorder(on_connected=lambda link: link.send(Empty()))
         self.near_side = Recorder(on_received=lambda link, message: link.send(Note(7)))
