A learner whose log is ahead of all voters' leads for a while, and hands over

The one with the longer log held an uncommitted joint change that counts on a learner, and the learner had entries of a later term, from a leader whose disk was lost since: it refused, and as a learner did not stand for election itself. Change: a learner that refuses such a pre-vote for a log behind its own campaigns; others' logs and votes decide as ever.

--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -302,6 +302,20 @@
         self._election.give_way(now, vote)
         if self._election.answer(vote):
             self._election.wait(now)
+        elif self._must_stand_in(vote):
+            self._election.begin(now, pre_vote=True, transfer=False)
+
+    def _must_stand_in(self, vote: Vote) -> bool:
+        """Whether this replica, though no voter, has to be elected for a while.
+
+        A candidate counts on its vote by an uncommitted change of the members, and its log is behind this
+        one's: a leader of a later term has left entries here, and is gone. If no voter's log is as new, nobody
+        else can be elected. It leads until its first entry is committed, then hands over to a voter.
+        """
+        if not vote.pre_vote or self._election.active or is_voter(self._core.members, self._core.replica_id):
+            return False
+        log = self._core.log
+        return (vote.last_term, vote.last_index) < (log.last_term, log.last_index)
 
     def _on_vote_reply(self, now: int, reply: VoteReply) -> None:
         if reply.term > self._core.term and not reply.granted:
