--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -309,8 +309,8 @@
         """Whether this replica, though no voter, has to be elected for a while.
 
         A candidate counts on its vote by an uncommitted change of the members, and its log is behind this
-        one's: a leader of a later term has left entries here, and is gone. If no voter's log is as new, nobody
-        else can be elected. It leads until its first entry is committed, then hands over to a voter.
+        one's: a leader of a later term has left entries here, and is gone. If no voter's log is as new,
+        nobody else can be elected. It leads until its first entry is committed, then hands over to a voter.
         """
         if not vote.pre_vote or self._election.active or is_voter(self._core.members, self._core.replica_id):
             return False
