Gateways tell one another which prompt prefixes servers keep, relayed by control nodes

Cause: a gateway knew only what it had servers read itself.

Ruled out: one home of a prompt for all regions, without a word between gateways. By estimate two of three large prompts would cross regions, read or not; with the word only those do that another region keeps. UDP among gateways: they do not know one another's addresses, and links to control nodes are there already.

Change: `prefix_cache/` (pure): what is worth a notice, a bounded relay with the nearest control node, a sketch of what traffic leans on, told to a gateway that comes. `placement/holders.py`: who was sent a prefix lately; reading again what a server keeps costs, by `again_s`. Of other regions with many servers only a sample is looked at. Notices are hints: one that is lost costs a prefix that is read again.

--- a/benchmarks/capacity/pools.py
+++ b/benchmarks/capacity/pools.py
@@ -15,6 +15,7 @@
 from brackenladder.gateway.pools import GatewayClock, ServicePools
 from brackenladder.placement.pool import ServicePool
 from brackenladder.platform_settings import Listen, Platform, PortRange
+from brackenladder.prefix_cache.announcer import PrefixAnnouncer
 from brackenladder.registry.records import ServerState
 from capacity.target import Size
 from capacity.timing import Best
@@ -73,7 +74,10 @@
     def make(service: str, upstream: Any) -> ServicePool:
         loop = asyncio.get_running_loop()
         platform = _platform(size)
-        return ServicePool(service, view, platform, nobody, loop, clock, Random(1), lambda _line: None)
+        announcer = PrefixAnnouncer(lambda: None)
+        return ServicePool(
+            service, view, platform, nobody, loop, clock, Random(1), announcer, lambda _line: None
+        )
 
     return ServicePools(view, nobody, _microseconds, Random(1), nobody, make)
 
--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -206,7 +206,8 @@
         if members == self._members:
             return
         self._members = members
-        addresses = tuple(sorted({member.address for member in all_members(members)}))
+        zones = {member.address: member.zone for member in all_members(members)}
+        addresses = tuple(sorted(zones))
         log.info(
             "voters {}, outgoing {}, learners {}",
             _ids(members.voters),
@@ -214,7 +215,8 @@
             _ids(members.learners),
         )
         # members of a later entry are always first seen at a higher last index, on whichever node
-        self.soft_state.control_nodes_changed(self.host.replica.last_index, addresses)
+        told_zones = tuple(zones[address] for address in addresses)
+        self.soft_state.control_nodes_changed(self.host.replica.last_index, addresses, told_zones)
         self._dial()
 
     def _dial(self) -> None:
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -16,6 +16,8 @@
 )
 from brackenladder.delivery.messages import UNKNOWN_AGE, Ack, Subscribe
 from brackenladder.delivery.publisher import Publisher
+from brackenladder.prefix_cache.messages import PrefixNotices
+from brackenladder.prefix_cache.relay import PrefixRelay, Receiver
 from brackenladder.registry.directory import NO_OFFER, Offer, resolve
 from brackenladder.registry.exchange import PeerExchange
 from brackenladder.registry.gateways import GatewayRegistry
@@ -55,6 +57,7 @@
         settle_time = int(SETTLE_HEARTBEATS * heartbeat)
         self._exchange = PeerExchange(self._servers, self._gateways, now, settle_time)
         self._publisher = Publisher(self._servers)
+        self._relay = PrefixRelay(now)
         self._subscribers: dict[str, Link] = {}
         self._names: dict[Link, str] = {}
         self._nodes: dict[str, str] = {}  # subscribed gateways: subscriber -> node
@@ -115,6 +118,10 @@
 
     def peer_received(self, replica_id: str, message: object) -> bool:
         """A message of a control node; False if it isn't of this kind."""
+        if isinstance(message, PrefixNotices):
+            self._relay.from_peer(self._clock(), message)
+            self._relay_notices()
+            return True
         if not self._exchange.told(self._clock(), replica_id, message):
             return False
         self._count_gateways()
@@ -129,6 +136,10 @@
                 self._subscribed(link, name or self._name(link), message)
             case Ack() if name is not None:
                 self._publisher.acknowledged(name, message)
+            case PrefixNotices() if name is not None:
+                self._relay.from_gateway(self._clock(), name, message)
+                self._relay_notices()
+                return
             case _:
                 return
         self.flush()
@@ -143,6 +154,7 @@
             del self._subscribers[name]
             self._nodes.pop(name, None)
             self._publisher.lost(name)
+            self._relay.lost(name)
 
     # -- changes of the agreed state
 
@@ -151,9 +163,11 @@
         self._publisher.set_catalog(catalog.revision, catalog.document, catalog.evacuated)
         self.flush()
 
-    def control_nodes_changed(self, revision: int, addresses: tuple[str, ...]) -> None:
-        """Publishes where the control nodes listen."""
-        self._publisher.set_control_nodes(revision, addresses)
+    def control_nodes_changed(
+        self, revision: int, addresses: tuple[str, ...], zones: tuple[str, ...]
+    ) -> None:
+        """Publishes where the control nodes listen, and the zone of each address."""
+        self._publisher.set_control_nodes(revision, addresses, zones)
 
     # -- time
 
@@ -171,6 +185,7 @@
         self._gateways.forget(now)
         self._count_gateways()
         self.flush()
+        self._relay_notices()
 
     def flush(self) -> None:
         """Writes all that is due to the links."""
@@ -184,6 +199,16 @@
             if subscriber is not None and not subscriber.send(delivery.message):
                 subscriber.close()
 
+    def _relay_notices(self) -> None:
+        """Writes the prefix notices that are due. They are hints: a link that takes none loses them."""
+        for due in self._relay.take(self._clock()):
+            if due.receiver is Receiver.PEERS:
+                self._peers.broadcast(due.message)
+                continue
+            subscriber = self._subscribers.get(due.name)
+            if subscriber is not None:
+                subscriber.send(due.message)
+
     def _in_touch(self) -> bool:
         return self._contact_age() <= IN_TOUCH_AGE
 
@@ -192,6 +217,7 @@
 
     def _subscribed(self, link: Link, name: str, message: Subscribe) -> None:
         self._publisher.subscribed(name, message)
+        self._relay.serve(name, message.relay)
         self._nodes[name] = message.node
         self._gateways.presence(self._clock(), message.gateway)
         self._count_gateways()
--- a/brackenladder/delivery/messages.py
+++ b/brackenladder/delivery/messages.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from brackenladder.prefix_cache.messages import PrefixNotices
 from brackenladder.registry.gateways import GatewayRecord, GatewayState
 from brackenladder.registry.messages import GatewaysTold, ServersHeard, ServersTold, ServersWanted
 from brackenladder.registry.records import ServerRecord
@@ -35,6 +36,7 @@
     state: GatewayState
     seq: int
     have_revision: int = 0  # of the catalog that the gateway has
+    relay: bool = False  # this control node is to relay prefix notices to and from the gateway
 
     @property
     def gateway(self) -> GatewayRecord:
@@ -109,6 +111,7 @@
 
     revision: int
     addresses: tuple[str, ...]  # "ip:port"
+    zones: tuple[str, ...] = ()  # of the addresses; empty where the sender does not know
 
 
 @frozen
@@ -132,4 +135,5 @@
     ServersHeard,
     ServersWanted,
     GatewaysTold,
+    PrefixNotices,
 )
--- a/brackenladder/delivery/publisher.py
+++ b/brackenladder/delivery/publisher.py
@@ -104,11 +104,13 @@
         )
         self._mark_all()
 
-    def set_control_nodes(self, revision: int, addresses: tuple[str, ...]) -> None:
+    def set_control_nodes(
+        self, revision: int, addresses: tuple[str, ...], zones: tuple[str, ...] = ()
+    ) -> None:
         """Take where the control nodes listen, as of a log index; the same or an older one is ignored."""
         if revision <= self._control_nodes.revision or addresses == self._control_nodes.addresses:
             return
-        self._control_nodes = ControlNodes(revision, addresses)
+        self._control_nodes = ControlNodes(revision, addresses, zones)
         self._mark_all()
 
     def set_gateways(self, number: int) -> None:
--- a/brackenladder/delivery/subscriber.py
+++ b/brackenladder/delivery/subscriber.py
@@ -51,6 +51,7 @@
         """`parse` makes a configuration of a document."""
         self.view = SystemView()
         self.control_nodes: tuple[str, ...] = ()  # where the control nodes listen, as last told
+        self.control_zones: dict[str, str] = {}  # zone by such an address, where it was told
         self.complete = False  # a control node in touch with the leader has told both catalog and servers
         self._reader = CatalogReader(parse)
         self._sources: dict[str, _Source] = {}
@@ -162,6 +163,7 @@
         if message.revision > self._control_nodes_revision:
             self._control_nodes_revision = message.revision
             self.control_nodes = message.addresses
+            self.control_zones = dict(zip(message.addresses, message.zones, strict=False))
         return (Ack(UpdateKind.CONTROL_NODES, message.revision),)
 
     def _gateway_count(self, now: int, control_address: str, message: GatewayCount) -> tuple[object, ...]:
--- a/brackenladder/gateway/pools.py
+++ b/brackenladder/gateway/pools.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
 from typing import Protocol
@@ -19,6 +19,8 @@
 from brackenladder.placement.pool import ServicePool
 from brackenladder.placement.traits import PromptPart
 from brackenladder.platform_settings import Platform
+from brackenladder.prefix_cache.announcer import PrefixAnnouncer
+from brackenladder.prefix_cache.messages import PrefixNotice
 
 HASH_RANGE = 1 << 32
 
@@ -85,6 +87,11 @@
                 return self._pools.get(target.service)
         return self._pools.get(targets[-1].service) if targets else None
 
+    def prefixes_told(self, now: int, notices: Sequence[PrefixNotice]) -> None:
+        """Each pool takes the notices of its own servers."""
+        for pool in self._pools.values():
+            pool.prefixes_told(now, notices)
+
     def close(self) -> None:
         """End all pools."""
         self._unsubscribe()
@@ -143,6 +150,7 @@
     platform: Platform,
     now: Callable[[], int],
     random: Random,
+    announcer: PrefixAnnouncer,
     log: Callable[[str], None],
 ) -> PoolFactory:
     """The factory of the gateway's real pools."""
@@ -150,6 +158,6 @@
 
     def make(service: str, upstream: ServiceUpstream) -> ServicePool:
         loop = asyncio.get_running_loop()
-        return ServicePool(service, view, platform, upstream, loop, clock, random, log)
+        return ServicePool(service, view, platform, upstream, loop, clock, random, announcer, log)
 
     return make
--- a/brackenladder/gateway/server.py
+++ b/brackenladder/gateway/server.py
@@ -20,6 +20,8 @@
 from brackenladder.gateway.pools import PoolFactory, ServicePools, pool_factory
 from brackenladder.gateway.start_gate import StartGate
 from brackenladder.platform_settings import Platform
+from brackenladder.prefix_cache.announcer import PrefixAnnouncer
+from brackenladder.prefix_cache.messages import PrefixNotices
 
 READY_PATH = "/-/readyz"
 BACKLOG = 1024  # connections that wait to be accepted
@@ -30,6 +32,10 @@
 log = logbook.Logger("gateway")
 
 
+def _nobody_listens() -> None:
+    """For a gateway by itself: its notices go nowhere."""
+
+
 class Gateway:
     """Serves clients from the view."""
 
@@ -39,16 +45,18 @@
         view: SystemView,
         clock: Callable[[], int],
         random: Random,
+        announcer: PrefixAnnouncer | None = None,
         make_pool: PoolFactory | None = None,
         front: socket | None = None,
     ) -> None:
-        """`front`: a socket that listens for clients already."""
+        """`announcer` is told of placements; `front`: a socket that listens for clients already."""
         self._ready = False
         self._start_gate: StartGate
         self._platform = platform
         self._view = view
         self._clock = clock
         self._random = random
+        self._announcer = announcer or PrefixAnnouncer(_nobody_listens)
         self._make_pool = make_pool
         self._front = front
         self._failures = FailureLog(log, clock)
@@ -61,7 +69,7 @@
         """Listen; an OSError if an address can't be had."""
         loop = asyncio.get_running_loop()
         make_pool = self._make_pool or pool_factory(
-            self._view, self._platform, self._clock, self._random, log.info
+            self._view, self._platform, self._clock, self._random, self._announcer, log.info
         )
         self._connections = ServerConnections(loop)
         pools = ServicePools(
@@ -109,6 +117,13 @@
         if ready:
             self._start_gate.open()
 
+    def prefixes_told(self, message: PrefixNotices) -> None:
+        """Other gateways have told which prefixes servers have been sent."""
+        now = self._clock()
+        for notice in message.notices:
+            self._announcer.heard(now, notice)
+        self._context.pools.prefixes_told(now, message.notices)
+
     @property
     def addresses(self) -> list[tuple[str, int]]:
         """Where it listens: for clients, for the check."""
--- a/brackenladder/node/control_links.py
+++ b/brackenladder/node/control_links.py
@@ -6,15 +6,20 @@
 from random import Random
 
 import logbook
+from attrs import evolve
 
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.prefix_cache.messages import PrefixNotices
+from brackenladder.prefix_cache.relay_choice import RelayChoice
 from brackenladder.transport.errors import LinkClosed
 from brackenladder.transport.link import Dialer, Link, Transport
 
 MOST_LINKS = 5
 UNREACHED = 2_000_000  # microseconds without any link after which the seeds are dialled again too
 
+OnNotices = Callable[[PrefixNotices], None]
+
 log = logbook.Logger("links")
 
 
@@ -28,12 +33,18 @@
         presence: Presence,
         clock: Callable[[], int],
         random: Random,
+        relay_choice: RelayChoice,
+        on_notices: OnNotices,
     ) -> None:
+        """`on_notices` takes what other gateways tell of the prefixes that servers keep."""
         self._transport = transport
         self._subscriber = subscriber
         self._presence = presence
         self._clock = clock
         self._random = random
+        self._relay_choice = relay_choice
+        self._on_notices = on_notices
+        self._relay = ""  # the control node that relays prefix notices; empty: none is linked
         self._seeds: tuple[str, ...] = ()
         self._told: tuple[str, ...] = ()
         self._dialers: dict[str, Dialer] = {}
@@ -45,11 +56,22 @@
         self._seeds = addresses
         self._choose()
 
+    @property
+    def has_relay(self) -> bool:
+        """Whether prefix notices reach other gateways."""
+        return self._relay in self._links
+
     def announce(self) -> None:
         """Tells all control nodes the gateway's presence now."""
         message = self._presence.announce(self._clock(), self._subscriber.view.revision)
-        for link in self._links.values():
-            link.send(message)
+        for address, link in self._links.items():
+            link.send(evolve(message, relay=True) if address == self._relay else message)
+
+    def tell(self, notices: PrefixNotices) -> None:
+        """Has the other gateways told which prefixes servers have been sent."""
+        link = self._links.get(self._relay)
+        if link is not None:
+            link.send(notices)
 
     def tick(self) -> None:
         """Repeats the presence when it is due and follows the list of control nodes."""
@@ -61,6 +83,7 @@
         if self._subscriber.control_nodes != self._told or now - self._linked_at > UNREACHED:
             self._told = self._subscriber.control_nodes
             self._choose()
+        self._choose_relay()
 
     def up(self, address: str, link: Link) -> None:
         """A link to a control node is up."""
@@ -70,6 +93,9 @@
 
     def received(self, address: str, link: Link, message: object) -> None:
         """A control node has told something."""
+        if isinstance(message, PrefixNotices):
+            self._on_notices(message)
+            return
         for answer in self._subscriber.told(self._clock(), address, message):
             link.send(answer)
 
@@ -80,6 +106,15 @@
         log.info("link to control node {} closed: {}", address, reason)
         del self._links[address]
         self._subscriber.lost(self._clock(), address)
+        self._choose_relay()
+
+    def _choose_relay(self) -> None:
+        """Once the control nodes' places are known; all of them are told at once where it changes."""
+        zones = self._subscriber.control_zones
+        relay = self._relay_choice.nearest(self._links, zones) if zones else ""
+        if relay != self._relay:
+            self._relay = relay
+            self.announce()
 
     def _choose(self) -> None:
         wanted = self._wanted()
--- a/brackenladder/node/gateway_role.py
+++ b/brackenladder/node/gateway_role.py
@@ -16,12 +16,15 @@
 from brackenladder.node.control_links import ControlLinks
 from brackenladder.node.role_runner import RoleError, monotonic_microseconds
 from brackenladder.platform_settings import Platform
+from brackenladder.prefix_cache.announcer import PrefixAnnouncer
+from brackenladder.prefix_cache.relay_choice import RelayChoice
 from brackenladder.registry.gateways import GatewayState
 from brackenladder.transport.link import LinkTiming
 from brackenladder.transport.tcp import TcpTransport
 
 TICK_SECONDS = 0.2
 STARTING_TICK_SECONDS = 0.05  # until the view is complete: each moment is one without this gateway
+NOTICE_SECONDS = 0.01  # notices of placements that follow one another so closely travel together
 
 log = logbook.Logger("gateway")
 
@@ -36,8 +39,9 @@
         self._presence = Presence(
             platform.node_name, platform.listen.front, platform.zone, platform.region, time.time_ns() // 1000
         )
+        self._announcer = PrefixAnnouncer(self._notices_pending)
         self._gateway = Gateway(
-            platform, self._subscriber.view, monotonic_microseconds, Random(), front=front
+            platform, self._subscriber.view, monotonic_microseconds, Random(), self._announcer, front=front
         )
         self._timer: asyncio.TimerHandle | None = None
         self._loop: asyncio.AbstractEventLoop
@@ -49,7 +53,13 @@
         self._loop = asyncio.get_running_loop()
         self._transport = TcpTransport(gateway_codec(), LinkTiming(), Random(), name=self._platform.node_name)
         self._links = ControlLinks(
-            self._transport, self._subscriber, self._presence, monotonic_microseconds, Random()
+            self._transport,
+            self._subscriber,
+            self._presence,
+            monotonic_microseconds,
+            Random(),
+            RelayChoice(self._platform.node_name, self._platform.zone, self._platform.zones),
+            self._gateway.prefixes_told,
         )
         try:
             await self._gateway.start()
@@ -83,6 +93,14 @@
             self._become_ready()
         self._links.tick()
 
+    def _notices_pending(self) -> None:
+        self._loop.call_later(NOTICE_SECONDS, self._tell_notices)
+
+    def _tell_notices(self) -> None:
+        notices = self._announcer.take()
+        if notices is not None:
+            self._links.tell(notices)
+
     def _become_ready(self) -> None:
         view = self._subscriber.view
         log.info("ready: catalog {}, {} servers", view.revision, len(view.servers))
--- a/brackenladder/placement/balancer.py
+++ b/brackenladder/placement/balancer.py
@@ -25,6 +25,7 @@
 from brackenladder.placement.cost import CostModel, Job, job_of
 from brackenladder.placement.limit import PlacesController
 from brackenladder.placement.load import PRESSED_TIME, Placed
+from brackenladder.placement.prefixes import ChainLink
 from brackenladder.placement.regions import RegionTimes
 from brackenladder.placement.silent_zones import SilentZones
 from brackenladder.placement.site import ServiceSite
@@ -33,6 +34,8 @@
 from brackenladder.policy.ejection import EJECT_TIME
 from brackenladder.policy.retry import Request
 from brackenladder.policy.server import Server
+from brackenladder.prefix_cache.announcer import PrefixAnnouncer
+from brackenladder.prefix_cache.messages import PrefixNotice
 from brackenladder.shares.cold_share import ColdShare
 from brackenladder.shares.retry_budget import RetryBudget
 
@@ -61,6 +64,7 @@
         traits_of: TraitsOf,
         cold: ColdShare,
         budget: RetryBudget,
+        announcer: PrefixAnnouncer,
     ) -> None:
         Balancer.__init__(self, settings, seed, actions)
         known = self.controller
@@ -70,6 +74,7 @@
         self.traits_of = traits_of
         self.cold = cold
         self.budget = budget
+        self.announcer = announcer
         self.costs = CostModel(site)
         self.chooser = Chooser(site, self.costs, self.rng)
         self.regions = RegionTimes()
@@ -150,6 +155,17 @@
         self.costs.loads.end(placed)
         self.costs.output.add(placed.output_tokens, now - placed.begun_at)
 
+    def prefixes_told(self, now: int, notices: Sequence[PrefixNotice]) -> None:
+        """Other gateways have sent prompts to servers of this service."""
+        for notice in notices:
+            sent_at = now - notice.age
+            load = self.costs.loads.of(notice.server)
+            load.read_for_others(now, sent_at, self.costs.prefill.time(notice.unread))
+            if notice.keys:
+                links = [ChainLink(*link) for link in zip(notice.keys, notice.tokens, strict=False)]
+                load.kept.add(links, self.site.kv_tokens - load.tokens)
+                self.costs.holders.used(sent_at, notice.keys[-1], notice.server)
+
     # ---- admission ------------------------------------------------------------------------------------
 
     def free_places(self, now: int) -> float:
@@ -222,8 +238,20 @@
         )
         self.out[r.id] = placed
         self.costs.loads.place(placed)
+        self.announce(now, job, placed)
         self.actions.send(r.id, server.id, self.time_for(now, r, job, choice))
 
+    def announce(self, now: int, job: Job, placed: Placed) -> None:
+        """Notes what the server keeps from now on, and has other gateways told where it matters to them."""
+        shared = job.chain[:-1]
+        if shared:
+            load = self.costs.loads.of(placed.server)
+            load.kept.add(shared, self.site.kv_tokens - load.tokens)
+            self.costs.holders.used(now, shared[-1].key, placed.server)
+        keys = [link.key for link in shared]
+        tokens = [link.tokens for link in shared]
+        self.announcer.placed(now, placed.server, keys, tokens, int(placed.unread))
+
     def time_for(self, now: int, r: Request, job: Job, choice: Choice) -> int:
         """How long an attempt may take. One that may be repeated elsewhere leaves time for that."""
         left = r.useful_until - now
@@ -257,7 +285,7 @@
         """The trial of a server that was set aside, or the cheaper of two draws."""
         trial = self.due_trial(now, r, job)
         if trial is not None:
-            return Choice(trial, 0.0, self.costs.unread(trial, job, own_server=False))
+            return Choice(trial, 0.0, self.costs.unread(now, trial, job, own_server=False))
 
         def base(server: Server) -> float:
             region = self.site.places[server.id].region
--- a/brackenladder/placement/choice.py
+++ b/brackenladder/placement/choice.py
@@ -14,6 +14,7 @@
 
 RENDEZVOUS_DEPTH = 3  # so many servers in a prompt's order are looked at
 ENDING_MARGIN = 300_000  # microseconds before a server's end by which a call must be over
+MOST_FAR = 48  # servers of other regions that are looked at, beside those that keep the prompt
 
 
 @frozen
@@ -43,7 +44,7 @@
         choice = self._draw(now, job, self._pool(job, self.site.local), base, may_send)
         if choice is not None and choice.cost <= CROSS_REGION + REGION_PRICE:
             return choice
-        other = self._draw(now, job, self._pool(job, self.site.far), base, may_send)
+        other = self._draw(now, job, self._pool(job, self._far(now, job)), base, may_send)
         if choice is None or other is not None and other.cost < choice.cost:
             return other
         return choice
@@ -56,6 +57,16 @@
             return False
         return server.id not in job.excluded
 
+    def _far(self, now: int, job: Job) -> Sequence[Server]:
+        """Servers of other regions: all of a few, of many a sample and those that keep the prompt."""
+        far = self.site.far
+        if len(far) <= MOST_FAR:
+            return far
+        held = [self.site.far_by_number.get(number) for number in self.costs.held(now, job)]
+        holders = [server for server in held if server is not None]
+        sample = self.random.sample(far, MOST_FAR)
+        return [*holders, *[server for server in sample if server not in holders]]
+
     def _pool(self, job: Job, servers: Sequence[Server]) -> list[Server]:
         return [server for server in servers if not server.ejected and self.allows(job, server)]
 
@@ -89,7 +100,8 @@
         loads = self.costs.loads.servers
         kept = {server.id: loads[server.id].kept.kept(job.chain) for server in able if server.id in loads}
         best = max(able, key=lambda server: (kept.get(server.id, 0), server is own))
-        if kept.get(best.id, 0) > max(kept.get(own.id, 0), job.shared):
+        most, least = kept.get(best.id, 0), kept.get(own.id, 0)
+        if most > max(least, job.shared) or most >= job.shared > least and self.costs.held(now, job):
             return self._bounded(now, job, (best, own), base)
         return own
 
@@ -107,7 +119,7 @@
 
     def _choice(self, now: int, job: Job, server: Server, base: Base, own_server: bool) -> Choice:
         cost = self.costs.cost(now, server, job, base(server), own_server)
-        unread = self.costs.unread(server, job, own_server)
+        unread = self.costs.unread(now, server, job, own_server)
         return Choice(server, cost, unread, adopt=not server.member)
 
     def _cheaper(self, one: Choice, other: Choice) -> Choice:
--- a/brackenladder/placement/cost.py
+++ b/brackenladder/placement/cost.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from brackenladder.placement.estimate import OutputTime, PrefillRate
+from brackenladder.placement.holders import PrefixHolders
 from brackenladder.placement.load import Loads
 from brackenladder.placement.prefixes import ChainLink, chain_of, shared_tokens
 from brackenladder.placement.rendezvous import affinity_key
@@ -18,6 +19,7 @@
 PRESSED_COST = 300_000.0  # of a server that has just turned a call away as full
 MEMORY_COST = 1_000_000.0  # of one whose memory would not hold the call: it would be read again
 SHARED_READ = 0.5  # of the shared parts that other gateways have probably had read at a prompt's own server
+READ_AGAIN = 50.0  # microseconds that a token is worth which need not be read again, beside its reading
 
 
 @define(eq=False)
@@ -33,6 +35,11 @@
     ran: int = 0  # attempts that may have run
     unsent: int = 0  # attempts that reached no server
 
+    @property
+    def prefix(self) -> int | None:
+        """The key of its longest shared prefix; None if it shares nothing."""
+        return self.chain[-2].key if len(self.chain) > 1 else None
+
     @property
     def tokens(self) -> int:
         """What it takes of a server's memory."""
@@ -53,6 +60,7 @@
         self.loads = Loads()
         self.prefill = PrefillRate()
         self.output = OutputTime()
+        self.holders = PrefixHolders()
 
     def way(self, place: ServerPlace) -> int:
         """Microseconds to a server and back."""
@@ -60,24 +68,34 @@
             return IN_ZONE
         return CROSS_ZONE if place.region == self.site.region else CROSS_REGION
 
-    def unread(self, server: Server, job: Job, own_server: bool) -> float:
+    def held(self, now: int, job: Job) -> tuple[int, ...]:
+        """The servers that were sent the call's shared prefix lately, by any gateway that is heard."""
+        return self.holders.recent(now, job.prefix, self.site.again)
+
+    def unread(self, now: int, server: Server, job: Job, own_server: bool) -> float:
         """Tokens that the server is expected to read. `own_server`: all gateways send these parts there."""
         kept: float = self._kept(server, job)
-        if own_server and self.site.gateways > 1:
+        if own_server and self.site.gateways > 1 and not self.held(now, job):
             kept = max(kept, SHARED_READ * job.shared)
         return max(0.0, job.traits.prompt_tokens - kept)
 
-    def charged(self, server: Server, job: Job, own_server: bool) -> float:
-        """Tokens that a call is charged with there. At its own server shared parts are free.
+    def charged(self, now: int, server: Server, job: Job, own_server: bool) -> float:
+        """Tokens that a call is charged with there. At its own server shared parts nobody keeps are free.
 
         Failure prevented: a subject is read for the first time, and as nobody is known to keep it, it goes to
         whoever keeps more of the beginning, and each gateway makes another server its keeper.
         """
         kept = self._kept(server, job)
-        if own_server:
+        if own_server and not self.held(now, job):
             kept = max(kept, job.shared)
         return max(0, job.traits.prompt_tokens - kept)
 
+    def reading_again(self, now: int, server: Server, job: Job) -> float:
+        """What it costs, beside the time, that the server reads what others have just read."""
+        if not self.held(now, job):
+            return 0.0
+        return READ_AGAIN * max(0, job.shared - self._kept(server, job))
+
     def _kept(self, server: Server, job: Job) -> int:
         load = self.loads.servers.get(server.id)
         return load.kept.kept(job.chain) if load is not None else 0
@@ -90,7 +108,8 @@
         wait = 0.0
         if load is not None:
             streams, tokens = load.streams, load.tokens
-            wait = self.prefill.time(load.unread) + PRESSED_COST * load.pressed(now)
+            wait = self.prefill.time(load.unread) + load.others_reading(now)
+            wait += PRESSED_COST * load.pressed(now)
         wait += base * streams / max(1.0, place.slots / self.site.gateways)
         others = (self.site.gateways - 1) / max(1, self.site.size())
         waiting = streams + others * self.loads.streams - place.slots
@@ -103,13 +122,15 @@
     def cost(self, now: int, server: Server, job: Job, base: float, own_server: bool) -> float:
         """The expected time until the first event, with what the output and the way add."""
         place = self.site.places[server.id]
-        prefill = self.prefill.time(self.charged(server, job, own_server))
+        prefill = self.prefill.time(self.charged(now, server, job, own_server))
         work = base + self.queue(now, server, job, base) + prefill
         # What is being read there is in `work` already: only a silence beyond it makes the server slow.
         slowness = server.slowness(now, work) / server.kind.value
         load = self.loads.servers.get(server.id)
         streams = load.streams if load is not None else 0
-        price = REGION_PRICE if place.region != self.site.region else 0
+        price = self.reading_again(now, server, job)
+        if place.region != self.site.region:
+            price += REGION_PRICE
         return work * slowness + self.way(place) + price + STREAM_COST * streams * job.traits.output_tokens
 
     def rereading(self, job: Job) -> float:
--- a/brackenladder/placement/load.py
+++ b/brackenladder/placement/load.py
@@ -16,6 +16,7 @@
     streams: int = 0  # calls that are out or answer
     tokens: int = 0  # of their prompts and answers
     unread: float = 0.0  # of the prompts whose first event is still to come
+    others_reading_until: int = 0  # when it has read the prompts that other gateways told of
     rejected_at: int = -PRESSED_TIME
     kept: KeptPrefixes = field(factory=KeptPrefixes)
 
@@ -24,6 +25,15 @@
         age = now - self.rejected_at
         return 1 - age / PRESSED_TIME if age < PRESSED_TIME else 0.0
 
+    def others_reading(self, now: int) -> int:
+        """Microseconds until it has read what other gateways have told of."""
+        return max(0, self.others_reading_until - now)
+
+    def read_for_others(self, now: int, since: int, duration: float) -> None:
+        """Another gateway sent it a prompt `since` then, which takes so long to read."""
+        begins = max(since, self.others_reading_until)
+        self.others_reading_until = max(now, begins + int(duration))
+
 
 @define(eq=False)
 class Placed:
--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from asyncio import AbstractEventLoop
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 from brackenladder.catalog.configuration import Service
@@ -18,6 +18,8 @@
 from brackenladder.placement.site import ServerPlace, ServiceSite
 from brackenladder.placement.traits import CallTraits
 from brackenladder.platform_settings import Platform
+from brackenladder.prefix_cache.announcer import PrefixAnnouncer
+from brackenladder.prefix_cache.messages import PrefixNotice
 from brackenladder.registry.records import ServerRecord, ServerState
 from brackenladder.shares.cold_share import ColdBound, ColdShare
 from brackenladder.shares.retry_budget import BudgetBound, RetryBudget
@@ -78,12 +80,14 @@
         loop: AbstractEventLoop,
         clock: Clock,
         random: Random,
+        announcer: PrefixAnnouncer,
         log: Callable[[str], None],
     ) -> None:
         self.service = service
         self.view = view
         self.platform = platform
         self.clock = clock
+        self.announcer = announcer
         self.classes = ClassTable(FIRST_SHAPE)
         self.site = ServiceSite(platform.zone, platform.region, cold_until=self.cold_until)
         self.cold = ColdShare(platform.node_name, None)
@@ -122,6 +126,12 @@
         """After `served`: the call's place and memory are free again."""
         self.host.post(self.balancer.stream_ended, call.id)
 
+    def prefixes_told(self, now: int, notices: Sequence[PrefixNotice]) -> None:
+        """Other gateways have told which prefixes servers have been sent, of any service."""
+        own = [notice for notice in notices if notice.server in self.site.places]
+        if own:
+            self.balancer.prefixes_told(now, own)
+
     def refresh(self) -> None:
         """The view has changed."""
         if self.closed:
@@ -152,7 +162,9 @@
         self.closed = True
 
     def _module(self, settings: Settings, seed: int, actions: Actions) -> PromptBalancer:
-        return PromptBalancer(settings, seed, actions, self.site, self._traits_of, self.cold, self.budget)
+        return PromptBalancer(
+            settings, seed, actions, self.site, self._traits_of, self.cold, self.budget, self.announcer
+        )
 
     def _traits_of(self, request: int) -> CallTraits | None:
         call = self.host.calls.get(request)
@@ -198,6 +210,7 @@
         service = self._configured()
         if service is None:
             return
+        self.site.again = int(self.platform.bounds.again_s * US_PER_S)
         self.site.kv_tokens = service.engine.kv_tokens if service.engine is not None else 0
         bounds = self.platform.bounds
         bound = None
--- a/brackenladder/placement/prefixes.py
+++ b/brackenladder/placement/prefixes.py
@@ -4,32 +4,38 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from hashlib import blake2b
 
 from attrs import frozen
 
 from brackenladder.placement.traits import CallTraits, PromptPart
 
 MOST_PARTS = 512  # of one server: a bound on this gateway's own memory
+KEY_BYTES = 8  # of a link's key
 
 
 @frozen
 class ChainLink:
     """A part of a prompt with all that comes before it: a part is kept only behind the parts before it."""
 
-    key: int  # of this process only
+    key: int  # the same at every gateway
     tokens: int
 
 
 def chain_of(model: str, parts: Sequence[PromptPart]) -> tuple[ChainLink, ...]:
     """The links of a prompt, for the model whose weights read it."""
     links = []
-    key = hash(model)
+    key = _digest(b"", model)
     for part in parts:
-        key = hash((key, part.id))
-        links.append(ChainLink(key, part.tokens))
+        key = _digest(key, part.id)
+        links.append(ChainLink(int.from_bytes(key, "big"), part.tokens))
     return tuple(links)
 
 
+def _digest(before: bytes, name: str) -> bytes:
+    return blake2b(before + name.encode(errors="surrogatepass"), digest_size=KEY_BYTES).digest()
+
+
 def shared_tokens(traits: CallTraits) -> int:
     """The tokens of the parts that other requests have as well: all but the last."""
     return sum([part.tokens for part in traits.parts[:-1]])
--- a/brackenladder/placement/site.py
+++ b/brackenladder/placement/site.py
@@ -32,18 +32,21 @@
     zone: str
     region: str
     kv_tokens: int = 0  # a server's memory; 0: it has none that is told
+    again: int = 10_000_000  # microseconds after a prefix's last use within which reading it again is priced
     gateways: int = 1  # the living ones, this one included
     gateway_names: tuple[str, ...] = ()  # theirs, where they are known
     cold_until: Callable[[str], int] = never_cold
     places: dict[int, ServerPlace] = field(factory=dict)  # by the server's number
     local: list[Server] = field(factory=list)  # in this region
     far: list[Server] = field(factory=list)
+    far_by_number: dict[int, Server] = field(factory=dict)
 
     def sort(self, servers: list[Server]) -> None:
         """Tell the servers of this region from the others."""
         known = [server for server in servers if server.id in self.places]
         self.local = [server for server in known if self.places[server.id].region == self.region]
         self.far = [server for server in known if self.places[server.id].region != self.region]
+        self.far_by_number = {server.id: server for server in self.far}
 
     def size(self) -> int:
         """How many servers may be used."""
--- a/tests/control_plane/test_control_servers.py
+++ b/tests/control_plane/test_control_servers.py
@@ -13,6 +13,8 @@
 from brackenladder.delivery.subscriber import Subscriber
 from brackenladder.node.control_links import ControlLinks
 from brackenladder.node.role_runner import monotonic_microseconds
+from brackenladder.prefix_cache.messages import PrefixNotice, PrefixNotices
+from brackenladder.prefix_cache.relay_choice import RelayChoice
 from brackenladder.registry.gateways import GatewayState
 from brackenladder.registry.records import ServerState
 from brackenladder.transport.link import LinkTiming
@@ -27,12 +29,19 @@
 class FollowingGateway:
     """A gateway without its servers: it follows the control nodes."""
 
-    def __init__(self, cluster: ControlCluster) -> None:
+    def __init__(self, cluster: ControlCluster, name: str = "gateway-1") -> None:
         self.subscriber = Subscriber()
-        self.presence = Presence("gateway-1", FRONT, "hall-1", "north", 1)
+        self.told: list[PrefixNotices] = []
+        self.presence = Presence(name, FRONT, "hall-1", "north", 1)
         self.transport = TcpTransport(gateway_codec(), LinkTiming(), Random(1))
         self.links = ControlLinks(
-            self.transport, self.subscriber, self.presence, monotonic_microseconds, Random(1)
+            self.transport,
+            self.subscriber,
+            self.presence,
+            monotonic_microseconds,
+            Random(1),
+            RelayChoice(name, "hall-1", cluster.platforms[0].zones),
+            self.told.append,
         )
         self.links.set_seeds(cluster.platforms[0].seed_inner_addresses)
 
@@ -72,6 +81,30 @@
         answer = await self.cluster.post(2, HEARTBEAT, heartbeat(1, "draining"))
         self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE)
 
+    async def test_a_prefix_notice_reaches_the_other_gateways_and_those_that_come_later(self) -> None:
+        other = FollowingGateway(self.cluster, "gateway-2")
+        self.addAsyncCleanup(other.transport.close)
+        notice = PrefixNotice(server=7, keys=(1, 2), tokens=(2_000, 3_000), unread=5_000)
+        for gateway in (self.gateway, other):
+            await self.cluster.until(lambda gateway=gateway: self.tick(gateway) and gateway.links.has_relay)
+
+        def told() -> bool:
+            self.gateway.links.tell(PrefixNotices((notice,)))
+            return bool(other.told)
+
+        await self.cluster.until(told)
+        self.assertEqual(other.told[0].notices[0].keys, notice.keys)
+        late = FollowingGateway(self.cluster, "gateway-3")
+        self.addAsyncCleanup(late.transport.close)
+        await self.cluster.until(lambda: self.tick(late) and bool(late.told))
+        self.assertEqual(late.told[0].notices[0].keys, notice.keys)
+        back = [each for message in self.gateway.told for each in message.notices if each.unread]
+        self.assertEqual(back, [])  # a snapshot may hold it, with nothing left to read
+
+    def tick(self, gateway: FollowingGateway) -> bool:
+        gateway.links.tick()
+        return True
+
     async def test_the_catalog_reaches_a_gateway(self) -> None:
         answer = await self.cluster.insist(0, "/-/Config.Replace", configuration(7, "a"), 0)
         self.assertEqual(answer.status, HTTPStatus.OK)
--- a/tests/control_plane/test_status.py
+++ b/tests/control_plane/test_status.py
@@ -15,6 +15,7 @@
 from brackenladder.delivery.subscriber import Subscriber
 from brackenladder.node.control_links import ControlLinks
 from brackenladder.node.role_runner import monotonic_microseconds
+from brackenladder.prefix_cache.relay_choice import RelayChoice
 from brackenladder.registry.gateways import GatewayState
 from brackenladder.registry.records import ServerRecord, ServerState
 from brackenladder.transport.link import LinkTiming
@@ -86,6 +87,9 @@
         self.addAsyncCleanup(transport.close)
         presence = Presence("gateway-1", "127.0.0.1:8144", "hall-1", "north", 1)
         presence.set_state(GatewayState.READY)
-        links = ControlLinks(transport, Subscriber(), presence, monotonic_microseconds, Random(1))
+        choice = RelayChoice("gateway-1", "hall-1", {})
+        links = ControlLinks(
+            transport, Subscriber(), presence, monotonic_microseconds, Random(1), choice, lambda _told: None
+        )
         links.set_seeds(self.cluster.platforms[0].seed_inner_addresses)
         return transport
--- a/tests/delivery/test_delivery_messages.py
+++ b/tests/delivery/test_delivery_messages.py
@@ -19,6 +19,7 @@
     ServersUpdate,
     UpdateKind,
 )
+from brackenladder.prefix_cache.messages import PrefixNotice, PrefixNotices
 from brackenladder.registry.gateways import HeardGateway
 from brackenladder.registry.messages import GatewaysTold, ServersHeard, ServersTold, ServersWanted
 from brackenladder.registry.records import HeardServer
@@ -33,12 +34,13 @@
     CatalogChange(4, 5, (b"order",), 3),
     ServersUpdate(9, True, RECORDS, 3, False, True),
     Freshness(UNKNOWN_AGE),
-    ControlNodes(0, ("10.0.0.1:7660",)),
+    ControlNodes(0, ("10.0.0.1:7660",), ("hall-a",)),
     GatewayCount(1, 7),
     ServersTold(RECORDS, HEARD),
     ServersHeard(HEARD),
     ServersWanted(("i-1",)),
     GatewaysTold((HeardGateway(gateway(), 5),), settled=True),
+    PrefixNotices((PrefixNotice(1 << 63, (1, (1 << 64) - 1), (20, 300), 4_000, 7),)),
 )
 
 
@@ -66,5 +68,6 @@
                 "ServersHeard",
                 "ServersWanted",
                 "GatewaysTold",
+                "PrefixNotices",
             ],
         )
--- a/tests/placement/placement_stage.py
+++ b/tests/placement/placement_stage.py
@@ -15,6 +15,7 @@
 from brackenladder.placement.site import ServerPlace, ServiceSite
 from brackenladder.placement.traits import CallTraits, PromptPart
 from brackenladder.platform_settings import Platform, PortRange
+from brackenladder.prefix_cache.announcer import PrefixAnnouncer
 from brackenladder.shares.cold_share import ColdBound, ColdShare
 from brackenladder.shares.retry_budget import BudgetBound, RetryBudget
 
@@ -146,8 +147,16 @@
             cross_zone_price=0.01,
         )
         self.budget = RetryBudget(budget)
+        self.announcer = PrefixAnnouncer(lambda: None)
         self.module = PromptBalancer(
-            settings, seed, self.actions, self.site, self.open.get, ColdShare(name, cold), self.budget
+            settings,
+            seed,
+            self.actions,
+            self.site,
+            self.open.get,
+            ColdShare(name, cold),
+            self.budget,
+            self.announcer,
         )
         self.caches: dict[str, set[tuple[str, ...]]] = {}
         self.shapes: dict[CallShape, int] = {}
--- a/tests/placement/test_service_pool.py
+++ b/tests/placement/test_service_pool.py
@@ -16,6 +16,7 @@
 from brackenladder.interface import Outcome
 from brackenladder.placement.pool import PoolCall, ServicePool
 from brackenladder.placement.traits import CallTraits
+from brackenladder.prefix_cache.announcer import PrefixAnnouncer
 from brackenladder.registry.records import ServerRecord, ServerState
 
 
@@ -94,6 +95,7 @@
             Loop(),  # type: ignore[arg-type]
             self.clock,
             Random(1),
+            PrefixAnnouncer(lambda: None),
             self.lines.append,
         )
         self.view.subscribe(lambda change: self.pool.refresh())
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -12,7 +12,7 @@
     **dict.fromkeys(["interface", "settings"], 0),
     **dict.fromkeys(["policy", "membership", "operations", "routing", "control", "cluster", "recovery"], 1),
     # The whole system's pure packages: what is agreed, what is known of servers, what gateways are told.
-    **dict.fromkeys(["consensus", "catalog"], 1),
+    **dict.fromkeys(["consensus", "catalog", "prefix_cache"], 1),
     "core": 2,
     **dict.fromkeys(["registry", "platform_settings"], 2),
     **dict.fromkeys(["delivery", "shares"], 3),
