A campaign that began before there were links asks again as they come up

The first campaign begins up to 50 ms after the start, before links are up, and its pre-votes go nowhere; the next one waits 300 to 650 ms. Until then no gateway gets a configuration.

Ruled out: shorter waits, which collide over far regions (`docs/incidents.md`); keeping messages for links that are not up, which would arrive in a later term.

Change: the host tells the replica of each link that comes up; a pre-vote under way is asked of that replica again, if it has not granted it. It is the same message as before, so nothing new has to hold for safety.

Shown by: `tests/consensus/test_first_election.py`, which fails without it.

--- a/brackenladder/consensus/election.py
+++ b/brackenladder/consensus/election.py
@@ -66,16 +66,26 @@
         core.send_once_durable(core.replica_id, own, token)
         self._ask(core.term, token, pre_vote=False, transfer=transfer)
 
+    def ask_again(self, replica_id: str) -> None:
+        """A link to a replica has come up: the pre-vote under way did not reach it.
+
+        Failure prevented: all replicas start together, the first campaign begins before there are links, and
+        nobody leads until another wait is over.
+        """
+        voters = {voter.replica_id for voter in voting_members(self._core.members)}
+        if self.active and self.pre_vote and replica_id in voters - self._votes:
+            self._ask_one(replica_id, self._core.term + 1, 0, pre_vote=True, transfer=False)
+
     def _ask(self, term: int, token: int, pre_vote: bool, transfer: bool) -> None:
+        for voter in voting_members(self._core.members):
+            if voter.replica_id != self._core.replica_id:
+                self._ask_one(voter.replica_id, term, token, pre_vote, transfer)
+
+    def _ask_one(self, to: str, term: int, token: int, pre_vote: bool, transfer: bool) -> None:
         core = self._core
-        for voter in voting_members(core.members):
-            to = voter.replica_id
-            if to == core.replica_id:
-                continue
-            vote = Vote(
-                core.replica_id, to, term, core.log.last_index, core.log.last_term, pre_vote, transfer
-            )
-            core.send_once_durable(to, vote, token)
+        last_index, last_term = core.log.last_index, core.log.last_term
+        vote = Vote(core.replica_id, to, term, last_index, last_term, pre_vote, transfer)
+        core.send_once_durable(to, vote, token)
 
     def counts(self, reply: VoteReply) -> bool:
         """Take a vote. False: it isn't one for the campaign under way."""
--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -167,6 +167,11 @@
                 if message.term == self._core.term and message.sender == self._leader_id:
                     self._campaign(now, transfer=True)
 
+    def reached(self, now: int, replica_id: str) -> None:
+        """A link to another replica has come up."""
+        self._now = now
+        self._election.ask_again(replica_id)
+
     def tick(self, now: int) -> None:
         """Let time pass."""
         self._now = now
--- a/brackenladder/control_plane/consensus_host.py
+++ b/brackenladder/control_plane/consensus_host.py
@@ -116,6 +116,12 @@
         self.replica.step(self._clock(), sender, message)
         self._schedule_output()
 
+    def reached(self, replica_id: str) -> None:
+        """A link to another replica has come up."""
+        if not self._closed:
+            self.replica.reached(self._clock(), replica_id)
+            self._schedule_output()
+
     def join(self, member: Member) -> None:
         """Another node asks to be taken in; only a leader acts on it."""
         if self._closed or not self.leads:
--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -158,6 +158,7 @@
             self._neighbours[address] = now
         self._join_due = 0
         self._dial()
+        self.host.reached(peer.replica_id)
         self.soft_state.peer_connected(peer.replica_id)
 
     def peer_received(self, peer: Hello, link: Link, message: object) -> None:
--- a/tests/consensus/test_first_election.py
+++ b/tests/consensus/test_first_election.py
@@ -39,6 +39,35 @@
             cluster.restart(host)
         self.assertLess(self.run_until_led(cluster), TIMING.first_election_max + MARGIN)
 
+    def test_a_campaign_that_began_before_there_were_links_goes_on_once_they_are_up(self):
+        cluster = Cluster()
+        hosts = list(cluster.hosts.values())
+        for host in hosts:
+            host.deaf = True
+        for _ in range(MOST_STEPS):
+            if any(host.replica.role is Role.CANDIDATE for host in hosts):
+                break
+            cluster.run(TICK)
+        for host in hosts:
+            host.deaf = False
+            for other in hosts:
+                if other is not host:
+                    host.replica.reached(cluster.now, other.member.replica_id)
+        cluster.pump()
+        self.assertEqual(len(leaders(cluster)), 1)
+
+    def test_a_link_that_comes_up_disturbs_no_leader(self):
+        cluster = Cluster()
+        self.run_until_led(cluster)
+        cluster.run(TIMING.election_max)
+        leader = leaders(cluster)
+        term = cluster.hosts[leader[0]].replica.term
+        for host in cluster.hosts.values():
+            for other in cluster.hosts:
+                host.replica.reached(cluster.now, other)
+        cluster.run(TIMING.election_max)
+        self.assertEqual((leaders(cluster), cluster.hosts[leader[0]].replica.term), (leader, term))
+
     def test_one_that_restarts_leaves_the_leader_alone(self):
         cluster = Cluster()
         self.run_until_led(cluster)
