After a restart of all, gateways serve by the last committed catalog and servers that answer a check

Change: `control_plane/restart_cache.py` keeps the applied catalog and the region's servers in a file that may be lost. The catalog is told at once, servers once they answer their health check with their own id and warm. A refused connection between nodes is tried again within 60 ms for a while: the host lives. The wait of the store's opener in a thread moved to `control_plane/threads.py`, which both use.

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -22,6 +22,7 @@
 from brackenladder.control_plane.operator_api import OperatorApi
 from brackenladder.control_plane.orders import OrderService
 from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.control_plane.restart_cache import RememberedCatalog, RestartCache
 from brackenladder.control_plane.soft_state import TICK_SECONDS, SoftState
 from brackenladder.control_plane.status import ControlStatus, age_ms, member_statuses
 from brackenladder.platform_settings import Platform
@@ -78,6 +79,7 @@
         self.orders = OrderService(self.host, self.peers)
         heartbeat = int(platform.heartbeat_ms * MICROSECONDS_PER_MILLISECOND)
         self.soft_state = SoftState(clock, self.host.contact_age, self.peers, heartbeat)
+        self._restart_cache = RestartCache(platform.data_dir, clock, self.soft_state)
         operator_api = OperatorApi(self.orders, self.soft_state, self._zones, self.status)
         self._control_listener = HttpListener(operator_api.handle)
         directory_api = DirectoryApi(self.soft_state.resolve, platform.bounds.ttl_max_s)
@@ -95,6 +97,7 @@
     async def start(self) -> None:
         """Opens the listeners and begins to dial, to tick and to answer."""
         self.host.start()
+        self._restart_cache.start()
         await self.peers.listen(self.member.address)
         self._tick()
         await self._control_listener.listen(self.platform.listen.control)
@@ -112,6 +115,7 @@
         """Ends at once; what the store was given is still written."""
         if self._timer is not None:
             self._timer.cancel()
+        self._restart_cache.close()
         self.host.close()
         await self._close_listeners(0.0)
         self.peers.close()
@@ -201,6 +205,17 @@
         if self._clock() >= self._dial_due:
             self._dial()
         self.soft_state.tick()
+        if self._restart_cache.due:
+            self._remember()
+
+    def _remember(self) -> None:
+        catalog = self.catalog
+        if catalog.configuration is None:
+            return
+        remembered = RememberedCatalog(catalog.revision, catalog.document, tuple(sorted(catalog.evacuated)))
+        paths = {service.name: service.health_path for service in catalog.configuration.services}
+        servers = self.soft_state.servers_in(self.platform.region, self.platform.zones)
+        self._restart_cache.note(remembered, servers, paths)
 
     def _watch_members(self) -> None:
         members = self.host.replica.members
--- /dev/null
+++ b/brackenladder/control_plane/restart_cache.py
@@ -0,0 +1,141 @@
+"""What a control node keeps on disk beside its log to be of use before there is a leader again.
+
+After a restart the log does not tell which of its entries are committed until a leader does, and nothing
+tells where servers are until their heartbeats come. The cache holds the newest catalog that was applied here,
+which is committed, and the region's servers, which are asked for their health. All of it may be lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from typing import Protocol
+
+import logbook
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.control_plane.health_checks import HealthChecks
+from brackenladder.control_plane.threads import in_daemon_thread
+from brackenladder.registry.recall import RememberedServer, ServerMemory, verified
+from brackenladder.registry.records import ServerRecord
+from brackenladder.storage.log_store import StoreError
+from brackenladder.storage.whole_file import read_whole, write_whole
+from brackenladder.transport.codec import Codec
+from brackenladder.transport.errors import DecodeError
+
+FILE_NAME = "restart.msgpack"
+STATE_TAG = 1
+WRITE_INTERVAL = 300_000  # microseconds between two writes
+
+log = logbook.Logger("restart")
+
+
+@frozen
+class RememberedCatalog:
+    """A catalog that was committed."""
+
+    revision: int
+    document: bytes
+    evacuated: tuple[str, ...]
+
+
+@frozen
+class RestartState:
+    """The file's content."""
+
+    catalog: RememberedCatalog
+    servers: tuple[RememberedServer, ...]
+
+
+class RestartListener(Protocol):
+    """Takes what was remembered."""
+
+    def catalog_remembered(self, catalog: RememberedCatalog) -> None:
+        """The catalog before the restart; there may be a newer one."""
+
+    def heartbeat(self, record: ServerRecord) -> bool:
+        """A server that a health check has found, as if it had sent a heartbeat."""
+
+
+class RestartCache:
+    """Reads the file at the start and replaces it as things change. Without a folder it does nothing."""
+
+    def __init__(self, folder: str, clock: Callable[[], int], listener: RestartListener) -> None:
+        self._path = os.path.join(folder, FILE_NAME) if folder else ""
+        self._clock = clock
+        self._listener = listener
+        self._memory = ServerMemory()
+        self._written_at = clock()
+        self._written_revision = 0
+        self._codec = Codec()
+        self._codec.register(STATE_TAG, RestartState)
+        self._recalling: asyncio.Task[None] | None = None
+        self._writing: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begins to read, and to ask the remembered servers."""
+        if self._path:
+            self._recalling = asyncio.get_running_loop().create_task(self._recall())
+
+    @property
+    def due(self) -> bool:
+        """Whether `note` is to be called: it is time, and the last write has ended."""
+        busy = self._writing is not None and not self._writing.done()
+        return bool(self._path) and not busy and self._clock() - self._written_at >= WRITE_INTERVAL
+
+    def note(
+        self, catalog: RememberedCatalog, servers: tuple[ServerRecord, ...], health_paths: dict[str, str]
+    ) -> None:
+        """Writes the newest catalog and the region's servers, if either has changed."""
+        lasting = self._memory.lasting(servers, health_paths)
+        if catalog.revision == self._written_revision and not self._memory.changed(lasting):
+            return
+        self._memory.written(lasting)
+        self._written_revision = catalog.revision
+        self._written_at = self._clock()
+        data = self._codec.encode(RestartState(catalog, lasting))
+        self._writing = asyncio.get_running_loop().create_task(self._write(data))
+
+    def close(self) -> None:
+        """Asks nobody any more. A write that hangs does not keep the process."""
+        for task in (self._recalling, self._writing):
+            if task is not None:
+                task.cancel()
+
+    async def _recall(self) -> None:
+        state = await self._read()
+        if state is None:
+            return
+        self._listener.catalog_remembered(state.catalog)
+        async with HealthChecks() as checks:
+            found = await asyncio.gather(*[self._check(checks, server) for server in state.servers])
+        log.info("catalog {}, {} of {} servers answer", state.catalog.revision, sum(found), len(found))
+
+    async def _check(self, checks: HealthChecks, server: RememberedServer) -> bool:
+        record = verified(server, await checks.ask(server))
+        if record is None:
+            return False
+        self._listener.heartbeat(record)
+        return True
+
+    async def _read(self) -> RestartState | None:
+        path = self._path
+        content: Result[bytes, StoreError] = await in_daemon_thread(lambda: read_whole(path))
+        if isinstance(content, Failure):
+            log.warning("{}", content.failure())
+            return None
+        data = content.unwrap()
+        try:
+            decoded = self._codec.decode(data) if data else None
+        except DecodeError as error:
+            log.warning("{}: {}", path, error)
+            return None
+        return decoded if isinstance(decoded, RestartState) else None
+
+    async def _write(self, data: bytes) -> None:
+        path = self._path
+        written: Result[None, StoreError] = await in_daemon_thread(lambda: write_whole(path, data))
+        if not isinstance(written, Success):
+            log.warning("{}", written.failure())
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import logbook
 
 from brackenladder.catalog.catalog import Catalog
 from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.control_plane.restart_cache import RememberedCatalog
 from brackenladder.control_plane.status import (
     GatewayStatus,
     ServiceStatus,
@@ -99,6 +100,11 @@
         """Whether the word of servers is acknowledged."""
         return self._in_touch()
 
+    def servers_in(self, region: str, regions: Mapping[str, str]) -> tuple[ServerRecord, ...]:
+        """The living servers of a region; `regions` gives the region by zone."""
+        alive = self._servers.alive(self._clock())
+        return tuple(record for record in alive if regions.get(record.zone) == region)
+
     def services(self) -> tuple[ServiceStatus, ...]:
         """The living servers, counted by service."""
         return service_statuses(self._servers.alive(self._clock()))
@@ -163,6 +169,11 @@
         self._publisher.set_catalog(catalog.revision, catalog.document, catalog.evacuated)
         self.flush()
 
+    def catalog_remembered(self, catalog: RememberedCatalog) -> None:
+        """Publishes what was committed before this node's restart, until it knows what is now."""
+        self._publisher.set_catalog(catalog.revision, catalog.document, frozenset(catalog.evacuated))
+        self.flush()
+
     def control_nodes_changed(
         self, revision: int, addresses: tuple[str, ...], zones: tuple[str, ...]
     ) -> None:
--- a/brackenladder/node/replica_store.py
+++ b/brackenladder/node/replica_store.py
@@ -4,15 +4,14 @@
 
 import asyncio
 import os
-import threading
 from collections.abc import Callable
-from contextlib import suppress
 
 import logbook
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
 from brackenladder.consensus.types import DurableState
+from brackenladder.control_plane.threads import in_daemon_thread
 from brackenladder.node.role_runner import RoleError
 from brackenladder.storage.log_store import StoreCorrupt, StoreError, StoreFailed, StoreFull, StoreInUse
 from brackenladder.storage.set_aside import set_aside, was_set_aside
@@ -48,7 +47,12 @@
     """
     opener = _Opener(folder, new_replica_id)
     while True:
-        opened = await _in_thread(opener.open)
+        try:
+            opened = await in_daemon_thread(opener.open)
+        except RoleError:
+            raise
+        except Exception as fault:  # whatever it is, the store can't be used
+            raise RoleError(f"{type(fault).__name__}: {fault}") from fault
         if isinstance(opened, Success):
             store: OpenedStore = opened.unwrap()
             return store
@@ -104,34 +108,6 @@
         return loaded.map(lambda state: OpenedStore(store, state, succeeds_damaged))
 
 
-async def _in_thread(call: Callable[[], Opened]) -> Opened:
-    """Runs a call in a thread that does not keep the process from ending."""
-    loop = asyncio.get_running_loop()
-    done: asyncio.Future[Opened] = loop.create_future()
-
-    def conclude(outcome: Opened | RoleError) -> None:
-        if done.done():
-            return
-        if isinstance(outcome, RoleError):
-            done.set_exception(outcome)
-        else:
-            done.set_result(outcome)
-
-    def run() -> None:
-        outcome: Opened | RoleError
-        try:
-            outcome = call()
-        except RoleError as error:
-            outcome = error
-        except Exception as error:  # else the caller would wait for ever
-            outcome = RoleError(f"{type(error).__name__}: {error}")
-        with suppress(RuntimeError):  # the loop is closed: nobody waits any longer
-            loop.call_soon_threadsafe(conclude, outcome)
-
-    threading.Thread(target=run, name="store-opener", daemon=True).start()
-    return await done
-
-
 def _make_folder(folder: str) -> None:
     """Makes the folder so that it outlasts a loss of power."""
     if os.path.isdir(folder):
--- a/brackenladder/transport/dialer.py
+++ b/brackenladder/transport/dialer.py
@@ -20,16 +20,22 @@
         self._timing = timing
         self._random = random
         self._next = timing.retry_min
+        self._refusals = 0
 
-    def pause(self) -> int:
-        """Microseconds to wait before the next attempt."""
+    def pause(self, refused: bool = False) -> int:
+        """Microseconds to wait before the next attempt. `refused`: the host answered that nobody listens."""
         longest = self._next
-        self._next = min(2 * longest, self._timing.retry_max)
+        self._refusals = self._refusals + 1 if refused else 0
+        if 0 < self._refusals <= self._timing.refused_tries:
+            longest = min(longest, self._timing.refused_pause)
+        else:
+            self._next = min(2 * longest, self._timing.retry_max)
         return round(longest * self._random.uniform(0.5, 1.0))
 
     def reset(self) -> None:
         """The next pause is the shortest again."""
         self._next = self._timing.retry_min
+        self._refusals = 0
 
 
 class TcpDialer:
@@ -53,6 +59,7 @@
         self._link: TcpLink | None = None
         self._on_refused = on_refused
         self._closed = False
+        self._refused = False  # by the host, at the last attempt
         self._link_ended = asyncio.Event()
         self._task = settings.loop.create_task(self._keep())
 
@@ -91,14 +98,16 @@
             self.attempts += 1
             if await self._connect():
                 await self._link_ended.wait()
-            await asyncio.sleep(self._back_off.pause() / MICROSECONDS)
+            await asyncio.sleep(self._back_off.pause(self._refused) / MICROSECONDS)
 
     async def _connect(self) -> bool:
         """Makes a connection and starts its handshake; False if there is none in time."""
+        self._refused = False
         try:
             async with asyncio.timeout(self._settings.timing.connect_timeout / MICROSECONDS):
                 connection = await self._open_socket()
-        except OSError:  # TimeoutError among them
+        except OSError as error:  # TimeoutError among them
+            self._refused = isinstance(error, ConnectionRefusedError)
             self.last_reason = LinkClosed.UNREACHABLE
             return False
         self._link_ended.clear()
--- a/brackenladder/transport/link.py
+++ b/brackenladder/transport/link.py
@@ -33,6 +33,8 @@
     connect_timeout: int = 700_000  # a connection that hangs is given up
     retry_min: int = 50_000  # first pause between attempts to connect; doubles
     retry_max: int = 500_000  # longest pause between attempts
+    refused_pause: int = 60_000  # longest pause after a refusal: the host lives, its process restarts
+    refused_tries: int = 25  # in a row; from then on a refusal is like any other failure
     lasted: int = 1_000_000  # a link that stood so long resets the pause
     listen_patience: int = 10_000_000  # how long an address that is in use is tried
     listen_retry: int = 100_000  # pause between these tries
--- /dev/null
+++ b/tests/control_plane/test_restart_cache.py
@@ -0,0 +1,126 @@
+"""What a control node knows right after its restart, before there is a leader and before heartbeats come."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from aiohttp import web
+from control_cluster import ControlCluster, configuration, heartbeat
+
+from brackenladder.control_plane.wire import gateway_codec
+from brackenladder.delivery.presence import Presence
+from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.node.control_links import ControlLinks
+from brackenladder.node.role_runner import monotonic_microseconds
+from brackenladder.prefix_cache.relay_choice import RelayChoice
+from brackenladder.transport.link import LinkTiming
+from brackenladder.transport.tcp import TcpTransport
+
+SERVER = "i-1"
+
+
+class HealthyServer:
+    """A server that answers health checks."""
+
+    def __init__(self) -> None:
+        self.headers = {"X-Brackenladder-Instance-Id": SERVER}
+        self.status = HTTPStatus.OK
+        self.asked = 0
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        assert request.path == "/healthz"
+        self.asked += 1
+        return web.Response(status=self.status, headers=self.headers)
+
+
+class RestartCacheTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.server = HealthyServer()
+        runner = web.ServerRunner(web.Server(self.server.answer))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = f"127.0.0.1:{runner.addresses[0][1]}"
+        self.cluster = await self.enterAsyncContext(ControlCluster())
+        await self.cluster.leader()
+        first = await self.cluster.insist(0, "/-/Config.Replace", configuration(3, "a"), base=0)
+        self.assertEqual(first.status, HTTPStatus.OK)
+        await self.cluster.insist(0, f"/-/Instances.Heartbeat/{SERVER}", self.heartbeat())
+        await self.cluster.until(lambda: self.remembered(0))
+
+    def heartbeat(self) -> dict[str, object]:
+        return {**heartbeat(1), "Address": self.address}
+
+    def remembered(self, number: int) -> bool:
+        """Whether a node has both written; node 0 is in the server's region."""
+        node = self.cluster.node(number)
+        cache = node._restart_cache
+        written = cache._written_revision == node.catalog.revision > 0 and cache._memory._written
+        return bool(written) and cache._writing is not None and cache._writing.done()
+
+    async def restart_one_of_three(self) -> Subscriber:
+        """All crash, one comes back: there is no quorum. A gateway follows it."""
+        for number in range(3):
+            await self.cluster.crash(number)
+        await self.cluster.start(0)
+        subscriber = Subscriber()
+        transport = TcpTransport(gateway_codec(), LinkTiming(), Random(1))
+        self.addAsyncCleanup(transport.close)
+        links = ControlLinks(
+            transport,
+            subscriber,
+            Presence("gateway-1", "127.0.0.1:8144", "hall-1", "north", 1),
+            monotonic_microseconds,
+            Random(1),
+            RelayChoice("gateway-1", "hall-1", {}),
+            lambda _told: None,
+        )
+        links.set_seeds(self.cluster.platforms[0].seed_inner_addresses)
+        await self.cluster.until(lambda: subscriber.view.configuration is not None)
+        return subscriber
+
+    async def test_the_committed_catalog_and_a_server_that_answers_are_told_at_once(self) -> None:
+        subscriber = await self.restart_one_of_three()
+        await self.cluster.until(lambda: SERVER in subscriber.view.servers)
+        configured = subscriber.view.configuration
+        assert configured is not None
+        self.assertEqual(configured.version, 3)
+        self.assertEqual(subscriber.view.servers[SERVER].address, self.address)
+        self.assertFalse(subscriber.complete)
+
+    async def test_a_server_that_is_leaving_or_cold_or_another_is_not(self) -> None:
+        cold = {**self.server.headers, "X-Brackenladder-Cold-Remaining-Ms": "900"}
+        other = {"X-Brackenladder-Instance-Id": "i-2"}
+        for status, headers in (
+            (HTTPStatus.SERVICE_UNAVAILABLE, self.server.headers),
+            (HTTPStatus.OK, cold),
+            (HTTPStatus.OK, other),
+            (HTTPStatus.OK, {}),
+        ):
+            with self.subTest(status=status, headers=headers):
+                self.server.status, self.server.headers, self.server.asked = status, headers, 0
+                subscriber = await self.restart_one_of_three()
+                recalling = self.cluster.node(0)._restart_cache._recalling
+                assert recalling is not None
+                await recalling
+                self.assertEqual((self.server.asked, dict(subscriber.view.servers)), (1, {}))
+                for number in (1, 2):
+                    await self.cluster.start(number)
+
+    async def test_a_damaged_file_is_passed_over(self) -> None:
+        path = self.cluster.node(0)._restart_cache._path
+        for number in range(3):
+            await self.cluster.crash(number)
+        with open(path, "r+b") as file:
+            file.write(b"damaged")
+        for number in range(3):
+            await self.cluster.start(number)
+        await self.cluster.leader()
+        self.assertEqual(self.server.asked, 0)
+        answer = await self.cluster.repeat(
+            lambda: self.cluster.fetch(1), lambda got: got.status == HTTPStatus.OK
+        )
+        self.assertEqual(answer.document["Version"], 3)
