A server that joins takes in the prefixes that traffic leans on, one chosen request each

A fresh gateway knew nothing of what servers keep.

Nothing is held, repeated or sent by the system itself. A gateway calls itself ready once its relay has told what traffic leans on, after 0.3 s at the latest.

--- a/brackenladder/node/control_links.py
+++ b/brackenladder/node/control_links.py
@@ -45,6 +45,9 @@
         self._relay_choice = relay_choice
         self._on_notices = on_notices
         self._relay = ""  # the control node that relays prefix notices; empty: none is linked
+        self.informed = (
+            False  # other gateways' notices have come: what traffic leans on, or that it is unknown
+        )
         self._seeds: tuple[str, ...] = ()
         self._told: tuple[str, ...] = ()
         self._dialers: dict[str, Dialer] = {}
@@ -94,6 +97,7 @@
     def received(self, address: str, link: Link, message: object) -> None:
         """A control node has told something."""
         if isinstance(message, PrefixNotices):
+            self.informed = True
             self._on_notices(message)
             return
         for answer in self._subscriber.told(self._clock(), address, message):
--- a/brackenladder/node/gateway_role.py
+++ b/brackenladder/node/gateway_role.py
@@ -24,6 +24,7 @@
 
 TICK_SECONDS = 0.2
 STARTING_TICK_SECONDS = 0.05  # until the view is complete: each moment is one without this gateway
+INFORMED_PATIENCE = 300_000  # microseconds that a gateway waits for what its neighbours know of prefixes
 NOTICE_SECONDS = 0.01  # notices of placements that follow one another so closely travel together
 
 log = logbook.Logger("gateway")
@@ -44,6 +45,7 @@
             platform, self._subscriber.view, monotonic_microseconds, Random(), self._announcer, front=front
         )
         self._timer: asyncio.TimerHandle | None = None
+        self._complete_at: int | None = None  # when the view was first complete
         self._loop: asyncio.AbstractEventLoop
         self._transport: TcpTransport
         self._links: ControlLinks
@@ -89,9 +91,15 @@
         self._timer = self._loop.call_later(STARTING_TICK_SECONDS if starting else TICK_SECONDS, self._tick)
         now = monotonic_microseconds()
         self._subscriber.tick(now)
-        if starting and self._subscriber.ready_by_timeout(now):
-            self._become_ready()
         self._links.tick()
+        if starting and self._subscriber.ready_by_timeout(now) and self._informed(now):
+            self._become_ready()
+
+    def _informed(self, now: int) -> bool:
+        """Whether the neighbours' knowledge of prefixes is here, or has been waited for."""
+        if self._complete_at is None:
+            self._complete_at = now
+        return self._links.informed or now - self._complete_at >= INFORMED_PATIENCE
 
     def _notices_pending(self) -> None:
         self._loop.call_later(NOTICE_SECONDS, self._tell_notices)
--- a/brackenladder/placement/balancer.py
+++ b/brackenladder/placement/balancer.py
@@ -23,6 +23,7 @@
 )
 from brackenladder.placement.choice import Choice, Chooser
 from brackenladder.placement.cost import CostModel, Job, job_of
+from brackenladder.placement.intake import PrefixIntake
 from brackenladder.placement.limit import PlacesController
 from brackenladder.placement.load import PRESSED_TIME, Placed
 from brackenladder.placement.prefixes import ChainLink
@@ -77,6 +78,7 @@
         self.announcer = announcer
         self.costs = CostModel(site)
         self.chooser = Chooser(site, self.costs, self.rng)
+        self.intake = PrefixIntake(site, self.costs, number_of(cold.gateway))
         self.regions = RegionTimes()
         self.zones = SilentZones()
         self.jobs: dict[int, Job] = {}
@@ -90,6 +92,7 @@
         super().server_list(now, kind, entries)
         listed = [server for server in self.servers.values() if server.in_list]
         self.site.sort(listed)
+        self.intake.listed(now, [server.id for server in listed])
         self.costs.loads.forget(set(self.servers))
         self.cold.forget(now)
         self.forget_lost_streams(now)
@@ -111,6 +114,7 @@
             self.actions.refuse(request, self.settings.max_retry_after)
             return
         self.jobs[request] = job
+        self.intake.asked(now, job)
         self.places.places = self.free_places(now)
         super().request(now, request, klass, tenant, time_left, repeat)
         self.forget(request)
@@ -297,7 +301,17 @@
         def answers(server: Server) -> bool:
             return self.may_take(now, server) and not self.zones.silent(now, self.site.places[server.id].zone)
 
-        return self.chooser.choose(now, job, base, answers) or self.chooser.choose(now, job, base, may_send)
+        def able(server: Server) -> bool:
+            return self.chooser.usable(now, job, server, answers)
+
+        def prepared(server: Server) -> bool:
+            return not self.intake.awaits_carrier(now, server, job) and answers(server)
+
+        carrier = self.intake.carrier_for(now, job, self.site.local, able, base)
+        if carrier is not None:
+            unread = self.costs.unread(now, carrier, job, own_server=False)
+            return Choice(carrier, 0.0, unread, adopt=not carrier.member)
+        return self.chooser.choose(now, job, base, prepared) or self.chooser.choose(now, job, base, may_send)
 
     def due_trial(self, now: int, r: Request, job: Job) -> Server | None:
         """An ejected server whose trial is due.
--- a/brackenladder/placement/choice.py
+++ b/brackenladder/placement/choice.py
@@ -49,6 +49,11 @@
             return other
         return choice
 
+    def usable(self, now: int, job: Job, server: Server, may_send: Usable) -> bool:
+        """Whether the call may go to the server now."""
+        allowed = not server.ejected and self.allows(job, server)
+        return allowed and self._in_time(now, server, job) and may_send(server)
+
     def allows(self, job: Job, server: Server) -> bool:
         """Whether the server may take the call at all: by the homes, and where it was before."""
         place = self.site.places.get(server.id)
--- /dev/null
+++ b/brackenladder/placement/prefix_uses.py
@@ -0,0 +1,60 @@
+"""How much this gateway's traffic leans on each shared prefix: a bounded, decaying count."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from attrs import define
+
+from brackenladder.placement.prefixes import ChainLink
+
+MOST_PREFIXES = 512  # the least recently used go first
+HALF_LIFE = 15_000_000  # microseconds after which a use counts for half
+LEAST_USES = 2.0  # of a prefix that traffic leans on
+LEAST_PART = 0.05  # of all tokens of shared parts that are asked for
+
+
+@define
+class _Uses:
+    tokens: int
+    uses: float
+    at: int
+
+
+class PrefixUses:
+    """Counts how often each link of a prompt's shared part is asked for.
+
+    A link that was never dropped has its exact decayed count; one that was begins anew, so a count may be too
+    low and never too high. The total is exact but for what decays between two uses of a dropped link.
+    """
+
+    def __init__(self) -> None:
+        self._links: OrderedDict[int, _Uses] = OrderedDict()
+        self._total = 0.0  # decayed tokens of shared parts that were asked for
+        self._total_at = 0
+
+    def add(self, now: int, shared: Iterable[ChainLink]) -> None:
+        """A prompt with these shared parts was asked for."""
+        self._total *= _decay(now - self._total_at)
+        self._total_at = now
+        for link in shared:
+            known = self._links.pop(link.key, None)
+            uses = 1.0 if known is None else 1.0 + known.uses * _decay(now - known.at)
+            self._links[link.key] = _Uses(link.tokens, uses, now)
+            self._total += link.tokens
+        while len(self._links) > MOST_PREFIXES:
+            self._links.popitem(last=False)
+
+    def leaned_on(self, now: int, key: int) -> bool:
+        """Whether the prefix is among those that much of the traffic needs."""
+        known = self._links.get(key)
+        if known is None:
+            return False
+        uses = known.uses * _decay(now - known.at)
+        total = self._total * _decay(now - self._total_at)
+        return uses >= LEAST_USES and uses * known.tokens >= LEAST_PART * total
+
+
+def _decay(age: int) -> float:
+    return float(0.5 ** (max(0, age) / HALF_LIFE))
--- a/brackenladder/prefix_cache/relay.py
+++ b/brackenladder/prefix_cache/relay.py
@@ -118,9 +118,7 @@
         if not self._new:
             return
         new, self._new = self._new, {}
-        notices = self._recent.snapshot(now, MOST_SNAPSHOT)
-        if not notices:
-            return
+        notices = self._recent.snapshot(now, MOST_SNAPSHOT)  # an empty one says that nothing is known
         for subscriber in new:
             yield RelayedNotices(Receiver.GATEWAY, subscriber, PrefixNotices(notices))
 
--- a/tests/prefix_cache/test_relay.py
+++ b/tests/prefix_cache/test_relay.py
@@ -28,6 +28,7 @@
         self.relay = PrefixRelay(AT)
         for name in ("a", "b", "c"):
             self.relay.serve(name, wanted=True)
+        self.assertEqual(self.take(AT), {"a": [], "b": [], "c": []})  # nothing is known yet
         self.assertEqual(self.take(AT), {})
 
     def take(self, now: int) -> dict[str, list[PrefixNotice]]:
