A gateway's pools take the servers that changed, not all of them

Ruled out: a list of changed ids along with each notification, which every listener would have to keep until it reads.

Change: `delivery/service_servers.py` indexes the view's servers by service and remembers the last 1,024 changes of each; a pool reads those since its last look and tells the decision module `ListKind.CHANGES`. All is read only after a move of evacuated zones, or by who lags further. Another service's change, or a configuration's, costs nothing.

Shown by: a random walk of 300 changes, after which a pool that followed knows what a new one knows.

--- /dev/null
+++ b/brackenladder/delivery/service_servers.py
@@ -0,0 +1,75 @@
+"""The living servers of a view by service, and which of them changed since a reader last looked."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from attrs import define, field
+
+from brackenladder.registry.records import ServerRecord
+
+MOST_CHANGES = 1_024  # of a service that are remembered; who lags further reads all
+
+NO_SERVERS: Mapping[str, ServerRecord] = MappingProxyType({})
+
+
+@define(eq=False)
+class _Service:
+    records: dict[str, ServerRecord] = field(factory=dict)
+    changes: deque[str] = field(factory=deque)  # ids, the newest at the right
+    version: int = 0  # counts the changes
+
+    def note(self, server_id: str) -> None:
+        self.version += 1
+        self.changes.append(server_id)
+        if len(self.changes) > MOST_CHANGES:
+            self.changes.popleft()
+
+
+class ServiceServers:
+    """An index over records that its owner sets and removes."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, _Service] = {}
+        self._service_of: dict[str, str] = {}
+
+    def set(self, record: ServerRecord) -> None:
+        """A server is new or has changed."""
+        before = self._service_of.get(record.id)
+        if before is not None and before != record.service:
+            self.remove(record.id)
+        self._service_of[record.id] = record.service
+        service = self._services.setdefault(record.service, _Service())
+        service.records[record.id] = record
+        service.note(record.id)
+
+    def remove(self, server_id: str) -> None:
+        """A server is no more; one that is not known is no matter."""
+        name = self._service_of.pop(server_id, None)
+        if name is None:
+            return
+        service = self._services[name]
+        del service.records[server_id]
+        service.note(server_id)
+
+    def of(self, service: str) -> Mapping[str, ServerRecord]:
+        """The servers of a service by id."""
+        known = self._services.get(service)
+        return known.records if known is not None else NO_SERVERS
+
+    def version(self, service: str) -> int:
+        """How often the service's servers have changed."""
+        known = self._services.get(service)
+        return known.version if known is not None else 0
+
+    def changed_since(self, service: str, version: int) -> tuple[str, ...] | None:
+        """The ids that changed after `version`, each once; None if that is not known any more."""
+        known = self._services.get(service)
+        lag = known.version - version if known is not None else 0
+        if known is None or lag == 0:
+            return ()
+        if not 0 < lag <= len(known.changes):
+            return None
+        return tuple(dict.fromkeys(known.changes[index] for index in range(-lag, 0)))
--- a/brackenladder/delivery/view.py
+++ b/brackenladder/delivery/view.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from brackenladder.delivery.service_servers import ServiceServers
 from brackenladder.registry.records import ServerRecord, ServerState
 from brackenladder.registry.registry import ServerRegistry
 
@@ -38,6 +39,7 @@
         self.servers: Mapping[str, ServerRecord] = MappingProxyType(
             self._servers
         )  # READY and DRAINING, by id
+        self.by_service = ServiceServers()  # the same, for readers that follow changes
         self._registry = ServerRegistry()
         self._listeners: list[Callable[[ViewChange], None]] = []
 
@@ -82,6 +84,7 @@
         removed = [server_id for server_id in server_ids if self._registry.remove(server_id)]
         for server_id in removed:
             self._servers.pop(server_id, None)
+            self.by_service.remove(server_id)
         if removed:
             self._notify(ViewChange.SERVERS)
 
@@ -100,8 +103,10 @@
         for record in changed:
             if record.state is ServerState.GONE:
                 self._servers.pop(record.id, None)
+                self.by_service.remove(record.id)
             else:
                 self._servers[record.id] = record
+                self.by_service.set(record)
         if changed:
             self._notify(ViewChange.SERVERS)
 
--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from asyncio import AbstractEventLoop
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from random import Random
 
 from brackenladder.catalog.configuration import Service
@@ -12,7 +13,7 @@
 from brackenladder.core.host import Host
 from brackenladder.core.roster import number_of, numbered
 from brackenladder.delivery.view import SystemView
-from brackenladder.interface import Actions, ListKind, ServerEntry, Settings
+from brackenladder.interface import Actions, ListKind, ServerEntry, Settings, State
 from brackenladder.placement.balancer import PromptBalancer
 from brackenladder.placement.classes import CallShape, ClassTable, add_class, shape_of
 from brackenladder.placement.site import ServerPlace, ServiceSite
@@ -95,7 +96,8 @@
         self.records: dict[int, ServerRecord] = {}
         self.zones = {name: number for number, name in enumerate(sorted(platform.zones))}
         self.region_numbers: dict[str, int] = {}
-        self.listed: tuple[ServerEntry, ...] = ()
+        self.listed: dict[int, ServerEntry] = {}  # as the decision module was told last
+        self.read_version = -1  # of the view's servers of this service; none was read yet
         self.evacuated = view.evacuated
         self.returned: dict[str, int] = {}  # zones taken back, and until when their servers may be cold
         self.closed = False
@@ -136,16 +138,15 @@
         """The view has changed."""
         if self.closed:
             return
+        moved = self.evacuated != self.view.evacuated
         self._note_returns()
         self._read_service()
-        records = [r for r in self.view.servers.values() if r.service == self.service]
-        self.records = {number_of(record.id): record for record in records}
-        usable = {number: r for number, r in self.records.items() if self._usable(r)}
-        self.site.places = {number: self._place(record) for number, record in usable.items()}
-        entries = tuple([self._entry(number, record) for number, record in sorted(usable.items())])
-        if entries != self.listed:
-            self.listed = entries
-            self.host.servers(ListKind.FULL, entries)
+        changed = self.view.by_service.changed_since(self.service, self.read_version)
+        self.read_version = self.view.by_service.version(self.service)
+        if moved or changed is None:
+            self._read_all()
+        elif changed:
+            self._read_changes(changed)
         self._share()
 
     def cold_until(self, server_id: str) -> int:
@@ -161,6 +162,41 @@
         """No more calls; those that are open go on."""
         self.closed = True
 
+    def _read_all(self) -> None:
+        records = self.view.by_service.of(self.service).values()
+        self.records = {number_of(record.id): record for record in records}
+        usable = {number: r for number, r in self.records.items() if self._usable(r)}
+        self.site.places = {number: self._place(record) for number, record in usable.items()}
+        entries = {number: self._entry(number, record) for number, record in sorted(usable.items())}
+        if entries != self.listed:
+            self.listed = entries
+            self.host.servers(ListKind.FULL, tuple(entries.values()))
+
+    def _read_changes(self, server_ids: Iterable[str]) -> None:
+        """What a change costs must not grow with the number of servers."""
+        known = self.view.by_service.of(self.service)
+        news = [self._read_one(number_of(server_id), known.get(server_id)) for server_id in server_ids]
+        entries = tuple([entry for entry in news if entry is not None])
+        if entries:
+            self.host.servers(ListKind.CHANGES, entries)
+
+    def _read_one(self, number: int, record: ServerRecord | None) -> ServerEntry | None:
+        """Take in one server; what the decision module has to be told, None if it knows."""
+        if record is None:
+            self.records.pop(number, None)
+        else:
+            self.records[number] = record
+        if record is None or not self._usable(record):
+            self.site.places.pop(number, None)
+            listed = self.listed.pop(number, None)
+            return replace(listed, state=State.GONE) if listed is not None else None
+        self.site.places[number] = self._place(record)
+        entry = self._entry(number, record)
+        if self.listed.get(number) == entry:
+            return None
+        self.listed[number] = entry
+        return entry
+
     def _module(self, settings: Settings, seed: int, actions: Actions) -> PromptBalancer:
         return PromptBalancer(
             settings, seed, actions, self.site, self._traits_of, self.cold, self.budget, self.announcer
--- a/tests/placement/test_service_pool.py
+++ b/tests/placement/test_service_pool.py
@@ -87,7 +87,11 @@
         self.view.set_catalog(1, a_configuration(), frozenset())
         self.view.set_gateways(7)
         self.tell([a_server("a", "north-1"), a_server("b", "north-1"), a_server("c", "south-1")])
-        self.pool = ServicePool(
+        self.pool = self.new_pool()
+        self.view.subscribe(lambda change: self.pool.refresh())
+
+    def new_pool(self) -> ServicePool:
+        return ServicePool(
             "llm",
             self.view,
             a_platform(),
@@ -98,7 +102,6 @@
             PrefixAnnouncer(lambda: None),
             self.lines.append,
         )
-        self.view.subscribe(lambda change: self.pool.refresh())
 
     def tearDown(self) -> None:
         self.assertEqual(self.lines, [])
@@ -209,6 +212,32 @@
             self.answer(call)
         self.assertLessEqual(sent, 2 * 4)
 
+    def test_a_pool_that_followed_changes_knows_what_a_new_one_knows(self) -> None:
+        random = Random(5)
+        zones = ("north-1", "north-2", "south-1")
+        for seq in range(2, 300):
+            name = f"s{random.randrange(12)}-{seq // 60}"
+            state = random.choice(
+                [ServerState.READY, ServerState.READY, ServerState.DRAINING, ServerState.GONE]
+            )
+            service = random.choice(["llm", "llm", "other"])
+            self.tell([a_server(name, random.choice(zones), state=state, seq=seq, service=service)])
+            if seq % 40 == 0:
+                evacuated = frozenset(random.sample(zones, 1)) if seq % 80 else frozenset()
+                self.view.set_catalog(seq, self.view.configuration, evacuated)
+        fresh = self.new_pool()
+        self.assertEqual(self.pool.listed, fresh.listed)
+        self.assertEqual(self.pool.records, fresh.records)
+        self.assertEqual(self.pool.site.places, fresh.site.places)
+        listed = {number for number, server in self.pool.balancer.servers.items() if server.in_list}
+        self.assertEqual(listed, set(fresh.listed))
+        self.assertEqual(set(self.pool.site.places), set(fresh.listed))
+
+    def test_another_services_change_is_none_of_its(self) -> None:
+        seen = self.pool.read_version
+        self.tell([a_server("x", "north-1", service="other")])
+        self.assertEqual(self.pool.read_version, seen)
+
     def test_an_unchanged_view_costs_no_new_list(self) -> None:
         before = self.pool.listed
         self.pool.refresh()
