The balancer of prompts hands calls in flight and adopted servers to modules of their own

Ruled out: moving the choice of a server too; it needs the policy's own state (ejections, trials, targets) at each step.

Change: `placement/in_flight.py` books what servers are given and give back, and has it told; `placement/adoption.py` keeps the members found by their prompts.

--- a/brackenladder/placement/balancer.py
+++ b/brackenladder/placement/balancer.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Callable, Sequence
 
-from brackenladder.catalog.configuration import RouteKind
 from brackenladder.core.roster import number_of
 from brackenladder.interface import (
     NEVER_RAN,
@@ -21,12 +20,13 @@
     ServerEntry,
     Settings,
 )
+from brackenladder.placement.adoption import AdoptedServers
 from brackenladder.placement.choice import Choice, Chooser
 from brackenladder.placement.cost import CostModel, Job, job_of
+from brackenladder.placement.in_flight import InFlight
 from brackenladder.placement.intake import PrefixIntake
 from brackenladder.placement.limit import PlacesController
-from brackenladder.placement.load import PRESSED_TIME, Placed
-from brackenladder.placement.prefixes import ChainLink
+from brackenladder.placement.load import PRESSED_TIME
 from brackenladder.placement.regions import RegionTimes
 from brackenladder.placement.silent_zones import SilentZones
 from brackenladder.placement.site import ServiceSite
@@ -42,14 +42,11 @@
 
 LEAST_LATENCY = 1_000  # microseconds that the limit is told at least
 MOST_RANK = 3  # headrooms below the limit at which the least urgent are refused
-MOST_ADOPTED = 24  # servers that are members for the prompts they keep
 SILENT_LEAST = 1_000_000  # microseconds: a server is not silent sooner
 TRY_PART = 0.5  # of the time left that the first try of a call which may be repeated gets
 MOST_UNSENT = 3  # further attempts of a call after ones that were never sent
-STREAM_MOST = 600_000_000  # microseconds after which a stream whose end was not told is forgotten
 
 NEVER_SENT = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # these ends are no arrivals at a server
-NO_ANSWER = (Outcome.CANCELLED, Outcome.NOT_SENT, Outcome.TIMEOUT)  # and these are no word of it
 TraitsOf = Callable[[int], CallTraits | None]
 
 
@@ -75,16 +72,14 @@
         self.traits_of = traits_of
         self.cold = cold
         self.budget = budget
-        self.announcer = announcer
         self.costs = CostModel(site)
         self.chooser = Chooser(site, self.costs, self.rng)
         self.intake = PrefixIntake(site, self.costs, number_of(cold.gateway))
         self.regions = RegionTimes()
         self.zones = SilentZones()
         self.jobs: dict[int, Job] = {}
-        self.out: dict[int, Placed] = {}  # attempts without a first event, by request
-        self.streams: dict[int, Placed] = {}  # those that answer
-        self.adopted: dict[int, Server] = {}
+        self.in_flight = InFlight(site, self.costs, self.zones, announcer)
+        self.adopted = AdoptedServers()
 
     # ---- events ---------------------------------------------------------------------------------------
 
@@ -95,7 +90,7 @@
         self.intake.listed(now, [server.id for server in listed])
         self.costs.loads.forget(set(self.servers))
         self.cold.forget(now)
-        self.forget_lost_streams(now)
+        self.in_flight.forget_lost_streams(now)
 
     def request(self, now: int, request: int, klass: int, tenant: int, time_left: int, repeat: bool) -> None:
         """A request. `repeat`, or excluded servers: it was sent before, and takes from the budget."""
@@ -130,7 +125,7 @@
         final: bool,
         report: Sequence[float],
     ) -> None:
-        placed = self.out.get(request)
+        placed = self.in_flight.out.get(request)
         job = self.jobs.get(request)
         if placed is not None and job is not None:
             if outcome in NEVER_SENT:
@@ -138,10 +133,10 @@
             else:
                 job.arrived += 1
             job.ran += outcome not in NEVER_RAN
-            self.book(now, placed, outcome, latency)
+            self.in_flight.book(now, placed, outcome, latency)
         super().outcome(now, request, attempt, server, outcome, latency, final, report)
-        if placed is not None and self.out.get(request) is placed:
-            del self.out[request]
+        if placed is not None:
+            self.in_flight.over(request, placed)
         self.forget(request)
 
     def client_left(self, now: int, request: int) -> None:
@@ -150,25 +145,11 @@
 
     def stream_ended(self, now: int, request: int) -> None:
         """After a first event: the stream is over, its place and memory are free again."""
-        placed = self.streams.pop(request, None)
-        if placed is None:
-            placed = self.out.get(request)
-            if placed is not None:
-                placed.over = True
-            return
-        self.costs.loads.end(placed)
-        self.costs.output.add(placed.output_tokens, now - placed.begun_at)
+        self.in_flight.stream_ended(now, request)
 
     def prefixes_told(self, now: int, notices: Sequence[PrefixNotice]) -> None:
         """Other gateways have sent prompts to servers of this service."""
-        for notice in notices:
-            sent_at = now - notice.age
-            load = self.costs.loads.of(notice.server)
-            load.read_for_others(now, sent_at, self.costs.prefill.time(notice.unread))
-            if notice.keys:
-                links = [ChainLink(*link) for link in zip(notice.keys, notice.tokens, strict=False)]
-                load.kept.add(links, self.site.kv_tokens - load.tokens)
-                self.costs.holders.used(sent_at, notice.keys[-1], notice.server)
+        self.in_flight.told(now, notices)
 
     # ---- admission ------------------------------------------------------------------------------------
 
@@ -180,7 +161,7 @@
             load = loads.get(number)
             if load is None or now - load.rejected_at >= PRESSED_TIME:
                 slots += place.slots
-        return slots / self.site.gateways - len(self.streams)
+        return slots / self.site.gateways - len(self.in_flight.streams)
 
     def rank_classes(self, mean_rtt: Sequence[float]) -> None:
         """The more urgent a class, the lower its rank: the others leave room for it below the limit."""
@@ -216,8 +197,8 @@
         """The attempt begins."""
         server = choice.server
         if choice.adopt:
-            self.adopt(now, server)
-        place = self.site.places[server.id]
+            self.adopted.add(server)
+            self.refill(now)
         if self.is_cold(now, server):
             self.cold.take(now, server.id, self.site.gateways, self.site.gateway_names)
         if server.in_flight == 0:
@@ -229,33 +210,9 @@
         r.sent_at = now
         r.attempts += 1
         job.excluded.add(server.id)
-        known = self.costs.prefill.time(choice.unread) + self.costs.way(place)
-        placed = Placed(
-            request=r.id,
-            server=server.id,
-            chain=job.chain,
-            unread=choice.unread,
-            tokens=job.tokens,
-            output_tokens=job.traits.output_tokens,
-            streams=job.traits.route.kind is RouteKind.STREAMING,
-            known_cost=known,
-        )
-        self.out[r.id] = placed
-        self.costs.loads.place(placed)
-        self.announce(now, job, placed)
+        self.in_flight.send(now, r.id, job, server.id, choice.unread)
         self.actions.send(r.id, server.id, self.time_for(now, r, job, choice))
 
-    def announce(self, now: int, job: Job, placed: Placed) -> None:
-        """Notes what the server keeps from now on, and has other gateways told where it matters to them."""
-        shared = job.chain[:-1]
-        if shared:
-            load = self.costs.loads.of(placed.server)
-            load.kept.add(shared, self.site.kv_tokens - load.tokens)
-            self.costs.holders.used(now, shared[-1].key, placed.server)
-        keys = [link.key for link in shared]
-        tokens = [link.tokens for link in shared]
-        self.announcer.placed(now, placed.server, keys, tokens, int(placed.unread))
-
     def time_for(self, now: int, r: Request, job: Job, choice: Choice) -> int:
         """How long an attempt may take. One that may be repeated elsewhere leaves time for that."""
         left = r.useful_until - now
@@ -366,27 +323,16 @@
             self.zones.unanswered(now, place.zone, srv.id)
         return super().is_silent(now, srv, least)
 
-    def adopt(self, now: int, server: Server) -> None:
-        """The server keeps prompts of this gateway: it is a member, so that it can be set aside."""
-        self.adopted.pop(server.id, None)
-        self.adopted[server.id] = server
-        while len(self.adopted) > MOST_ADOPTED:
-            del self.adopted[next(iter(self.adopted))]
-        self.refill(now)
-
     def take_members(self) -> None:
         """This copy's stretch of the shuffle, and the servers that keep its prompts."""
         super().take_members()
-        for server in self.adopted.values():
-            if server.in_list and not server.member and self.servers.get(server.id) is server:
-                server.member = True
-                self.members.append(server)
+        self.adopted.join(self.members, self.servers)
 
     # ---- ends -----------------------------------------------------------------------------------------
 
     def settle(self, now: int, srv: Server, r: Request | None, outcome: Outcome, latency: int) -> None:
         """Books an attempt's end with its latency less what is known not to be load."""
-        placed = self.out.get(r.id) if r is not None else None
+        placed = self.in_flight.out.get(r.id) if r is not None else None
         if placed is not None and r is not None:
             latency = max(LEAST_LATENCY, latency - int(placed.known_cost))
             place = self.site.places.get(srv.id)
@@ -400,34 +346,7 @@
         if job.arrived:
             self.budget.give_back()
 
-    def book(self, now: int, placed: Placed, outcome: Outcome, latency: int) -> None:
-        """Books the load of an attempt that has ended, or begun to answer."""
-        loads = self.costs.loads
-        load = loads.of(placed.server)
-        place = self.site.places.get(placed.server)
-        if place is not None and outcome == Outcome.CONNECT_FAILED:
-            self.zones.connect_failed(now, place.zone, placed.server, latency)
-        elif place is not None and outcome not in NO_ANSWER:
-            self.zones.answered(place.zone)
-        if outcome == Outcome.REJECTED:
-            load.rejected_at = now
-        if outcome == Outcome.OK:
-            if placed.chain and place is not None:
-                self.costs.prefill.add(placed.unread, latency - self.costs.way(place))
-            loads.first_event(placed, now, self.site.kv_tokens)
-            if placed.streams and not placed.over:
-                self.streams[placed.request] = placed
-                return
-        loads.end(placed)
-
     def forget(self, request: int) -> None:
         """Drops the job of a call for which nothing is out and nothing is owed."""
-        if request not in self.requests and request not in self.out:
+        if request not in self.requests and request not in self.in_flight.out:
             self.jobs.pop(request, None)
-
-    def forget_lost_streams(self, now: int) -> None:
-        """Ends the streams whose end nobody has told."""
-        for request, placed in list(self.streams.items()):
-            if now - placed.begun_at > STREAM_MOST:
-                del self.streams[request]
-                self.costs.loads.end(placed)
--- a/tests/placement/test_intake.py
+++ b/tests/placement/test_intake.py
@@ -165,7 +165,7 @@
                 self.assertIn(sent.server, servers)
                 self.stage.end(sent)
                 self.stage.module.stream_ended(self.stage.now, sent.request)
-        self.assertFalse(self.stage.module.out)
+        self.assertFalse(self.stage.module.in_flight.out)
         self.assertFalse(self.stage.module.jobs)
 
 
--- a/tests/placement/test_prompt_balancer.py
+++ b/tests/placement/test_prompt_balancer.py
@@ -418,7 +418,9 @@
         loads = stage.module.costs.loads
         self.assertEqual((loads.streams, loads.tokens), (0, 0))
         self.assertTrue(all(load.streams == load.tokens == 0 for load in loads.servers.values()))
-        self.assertEqual((stage.module.jobs, stage.module.out, stage.module.streams), ({}, {}, {}))
+        self.assertEqual(
+            (stage.module.jobs, stage.module.in_flight.out, stage.module.in_flight.streams), ({}, {}, {})
+        )
 
     def test_loads_of_servers_that_are_gone_are_forgotten(self) -> None:
         stage = Stage(NORTH)
