The restart cache counts beside the log of the same replica only

Cause: found by reading. A file that was left beside a log begun anew (the operators' page tells how) has a higher revision than the new log, so this node's publisher would have told gateways the old catalog and passed over each new one.

Ruled out: letting a lower revision replace a remembered one, which gateways would refuse all the same.

Change: the file names its replica; that of another is passed over. A test starts a node with a wiped log and the old file.

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -79,7 +79,7 @@
         self.orders = OrderService(self.host, self.peers)
         heartbeat = int(platform.heartbeat_ms * MICROSECONDS_PER_MILLISECOND)
         self.soft_state = SoftState(clock, self.host.contact_age, self.peers, heartbeat)
-        self._restart_cache = RestartCache(platform.data_dir, clock, self.soft_state)
+        self._restart_cache = RestartCache(platform.data_dir, start.replica_id, clock, self.soft_state)
         operator_api = OperatorApi(self.orders, self.soft_state, self._zones, self.status)
         self._control_listener = HttpListener(operator_api.handle)
         directory_api = DirectoryApi(self.soft_state.resolve, platform.bounds.ttl_max_s)
--- a/brackenladder/control_plane/restart_cache.py
+++ b/brackenladder/control_plane/restart_cache.py
@@ -43,8 +43,13 @@
 
 @frozen
 class RestartState:
-    """The file's content."""
+    """The file's content. It is of use beside the log of the same replica only.
 
+    Failure prevented: a log is begun anew in a folder where this file was left, and its revisions, lower than
+    the remembered one, are taken for older ones.
+    """
+
+    replica_id: str
     catalog: RememberedCatalog
     servers: tuple[RememberedServer, ...]
 
@@ -62,7 +67,10 @@
 class RestartCache:
     """Reads the file at the start and replaces it as things change. Without a folder it does nothing."""
 
-    def __init__(self, folder: str, clock: Callable[[], int], listener: RestartListener) -> None:
+    def __init__(
+        self, folder: str, replica_id: str, clock: Callable[[], int], listener: RestartListener
+    ) -> None:
+        self._replica_id = replica_id
         self._path = os.path.join(folder, FILE_NAME) if folder else ""
         self._clock = clock
         self._listener = listener
@@ -95,7 +103,7 @@
         self._memory.written(lasting)
         self._written_revision = catalog.revision
         self._written_at = self._clock()
-        data = self._codec.encode(RestartState(catalog, lasting))
+        data = self._codec.encode(RestartState(self._replica_id, catalog, lasting))
         self._writing = asyncio.get_running_loop().create_task(self._write(data))
 
     def close(self) -> None:
@@ -132,7 +140,9 @@
         except DecodeError as error:
             log.warning("{}: {}", path, error)
             return None
-        return decoded if isinstance(decoded, RestartState) else None
+        if not isinstance(decoded, RestartState) or decoded.replica_id != self._replica_id:
+            return None
+        return decoded
 
     async def _write(self, data: bytes) -> None:
         path = self._path
--- a/tests/control_plane/test_restart_cache.py
+++ b/tests/control_plane/test_restart_cache.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from http import HTTPStatus
 from random import Random
 from unittest import IsolatedAsyncioTestCase
@@ -110,6 +111,21 @@
                 for number in (1, 2):
                     await self.cluster.start(number)
 
+    async def test_a_file_that_was_left_beside_a_new_log_is_passed_over(self) -> None:
+        path = self.cluster.node(0)._restart_cache._path
+        with open(path, "rb") as file:
+            left = file.read()
+        await self.cluster.crash(0)
+        self.cluster.wipe(0)
+        os.makedirs(os.path.dirname(path))
+        with open(path, "wb") as file:
+            file.write(left)
+        await self.cluster.start(0)
+        recalling = self.cluster.node(0)._restart_cache._recalling
+        assert recalling is not None
+        await recalling
+        self.assertEqual(self.server.asked, 0)
+
     async def test_a_damaged_file_is_passed_over(self) -> None:
         path = self.cluster.node(0)._restart_cache._path
         for number in range(3):
