What servers keep is remembered over a restart of all, and told to gateways before anything else

Ruled out: asking servers (`/-/report` does not say what is kept); waiting with held requests until the relay is chosen.

Change: the restart cache holds the relay's heaviest prefixes too, written every 2 s; a gateway of the node's region gets them as the answer to its first word, before catalog and servers.

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -78,7 +78,7 @@
         )
         self.orders = OrderService(self.host, self.peers)
         heartbeat = int(platform.heartbeat_ms * MICROSECONDS_PER_MILLISECOND)
-        self.soft_state = SoftState(clock, self.host.contact_age, self.peers, heartbeat)
+        self.soft_state = SoftState(clock, self.host.contact_age, self.peers, heartbeat, platform.region)
         self._restart_cache = RestartCache(platform.data_dir, start.replica_id, clock, self.soft_state)
         operator_api = OperatorApi(self.orders, self.soft_state, self._zones, self.status)
         self._control_listener = HttpListener(operator_api.handle)
@@ -215,7 +215,7 @@
         remembered = RememberedCatalog(catalog.revision, catalog.document, tuple(sorted(catalog.evacuated)))
         paths = {service.name: service.health_path for service in catalog.configuration.services}
         servers = self.soft_state.servers_in(self.platform.region, self.platform.zones)
-        self._restart_cache.note(remembered, servers, paths)
+        self._restart_cache.note(remembered, servers, paths, self.soft_state.prefixes)
 
     def _watch_members(self) -> None:
         members = self.host.replica.members
--- a/brackenladder/control_plane/restart_cache.py
+++ b/brackenladder/control_plane/restart_cache.py
@@ -2,7 +2,8 @@
 
 After a restart the log does not tell which of its entries are committed until a leader does, and nothing
 tells where servers are until their heartbeats come. The cache holds the newest catalog that was applied here,
-which is committed, and the region's servers, which are asked for their health. All of it may be lost.
+which is committed, the region's servers, which are asked for their health, and the prefixes that servers
+keep, which are hints. All of it may be lost.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 from brackenladder.control_plane.health_checks import HealthChecks
 from brackenladder.control_plane.threads import in_daemon_thread
+from brackenladder.prefix_cache.messages import PrefixNotice
 from brackenladder.registry.recall import RememberedServer, ServerMemory, verified
 from brackenladder.registry.records import ServerRecord
 from brackenladder.storage.log_store import StoreError
@@ -28,6 +30,7 @@
 FILE_NAME = "restart.msgpack"
 STATE_TAG = 1
 WRITE_INTERVAL = 300_000  # microseconds between two writes
+PREFIX_INTERVAL = 2_000_000  # the same where only prefixes may have changed
 
 log = logbook.Logger("restart")
 
@@ -52,6 +55,7 @@
     replica_id: str
     catalog: RememberedCatalog
     servers: tuple[RememberedServer, ...]
+    prefixes: tuple[PrefixNotice, ...] = ()
 
 
 class RestartListener(Protocol):
@@ -60,6 +64,9 @@
     def catalog_remembered(self, catalog: RememberedCatalog) -> None:
         """The catalog before the restart; there may be a newer one."""
 
+    def prefixes_remembered(self, notices: tuple[PrefixNotice, ...]) -> None:
+        """The prefixes that servers kept."""
+
     def heartbeat(self, record: ServerRecord) -> bool:
         """A server that a health check has found, as if it had sent a heartbeat."""
 
@@ -94,16 +101,24 @@
         return bool(self._path) and not busy and self._clock() - self._written_at >= WRITE_INTERVAL
 
     def note(
-        self, catalog: RememberedCatalog, servers: tuple[ServerRecord, ...], health_paths: dict[str, str]
+        self,
+        catalog: RememberedCatalog,
+        servers: tuple[ServerRecord, ...],
+        health_paths: dict[str, str],
+        prefixes: Callable[[], tuple[PrefixNotice, ...]],
     ) -> None:
-        """Writes the newest catalog and the region's servers, if either has changed."""
+        """Writes what is of use after a restart, if catalog or servers have changed, or it is time."""
         lasting = self._memory.lasting(servers, health_paths)
-        if catalog.revision == self._written_revision and not self._memory.changed(lasting):
+        changed = catalog.revision != self._written_revision or self._memory.changed(lasting)
+        if not changed and self._clock() - self._written_at < PREFIX_INTERVAL:
+            return
+        kept = prefixes()
+        if not changed and not kept:
             return
         self._memory.written(lasting)
         self._written_revision = catalog.revision
         self._written_at = self._clock()
-        data = self._codec.encode(RestartState(self._replica_id, catalog, lasting))
+        data = self._codec.encode(RestartState(self._replica_id, catalog, lasting, kept))
         self._writing = asyncio.get_running_loop().create_task(self._write(data))
 
     def close(self) -> None:
@@ -116,6 +131,7 @@
         state = await self._read()
         if state is None:
             return
+        self._listener.prefixes_remembered(state.prefixes)
         self._listener.catalog_remembered(state.catalog)
         async with HealthChecks() as checks:
             found = await asyncio.gather(*[self._check(checks, server) for server in state.servers])
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -17,7 +17,7 @@
 )
 from brackenladder.delivery.messages import UNKNOWN_AGE, Ack, Subscribe
 from brackenladder.delivery.publisher import Publisher
-from brackenladder.prefix_cache.messages import PrefixNotices
+from brackenladder.prefix_cache.messages import PrefixNotice, PrefixNotices
 from brackenladder.prefix_cache.relay import PrefixRelay, Receiver
 from brackenladder.registry.directory import NO_OFFER, Offer, resolve
 from brackenladder.registry.exchange import PeerExchange
@@ -47,12 +47,17 @@
         contact_age: Callable[[], int],
         peers: PeerLinks,
         heartbeat: int,
+        region: str = "",
     ) -> None:
-        """`contact_age` is that with the leader; servers call every `heartbeat`; both in microseconds."""
+        """`contact_age` is that with the leader; servers call every `heartbeat`; both in microseconds.
+
+        `region` is this node's: gateways of it are told of prefixes before anything else.
+        """
         now = clock()
         self._clock = clock
         self._contact_age = contact_age
         self._peers = peers
+        self._region = region
         self._servers = ServerRegistry(SILENT_HEARTBEATS * heartbeat)
         self._gateways = GatewayRegistry()
         settle_time = int(SETTLE_HEARTBEATS * heartbeat)
@@ -139,6 +144,7 @@
         name = self._names.get(link)
         match message:
             case Subscribe():
+                self._greet(link, name, message)
                 self._subscribed(link, name or self._name(link), message)
             case Ack() if name is not None:
                 self._publisher.acknowledged(name, message)
@@ -174,6 +180,14 @@
         self._publisher.set_catalog(catalog.revision, catalog.document, frozenset(catalog.evacuated))
         self.flush()
 
+    def prefixes_remembered(self, notices: tuple[PrefixNotice, ...]) -> None:
+        """Takes the prefixes that servers kept before this node's restart."""
+        self._relay.remembered(self._clock(), notices)
+
+    def prefixes(self) -> tuple[PrefixNotice, ...]:
+        """The prefixes that traffic leans on most."""
+        return self._relay.heaviest(self._clock())
+
     def control_nodes_changed(
         self, revision: int, addresses: tuple[str, ...], zones: tuple[str, ...]
     ) -> None:
@@ -226,6 +240,16 @@
     def _told_contact_age(self, now: int) -> int:
         return self._contact_age() if self._exchange.settled(now) else UNKNOWN_AGE
 
+    def _greet(self, link: Link, name: str | None, message: Subscribe) -> None:
+        """A gateway's first word: it needs to know what servers keep before it has requests to place.
+
+        Failure prevented: after a restart of all the requests that were held go out before the relay is
+        chosen, and prompts that servers keep are read again elsewhere.
+        """
+        kept = self.prefixes() if name is None and message.region == self._region else ()
+        if kept:
+            link.send(PrefixNotices(kept))
+
     def _subscribed(self, link: Link, name: str, message: Subscribe) -> None:
         self._publisher.subscribed(name, message)
         self._relay.serve(name, message.relay)
--- a/brackenladder/gateway/pools.py
+++ b/brackenladder/gateway/pools.py
@@ -20,6 +20,7 @@
 from brackenladder.placement.traits import PromptPart
 from brackenladder.platform_settings import Platform
 from brackenladder.prefix_cache.announcer import PrefixAnnouncer
+from brackenladder.prefix_cache.early import EarlyNotices
 from brackenladder.prefix_cache.messages import PrefixNotice
 
 HASH_RANGE = 1 << 32
@@ -66,6 +67,7 @@
         self._services: dict[str, Service] = {}
         self._pools: dict[str, ServicePool] = {}
         self._leaving: list[ServicePool] = []  # of services that are no more, until their calls have ended
+        self._early = EarlyNotices()
         self._read_configuration()
         self._unsubscribe = view.subscribe(self._changed)
 
@@ -88,7 +90,17 @@
         return self._pools.get(targets[-1].service) if targets else None
 
     def prefixes_told(self, now: int, notices: Sequence[PrefixNotice]) -> None:
-        """Each pool takes the notices of its own servers."""
+        """Each pool takes the notices of its own servers; those of unknown ones wait for a moment."""
+        for pool in self._pools.values():
+            pool.prefixes_told(now, notices)
+        self._early.add(now, [notice for notice in notices if not self._is_known(notice.server)])
+
+    def _is_known(self, server: int) -> bool:
+        return any(pool.record(server) is not None for pool in self._pools.values())
+
+    def _tell_early(self) -> None:
+        now = self.now()
+        notices = self._early.take(now, self._is_known)
         for pool in self._pools.values():
             pool.prefixes_told(now, notices)
 
@@ -109,6 +121,8 @@
             self._read_configuration()
         for pool in self._pools.values():
             pool.refresh()
+        if self._early:
+            self._tell_early()
         if ViewChange.SERVERS in change:
             self.connections.keep_only({record.address for record in self.view.servers.values()})
 
--- a/brackenladder/node/control_links.py
+++ b/brackenladder/node/control_links.py
@@ -102,6 +102,8 @@
             return
         for answer in self._subscriber.told(self._clock(), address, message):
             link.send(answer)
+        if not self._relay:
+            self._choose_relay()
 
     def down(self, address: str, link: Link, reason: LinkClosed) -> None:
         """A link has gone."""
--- a/brackenladder/prefix_cache/relay.py
+++ b/brackenladder/prefix_cache/relay.py
@@ -80,6 +80,15 @@
         self._to_gateways = _Queue(INTERVAL, now - INTERVAL)
         self._to_peers = _Queue(PEER_INTERVAL, now - PEER_INTERVAL)
 
+    def remembered(self, now: int, notices: Iterable[PrefixNotice]) -> None:
+        """What was told before this node's restart; servers keep prefixes over it."""
+        for notice in notices:
+            self._recent.add(now, notice)
+
+    def heaviest(self, now: int) -> tuple[PrefixNotice, ...]:
+        """The prefixes that traffic leans on most, each with its age."""
+        return self._recent.snapshot(now, MOST_SNAPSHOT)
+
     def serve(self, subscriber: str, wanted: bool) -> None:
         """A gateway says whether this node is its relay."""
         if not wanted:
@@ -120,7 +129,7 @@
         if not self._new:
             return
         new, self._new = self._new, {}
-        notices = self._recent.snapshot(now, MOST_SNAPSHOT)  # an empty one says that nothing is known
+        notices = self.heaviest(now)  # an empty one says that nothing is known
         for subscriber in new:
             yield RelayedNotices(Receiver.GATEWAY, subscriber, PrefixNotices(notices))
 
--- a/tests/control_plane/test_restart_cache.py
+++ b/tests/control_plane/test_restart_cache.py
@@ -10,11 +10,13 @@
 from aiohttp import web
 from control_cluster import ControlCluster, configuration, heartbeat
 
+from brackenladder.control_plane.restart_cache import PREFIX_INTERVAL
 from brackenladder.control_plane.wire import gateway_codec
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
 from brackenladder.node.control_links import ControlLinks
 from brackenladder.node.role_runner import monotonic_microseconds
+from brackenladder.prefix_cache.messages import PrefixNotice, PrefixNotices
 from brackenladder.prefix_cache.relay_choice import RelayChoice
 from brackenladder.transport.link import LinkTiming
 from brackenladder.transport.tcp import TcpTransport
@@ -62,12 +64,18 @@
         written = cache._written_revision == node.catalog.revision > 0 and cache._memory._written
         return bool(written) and cache._writing is not None and cache._writing.done()
 
+    def take_notices(self, message: PrefixNotices) -> None:
+        self.told.append(message)
+        self.told_first = self.subscriber.view.configuration is None
+
     async def restart_one_of_three(self) -> Subscriber:
         """All crash, one comes back: there is no quorum. A gateway follows it."""
         for number in range(3):
             await self.cluster.crash(number)
         await self.cluster.start(0)
-        subscriber = Subscriber()
+        subscriber = self.subscriber = Subscriber()
+        self.told: list[PrefixNotices] = []
+        self.told_first = False
         transport = TcpTransport(gateway_codec(), LinkTiming(), Random(1))
         self.addAsyncCleanup(transport.close)
         links = ControlLinks(
@@ -77,7 +85,7 @@
             monotonic_microseconds,
             Random(1),
             RelayChoice("gateway-1", "hall-1", {}),
-            lambda _told: None,
+            self.take_notices,
         )
         links.set_seeds(self.cluster.platforms[0].seed_inner_addresses)
         await self.cluster.until(lambda: subscriber.view.configuration is not None)
@@ -92,6 +100,19 @@
         self.assertEqual(subscriber.view.servers[SERVER].address, self.address)
         self.assertFalse(subscriber.complete)
 
+    async def test_the_prefixes_that_servers_keep_are_told_before_anything_else(self) -> None:
+        notice = PrefixNotice(7, (1, 2), (2_000, 3_000))
+        node = self.cluster.node(0)
+        node.soft_state.prefixes_remembered((notice,))
+        cache = node._restart_cache
+        cache._written_at -= PREFIX_INTERVAL
+        node._remember()
+        assert cache._writing is not None
+        await cache._writing
+        await self.restart_one_of_three()
+        self.assertEqual(self.told[0].notices[0].keys, notice.keys)
+        self.assertTrue(self.told_first)
+
     async def test_a_server_that_is_leaving_or_cold_or_another_is_not(self) -> None:
         cold = {**self.server.headers, "X-Brackenladder-Cold-Remaining-Ms": "900"}
         other = {"X-Brackenladder-Instance-Id": "i-2"}
