--- /dev/null
+++ b/tests/gateway/test_prefix_notices_taken.py
@@ -0,0 +1,52 @@
+"""Prefix notices on their way into a gateway's pools, whatever comes first."""
+
+from __future__ import annotations
+
+from gateway.gateway_loopback import SERVICE, GatewayTest, microseconds
+
+from brackenladder.core.roster import number_of
+from brackenladder.prefix_cache.messages import PrefixNotice, PrefixNotices
+
+KEYS, TOKENS = (11, 12), (2_000, 3_000)
+
+
+class NoticesTakenTest(GatewayTest):
+    def configure(self, *arguments: object, **changes: object) -> None:
+        """The view is empty when the gateway starts."""
+
+    def list_servers(self, *arguments: object, **changes: object) -> None:
+        """As above."""
+
+    def tell(self, name: str) -> None:
+        notice = PrefixNotice(number_of(name), KEYS, TOKENS, unread=9_000)
+        self.gateway.prefixes_told(PrefixNotices((notice,)))
+
+    def known(self, name: str) -> bool:
+        """Whether the service's pool knows that the server was sent the prefix."""
+        pool = self.gateway._context.pools._pools.get(SERVICE)
+        if pool is None:
+            return False
+        holders = pool.balancer.costs.holders.recent(microseconds(), KEYS[-1], pool.site.again)
+        return number_of(name) in holders
+
+    async def test_one_that_comes_before_configuration_and_servers_is_taken_once_they_are_known(self) -> None:
+        name = self.stand_ins[0].name
+        self.tell(name)
+        super().configure()
+        self.assertFalse(self.known(name))
+        super().list_servers()
+        self.assertTrue(self.known(name))
+
+    async def test_one_of_a_known_server_is_taken_at_once(self) -> None:
+        super().configure()
+        super().list_servers()
+        name = self.stand_ins[0].name
+        self.tell(name)
+        self.assertTrue(self.known(name))
+        self.assertFalse(self.known(self.stand_ins[1].name))
+
+    async def test_one_of_a_server_that_never_comes_does_no_harm(self) -> None:
+        super().configure()
+        self.tell("nobody")
+        super().list_servers()
+        self.assertFalse(self.known("nobody"))
