--- /dev/null
+++ b/brackenladder/simulation/checks.py
@@ -0,0 +1,137 @@
+"""What must hold of a history: orders and reads are linearizable, and nobody speaks for long alone."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from brackenladder.catalog.orders import (
+    BeginEvacuation,
+    FinishEvacuation,
+    ReplaceConfiguration,
+    UpdateConfiguration,
+)
+from brackenladder.simulation.errors import Violation
+from brackenladder.simulation.history import History, OrderRecord, ReadRecord
+
+NO_VERSION = 0
+
+
+def check_history(history: History) -> None:
+    """Raises the first `Violation` that orders and reads show."""
+    configurations = [order for order in history.orders if order.version]
+    _check_winners(configurations)
+    _check_sequence(configurations)
+    _check_chain(configurations)
+    for order in configurations:
+        if order.acknowledged and not order.valid:
+            raise Violation("invalid-acknowledged", f"order {order.number}")
+    _check_reads(history)
+
+
+def _base(order: OrderRecord) -> int:
+    assert isinstance(order.order, ReplaceConfiguration | UpdateConfiguration)
+    return order.order.base
+
+
+def _check_winners(orders: Iterable[OrderRecord]) -> None:
+    """Of the orders on one base one wins, and of those with one number."""
+    for name, key in (("base", _base), ("version", lambda order: order.version)):
+        winners: dict[int, OrderRecord] = {}
+        for order in orders:
+            if not order.acknowledged:
+                continue
+            other = winners.setdefault(key(order), order)
+            if other is not order and other.order != order.order:
+                detail = f"orders {other.number} and {order.number} on {name} {key(order)}"
+                raise Violation("two-winners", detail)
+
+
+def _check_sequence(orders: list[OrderRecord]) -> None:
+    """What was acknowledged before another order began has a lower version, and is told with its own."""
+    newest = NO_VERSION
+    ends = sorted(
+        (order for order in orders if order.acknowledged and order.ended_at is not None),
+        key=lambda order: order.ended_at or 0,
+    )
+    for order in ends:
+        if order.told_version != order.version:
+            raise Violation("wrong-answer", f"order {order.number} for {order.version}: {order.told_version}")
+    position = 0
+    for order in sorted(ends, key=lambda order: order.invoked_at):
+        while position < len(ends) and (ends[position].ended_at or 0) < order.invoked_at:
+            newest = max(newest, ends[position].version)
+            position += 1
+        if order.version <= newest:
+            raise Violation("order-lost", f"order {order.number} for {order.version} after {newest}")
+
+
+def _check_chain(orders: list[OrderRecord]) -> None:
+    """Every acknowledged order stands on one that is in force, or may be."""
+    possible = {NO_VERSION} | {order.version for order in orders if order.valid and not order.refused}
+    winners = {order.version: order for order in orders if order.acknowledged}
+    for order in winners.values():
+        base = _base(order)
+        if base not in possible:
+            raise Violation("broken-chain", f"order {order.number} on base {base}")
+        between = [version for version in winners if base < version < order.version]
+        if between:
+            raise Violation("order-lost", f"order {order.number} on {base} steps over {between}")
+
+
+def _check_reads(history: History) -> None:
+    """A read is as new as all that was acknowledged, or read, before it began."""
+    settled = [
+        (order.ended_at, order.version, f"order {order.number}")
+        for order in history.orders
+        if order.version and order.acknowledged and order.ended_at is not None
+    ]
+    settled += [(read.ended_at, read.version, f"a read by {read.answered_by}") for read in history.reads]
+    settled.sort()
+    newest, source, position = NO_VERSION, "", 0
+    for read in sorted(history.reads, key=lambda read: read.invoked_at):
+        while position < len(settled) and settled[position][0] < read.invoked_at:
+            if settled[position][1] > newest:
+                newest, source = settled[position][1], settled[position][2]
+            position += 1
+        if read.version < newest:
+            raise Violation("stale-read", f"{read} after {newest} of {source}")
+        _check_read_content(history, read)
+
+
+def _check_read_content(history: History, read: ReadRecord) -> None:
+    order = history.order(read.order)
+    if order is None:
+        return
+    if order.refused or not order.valid:
+        raise Violation("refused-in-force", f"{read}")
+    if order.version != read.version:
+        raise Violation("wrong-content", f"{read} of order {order.number} for {order.version}")
+
+
+def check_evacuations(history: History, evacuated: frozenset[str]) -> None:
+    """The zones that are evacuated at the end, by a register for each zone."""
+    by_zone: defaultdict[str, list[OrderRecord]] = defaultdict(list)
+    for order in history.orders:
+        if isinstance(order.order, BeginEvacuation | FinishEvacuation):
+            by_zone[order.order.zone].append(order)
+    for zone, orders in by_zone.items():
+        if (zone in evacuated) not in _final_states(orders):
+            told = [(one.number, type(one.order).__name__, one.outcome.name) for one in orders[-4:]]
+            raise Violation("evacuation", f"zone {zone} is in {sorted(evacuated)} against {told}")
+
+
+def _final_states(orders: list[OrderRecord]) -> set[bool]:
+    """What a zone may be after these orders: each one that no acknowledged order followed may be the last."""
+    acknowledged = [order for order in orders if order.acknowledged]
+    last = [
+        order
+        for order in orders
+        if not any(_follows(later, order) for later in acknowledged if later is not order)
+    ]
+    states = {isinstance(order.order, BeginEvacuation) for order in last}
+    return states if acknowledged else states | {False}
+
+
+def _follows(later: OrderRecord, order: OrderRecord) -> bool:
+    return order.acknowledged and order.ended_at is not None and order.ended_at < later.invoked_at
--- /dev/null
+++ b/brackenladder/simulation/disk.py
@@ -0,0 +1,145 @@
+"""A machine's disk in virtual time: it syncs, hangs, refuses, forgets what was not synced, or is lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from random import Random
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from brackenladder.consensus.types import DurableState, Write
+from brackenladder.simulation.virtual_loop import MICROSECONDS, Process, VirtualEventLoop
+from brackenladder.storage.log_store import StoreError, StoreFull
+from brackenladder.storage.memory_log import MemoryLogStore
+from brackenladder.storage.writer import Done
+
+SYNC_TIME = 2_000  # microseconds
+HANG_LOOK = 20_000  # microseconds between two looks whether a hanging disk answers again
+
+
+class Disk:
+    """What outlasts a process, and a loss of power."""
+
+    def __init__(self, loop: VirtualEventLoop, random: Random, replica_id: str) -> None:
+        self.loop = loop
+        self.random = random
+        self.log = MemoryLogStore(replica_id)
+        self.restart_file = b""
+        self.sync_time = SYNC_TIME
+        self.hangs = False
+        self.full = False
+        self.written = 0  # writes that became durable
+        self.made_at = loop.microseconds
+
+    @property
+    def replica_id(self) -> str:
+        """The id of the replica whose log it holds."""
+        return self.log.identity.replica_id
+
+    def load(self) -> DurableState:
+        """What a process that starts now finds."""
+        self.log = self.log.reopen()
+        return self.log.load().unwrap()
+
+    def apply(self, write: Write) -> Result[None, StoreError]:
+        """Makes a write durable."""
+        if self.full:
+            return Failure(StoreFull("no room"))
+        self.written += 1
+        return self.log.apply(write)
+
+
+@frozen
+class _Pending:
+    write: Write
+    done: Done
+
+
+class SimulatedWriter:
+    """The `StoreWriter` of one process: writes become durable one batch after another."""
+
+    def __init__(self, disk: Disk, process: Process) -> None:
+        self._disk = disk
+        self._process = process
+        self._queue: deque[_Pending] = deque()
+        self._under_way: tuple[_Pending, ...] = ()
+        self._lost = False
+
+    def submit(self, write: Write, done: Done) -> None:
+        """See `StoreWriter.submit`."""
+        self._queue.append(_Pending(write, done))
+        self._begin()
+
+    def close(self) -> None:
+        """What was submitted is still written."""
+
+    def join(self, timeout_s: float) -> bool:
+        """Nobody waits in a simulated run."""
+        return True
+
+    def power_lost(self) -> None:
+        """The batch under way is durable as a whole or not at all; what waits behind it is gone."""
+        self._lost = True
+        if self._under_way and self._disk.random.random() < 0.5:
+            for pending in self._under_way:
+                self._disk.apply(pending.write)
+
+    def killed(self) -> None:
+        """The process has ended; the system writes on what it was given."""
+        self._lost = True
+        for pending in self._under_way:
+            self._disk.apply(pending.write)
+
+    def _begin(self) -> None:
+        if self._under_way or not self._queue:
+            return
+        self._under_way = tuple(self._queue)
+        self._queue.clear()
+        self._later(self._disk.sync_time)
+
+    def _later(self, delay: int) -> None:
+        loop = self._disk.loop
+        loop.call_outside(loop.microseconds + delay, self._end)
+
+    def _end(self) -> None:
+        if self._lost:
+            return
+        if self._disk.hangs:
+            self._later(HANG_LOOK)
+            return
+        finished, self._under_way = self._under_way, ()
+        for pending in finished:
+            result = self._disk.apply(pending.write)
+            self._tell(pending, result)
+        self._begin()
+
+    def _tell(self, pending: _Pending, result: Result[None, StoreError]) -> None:
+        process = self._process
+        process.when_running(lambda: process.enter(pending.done, pending.write, result))
+
+
+class SimulatedRestartFile:
+    """The `RestartFile` of one process."""
+
+    def __init__(self, disk: Disk) -> None:
+        self._disk = disk
+
+    async def read(self) -> Result[bytes, StoreError]:
+        """See `RestartFile`."""
+        await self._wait()
+        return Success(self._disk.restart_file)
+
+    async def write(self, data: bytes) -> Result[None, StoreError]:
+        """See `RestartFile`."""
+        await self._wait()
+        if self._disk.full:
+            return Failure(StoreFull("no room"))
+        self._disk.restart_file = data
+        return Success(None)
+
+    async def _wait(self) -> None:
+        await asyncio.sleep(self._disk.sync_time / MICROSECONDS)
+        while self._disk.hangs:
+            await asyncio.sleep(HANG_LOOK / MICROSECONDS)
--- /dev/null
+++ b/brackenladder/simulation/faults.py
@@ -0,0 +1,207 @@
+"""The faults that can strike a simulated system. Each ends what it has begun."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable
+
+from brackenladder.simulation.machines import ControlMachine
+from brackenladder.simulation.world import SECOND, World
+
+CATCH_UP_TIME = 4 * SECOND  # from the end of a machine's trouble until it counts again
+LARGE_CATCH_UP_TIME = 6 * SECOND  # the same where there are `LARGE` control machines or more
+LARGE = 5
+
+
+class Faults:
+    """Strikes a world. Only as many disks are lost at a time as the members can bear."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self._random = world.random
+        self._afflicted: Counter[str] = Counter()  # faults under way, by machine
+        self._well_since: dict[str, int] = {}
+
+    # -- the network
+
+    async def cut(self, machine: ControlMachine, others: Iterable[str], seconds: float, how: str) -> None:
+        """Parts a machine from others; `how`: both, in (it hears nothing) or out (nobody hears it)."""
+        network = self.world.network
+        names = [name for name in others if name != machine.name]
+        self._begin(f"cut-{how}", machine)
+        for name in names:
+            if how in ("both", "out"):
+                network.cut_one_way(machine.name, name)
+            if how in ("both", "in"):
+                network.cut_one_way(name, machine.name)
+        self.world.isolation.update(self.world.now)
+        await asyncio.sleep(seconds)
+        for name in names:
+            network.heal(machine.name, name)
+        self._end(f"cut-{how}", machine)
+
+    def peers_of(self, machine: ControlMachine) -> list[str]:
+        """The other control machines."""
+        return [other.name for other in self.world.machines if other is not machine]
+
+    def everyone(self) -> list[str]:
+        """Every machine and actor."""
+        return list(self.world.network.places)
+
+    def reset_links(self, machine: ControlMachine) -> None:
+        """Ends all links of a machine; what is under way on them is lost."""
+        for other in list(self.world.network.places):
+            self.world.network.lose_links(machine.name, other)
+        self.world.disturbed("reset", machine)
+
+    async def squeeze(self, machine: ControlMachine, megabits: float, seconds: float) -> None:
+        """Takes bandwidth from a machine's link."""
+        usual = machine.place.megabits
+        self._begin("squeeze", machine)
+        machine.place.megabits = megabits
+        await asyncio.sleep(seconds)
+        machine.place.megabits = usual
+        self._end("squeeze", machine)
+
+    # -- processes
+
+    async def kill(self, machines: Iterable[ControlMachine], power: bool, dark: float) -> None:
+        """Ends processes at one moment, by a kill or by a loss of power; they come back after `dark`."""
+        struck = [machine for machine in machines if machine.up]
+        kind = "power" if power else "kill"
+        for machine in struck:
+            self._begin(kind, machine)
+            machine.thaw_before_end()
+            if power:
+                machine.lose_power()
+            else:
+                machine.kill()
+        self.world.isolation.update(self.world.now)
+        await asyncio.sleep(dark)
+        for machine in struck:
+            self._boot(machine)
+            self._end(kind, machine)
+
+    async def freeze(self, machine: ControlMachine, seconds: float) -> None:
+        """Takes the processor from a machine for a while."""
+        process = machine.process
+        if process is None or not process.runs:
+            return
+        self._begin("freeze", machine)
+        process.freeze()
+        self.world.isolation.update(self.world.now)
+        await asyncio.sleep(seconds)
+        process.thaw()
+        self._end("freeze", machine)
+
+    def restart_gateway(self) -> None:
+        """A gateway's process ends and comes back with an empty view."""
+        gateway = self._random.choice(self.world.gateways)
+        gateway.kill()
+        gateway.boot()
+        self.world.disturbed("gateway-restart")
+
+    # -- disks
+
+    def may_lose_disk(self, machine: ControlMachine) -> bool:
+        """Whether a majority of the present members still has its disks without this one's."""
+        world = self.world
+        if world.leader() is None or not self._counts(machine):
+            return False
+        lost = [other for other in world.machines if not self._counts(other)]
+        return 2 * (len(lost) + 1) < len(world.machines)
+
+    def _counts(self, machine: ControlMachine) -> bool:
+        """Whether a machine is well, and has been for as long as it may take to catch up."""
+        catch_up = LARGE_CATCH_UP_TIME if len(self.world.machines) >= LARGE else CATCH_UP_TIME
+        well_since = self._well_since.get(machine.name, 0)
+        return machine.runs and not self._afflicted[machine.name] and well_since <= self.world.now - catch_up
+
+    async def lose_disk(self, machine: ControlMachine, dark: float) -> None:
+        """A machine loses power and its disk, and comes back at its address with an empty one."""
+        if not machine.up or not self.may_lose_disk(machine):
+            return
+        self._begin("wipe", machine)
+        machine.thaw_before_end()
+        machine.lose_power()
+        machine.lose_disk()
+        self.world.isolation.update(self.world.now)
+        await asyncio.sleep(dark)
+        self._boot(machine)
+        self._end("wipe", machine)
+
+    async def replace(self, machine: ControlMachine, dark: float) -> None:
+        """A machine is gone for good; an empty one comes at another address."""
+        if not machine.up or not self.may_lose_disk(machine):
+            return
+        self._begin("replace", machine)
+        machine.thaw_before_end()
+        machine.lose_power()
+        self.world.machines.remove(machine)
+        successor = self.world.add_machine()
+        self._afflicted[successor.name] += 1
+        await asyncio.sleep(dark)
+        self._boot(successor)
+        self._end("replace", successor)
+
+    async def hang_disk(self, machine: ControlMachine, seconds: float) -> None:
+        """A disk answers nothing for a while."""
+        await self._trouble_disk(machine, seconds, "disk-hang")
+
+    async def fill_disk(self, machine: ControlMachine, seconds: float) -> None:
+        """A disk takes no more bytes for a while."""
+        await self._trouble_disk(machine, seconds, "disk-full")
+
+    async def slow_disk(self, machine: ControlMachine, seconds: float) -> None:
+        """A disk takes thirty times as long for a while."""
+        disk = machine.disk
+        self._begin("disk-slow", machine)
+        usual = disk.sync_time
+        disk.sync_time = 30 * usual
+        await asyncio.sleep(seconds)
+        disk.sync_time = usual
+        self._end("disk-slow", machine)
+
+    async def _trouble_disk(self, machine: ControlMachine, seconds: float, kind: str) -> None:
+        disk = machine.disk
+        self._begin(kind, machine)
+        disk.hangs, disk.full = kind == "disk-hang", kind == "disk-full"
+        await asyncio.sleep(seconds)
+        disk.hangs = disk.full = False
+        self._end(kind, machine)
+
+    # -- the end
+
+    def heal(self) -> None:
+        """Ends all faults at once."""
+        world = self.world
+        world.network.heal_all()
+        for machine in world.machines:
+            machine.disk.hangs = machine.disk.full = False
+            machine.place.megabits = world.scenario.site.megabits
+            if machine.process is not None:
+                machine.process.thaw()
+            if not machine.up:
+                self._boot(machine)
+        world.disturbed("heal")
+        world.disturbances = 0
+        self._afflicted.clear()
+
+    # -- inner parts
+
+    def _begin(self, kind: str, machine: ControlMachine) -> None:
+        self.world.disturbances += 1
+        self._afflicted[machine.name] += 1
+        self.world.disturbed(kind, machine)
+
+    def _end(self, kind: str, machine: ControlMachine) -> None:
+        self.world.disturbances -= 1
+        self._afflicted[machine.name] -= 1
+        self._well_since[machine.name] = self.world.now
+        self.world.disturbed(f"{kind}-end")
+
+    def _boot(self, machine: ControlMachine) -> None:
+        if not machine.up and machine in self.world.machines:
+            machine.boot()
+            self.world.isolation.update(self.world.now)
--- /dev/null
+++ b/brackenladder/simulation/isolation.py
@@ -0,0 +1,81 @@
+"""Since when a control machine has had no contact with a majority of the voters, by the faults alone."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from brackenladder.simulation.machines import ControlMachine
+from brackenladder.simulation.network import SimulatedNetwork
+
+STILL = 1 << 62  # the end of a span that has not ended
+
+
+@frozen
+class _Span:
+    since: int
+    until: int
+
+
+class Isolation:
+    """To be told after each fault, each repair and now and then. Times are microseconds of the run."""
+
+    def __init__(self, network: SimulatedNetwork, machines: list[ControlMachine]) -> None:
+        self._network = network
+        self._machines = machines
+        self._voters: frozenset[str] = frozenset()  # replica ids, of the newest members that were known
+        self._newest = (0, 0)
+        self._spans: dict[str, list[_Span]] = {}
+
+    def update(self, now: int) -> None:
+        """Links, machines or members have changed."""
+        self._follow_members()
+        for machine in self._machines:
+            if machine.runs and not self._in_contact(machine):
+                self._begin(now, machine.name)
+            else:
+                self._end(now, machine.name)
+
+    def alone_for(self, moment: int, name: str) -> int:
+        """Microseconds for which a running machine had been without a majority then; 0: it had one."""
+        for span in self._spans.get(name, ()):
+            if span.since <= moment < span.until:
+                return moment - span.since
+        return 0
+
+    def _begin(self, now: int, name: str) -> None:
+        spans = self._spans.setdefault(name, [])
+        if not spans or spans[-1].until != STILL:
+            spans.append(_Span(now, STILL))
+
+    def _end(self, now: int, name: str) -> None:
+        spans = self._spans.get(name)
+        if spans and spans[-1].until == STILL:
+            spans[-1] = _Span(spans[-1].since, now)
+
+    def _in_contact(self, machine: ControlMachine) -> bool:
+        """Whether it, or one that it reaches and that may lead, reaches a majority."""
+        return any(self._reaches_majority(other) for other in self._machines if self._joined(machine, other))
+
+    def _reaches_majority(self, machine: ControlMachine) -> bool:
+        reached = sum(
+            other.disk.replica_id in self._voters and self._joined(machine, other) for other in self._machines
+        )
+        return 2 * reached > len(self._voters)
+
+    def _follow_members(self) -> None:
+        for machine in self._machines:
+            if machine.node is None:
+                continue
+            replica = machine.node.host.replica
+            age = (replica.term, replica.last_index)
+            if age >= self._newest and replica.members.voters:
+                self._newest = age
+                self._voters = frozenset(voter.replica_id for voter in replica.members.voters)
+
+    def _joined(self, one: ControlMachine, other: ControlMachine) -> bool:
+        if one is other:
+            return True
+        if not other.runs:
+            return False
+        network = self._network
+        return not network.is_cut(one.name, other.name) and not network.is_cut(other.name, one.name)
--- /dev/null
+++ b/brackenladder/simulation/machines.py
@@ -0,0 +1,321 @@
+"""The machines of a simulated run: control nodes with a disk, and the control side of gateways."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from attrs import frozen
+
+from brackenladder.consensus.members import genesis_replica_id
+from brackenladder.consensus.types import Members
+from brackenladder.control_plane.control_node import ControlNode, ReplicaStart, Surroundings
+from brackenladder.control_plane.http_server import Handler
+from brackenladder.control_plane.wire import control_codec, gateway_codec
+from brackenladder.delivery.presence import Presence
+from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.node.control_links import ControlLinks
+from brackenladder.platform_settings import Listen, Platform, PortRange, Tolerate
+from brackenladder.prefix_cache.messages import PrefixNotices
+from brackenladder.prefix_cache.relay_choice import RelayChoice
+from brackenladder.registry.gateways import GatewayState
+from brackenladder.registry.recall import HealthAnswer, RememberedServer
+from brackenladder.simulation.disk import Disk, SimulatedRestartFile, SimulatedWriter
+from brackenladder.simulation.documents import order_of
+from brackenladder.simulation.network import SimulatedNetwork
+from brackenladder.simulation.virtual_loop import Process, VirtualEventLoop
+
+CONTROL_PORT = 8146
+INNER_PORT = 7660
+FRONT_PORT = 8144
+GATEWAY_TICK_SECONDS = 0.2
+HEARTBEAT_MS = 1200
+
+ZONES = {"north-1": "north", "south-1": "south", "east-1": "east", "north-2": "north", "south-2": "south"}
+
+
+class UnusedListener:
+    """A listener at which nobody calls: actors call the handlers' objects themselves."""
+
+    def __init__(self, _handler: Handler) -> None:
+        pass
+
+    async def listen(self, address: str) -> None:
+        """See `Listener`."""
+
+    async def close(self, grace_seconds: float) -> None:
+        """See `Listener`."""
+
+
+class UnansweredChecks:
+    """Health checks that no server answers."""
+
+    async def ask_all(self, servers: object) -> list[HealthAnswer]:
+        """See `HealthChecks`."""
+        assert isinstance(servers, tuple)
+        return [HealthAnswer("") for server in servers if isinstance(server, RememberedServer)]
+
+
+@frozen
+class Site:
+    """Where the machines of a run are. `megabits`: the bandwidth of each machine's link, a second."""
+
+    control_nodes: int = 3
+    gateways: int = 3
+    megabits: float = 1000.0
+
+
+class ControlMachine:
+    """A machine that runs a control node on a disk of its own."""
+
+    node_type: type[ControlNode] = ControlNode
+
+    def __init__(
+        self,
+        network: SimulatedNetwork,
+        random: Random,
+        number: int,
+        seeds: Callable[[], tuple[str, ...]],
+        tolerated: int,
+        megabits: float,
+    ) -> None:
+        """`seeds`: what its settings name; `tolerated`: how many machines may be lost at a time."""
+        self.number = number
+        self.name = f"control-{number}"
+        self.zone = tuple(ZONES)[number % len(ZONES)]
+        self.region = ZONES[self.zone]
+        self.ip = f"10.0.0.{number + 1}"
+        self.place = network.add_place(self.name, self.region, megabits)
+        self.node: ControlNode | None = None
+        self.process: Process | None = None
+        self.starts = 0
+        self._network = network
+        self._loop: VirtualEventLoop = network.loop
+        self._random = random
+        self._seeds = seeds
+        self._tolerated = tolerated
+        self._writer: SimulatedWriter | None = None
+        self._disks = 0
+        self.disk = Disk(self._loop, random, genesis_replica_id(self.inner_address))
+
+    @property
+    def inner_address(self) -> str:
+        """Where it listens for other nodes."""
+        return f"{self.ip}:{INNER_PORT}"
+
+    @property
+    def control_address(self) -> str:
+        """Where operators and servers call it."""
+        return f"{self.ip}:{CONTROL_PORT}"
+
+    @property
+    def runs(self) -> bool:
+        """Whether its process is there and gets the processor."""
+        return self.process is not None and self.process.runs
+
+    @property
+    def up(self) -> bool:
+        """Whether its process is there, if only frozen."""
+        return self.node is not None
+
+    def boot(self, genesis: Members | None = None) -> None:
+        """Starts the program on what the disk holds."""
+        process = Process(f"{self.name}.{self.starts}")
+        self.starts += 1
+        self.process = self.place.process = process
+        process.enter(self._start, genesis, process)
+
+    def _start(self, genesis: Members | None, process: Process) -> None:
+        self._writer = SimulatedWriter(self.disk, process)
+        surroundings = Surroundings(UnusedListener, SimulatedRestartFile(self.disk), UnansweredChecks)
+        node = self.node_type(
+            self._platform(),
+            ReplicaStart(self.disk.replica_id, self.disk.load(), genesis),
+            self._writer,
+            self._network.transport(self.name, control_codec()),
+            lambda: self._loop.microseconds,
+            Random(self._random.getrandbits(64)),
+            surroundings=surroundings,
+        )
+        self.node = node
+        self._loop.create_task(node.start())
+
+    def kill(self) -> None:
+        """The process ends; the system tells its neighbours."""
+        if self._writer is not None:
+            self._writer.killed()
+        self._end()
+        self._network.kill(self.name)
+
+    def lose_power(self) -> None:
+        """The machine falls silent, and forgets what was not synced."""
+        if self._writer is not None:
+            self._writer.power_lost()
+        self._end()
+        self._network.power_off(self.name)
+
+    def thaw_before_end(self) -> None:
+        """A frozen process ends as it is; nothing of it runs any more."""
+        if self.process is not None:
+            self.process.end()
+
+    def lose_disk(self) -> None:
+        """The machine, which is down, has an empty disk from now on."""
+        self._disks += 1
+        self.disk = Disk(self._loop, self._random, f"disk-{self.number}-{self._disks}")
+
+    def _end(self) -> None:
+        if self.process is not None:
+            self.process.end()
+        self.process = self.place.process = None
+        self.node = None
+        self._writer = None
+
+    def _platform(self) -> Platform:
+        return Platform(
+            node_name=self.name,
+            role="control",
+            machine_class="core",
+            serves=("control", "directory"),
+            ip=self.ip,
+            zone=self.zone,
+            region=self.region,
+            ports=PortRange(INNER_PORT, INNER_PORT + 7),
+            seeds=self._seeds(),
+            heartbeat_ms=HEARTBEAT_MS,
+            tolerate=Tolerate(machines=self._tolerated),
+            zones=dict(ZONES),
+            listen=Listen(control=self.control_address),
+        )
+
+
+@frozen
+class ViewSeen:
+    """What a gateway's view showed after it changed. Times are microseconds of the run."""
+
+    at: int
+    gateway: int
+    start: int  # which start of the gateway's process
+    revision: int
+    version: int  # of the configuration; 0: it has none
+    order: int  # that made the configuration, by its marker; 0: none
+    evacuated: frozenset[str]
+    told_by: str  # inner address of the control node
+    first: bool  # the gateway had none before, since its start
+
+
+class GatewayMachine:
+    """A machine that runs the control side of a gateway: its links, and the view they fill."""
+
+    def __init__(
+        self,
+        network: SimulatedNetwork,
+        random: Random,
+        number: int,
+        control_addresses: tuple[str, ...],
+        megabits: float,
+        seen: Callable[[ViewSeen], None],
+    ) -> None:
+        self.number = number
+        self.name = f"gateway-{number}"
+        self.zone = tuple(ZONES)[number % len(ZONES)]
+        self.region = ZONES[self.zone]
+        self.place = network.add_place(self.name, self.region, megabits)
+        self.process: Process | None = None
+        self.subscriber = Subscriber()
+        self.ready = False
+        self.starts = 0
+        self._network = network
+        self._loop: VirtualEventLoop = network.loop
+        self._random = random
+        self._control_addresses = control_addresses
+        self._seen = seen
+        self._links: ControlLinks
+        self._presence: Presence
+
+    @property
+    def runs(self) -> bool:
+        """Whether its process is there and gets the processor."""
+        return self.process is not None and self.process.runs
+
+    def boot(self) -> None:
+        """Starts the process with an empty view."""
+        process = Process(f"{self.name}.{self.starts}")
+        self.starts += 1
+        self.process = self.place.process = process
+        process.enter(self._start)
+
+    def kill(self) -> None:
+        """The process ends."""
+        if self.process is not None:
+            self.process.end()
+        self.process = self.place.process = None
+        self.ready = False
+        self._network.kill(self.name)
+
+    def _start(self) -> None:
+        self.subscriber = _WatchedSubscriber(self._note)
+        self.ready = False
+        self._presence = Presence(
+            self.name,
+            f"10.0.1.{self.number + 1}:{FRONT_PORT}",
+            self.zone,
+            self.region,
+            self._loop.microseconds,
+        )
+        self._links = ControlLinks(
+            self._network.transport(self.name, gateway_codec()),
+            self.subscriber,
+            self._presence,
+            lambda: self._loop.microseconds,
+            Random(self._random.getrandbits(64)),
+            RelayChoice(self.name, self.zone, ZONES),
+            _ignore_notices,
+        )
+        self._links.set_seeds(self._control_addresses)
+        self._tick()
+
+    def _tick(self) -> None:
+        self._loop.call_later(GATEWAY_TICK_SECONDS, self._tick)
+        now = self._loop.microseconds
+        self.subscriber.tick(now)
+        self._links.tick()
+        if not self.ready and self.subscriber.ready_by_timeout(now):
+            self.ready = True
+            self._presence.set_state(GatewayState.READY)
+
+    def _note(self, told_by: str, first: bool) -> None:
+        view = self.subscriber.view
+        configuration = view.configuration
+        seen = ViewSeen(
+            at=self._loop.microseconds,
+            gateway=self.number,
+            start=self.starts,
+            revision=view.revision,
+            version=0 if configuration is None else configuration.version,
+            order=0 if configuration is None else order_of(route.prefix for route in configuration.routes),
+            evacuated=view.evacuated,
+            told_by=told_by,
+            first=first,
+        )
+        self._seen(seen)
+
+
+class _WatchedSubscriber(Subscriber):
+    """Tells of each change of the catalog, and who has brought it."""
+
+    def __init__(self, changed: Callable[[str, bool], None]) -> None:
+        super().__init__()
+        self._changed = changed
+
+    def told(self, now: int, control_address: str, message: object) -> tuple[object, ...]:
+        """See `Subscriber.told`."""
+        revision = self.view.revision
+        answers = super().told(now, control_address, message)
+        if self.view.revision != revision:
+            self._changed(control_address, revision == 0)
+        return answers
+
+
+def _ignore_notices(_notices: PrefixNotices) -> None:
+    """Prefix notices are hints about prompts, which no actor sends."""
--- /dev/null
+++ b/brackenladder/simulation/network.py
@@ -0,0 +1,190 @@
+"""The network of a simulated run: latency, bandwidth, cuts in one direction or both, and silent ends.
+
+It carries links of the memory transport. As over TCP, what a cut holds up arrives once the cut has ended,
+unless its sender has reset the link meanwhile; a link that hears nothing for long ends.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from brackenladder.simulation.virtual_loop import Process, ProcessState, VirtualEventLoop
+from brackenladder.transport.codec import Codec
+from brackenladder.transport.errors import LinkClosed
+from brackenladder.transport.link import LinkHandler, LinkTiming
+from brackenladder.transport.memory import MemoryDialer, MemoryNetwork, MemoryTransport
+from brackenladder.transport.memory_link import Delivery, Event, MemoryLink
+
+SWEEP_SECONDS = 0.1  # between two looks at silent links and idle dialers
+BITS_PER_BYTE = 8
+PACKET_BYTES = 60  # of an event that carries no message
+OTHER_REGION_LATENCY = 35_000  # microseconds one way
+SAME_REGION_LATENCY = 900
+
+
+class TimedLink(MemoryLink):
+    """An end of a link that knows when it last heard the other one."""
+
+    heard_at = 0
+    clock: Callable[[], int]
+
+    @property
+    def silence(self) -> int:
+        """See `Link.silence`."""
+        return self.clock() - self.heard_at
+
+
+class Place:
+    """A machine as the network sees it."""
+
+    def __init__(self, name: str, region: str, megabits: float) -> None:
+        self.name = name
+        self.region = region
+        self.megabits = megabits
+        self.process: Process | None = None
+        self.sends_until = 0  # when the bytes on the way out have left
+
+    @property
+    def frozen(self) -> bool:
+        """Whether its process stands still."""
+        return self.process is not None and self.process.state is ProcessState.FROZEN
+
+
+class SimulatedNetwork(MemoryNetwork):
+    """A `MemoryNetwork` whose events take time. Machines are named; each runs one process at a time."""
+
+    def __init__(self, loop: VirtualEventLoop, codec: Codec, timing: LinkTiming | None = None) -> None:
+        super().__init__(codec)
+        self.loop = loop
+        self.timing = timing or LinkTiming()
+        self.places: dict[str, Place] = {}
+        self.bytes_sent = 0
+        self.delivered = 0
+        self._arrivals: dict[tuple[str, str], int] = {}  # the latest one by direction
+        self._held_up: dict[tuple[str, str], deque[Event]] = {}
+        loop.call_later(SWEEP_SECONDS, self._sweep)
+
+    def add_place(self, name: str, region: str, megabits: float) -> Place:
+        """A machine is there from now on."""
+        place = Place(name, region, megabits)
+        self.places[name] = place
+        return place
+
+    def transport(self, name: str, codec: Codec) -> SimulatedTransport:
+        """A transport of the process that runs on a machine now."""
+        return SimulatedTransport(self, name, codec=codec)
+
+    def latency(self, one: str, other: str) -> int:
+        """Microseconds that a packet takes from one machine to another."""
+        if one == other:
+            return 0
+        same = self.places[one].region == self.places[other].region
+        return SAME_REGION_LATENCY if same else OTHER_REGION_LATENCY
+
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        """Whether nothing gets from one machine to another."""
+        return (sender, receiver) in self._cuts
+
+    # -- events
+
+    def queue(self, event: Event) -> None:
+        """Lets an event happen after the time that it takes."""
+        direction = (event.sender, event.receiver)
+        if event.sender == event.receiver:
+            self.loop.call_outside(self.loop.microseconds, self._happen, event)
+            return
+        arrival = self._arrival(direction, event.size if isinstance(event, Delivery) else PACKET_BYTES)
+        self.loop.call_outside(arrival, self._arrive, direction, event)
+
+    def _arrival(self, direction: tuple[str, str], size: int) -> int:
+        sender = self.places[direction[0]]
+        now = self.loop.microseconds
+        self.bytes_sent += size
+        begins = max(now, sender.sends_until)
+        sender.sends_until = begins + int(size * BITS_PER_BYTE / sender.megabits)
+        arrival = sender.sends_until + self.latency(*direction)
+        arrival = max(arrival, self._arrivals.get(direction, 0) + 1)
+        self._arrivals[direction] = arrival
+        return arrival
+
+    def _arrive(self, direction: tuple[str, str], event: Event) -> None:
+        held_up = self._held_up.get(direction)
+        if held_up is not None:
+            held_up.append(event)
+        elif direction in self._cuts:
+            self._held_up[direction] = deque([event])
+        else:
+            self._happen(event)
+
+    def _happen(self, event: Event) -> None:
+        process = self.places[event.receiver].process
+        if process is not None:
+            self.delivered += 1
+            process.when_running(lambda: process.enter(event.happen))
+
+    # -- faults
+
+    def heal(self, one: str, other: str) -> None:
+        """Ends the cuts between two machines."""
+        self._cuts -= {(one, other), (other, one)}
+        self._release_held_up()
+
+    def heal_all(self) -> None:
+        """Ends all cuts."""
+        self._cuts.clear()
+        self._release_held_up()
+
+    def _release_held_up(self) -> None:
+        for direction in [each for each in self._held_up if each not in self._cuts]:
+            events = self._held_up.pop(direction)
+            for event in events:
+                arrival = self._arrival(direction, PACKET_BYTES)
+                self.loop.call_outside(arrival, self._arrive, direction, event)
+
+    # -- time
+
+    def _sweep(self) -> None:
+        self.loop.call_later(SWEEP_SECONDS, self._sweep)
+        now = self.loop.microseconds
+        for link in self._standing():
+            if isinstance(link, TimedLink):
+                self._watch(now, link)
+        for dialer in list(self._dialers):
+            process = self.places[dialer.transport.name].process
+            if process is not None and process.runs:
+                dialer.try_again()
+
+    def _watch(self, now: int, link: TimedLink) -> None:
+        if self.places[link.owner].frozen or self._hears(link):
+            link.heard_at = now
+        elif now - link.heard_at >= self.timing.silence:
+            process = self.places[link.owner].process
+            if process is not None:
+                process.enter(link.abort, LinkClosed.SILENT)
+
+    def _hears(self, link: TimedLink) -> bool:
+        other = link.other
+        cut = (other.owner, link.owner) in self._cuts
+        return not cut and other not in self._gone and not self.places[other.owner].frozen
+
+    def connect(self, dialer: MemoryDialer) -> MemoryLink | LinkClosed:
+        """See `MemoryNetwork.connect`; a machine that stands still greets nobody."""
+        listener = self._listeners.get(dialer.address)
+        if listener is not None and self.places[listener.transport.name].frozen:
+            return LinkClosed.UNREACHABLE
+        return super().connect(dialer)
+
+
+class SimulatedTransport(MemoryTransport):
+    """A `MemoryTransport` on a `SimulatedNetwork`."""
+
+    network: SimulatedNetwork
+
+    def make_link(self, handler: LinkHandler, ended: Callable[[MemoryLink, LinkClosed], None]) -> MemoryLink:
+        """One end of a new link."""
+        network = self.network
+        link = TimedLink(self.name, self._codec, self.limits, handler, network.queue, ended)
+        link.clock = lambda: network.loop.microseconds
+        link.heard_at = network.loop.microseconds
+        return link
--- /dev/null
+++ b/brackenladder/simulation/operators.py
@@ -0,0 +1,226 @@
+"""Operators who change the configuration, evacuate zones and read back, whatever becomes of their calls."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from attrs import frozen
+from returns.result import Success
+
+from brackenladder.catalog.orders import (
+    BeginEvacuation,
+    FinishEvacuation,
+    Order,
+    ReplaceConfiguration,
+    UpdateConfiguration,
+    encode_order,
+)
+from brackenladder.control_plane.control_node import ControlNode
+from brackenladder.control_plane.messages import OrderOutcome, OrderReply
+from brackenladder.simulation.calls import Call, make_call
+from brackenladder.simulation.documents import invalid, read_back, replacement, update
+from brackenladder.simulation.errors import Violation
+from brackenladder.simulation.history import History, OrderRecord, Outcome, ReadRecord
+from brackenladder.simulation.machines import ZONES, ControlMachine
+from brackenladder.simulation.network import SimulatedNetwork
+from brackenladder.simulation.virtual_loop import MICROSECONDS, Process
+
+PATIENCE_SECONDS = 1.0  # for an answer, beside the time that a large body takes
+FIRST_PAUSE_SECONDS = 0.1  # before a call is repeated; grows
+LONGEST_PAUSE_SECONDS = 1.0
+EVACUATION_SECONDS = 5.0  # longest repetition of an order that is no configuration
+ORDER_BYTES = 300
+BITS_PER_BYTE = 8
+
+OUTCOMES = {
+    OrderOutcome.ACCEPTED: Outcome.ACKNOWLEDGED,
+    OrderOutcome.CONFLICT: Outcome.CONFLICT,
+    OrderOutcome.INVALID: Outcome.INVALID,
+}
+
+
+@frozen
+class Habits:
+    """What operators do. Shares are of all their actions."""
+
+    pause: float = 0.5  # mean seconds between two actions
+    in_flight: int = 2  # actions of one operator at a time
+    updates: float = 0.3  # of the configurations
+    invalid: float = 0.1  # of the configurations
+    evacuations: float = 0.15
+    reads: float = 0.15
+    repeats: float = 0.1  # an acknowledged order arrives again
+    answers_lost: float = 0.1
+    largest: int = 2_000  # bytes of a configuration
+    patience: float = 12.0  # seconds for which a configuration without a clear answer is repeated
+
+
+class Operator:
+    """One operator with a connection to every control node."""
+
+    def __init__(
+        self,
+        name: str,
+        network: SimulatedNetwork,
+        machines: list[ControlMachine],
+        history: History,
+        habits: Habits,
+        random: Random,
+    ) -> None:
+        self.name = name
+        self.habits = habits
+        self.active = True
+        self._network = network
+        self._machines = machines
+        self._history = history
+        self._random = random
+        self._known_version = 0
+        self._zone_locks = {zone: asyncio.Lock() for zone in ZONES}
+        network.add_place(name, "north", 1000.0).process = Process(name)
+
+    async def work(self) -> None:
+        """Acts until `active` is taken away; then ends what is under way."""
+        under_way: set[asyncio.Task[None]] = set()
+        while self.active:
+            if len(under_way) < self.habits.in_flight:
+                under_way.add(asyncio.get_running_loop().create_task(self._act()))
+            await asyncio.sleep(self.habits.pause * self._random.uniform(0.3, 1.7))
+            under_way = {task for task in under_way if not task.done()}
+        await asyncio.gather(*under_way)
+
+    async def read(self) -> ReadRecord | None:
+        """Reads the configuration back from one node."""
+        invoked_at = self._now()
+        call = self._call(self._choose(), _fetch)
+        document = await make_call(call, ORDER_BYTES, PATIENCE_SECONDS)
+        if document is None:
+            return None
+        version, order = read_back(document)
+        record = ReadRecord(
+            self.name, invoked_at, self._now(), version, order, call.machine.name, call.answered_at
+        )
+        self._history.reads.append(record)
+        self._known_version = max(self._known_version, version)
+        return record
+
+    async def configure(self, size: int = 0) -> OrderRecord:
+        """Sends one configuration on top of the newest version that this operator knows."""
+        record = self._configuration(size)
+        await self._insist(record, self.habits.patience)
+        return record
+
+    async def _act(self) -> None:
+        habits = self.habits
+        draw = self._random.random()
+        if draw < habits.reads:
+            await self.read()
+        elif draw < habits.reads + habits.evacuations:
+            await self._evacuate()
+        elif draw < habits.reads + habits.evacuations + habits.repeats:
+            await self._repeat()
+        else:
+            await self.configure(self._random.randint(0, habits.largest))
+
+    # -- orders
+
+    def _configuration(self, size: int) -> OrderRecord:
+        random, habits = self._random, self.habits
+        base = self._known_version
+        version = base + random.randint(1, 3)
+        number = len(self._history.orders) + 1
+        valid = random.random() >= habits.invalid
+        order: Order
+        if not valid:
+            order = ReplaceConfiguration(base, invalid(number, version))
+        elif base and random.random() < habits.updates:
+            order = UpdateConfiguration(base, update(number, version))
+        else:
+            order = ReplaceConfiguration(base, replacement(number, version, size))
+        return self._record(order, version, valid)
+
+    async def _evacuate(self) -> None:
+        zone = self._random.choice(tuple(ZONES))
+        async with self._zone_locks[zone]:
+            order: Order = BeginEvacuation(zone) if self._random.random() < 0.5 else FinishEvacuation(zone)
+            await self._insist(self._record(order, 0, True), EVACUATION_SECONDS)
+
+    def _record(self, order: Order, version: int, valid: bool) -> OrderRecord:
+        number = len(self._history.orders) + 1
+        record = OrderRecord(number, self.name, order, version, self._now(), valid)
+        self._history.orders.append(record)
+        return record
+
+    async def _insist(self, record: OrderRecord, patience: float) -> None:
+        """Sends an order, to one node after the other, until there is a clear answer."""
+        until = self._now() + int(patience * MICROSECONDS)
+        pause = FIRST_PAUSE_SECONDS
+        while record.ended_at is None and self._now() < until:
+            await self._send(record)
+            if record.ended_at is None:
+                await asyncio.sleep(pause * self._random.uniform(0.5, 1.0))
+                pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+
+    async def _send(self, record: OrderRecord) -> None:
+        record.calls += 1
+        machine = self._choose()
+        reply, call = await self._submit(machine, record.order)
+        outcome = OUTCOMES.get(reply.outcome) if reply is not None else None
+        if reply is None or outcome is None:
+            return
+        record.outcome = outcome
+        record.ended_at = self._now()
+        record.told_version = reply.version
+        record.answered_by = machine.name
+        record.answered_at = call.answered_at
+        if outcome is not Outcome.INVALID:
+            self._known_version = max(self._known_version, reply.version)
+
+    async def _submit(
+        self, machine: ControlMachine, order: Order
+    ) -> tuple[OrderReply | None, Call[OrderReply]]:
+        size = ORDER_BYTES + len(encode_order(order))
+        call = self._call(machine, lambda node: _submit(node, order))
+        call.answer_lost = self._random.random() < self.habits.answers_lost
+        transfer = size * BITS_PER_BYTE / (machine.place.megabits * MICROSECONDS)
+        return await make_call(call, size, PATIENCE_SECONDS + 4 * transfer), call
+
+    async def _repeat(self) -> None:
+        """Sends an order of one's own that was acknowledged, or refused for good, once more."""
+        own = [
+            record
+            for record in self._history.orders
+            if record.operator == self.name and record.version and (record.acknowledged or record.refused)
+        ]
+        if not own:
+            return
+        record = self._random.choice(own[-3:])
+        reply, _ = await self._submit(self._choose(), record.order)
+        if reply is None or reply.outcome is OrderOutcome.UNAVAILABLE:
+            return
+        accepted = reply.outcome is OrderOutcome.ACCEPTED
+        if accepted != record.acknowledged:
+            raise Violation("repeated-order", f"order {record.number} was {record.outcome}, now {reply}")
+
+    # -- calls
+
+    def _call(self, machine: ControlMachine, work: object) -> Call:  # type: ignore[type-arg]
+        answer: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        return Call(self._network, self.name, machine, work, answer)  # type: ignore[arg-type]
+
+    def _choose(self) -> ControlMachine:
+        return self._random.choice(self._machines)
+
+    def _now(self) -> int:
+        return self._network.loop.microseconds
+
+
+async def _submit(node: ControlNode, order: Order) -> OrderReply:
+    if isinstance(order, BeginEvacuation | FinishEvacuation):
+        return await node.orders.submit_evacuation(order)
+    return await node.orders.submit(encode_order(order))
+
+
+async def _fetch(node: ControlNode) -> bytes | None:
+    fetched = await node.orders.fetch()
+    return fetched.unwrap().body if isinstance(fetched, Success) else None
--- /dev/null
+++ b/brackenladder/simulation/run.py
@@ -0,0 +1,159 @@
+"""One simulated run from one seed: trouble, healing, settling, and what must hold at the end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import logbook
+from attrs import frozen
+
+from brackenladder.simulation.checks import check_evacuations, check_history
+from brackenladder.simulation.errors import SimulationError, Violation
+from brackenladder.simulation.faults import Faults
+from brackenladder.simulation.machines import ControlMachine, GatewayMachine
+from brackenladder.simulation.profiles import Profile, trouble
+from brackenladder.simulation.trace import TraceHandler
+from brackenladder.simulation.virtual_loop import VirtualEventLoop
+from brackenladder.simulation.world import SECOND, World
+
+START_SECONDS = 3.0  # from the first boot until operators begin
+LOOK_SECONDS = 0.2
+
+
+@frozen
+class RunResult:
+    """What came of a run; `rule` is empty if nothing broke."""
+
+    profile: str
+    seed: int
+    rule: str
+    detail: str
+    events: int  # messages and calls that arrived
+    orders: int
+    acknowledged: int
+    elections: int
+    faults: dict[str, int]
+    meetings: dict[str, int]
+
+
+def run(
+    profile: Profile,
+    seed: int,
+    machine_type: type[ControlMachine] = ControlMachine,
+    gateway_type: type[GatewayMachine] = GatewayMachine,
+    trace: Callable[[str], None] | None = None,
+) -> RunResult:
+    """Plays one schedule; `trace` takes what is logged, line by line."""
+    loop = VirtualEventLoop()
+    try:
+        handler = logbook.NullHandler() if trace is None else TraceHandler(loop, trace)
+        with handler.applicationbound():
+            return _run_in(loop, profile, seed, machine_type, gateway_type)
+    finally:
+        gc.collect()  # ends what waits for ever, while the loop still takes its last calls
+        loop.close()
+
+
+def _run_in(
+    loop: VirtualEventLoop,
+    profile: Profile,
+    seed: int,
+    machine_type: type[ControlMachine],
+    gateway_type: type[GatewayMachine],
+) -> RunResult:
+    world = World(loop, seed, profile.scenario, machine_type, gateway_type)
+    rule = detail = ""
+    try:
+        loop.run_until_complete(_play(profile, world, Random(f"{profile.name} {seed}")))
+    except SimulationError as error:
+        rule = error.rule if isinstance(error, Violation) else type(error).__name__
+        detail = str(error)
+    loop.set_exception_handler(lambda _loop, _context: None)
+    return _result(profile, seed, world, rule, detail)
+
+
+async def _play(profile: Profile, world: World, random: Random) -> None:
+    faults = Faults(world)
+    world.boot()
+    await asyncio.sleep(START_SECONDS)
+    world.begin()
+    await _watched(world, trouble(profile, faults, random))
+    faults.heal()
+    await world.end_actors()
+    world.raise_failure()
+    await _settle(world)
+    check_history(world.history)
+    check_evacuations(world.history, world.gateways[0].subscriber.view.evacuated)
+    world.check_alone()
+
+
+async def _watched(world: World, work: Awaitable[None]) -> None:
+    """Runs the trouble, and ends as soon as a check has found something."""
+    task = asyncio.ensure_future(work)
+    while not task.done():
+        await asyncio.sleep(LOOK_SECONDS)
+        world.raise_failure()
+    task.result()
+
+
+async def _settle(world: World) -> None:
+    """After the faults an order is taken, read back everywhere, and all nodes and gateways agree."""
+    deadline = world.now + int(world.scenario.settle * SECOND)
+    operator = world.operators[0]
+    while world.now < deadline:
+        record = await operator.configure()
+        read = await operator.read()
+        if record.acknowledged and read is not None and _agreed(world):
+            return
+        await asyncio.sleep(LOOK_SECONDS)
+        world.raise_failure()
+    raise Violation("no-recovery", describe(world))
+
+
+def _agreed(world: World) -> bool:
+    nodes = [machine.node for machine in world.machines if machine.node is not None]
+    revisions = {node.catalog.revision for node in nodes}
+    revisions |= {gateway.subscriber.view.revision for gateway in world.gateways}
+    leaders = [node for node in nodes if node.host.leads]
+    if len(nodes) != len(world.machines) or len(revisions) != 1 or len(leaders) != 1:
+        return False
+    members = leaders[0].host.replica.members
+    disks = {machine.disk.replica_id for machine in world.machines}
+    return not members.outgoing and all(voter.replica_id in disks for voter in members.voters)
+
+
+def describe(world: World) -> str:
+    """All control nodes and gateways in one line."""
+    parts = []
+    for machine in world.machines:
+        node = machine.node
+        if node is None:
+            parts.append(f"{machine.name}: down")
+            continue
+        replica = node.host.replica
+        voters = [voter.replica_id for voter in replica.members.voters]
+        parts.append(
+            f"{machine.name} ({machine.disk.replica_id}): {replica.role.value} of term {replica.term}, "
+            f"{node.host.applied_index}/{replica.commit_index}/{replica.last_index}, "
+            f"catalog {node.catalog.revision}, voters {voters}"
+        )
+    views = [gateway.subscriber.view.revision for gateway in world.gateways]
+    return "; ".join((*parts, f"gateways {views}"))
+
+
+def _result(profile: Profile, seed: int, world: World, rule: str, detail: str) -> RunResult:
+    return RunResult(
+        profile=profile.name,
+        seed=seed,
+        rule=rule,
+        detail=detail,
+        events=world.network.delivered,
+        orders=len(world.history.orders),
+        acknowledged=sum(order.acknowledged for order in world.history.orders),
+        elections=len(world.coverage.terms),
+        faults=dict(world.coverage.faults),
+        meetings=dict(world.coverage.meetings),
+    )
--- /dev/null
+++ b/brackenladder/simulation/virtual_loop.py
@@ -0,0 +1,205 @@
+"""An event loop whose clock jumps to the next timer, and processes of which each can stand still or end.
+
+Nothing here waits, opens a socket or starts a thread: a run is decided by what it is started with.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from asyncio import Handle, TimerHandle
+from collections.abc import Callable
+from contextvars import Context, ContextVar, copy_context
+from enum import Enum, auto
+from typing import Any, TypeVar, TypeVarTuple, Unpack
+
+from brackenladder.simulation.errors import SimulationStalled
+
+MICROSECONDS = 1_000_000
+CLOCK_RESOLUTION = 1e-7  # seconds; timers due within it run in one turn
+
+T = TypeVar("T")
+Arguments = TypeVarTuple("Arguments")
+
+
+class ProcessState(Enum):
+    """Whether a process gets the processor."""
+
+    RUNNING = auto()
+    FROZEN = auto()
+    ENDED = auto()
+
+
+class Process:
+    """What runs on behalf of one start of one program.
+
+    Callbacks, timers and tasks that come from `enter` belong to the process. While it is frozen they wait;
+    once it has ended they never run.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.state = ProcessState.RUNNING
+        self._held: list[Callable[[], None]] = []
+        self._context = copy_context()
+        self._context.run(_current.set, self)
+
+    @property
+    def runs(self) -> bool:
+        """Whether it gets the processor now."""
+        return self.state is ProcessState.RUNNING
+
+    def enter(self, call: Callable[..., T], *arguments: Any) -> T:
+        """Calls something as this process."""
+        return self._context.copy().run(call, *arguments)
+
+    def when_running(self, call: Callable[[], None]) -> None:
+        """Calls now, once the process is thawed, or never if it ends before."""
+        if self.state is ProcessState.RUNNING:
+            call()
+        elif self.state is ProcessState.FROZEN:
+            self._held.append(call)
+
+    def freeze(self) -> None:
+        """Takes the processor away."""
+        if self.state is ProcessState.RUNNING:
+            self.state = ProcessState.FROZEN
+
+    def thaw(self) -> None:
+        """Gives the processor back; what has waited runs first, in its order."""
+        if self.state is not ProcessState.FROZEN:
+            return
+        self.state = ProcessState.RUNNING
+        held, self._held = self._held, []
+        for call in held:
+            self.when_running(call)
+
+    def end(self) -> None:
+        """Nothing of it runs any more."""
+        self.state = ProcessState.ENDED
+        self._held.clear()
+
+
+_current: ContextVar[Process | None] = ContextVar("process", default=None)
+
+
+def current_process() -> Process | None:
+    """The process on whose behalf the caller runs."""
+    return _current.get()
+
+
+class VirtualEventLoop(asyncio.BaseEventLoop):
+    """An event loop without input and output; waiting for a timer takes no time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.microseconds = 0  # the time
+        self.turns = 0  # passes over what is ready
+        self._clock_resolution = CLOCK_RESOLUTION
+        self._selector = _VirtualSelector(self)
+        self._outside = copy_context()
+        self.set_exception_handler(_ignore_ended)
+
+    def time(self) -> float:
+        """The virtual time in seconds."""
+        return self.microseconds / MICROSECONDS
+
+    def call_soon(
+        self,
+        callback: Callable[[Unpack[Arguments]], object],
+        *args: *Arguments,
+        context: Context | None = None,
+    ) -> Handle:
+        """See `asyncio.AbstractEventLoop`; as the process in whose context the callback runs."""
+        if self.is_closed():
+            return Handle(callback, args, self, context)  # tasks that are thrown away end in silence
+        process = _current.get() if context is None else context.get(_current)
+        if process is None:
+            return super().call_soon(callback, *args, context=context)
+        context = context or copy_context()
+        gate = _Gate(process, callback, args, context)
+        gate.handle = super().call_soon(gate.pass_through, context=context)
+        return gate.handle
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[[Unpack[Arguments]], object],
+        *args: *Arguments,
+        context: Context | None = None,
+    ) -> TimerHandle:
+        """See `asyncio.AbstractEventLoop`; as the process in whose context the callback runs."""
+        process = _current.get() if context is None else context.get(_current)
+        if process is None:
+            return super().call_at(when, callback, *args, context=context)
+        context = context or copy_context()
+        gate = _Gate(process, callback, args, context)
+        handle = super().call_at(when, gate.pass_through, context=context)
+        gate.handle = handle
+        return handle
+
+    def call_outside(
+        self, when: int, callback: Callable[[Unpack[Arguments]], object], *args: *Arguments
+    ) -> None:
+        """Calls at a time, in microseconds, on behalf of no process: networks and disks go on without one."""
+        self.call_at(when / MICROSECONDS, callback, *args, context=self._outside)
+
+    def run_for(self, duration: int) -> None:
+        """Lets `duration` microseconds pass."""
+        self.call_later(duration / MICROSECONDS, self.stop)
+        self.run_forever()
+
+    def _process_events(self, event_list: object) -> None:
+        """There are none."""
+
+    def _write_to_self(self) -> None:
+        """Nobody waits in another thread."""
+
+
+class _Gate:
+    """Runs a callback when its process has the processor, unless it was cancelled."""
+
+    __slots__ = ("process", "callback", "arguments", "context", "handle")
+
+    def __init__(
+        self, process: Process, callback: Callable[..., object], arguments: tuple[Any, ...], context: Context
+    ) -> None:
+        self.process = process
+        self.callback = callback
+        self.arguments = arguments
+        self.context = context
+        self.handle: Handle | None = None
+
+    def pass_through(self) -> None:
+        if self.process.state is ProcessState.RUNNING:
+            self.callback(*self.arguments)
+        else:
+            self.process.when_running(self._late)
+
+    def _late(self) -> None:
+        if self.handle is None or not self.handle.cancelled():
+            self.context.run(self.callback, *self.arguments)
+
+
+class _VirtualSelector:
+    """Lets the clock jump in place of a wait."""
+
+    def __init__(self, loop: VirtualEventLoop) -> None:
+        self._loop = loop
+
+    def select(self, timeout: float | None) -> list[object]:
+        self._loop.turns += 1
+        if timeout is None:
+            raise SimulationStalled("nothing is left to happen")
+        if timeout > 0:
+            self._loop.microseconds += max(1, round(timeout * MICROSECONDS))
+        return []
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+def _ignore_ended(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Tasks of ended processes are dropped while they wait; any other fault fails the run."""
+    error = context.get("exception")
+    if error is not None:
+        raise error
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -23,6 +23,8 @@
     # The rehearsal meets a node through its sockets and its command line; the model hosts the core.
     "rehearsal": 0,
     "fleet": 2,
+    # Whole control nodes in virtual time; nothing but the command line imports it.
+    "simulation": 6,
     **dict.fromkeys(["cli", "system"], 6),
     "__main__": 7,
     "serve": 7,
