--- a/brackenladder/consensus/core.py
+++ b/brackenladder/consensus/core.py
@@ -7,6 +7,7 @@
 from brackenladder.consensus.log import Log
 from brackenladder.consensus.members import GENESIS_INDEX, find_member, quorum_value
 from brackenladder.consensus.output import PendingOutput
+from brackenladder.consensus.snapshots import SnapshotReceiver
 from brackenladder.consensus.timing import Timing
 from brackenladder.consensus.types import DurableState, Entry, HardState, Member, Members, Snapshot
 from brackenladder.consensus.writes import Outgoing, WriteQueue
@@ -26,6 +27,7 @@
         self.voted_for = state.hard_state.voted_for
         self.commit_index = self.log.snapshot_index
         self.pending = PendingOutput()
+        self.arriving = SnapshotReceiver()
         self._delivered = self.commit_index  # committed entries up to here have been given to the host
         if state.snapshot is not None and state.snapshot.index > GENESIS_INDEX:
             self.pending.restore = state.snapshot
@@ -76,13 +78,16 @@
         self.install(snapshot)
         self.set_term(max(self.term, snapshot.term))
 
-    def compact(self, index: int, data: bytes) -> None:
-        """The state machine's state after the entry at `index` replaces the log up to there."""
+    def compact(self, index: int, data: bytes, held_after: int | None = None) -> None:
+        """The state machine's state after the entry at `index` replaces the log up to there.
+
+        `held_after`: memory keeps the entries after this index, up to a bound.
+        """
         term = self.log.term(index)
         if index <= self.log.snapshot_index or index > self.commit_index or term is None:
             return
         snapshot = Snapshot(index, term, self.log.members_at(index), data)
-        self.log.compact(snapshot, self.timing.kept_bytes)
+        self.log.compact(snapshot, self.timing.kept_bytes, held_after, self.timing.held_bytes)
         self.writes.snapshot(snapshot, clear=False)
 
     def advance_commit(self, index: int) -> bool:
--- a/brackenladder/consensus/following.py
+++ b/brackenladder/consensus/following.py
@@ -80,14 +80,37 @@
 
 
 def on_snapshot(core: Core, request: InstallSnapshot) -> None:
-    """Take the leader's snapshot, unless what is here goes as far."""
-    snapshot = request.snapshot
-    if snapshot.index > core.commit_index:
-        if core.log.holds(snapshot.index, snapshot.term):
-            core.advance_commit(snapshot.index)
-        else:
-            core.install(snapshot)
-    match = snapshot.index
+    """Take a chunk of the leader's snapshot, unless what is here goes as far."""
+    index, term = request.snapshot.index, request.snapshot.term
+    if index > core.commit_index and core.log.holds(index, term):
+        core.advance_commit(index)
+    if index <= core.commit_index:
+        _confirm_snapshot(core, request)
+        return
+    snapshot = core.arriving.take(request)
+    if snapshot is None:
+        _tell_received(core, request)
+        return
+    core.arriving.forget()
+    core.install(snapshot)
+    _confirm_snapshot(core, request)
+
+
+def _confirm_snapshot(core: Core, request: InstallSnapshot) -> None:
+    match = request.snapshot.index
     token = core.writes.pending_token if match > core.log.durable_index else core.writes.pending_hard_token
     reply = InstallSnapshotReply(core.replica_id, request.sender, core.term, match)
     core.send_once_durable(request.sender, reply, token)
+
+
+def _tell_received(core: Core, request: InstallSnapshot) -> None:
+    index = request.snapshot.index
+    reply = InstallSnapshotReply(
+        sender=core.replica_id,
+        to=request.sender,
+        term=core.term,
+        match=0,
+        index=index,
+        received=core.arriving.received(index),
+    )
+    core.send_once_durable(request.sender, reply, core.writes.pending_hard_token)
--- a/brackenladder/consensus/leadership.py
+++ b/brackenladder/consensus/leadership.py
@@ -12,12 +12,12 @@
 from brackenladder.consensus.messages import (
     AppendEntries,
     AppendReply,
-    InstallSnapshot,
     InstallSnapshotReply,
     TimeoutNow,
 )
 from brackenladder.consensus.progress import Progress
 from brackenladder.consensus.reads import ReadQueue, ReadReady
+from brackenladder.consensus.snapshots import SnapshotSender
 from brackenladder.consensus.types import Entry, EntryKind, Member
 
 _NO_MATCH = -1
@@ -111,12 +111,12 @@
         return progress.match > known
 
     def on_snapshot_reply(self, now: int, reply: InstallSnapshotReply) -> None:
-        """A follower holds a snapshot."""
+        """A follower holds a snapshot, or a part of it."""
         progress = self._progress.get(reply.sender)
         if progress is None:
             return
         progress.heard_at = max(progress.heard_at, now)
-        progress.snapshot_taken(reply.match)
+        progress.snapshot_replied(now, reply)
 
     # -- reads
 
@@ -184,15 +184,13 @@
             self._replicate_to(now, replica_id, progress, speak)
 
     def _replicate_to(self, now: int, replica_id: str, progress: Progress, speak: bool) -> None:
-        if progress.snapshot_sent_at is not None:
-            if progress.snapshot_overdue(now):
-                self._send_snapshot(now, replica_id, progress)
-            elif speak:
+        if progress.transfer is None and self._core.log.term(progress.next - 1) is None:
+            self._begin_snapshot(now, progress)
+        if progress.transfer is not None:
+            self._send_chunks(now, replica_id, progress.transfer)
+            if speak or (progress.word_sent_at > 0 and not progress.echoed):
                 self._send_entries(replica_id, progress, 0, 0, ())
             return
-        if self._core.log.term(progress.next - 1) is None:
-            self._send_snapshot(now, replica_id, progress)
-            return
         if self._send_batches(replica_id, progress):
             return
         first_echo = progress.word_sent_at > 0 and not progress.echoed
@@ -236,14 +234,20 @@
         )
         core.send(replica_id, message)
 
-    def _send_snapshot(self, now: int, replica_id: str, progress: Progress) -> None:
+    def _begin_snapshot(self, now: int, progress: Progress) -> None:
+        snapshot = self._core.log.snapshot
+        if snapshot is not None:
+            progress.begin_transfer(SnapshotSender(now, snapshot, self._core.timing))
+
+    def _send_chunks(self, now: int, replica_id: str, transfer: SnapshotSender) -> None:
         core = self._core
-        snapshot = core.log.snapshot
-        if snapshot is None:
-            return
-        progress.snapshot_sent(now, snapshot.index, core.timing.snapshot_retry)
-        message = InstallSnapshot(core.replica_id, replica_id, core.term, core.member.address, snapshot)
-        core.send(replica_id, message)
+        for chunk in transfer.chunks(now, core.replica_id, replica_id, core.term, core.member.address):
+            core.send(replica_id, chunk)
+
+    def oldest_transfer(self) -> int | None:
+        """Index of the oldest snapshot that is on its way: what follows it will be needed next."""
+        transfers = (progress.transfer for progress in self._progress.values())
+        return min((each.snapshot.index for each in transfers if each is not None), default=None)
 
     def leads_as_voter(self) -> bool:
         """Whether this leader still votes; one that has been voted out hands over."""
--- a/brackenladder/consensus/log.py
+++ b/brackenladder/consensus/log.py
@@ -133,10 +133,18 @@
                 found = setting.members
         return found
 
-    def compact(self, snapshot: Snapshot, kept_bytes: int) -> None:
-        """Take the snapshot of a committed index. The store drops what it covers, memory keeps a part."""
+    def compact(
+        self, snapshot: Snapshot, kept_bytes: int, held_after: int | None = None, held_bytes: int = 0
+    ) -> None:
+        """Take the snapshot of a committed index. The store drops what it covers, memory keeps a part.
+
+        That is the last `kept_bytes`, and up to `held_bytes` for a follower that needs what comes after
+        `held_after`.
+        """
         self.snapshot = snapshot
         first = self._first_of_last(snapshot.index, kept_bytes)
+        if held_after is not None:
+            first = min(first, max(held_after + 1, self._first_of_last(snapshot.index, held_bytes)))
         before = self.term(first - 1)
         if before is not None and first > self._first:
             del self._entries[: first - self._first]
--- a/brackenladder/consensus/messages.py
+++ b/brackenladder/consensus/messages.py
@@ -73,23 +73,28 @@
 
 @frozen
 class InstallSnapshot:
-    """Leader to a follower that needs entries which the leader no longer holds."""
+    """Leader to a follower that needs entries which the leader no longer holds: a chunk of a snapshot."""
 
     sender: str
     to: str
     term: int
     address: str  # of the leader
-    snapshot: Snapshot
+    snapshot: Snapshot  # its data is the chunk's
+    offset: int = 0  # of the chunk, in bytes
+    total: int = 0  # bytes of the whole data
+    digest: bytes = b""  # of the whole data
 
 
 @frozen
 class InstallSnapshotReply:
-    """Follower to leader: durable and equal to the leader's log up to `match`."""
+    """Follower to leader: durable and equal to the leader's log up to `match`, or how far the chunks got."""
 
     sender: str
     to: str
     term: int
     match: int
+    index: int = 0  # of the snapshot under way
+    received: int = 0  # bytes of it that have arrived without a gap
 
 
 @frozen
--- a/brackenladder/consensus/progress.py
+++ b/brackenladder/consensus/progress.py
@@ -6,6 +6,9 @@
 
 from attrs import frozen
 
+from brackenladder.consensus.messages import InstallSnapshotReply
+from brackenladder.consensus.snapshots import SnapshotSender
+
 
 @frozen
 class _Sent:
@@ -30,8 +33,7 @@
         self.commit_sent = 0
         self.probing = False
         self.probe_sent = False
-        self.snapshot_sent_at: int | None = None
-        self.snapshot_waits = 0  # until the snapshot is sent again
+        self.transfer: SnapshotSender | None = None  # the snapshot that is on its way
         self._sent: deque[_Sent] = deque()
         self._sent_bytes = 0
 
@@ -55,14 +57,14 @@
         self.match = max(self.match, match)
         if self.probing and received >= self.next - 1:
             self.probing = False
-        if self.snapshot_sent_at is None:
+        if self.transfer is None:
             self.next = max(self.next, received + 1)
         while self._sent and self._sent[0].last_index <= self.match:
             self._sent_bytes -= self._sent.popleft().size
 
     def refused(self, prev_index: int, agreement: int) -> bool:
         """The follower lacks `prev_index`; logs may agree up to `agreement`. False: an outdated refusal."""
-        if prev_index <= self.match or prev_index >= self.next or self.snapshot_sent_at is not None:
+        if prev_index <= self.match or prev_index >= self.next or self.transfer is not None:
             return False
         if self.probing and prev_index != self.next - 1:
             return False
@@ -73,23 +75,19 @@
         self._sent_bytes = 0
         return True
 
-    def snapshot_sent(self, now: int, index: int, retry: int) -> None:
-        """The snapshot at `index` is on its way."""
-        self.snapshot_waits = min(self.snapshot_waits * 2, 8 * retry) if self.snapshot_waits else retry
-        self.snapshot_sent_at = now
-        self.next = index + 1
+    def begin_transfer(self, transfer: SnapshotSender) -> None:
+        """A snapshot is about to be sent."""
+        self.transfer = transfer
+        self.next = transfer.snapshot.index + 1
         self.probing = False
         self._sent.clear()
         self._sent_bytes = 0
 
-    def snapshot_taken(self, match: int) -> None:
-        """The follower has installed a snapshot, or did not need it."""
-        if self.snapshot_sent_at is not None:
-            self.next = match + 1
-        self.snapshot_sent_at = None
-        self.snapshot_waits = 0
-        self.agreed(match, match)
-
-    def snapshot_overdue(self, now: int) -> bool:
-        """Whether a sent snapshot has been unanswered for too long."""
-        return self.snapshot_sent_at is not None and now - self.snapshot_sent_at >= self.snapshot_waits
+    def snapshot_replied(self, now: int, reply: InstallSnapshotReply) -> None:
+        """The follower has a part of the snapshot, has installed it, or did not need it."""
+        if self.transfer is None:
+            self.agreed(reply.match, reply.match)
+        elif self.transfer.replied(now, reply):
+            self.transfer = None
+            self.next = reply.match + 1
+            self.agreed(reply.match, reply.match)
--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -266,7 +266,8 @@
     def compact(self, now: int, index: int, data: bytes) -> None:
         """The state machine's state after applying the entry at `index`."""
         self._now = now
-        self._core.compact(index, data)
+        held_after = self._leading.oldest_transfer() if self._leading is not None else None
+        self._core.compact(index, data, held_after)
 
     def take_output(self) -> Output:
         """What is to be done after the calls so far."""
--- a/tests/consensus/model.py
+++ b/tests/consensus/model.py
@@ -37,6 +37,8 @@
     append_bytes=120,
     inflight_bytes=300,
     kept_bytes=90,
+    snapshot_chunk=5,
+    snapshot_window=12,
 )
 
 
