--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from brackenladder.consensus import following
+from brackenladder.consensus.command_parts import split_command
 from brackenladder.consensus.core import Core
 from brackenladder.consensus.election import Election
 from brackenladder.consensus.leadership import Leadership
@@ -224,11 +225,14 @@
     # -- requests
 
     def propose(self, now: int, data: bytes) -> Result[ProposalIndex, NotLeader]:
-        """Append a command."""
+        """Append a command; a large one as several entries, of which the last one's index is told."""
         self._now = now
         if self._leading is None or self._leading.transferring:
             return Failure(NotLeader(self._other_leader()))
-        entry = self._leading.append(EntryKind.COMMAND, data)
+        *parts, last = split_command(data)
+        for part in parts:
+            self._leading.append(EntryKind.COMMAND_PART, part)
+        entry = self._leading.append(EntryKind.COMMAND, last)
         return Success(ProposalIndex(entry.index, entry.term))
 
     def read(self, now: int, token: int) -> Result[None, NotLeader]:
--- a/brackenladder/consensus/types.py
+++ b/brackenladder/consensus/types.py
@@ -13,6 +13,7 @@
     NOOP = 0  # a new leader's first entry
     COMMAND = 1  # bytes for the state machine
     MEMBERS = 2  # an encoded `Members`
+    COMMAND_PART = 3  # the beginning of a large command; the rest follows
 
 
 @frozen
--- a/brackenladder/control_plane/consensus_host.py
+++ b/brackenladder/control_plane/consensus_host.py
@@ -10,10 +10,12 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from brackenladder.catalog.catalog import Catalog
+from brackenladder.catalog.catalog import Catalog, SnapshotError
 from brackenladder.catalog.orders import Outcome
+from brackenladder.consensus.command_parts import CommandAssembler
+from brackenladder.consensus.messages import UNKNOWN_AGE
 from brackenladder.consensus.replica import Output, Replica, Role
-from brackenladder.consensus.types import Entry, EntryKind, Member, Write
+from brackenladder.consensus.types import Entry, Member, Snapshot, Write
 from brackenladder.control_plane.errors import Unavailable
 from brackenladder.storage.log_store import StoreError
 from brackenladder.storage.writer import LogWriter
@@ -70,6 +72,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._leader_id = ""
         self._leadership: asyncio.Event = asyncio.Event()
+        self._changed: asyncio.Event = asyncio.Event()  # of the catalog; each change makes a new one
+        self._assembler = CommandAssembler()
+        self._unreadable: SnapshotError | None = None  # why the catalog is not what the log says
         self._closed = False
 
     def start(self) -> None:
@@ -95,7 +100,9 @@
         return self.replica.leader
 
     def contact_age(self) -> int:
-        """Microseconds since the last contact with a leader; of a leader: with a quorum."""
+        """Microseconds since the last contact with a quorum, as the leader or by way of it."""
+        if self._unreadable is not None:
+            return UNKNOWN_AGE
         return self._clock() - self.replica.heard_leader_at
 
     @property
@@ -133,9 +140,14 @@
         self.replica.transfer_leadership(self._clock())
         self._schedule_output()
 
+    async def catalog_at(self, revision: int) -> None:
+        """Returns once the catalog here is as new as `revision`."""
+        while self.catalog.revision < revision:
+            await self._changed.wait()
+
     async def propose(self, data: bytes) -> Answer:
         """The catalog's answer once the command is committed; a failure leaves its fate open."""
-        if self._closed:
+        if self._closed or self._unreadable is not None:
             return Failure(Unavailable.NO_LEADER)
         match self.replica.propose(self._clock(), data):
             case Success(place):
@@ -152,7 +164,7 @@
 
     async def confirm_read(self) -> Confirmation:
         """Success once the catalog here holds all that was acknowledged before the call; leaders only."""
-        if self._closed:
+        if self._closed or self._unreadable is not None:
             return Failure(Unavailable.NO_LEADER)
         self._last_read += 1
         token = self._last_read
@@ -170,6 +182,8 @@
 
     def _tick(self) -> None:
         self.replica.tick(self._clock())
+        if self._unreadable is not None and self.leads:
+            self.replica.transfer_leadership(self._clock())
         self._take_output()
         pause = FOLLOWER_TICK_SECONDS if self.replica.role is Role.FOLLOWER else LEADER_TICK_SECONDS
         self._timer = self._loop.call_later(pause, self._tick)
@@ -208,21 +222,38 @@
     def _apply(self, output: Output) -> None:
         revision = self.catalog.revision
         if output.restore is not None:
-            self.catalog.restore(output.restore.data)
-            self.applied_index = output.restore.index
-            self._compacted_index = output.restore.index
-            self._bytes_since_compaction = 0
+            self._restore(output.restore)
         for entry in output.committed:
             self._apply_entry(entry)
         if self.catalog.revision != revision:
+            self._changed.set()
+            self._changed = asyncio.Event()
             self._catalog_changed()
 
+    def _restore(self, snapshot: Snapshot) -> None:
+        """Takes a snapshot's state. One that this program can't read leaves the node without a say.
+
+        It goes on as a replica of the log, and hands over leadership, until it gets one that it can read.
+        """
+        self.applied_index = snapshot.index
+        self._compacted_index = snapshot.index
+        self._bytes_since_compaction = 0
+        self._assembler.reset()
+        try:
+            self.catalog.restore(snapshot.data)
+        except SnapshotError as error:
+            log.error("snapshot at {} can't be read, this node answers nothing: {}", snapshot.index, error)
+            self._unreadable = error
+        else:
+            self._unreadable = None
+
     def _apply_entry(self, entry: Entry) -> None:
         self.applied_index = entry.index
         self._bytes_since_compaction += len(entry.data)
         answer: Answer = Failure(Unavailable.LOST)
-        if entry.kind is EntryKind.COMMAND:
-            answer = Success(self.catalog.apply(entry.index, entry.data))
+        command = self._assembler.take(entry)
+        if command is not None and self._unreadable is None:
+            answer = Success(self.catalog.apply(entry.index, command))
         pending = self._proposals.pop(entry.index, None)
         if pending is None or pending.answer.done():
             return
@@ -265,6 +296,8 @@
         entries = self.applied_index - self._compacted_index
         if entries < COMPACT_ENTRIES and self._bytes_since_compaction < COMPACT_BYTES:
             return
+        if self._unreadable is not None or not self._assembler.between_commands:
+            return
         self._compacted_index = self.applied_index
         self._bytes_since_compaction = 0
         self.replica.compact(self._clock(), self.applied_index, self.catalog.snapshot())
--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -242,6 +242,7 @@
 
     def link_closed(self, link: Link) -> None:
         """See `peers.PeerListener`."""
+        self.orders.link_closed(link)
         self.soft_state.link_closed(link)
 
     # -- internals
--- a/brackenladder/control_plane/forwarding.py
+++ b/brackenladder/control_plane/forwarding.py
@@ -5,25 +5,35 @@
 import asyncio
 from typing import TypeVar
 
+from attrs import frozen
 from returns.result import Failure, Result, Success
 
 from brackenladder.control_plane.errors import Unavailable
 from brackenladder.control_plane.messages import OrderReply, ReadReply
+from brackenladder.transport.link import Link
 
 ReplyType = TypeVar("ReplyType", OrderReply, ReadReply)
 
 
+@frozen
+class _Waiting:
+    """A call over a link: only its answer over the same link counts."""
+
+    link: Link
+    reply: asyncio.Future[object]
+
+
 class ReplyTable:
     """Calls that wait for their reply, by request number."""
 
     def __init__(self) -> None:
         self._last = 0
-        self._waiting: dict[int, asyncio.Future[object]] = {}
+        self._waiting: dict[int, _Waiting] = {}
 
-    def open(self) -> int:
-        """A new request number."""
+    def open(self, link: Link) -> int:
+        """A new request number, for a call over a link."""
         self._last += 1
-        self._waiting[self._last] = asyncio.get_running_loop().create_future()
+        self._waiting[self._last] = _Waiting(link, asyncio.get_running_loop().create_future())
         return self._last
 
     def drop(self, request: int) -> Failure[Unavailable]:
@@ -31,17 +41,17 @@
         del self._waiting[request]
         return Failure(Unavailable.LOST)
 
-    def resolve(self, reply: OrderReply | ReadReply) -> None:
-        """A reply has arrived; one that nobody waits for any more is dropped."""
+    def resolve(self, link: Link, reply: OrderReply | ReadReply) -> None:
+        """A reply has arrived; one that nobody waits for on that link any more is dropped."""
         waiting = self._waiting.get(reply.request)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(reply)
+        if waiting is not None and waiting.link is link and not waiting.reply.done():
+            waiting.reply.set_result(reply)
 
     async def wait(
         self, request: int, reply_type: type[ReplyType], leader_changed: asyncio.Event, timeout: float
     ) -> Result[ReplyType, Unavailable]:
         """The reply, unless the time runs out or another leader appears first."""
-        waiting = self._waiting[request]
+        waiting = self._waiting[request].reply
         change = asyncio.ensure_future(leader_changed.wait())
         try:
             await asyncio.wait((waiting, change), timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
--- a/brackenladder/control_plane/messages.py
+++ b/brackenladder/control_plane/messages.py
@@ -48,13 +48,31 @@
     faults: tuple[str, ...] = ()
 
 
+@frozen
+class OrderPart:
+    """A part of an encoded order that is too large for one message; parts come in sequence."""
+
+    request: int
+    offset: int
+    total: int  # bytes of the whole order
+    data: bytes
+
+
+@frozen
+class OrderPartTaken:
+    """The leader's node has the first `received` bytes of an order and waits for the rest."""
+
+    request: int
+    received: int
+
+
 @frozen
 class ForwardRead:
     """Asks the leader for the newest configuration document."""
 
     request: int
     revision: int  # of the document that the asking node holds
-    document: bool = True  # the reply is to bring a newer one along
+    document: bool = True  # the reply is to bring a newer one along; nodes of this version wait for it
 
 
 @frozen
@@ -67,4 +85,12 @@
     document: bytes = b""  # empty if the asking node's revision is the newest
 
 
-MESSAGE_TYPES: tuple[type, ...] = (Hello, ForwardOrder, OrderReply, ForwardRead, ReadReply)
+MESSAGE_TYPES: tuple[type, ...] = (
+    Hello,
+    ForwardOrder,
+    OrderReply,
+    ForwardRead,
+    ReadReply,
+    OrderPart,
+    OrderPartTaken,
+)
--- a/brackenladder/control_plane/orders.py
+++ b/brackenladder/control_plane/orders.py
@@ -28,15 +28,19 @@
     ForwardOrder,
     ForwardRead,
     OrderOutcome,
+    OrderPart,
+    OrderPartTaken,
     OrderReply,
     ReadReply,
 )
+from brackenladder.control_plane.order_parts import PART_BYTES, OrderReceiver, OrderSender
 from brackenladder.control_plane.peers import PeerLinks
 from brackenladder.transport.link import Link
 
 CALL_SECONDS = 2.5  # longest that a caller is held without a clear answer
 ATTEMPT_SECONDS = 1.5  # a leader that has said nothing for so long is asked again
 RETRY_SECONDS = 0.1
+SLOWEST_BYTES_PER_SECOND = 500_000  # at which a large order is expected to travel
 NO_CLEAR_ANSWER = OrderReply(0, OrderOutcome.UNAVAILABLE)
 
 Clear = TypeVar("Clear")
@@ -63,11 +67,17 @@
         self._host = host
         self._peers = peers
         self._replies = ReplyTable()
+        self._sending: dict[int, OrderSender] = {}  # by request
+        self._arriving: dict[Link, OrderReceiver] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def submit(self, order: bytes) -> OrderReply:
-        """The clear answer to an encoded order, or UNAVAILABLE after at most `CALL_SECONDS`."""
-        result = await self._insist(lambda: self._submit_once(order))
+        """The clear answer to an encoded order, or UNAVAILABLE.
+
+        That comes after `CALL_SECONDS`, and later for a large order, by the time that it takes to travel.
+        """
+        seconds = CALL_SECONDS + len(order) / SLOWEST_BYTES_PER_SECOND
+        result = await self._insist(lambda: self._submit_once(order), seconds)
         return result.value_or(NO_CLEAR_ANSWER)
 
     async def submit_evacuation(self, order: EvacuationOrder) -> OrderReply:
@@ -90,19 +100,23 @@
                 self._spawn(self._serve_order(link, message))
             case ForwardRead():
                 self._spawn(self._serve_read(link, message))
+            case OrderPart():
+                self._part_arrived(link, message)
+            case OrderPartTaken():
+                self._part_taken(link, message)
             case OrderReply() | ReadReply():
-                self._replies.resolve(message)
+                self._replies.resolve(link, message)
             case _:
                 return False
         return True
 
     async def _insist(
-        self, attempt: Callable[[], Awaitable[Result[Clear, Unavailable]]]
+        self, attempt: Callable[[], Awaitable[Result[Clear, Unavailable]]], seconds: float = CALL_SECONDS
     ) -> Result[Clear, Unavailable]:
         """Repeats an attempt until it has a clear answer or the time is up."""
         result: Result[Clear, Unavailable] = Failure(Unavailable.TIMEOUT)
         try:
-            async with asyncio.timeout(CALL_SECONDS):
+            async with asyncio.timeout(seconds):
                 while True:
                     result = await attempt()
                     if isinstance(result, Success):
@@ -121,7 +135,7 @@
         if self._host.leads:
             confirmed = await self._host.confirm_read()
             return confirmed.map(lambda _: self._host.catalog.revision)
-        reply = await self._ask_leader(document=False)
+        reply = await self._ask_leader()
         return reply.bind(lambda answer: _confirmed_only(answer).map(lambda read: read.revision))
 
     async def _submit_once(self, order: bytes) -> Result[OrderReply, Unavailable]:
@@ -131,12 +145,44 @@
         leader = self._leader_link()
         if leader is None:
             return Failure(Unavailable.NO_LEADER)
-        request = self._replies.open()
-        if not leader.send(ForwardOrder(request, order)):
+        request = self._replies.open(leader)
+        if len(order) <= PART_BYTES:
+            sent = leader.send(ForwardOrder(request, order))
+        else:
+            sent = self._begin_parts(leader, request, order)
+        if not sent:
             return self._replies.drop(request)
-        reply = await self._replies.wait(request, OrderReply, self._host.leadership, ATTEMPT_SECONDS)
+        patience = ATTEMPT_SECONDS + len(order) / SLOWEST_BYTES_PER_SECOND
+        try:
+            reply = await self._replies.wait(request, OrderReply, self._host.leadership, patience)
+        finally:
+            self._sending.pop(request, None)
         return reply.bind(_clear_only)
 
+    def _begin_parts(self, leader: Link, request: int, order: bytes) -> bool:
+        sender = self._sending[request] = OrderSender(request, order)
+        return all(leader.send(part) for part in sender.due())
+
+    def _part_taken(self, link: Link, message: OrderPartTaken) -> None:
+        sender = self._sending.get(message.request)
+        if sender is None:
+            return
+        sender.taken(message.received)
+        for part in sender.due():
+            link.send(part)
+
+    def _part_arrived(self, link: Link, part: OrderPart) -> None:
+        receiver = self._arriving.setdefault(link, OrderReceiver())
+        taken = receiver.take(part)
+        if isinstance(taken, OrderPartTaken):
+            link.send(taken)
+        elif taken is not None:
+            self._spawn(self._serve_order(link, ForwardOrder(part.request, taken)))
+
+    def link_closed(self, link: Link) -> None:
+        """A link has gone, and with it the parts that have come over it."""
+        self._arriving.pop(link, None)
+
     async def _decide(self, order: bytes) -> Answer:
         """Decides an order as the leader.
 
@@ -155,20 +201,19 @@
         return await self._host.propose(order)
 
     async def _fetch_once(self) -> Result[Document, Unavailable]:
+        revision = await self._newest_revision()
+        if isinstance(revision, Failure):
+            return revision
+        await self._host.catalog_at(revision.unwrap())
         catalog = self._host.catalog
-        if self._host.leads:
-            confirmed = await self._host.confirm_read()
-            return confirmed.map(lambda _: Document(catalog.revision, catalog.document))
-        held = Document(catalog.revision, catalog.document)
-        reply = await self._ask_leader(document=True)
-        return reply.bind(lambda answer: _document(answer, held))
+        return Success(Document(catalog.revision, catalog.document))
 
-    async def _ask_leader(self, document: bool) -> Result[ReadReply, Unavailable]:
+    async def _ask_leader(self) -> Result[ReadReply, Unavailable]:
         leader = self._leader_link()
         if leader is None:
             return Failure(Unavailable.NO_LEADER)
-        request = self._replies.open()
-        if not leader.send(ForwardRead(request, self._host.catalog.revision, document)):
+        request = self._replies.open(leader)
+        if not leader.send(ForwardRead(request, self._host.catalog.revision, document=False)):
             return self._replies.drop(request)
         return await self._replies.wait(request, ReadReply, self._host.leadership, ATTEMPT_SECONDS)
 
@@ -223,11 +268,3 @@
 
 def _confirmed_only(reply: ReadReply) -> Result[ReadReply, Unavailable]:
     return Success(reply) if reply.confirmed else Failure(Unavailable.LOST)
-
-
-def _document(reply: ReadReply, held: Document) -> Result[Document, Unavailable]:
-    if not reply.confirmed:
-        return Failure(Unavailable.LOST)
-    if reply.revision == held.revision:
-        return Success(held)
-    return Success(Document(reply.revision, reply.document))
--- a/brackenladder/simulation/documents.py
+++ b/brackenladder/simulation/documents.py
@@ -10,13 +10,13 @@
 HOST = "jobs.example"
 SERVICE = "api"
 FILLER_ROUTES = 3  # beside the marker
-ROUTE_BYTES = 260  # of one filler route, about
 
 
 def replacement(order: int, version: int, size: int) -> bytes:
     """A whole configuration of about `size` bytes."""
-    fillers = max(FILLER_ROUTES, size // ROUTE_BYTES)
-    routes = [_marker(order), *(_route(f"filler-{number}", f"/f{number}/") for number in range(fillers))]
+    padding = "x" * (size // FILLER_ROUTES)
+    fillers = [_route(f"filler-{number}", f"/f{number}{padding}/") for number in range(FILLER_ROUTES)]
+    routes = [_marker(order), *fillers]
     service = {
         "Name": SERVICE,
         "HealthPath": "/healthz",
--- a/brackenladder/simulation/profiles.py
+++ b/brackenladder/simulation/profiles.py
@@ -234,6 +234,28 @@
             ),
             calm=(0.5, 4.0),
         ),
+        Profile(
+            "large",
+            "configurations of megabytes over ten megabits, while members are away",
+            Scenario(
+                Site(control_nodes=3, gateways=1, megabits=10.0),
+                Habits(
+                    pause=1.5,
+                    in_flight=1,
+                    updates=0.0,
+                    invalid=0.0,
+                    evacuations=0.1,
+                    answers_lost=0.05,
+                    largest=3 << 20,
+                    patience=40.0,
+                ),
+                servers=1,
+                trouble=60.0,
+                settle=60.0,
+            ),
+            ((2.0, absent), (1.0, lose_disk), (1.0, kill_one), (1.0, reset_links), (1.0, freeze_one)),
+            calm=(2.0, 8.0),
+        ),
         Profile(
             "answers",
             "many orders at a time are passed on between nodes whose links and leaders change",
--- a/brackenladder/system/store_report.py
+++ b/brackenladder/system/store_report.py
@@ -11,8 +11,9 @@
 
 from brackenladder.catalog.catalog import Catalog, SnapshotError
 from brackenladder.catalog.orders import OrderDecodeError, decode_order
+from brackenladder.consensus.command_parts import CommandAssembler
 from brackenladder.consensus.members import decode_members
-from brackenladder.consensus.types import DurableState, Entry, EntryKind, Member, Members
+from brackenladder.consensus.types import DurableState, EntryKind, Member, Members
 from brackenladder.storage.log_store import StoreError
 from brackenladder.storage.sqlite_log import SqliteLogStore
 
@@ -118,17 +119,14 @@
         members = state.snapshot.members
         if state.snapshot.data:
             catalog.restore(state.snapshot.data)
+    assembler = CommandAssembler()
     for entry in state.entries:
-        members = _replay_entry(catalog, entry, members)
-    return members
-
-
-def _replay_entry(catalog: Catalog, entry: Entry, members: Members) -> Members:
-    if entry.kind is EntryKind.MEMBERS:
-        return decode_members(entry.data)
-    if entry.kind is EntryKind.COMMAND:
-        decode_order(entry.data)  # `apply` would take what it does not know for an invalid order
-        catalog.apply(entry.index, entry.data)
+        if entry.kind is EntryKind.MEMBERS:
+            members = decode_members(entry.data)
+        command = assembler.take(entry)
+        if command is not None:
+            decode_order(command)  # `apply` would take what it does not know for an invalid order
+            catalog.apply(entry.index, command)
     return members
 
 
