--- a/brackenladder/consensus/leadership.py
+++ b/brackenladder/consensus/leadership.py
@@ -244,6 +244,12 @@
         for chunk in transfer.chunks(now, core.replica_id, replica_id, core.term, core.member.address):
             core.send(replica_id, chunk)
 
+    def reached(self, now: int, replica_id: str) -> None:
+        """A link to a follower has come up."""
+        progress = self._progress.get(replica_id)
+        if progress is not None and progress.transfer is not None:
+            progress.transfer.link_up(now)
+
     def oldest_transfer(self) -> int | None:
         """Index of the oldest snapshot that is on its way: what follows it will be needed next."""
         transfers = (progress.transfer for progress in self._progress.values())
--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -86,6 +86,11 @@
         """This replica."""
         return self._core.member
 
+    @property
+    def timing(self) -> Timing:
+        """Its times and bounds."""
+        return self._timing
+
     @property
     def role(self) -> Role:
         """What this replica is at present."""
@@ -183,6 +188,8 @@
         """A link to another replica has come up."""
         self._now = now
         self._election.ask_again(replica_id)
+        if self._leading is not None:
+            self._leading.reached(now, replica_id)
 
     def tick(self, now: int) -> None:
         """Let time pass."""
--- a/brackenladder/consensus/snapshots.py
+++ b/brackenladder/consensus/snapshots.py
@@ -64,6 +64,13 @@
             digest=self._digest,
         )
 
+    def link_up(self, now: int) -> None:
+        """A new link to the follower: what was on its way over the last one is lost."""
+        self._wait = self._timing.snapshot_retry
+        self._next = self._taken
+        self._done = False
+        self._heard_at = now
+
     def _begin_again(self, now: int) -> None:
         """From where the follower is known to be; ever more rarely."""
         self._next = self._taken
--- a/brackenladder/control_plane/consensus_host.py
+++ b/brackenladder/control_plane/consensus_host.py
@@ -22,8 +22,6 @@
 
 LEADER_TICK_SECONDS = 0.03
 FOLLOWER_TICK_SECONDS = 0.05
-COMPACT_ENTRIES = 200
-COMPACT_BYTES = 4 * 1024 * 1024
 
 Answer = Result[Outcome, Unavailable]
 Confirmation = Result[None, Unavailable]
@@ -294,7 +292,8 @@
 
     def _compact_if_due(self) -> None:
         entries = self.applied_index - self._compacted_index
-        if entries < COMPACT_ENTRIES and self._bytes_since_compaction < COMPACT_BYTES:
+        timing = self.replica.timing
+        if entries < timing.compact_entries and self._bytes_since_compaction < timing.compact_bytes:
             return
         if self._unreadable is not None or not self._assembler.between_commands:
             return
--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -7,7 +7,7 @@
 from random import Random
 
 import logbook
-from attrs import frozen
+from attrs import evolve, frozen
 
 from brackenladder.catalog.catalog import Catalog
 from brackenladder.consensus.members import all_members
@@ -107,7 +107,7 @@
         self.peers = PeerLinks(transport, self, self._hello)
         # where there is a leader already, the pre-vote keeps an early candidate from disturbing it
         began = clock() - ELECTION_HEAD_START
-        timing = timing or Timing(max_voters=voters_to_bear(platform.tolerate.machines))
+        timing = evolve(timing or Timing(), max_voters=voters_to_bear(platform.tolerate.machines))
         replica = Replica(self.member, start.state, timing, random, began, start.genesis)
         self.host = ConsensusHost(
             replica, writer, self.catalog, clock, self._send_consensus, self._catalog_changed
--- /dev/null
+++ b/brackenladder/simulation/campaign.py
@@ -0,0 +1,154 @@
+"""Many schedules on many processors, what came of them, and the fewest faults that show what broke."""
+
+from __future__ import annotations
+
+import multiprocessing
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from itertools import count, product, takewhile
+from time import perf_counter
+
+from attrs import define, field, frozen
+
+from brackenladder.simulation.mutants import MUTANTS, Mutant
+from brackenladder.simulation.profiles import PROFILES
+from brackenladder.simulation.run import RunResult, run
+
+CHUNK = 4  # schedules handed to a worker at a time
+MOST_STRIKES = 200  # faults of one schedule that shrinking tries to leave out
+
+
+@frozen
+class Schedule:
+    """One run, by what decides it."""
+
+    profile: str
+    seed: int
+
+
+@define
+class Summary:
+    """All runs of a campaign."""
+
+    schedules: int = 0
+    events: int = 0
+    orders: int = 0
+    acknowledged: int = 0
+    elections: int = 0
+    broken: list[RunResult] = field(factory=list)
+    faults: Counter[str] = field(factory=Counter)
+    meetings: Counter[str] = field(factory=Counter)
+    seconds: float = 0.0
+
+    def add(self, result: RunResult) -> None:
+        """Takes a run in."""
+        self.schedules += 1
+        self.events += result.events
+        self.orders += result.orders
+        self.acknowledged += result.acknowledged
+        self.elections += result.elections
+        self.faults.update(result.faults)
+        self.meetings.update(result.meetings)
+        if result.rule:
+            self.broken.append(result)
+
+
+@frozen
+class Conviction:
+    """What the simulation found of a planted fault; `rule` is empty if it was not convicted."""
+
+    mutant: str
+    profile: str
+    schedules: int  # played, the last one among them
+    rule: str
+    detail: str
+    others: tuple[str, ...]  # rules that broke before and are not named for this fault
+
+
+def schedules(profiles: Iterable[str], seeds: range) -> list[Schedule]:
+    """Every profile with every seed."""
+    return [Schedule(profile, seed) for seed, profile in product(seeds, profiles)]
+
+
+def play_all(todo: list[Schedule], jobs: int) -> Iterator[RunResult]:
+    """Runs as they end, in the order of the schedules."""
+    if jobs == 1:
+        yield from map(_play, todo)
+        return
+    with ProcessPoolExecutor(jobs, mp_context=multiprocessing.get_context("spawn")) as pool:
+        yield from pool.map(_play, todo, chunksize=CHUNK)
+
+
+def campaign(todo: list[Schedule], jobs: int) -> Iterator[Summary]:
+    """The summary after each run; the same object each time."""
+    summary = Summary()
+    began = perf_counter()
+    for result in play_all(todo, jobs):
+        summary.add(result)
+        summary.seconds = perf_counter() - began
+        yield summary
+
+
+def convict_all(mutants: Iterable[str], tries: int, jobs: int) -> Iterator[Conviction]:
+    """Each planted fault, under the schedules of its profile."""
+    wanted = [(name, tries) for name in mutants]
+    if jobs == 1:
+        yield from map(_convict, wanted)
+        return
+    with ProcessPoolExecutor(jobs, mp_context=multiprocessing.get_context("spawn")) as pool:
+        yield from pool.map(_convict, wanted)
+
+
+def convict(mutant: Mutant, tries: int) -> Conviction:
+    """Plays schedules until a rule that is named for the planted fault breaks."""
+    others: list[str] = []
+    with mutant.plant():
+        for seed in range(tries):
+            result = run(PROFILES[mutant.profile], seed)
+            if result.rule in mutant.rules:
+                return Conviction(
+                    mutant.name, mutant.profile, seed + 1, result.rule, result.detail, tuple(others)
+                )
+            if result.rule:
+                others.append(result.rule)
+    return Conviction(mutant.name, mutant.profile, tries, "", "", tuple(others))
+
+
+def shrink(schedule: Schedule) -> tuple[frozenset[int], RunResult]:
+    """Leaves out faults one by one, from the last, as long as the same rule still breaks."""
+    profile = PROFILES[schedule.profile]
+    result = run(profile, schedule.seed)
+    skipped: frozenset[int] = frozenset()
+    if not result.rule:
+        return skipped, result
+    for number in reversed(range(_strikes(schedule, result))):
+        fewer = skipped | {number}
+        shorter = run(profile, schedule.seed, skipped=fewer)
+        if shorter.rule == result.rule:
+            skipped, result = fewer, shorter
+    return skipped, result
+
+
+def _strikes(schedule: Schedule, result: RunResult) -> int:
+    """How many faults there may have been up to the one that broke the run."""
+    if result.strikes:
+        return result.strikes
+    needed = takewhile(lambda number: not _broken_without_later(schedule, result.rule, number), count())
+    return min(MOST_STRIKES, sum(1 for _ in needed))
+
+
+def _broken_without_later(schedule: Schedule, rule: str, number: int) -> bool:
+    if number >= MOST_STRIKES:
+        return True
+    later = frozenset(range(number, MOST_STRIKES))
+    return run(PROFILES[schedule.profile], schedule.seed, skipped=later).rule == rule
+
+
+def _play(schedule: Schedule) -> RunResult:
+    return run(PROFILES[schedule.profile], schedule.seed)
+
+
+def _convict(wanted: tuple[str, int]) -> Conviction:
+    name, tries = wanted
+    return convict(MUTANTS[name], tries)
--- a/brackenladder/simulation/checks.py
+++ b/brackenladder/simulation/checks.py
@@ -12,7 +12,7 @@
     UpdateConfiguration,
 )
 from brackenladder.simulation.errors import Violation
-from brackenladder.simulation.history import History, OrderRecord, ReadRecord
+from brackenladder.simulation.history import History, OrderRecord, Outcome, ReadRecord
 
 NO_VERSION = 0
 
@@ -23,6 +23,7 @@
     _check_winners(configurations)
     _check_sequence(configurations)
     _check_chain(configurations)
+    _check_refusals(configurations)
     for order in configurations:
         if order.acknowledged and not order.valid:
             raise Violation("invalid-acknowledged", f"order {order.number}")
@@ -66,6 +67,29 @@
             raise Violation("order-lost", f"order {order.number} for {order.version} after {newest}")
 
 
+def _check_refusals(orders: list[OrderRecord]) -> None:
+    """A conflict tells a version that is as new as all that was acknowledged before, and not the base."""
+    settled = sorted(
+        (order.ended_at, order.version)
+        for order in orders
+        if order.acknowledged and order.ended_at is not None
+    )
+    newest, position = NO_VERSION, 0
+    for order in sorted(orders, key=lambda order: order.invoked_at):
+        while position < len(settled) and settled[position][0] < order.invoked_at:
+            newest = max(newest, settled[position][1])
+            position += 1
+        if order.outcome is Outcome.CONFLICT and (
+            order.told_version < newest or order.told_version == _base(order)
+        ):
+            detail = (
+                f"order {order.number} on {_base(order)}: {order.told_version} is current, after {newest}"
+            )
+            raise Violation("wrong-refusal", detail)
+        if order.outcome is Outcome.INVALID and order.valid and _base(order) > newest:
+            raise Violation("wrong-refusal", f"order {order.number} is invalid, on base {_base(order)}")
+
+
 def _check_chain(orders: list[OrderRecord]) -> None:
     """Every acknowledged order stands on one that is in force, or may be."""
     possible = {NO_VERSION} | {order.version for order in orders if order.valid and not order.refused}
--- a/brackenladder/simulation/machines.py
+++ b/brackenladder/simulation/machines.py
@@ -8,8 +8,13 @@
 from attrs import frozen
 
 from brackenladder.consensus.members import genesis_replica_id
+from brackenladder.consensus.timing import Timing
 from brackenladder.consensus.types import Members
-from brackenladder.control_plane.control_node import ControlNode, ReplicaStart, Surroundings
+from brackenladder.control_plane.control_node import (
+    ControlNode,
+    ReplicaStart,
+    Surroundings,
+)
 from brackenladder.control_plane.http_server import Handler
 from brackenladder.control_plane.wire import control_codec, gateway_codec
 from brackenladder.delivery.presence import Presence
@@ -63,6 +68,7 @@
     control_nodes: int = 3
     gateways: int = 3
     megabits: float = 1000.0
+    timing: Timing = Timing()
 
 
 class ControlMachine:
@@ -77,7 +83,7 @@
         number: int,
         seeds: Callable[[], tuple[str, ...]],
         tolerated: int,
-        megabits: float,
+        site: Site,
     ) -> None:
         """`seeds`: what its settings name; `tolerated`: how many machines may be lost at a time."""
         self.number = number
@@ -85,7 +91,7 @@
         self.zone = tuple(ZONES)[number % len(ZONES)]
         self.region = ZONES[self.zone]
         self.ip = f"10.0.0.{number + 1}"
-        self.place = network.add_place(self.name, self.region, megabits)
+        self.place = network.add_place(self.name, self.region, site.megabits)
         self.node: ControlNode | None = None
         self.process: Process | None = None
         self.starts = 0
@@ -94,6 +100,7 @@
         self._random = random
         self._seeds = seeds
         self._tolerated = tolerated
+        self._timing = site.timing
         self._writer: SimulatedWriter | None = None
         self._disks = 0
         self.disk = Disk(self._loop, random, genesis_replica_id(self.inner_address))
@@ -135,6 +142,7 @@
             self._network.transport(self.name, control_codec()),
             lambda: self._loop.microseconds,
             Random(self._random.getrandbits(64)),
+            timing=self._timing,
             surroundings=surroundings,
         )
         self.node = node
--- a/brackenladder/simulation/virtual_loop.py
+++ b/brackenladder/simulation/virtual_loop.py
@@ -128,6 +128,8 @@
         context: Context | None = None,
     ) -> TimerHandle:
         """See `asyncio.AbstractEventLoop`; as the process in whose context the callback runs."""
+        if self.is_closed():
+            return TimerHandle(when, callback, args, self, context)
         process = _current.get() if context is None else context.get(_current)
         if process is None:
             return super().call_at(when, callback, *args, context=context)
--- a/brackenladder/simulation/world.py
+++ b/brackenladder/simulation/world.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from random import Random
 
 import logbook
@@ -26,6 +26,7 @@
 CONTACT_TIME = 4 * SECOND  # without faults after which all machines are in touch
 CONFIG_TIME = 3 * SECOND  # from an acknowledgement until every gateway in touch follows
 DRAIN_TIME = 3 * SECOND
+CATCH_UP_TIME = 10 * SECOND  # of calm after which no control node lacks what was committed before
 ANSWER_ALONE = SECOND // 2  # longest time without a majority after which orders and reads are answered
 WORD_ALONE = 2 * SECOND  # the same for what servers are acknowledged and new gateways are told
 MOST_SEEDS = 3
@@ -45,6 +46,8 @@
     operators: int = 2
     servers: int = 2
     trouble: float = 40.0  # for which faults come
+    catch_up: float = 4.0  # from the end of a machine's trouble until it counts again
+    calm: float = 0.0  # after the faults, while operators go on
     settle: float = 30.0  # longest time until all is well again
 
 
@@ -54,7 +57,7 @@
 
     faults: Counter[str] = field(factory=Counter)
     meetings: Counter[str] = field(factory=Counter)  # a kind of fault and the role that it met
-    elections: int = 0
+    strikes: int = 0
     terms: set[int] = field(factory=set)
 
 
@@ -92,7 +95,13 @@
         ]
         self.operators = [
             Operator(
-                f"operator-{n}", self.network, self.machines, self.history, scenario.habits, self._branch()
+                f"operator-{n}",
+                self.network,
+                self.machines,
+                self.history,
+                scenario.habits,
+                self._branch(),
+                self,
             )
             for n in range(scenario.operators)
         ]
@@ -110,8 +119,10 @@
             for n in range(scenario.servers)
         ]
         self._shown: dict[tuple[int, int], int] = {}  # revision by gateway and start
+        self._committed: deque[tuple[int, int]] = deque()  # time and commit index of the leader then
         self._tasks: list[asyncio.Task[None]] = []
         self._failure: Violation | None = None
+        self._decisions: list[asyncio.Future[None]] = []  # who waits for the next one
 
     @property
     def now(self) -> int:
@@ -130,7 +141,7 @@
             self._machine_number,
             self._seed_addresses,
             (site.control_nodes - 1) // 2,
-            site.megabits,
+            site,
         )
         if machine.number >= self.seeds:
             machine.lose_disk()  # no seed: its first disk is no founder's
@@ -157,6 +168,7 @@
 
     def begin(self) -> None:
         """Lets operators, servers and checks begin."""
+        self.isolation.update(self.now)
         actors: tuple[Operator | Server, ...] = (*self.operators, *self.servers)
         for actor in actors:
             self._tasks.append(self.loop.create_task(actor.work()))
@@ -205,6 +217,19 @@
 
     # -- checks while it runs
 
+    def order_decided(self) -> None:
+        """A node has acknowledged an order; its answer is about to leave."""
+        waiting, self._decisions = self._decisions, []
+        for decision in waiting:
+            if not decision.done():
+                decision.set_result(None)
+
+    async def next_decision(self) -> None:
+        """Returns at the moment at which a node acknowledges an order."""
+        decision: asyncio.Future[None] = self.loop.create_future()
+        self._decisions.append(decision)
+        await decision
+
     def fail(self, rule: str, detail: str) -> None:
         """Notes the first thing that was found."""
         if self._failure is None:
@@ -239,6 +264,7 @@
             self._note_terms()
             self.isolation.update(self.now)
             self._check_current()
+            self._check_caught_up()
 
     def check_alone(self) -> None:
         """Nobody has answered, acknowledged or told for long without a majority in reach."""
@@ -278,6 +304,22 @@
             if gateway.runs and version < newest:
                 self.fail("config-late", f"gateway {gateway.number} has {version}, {newest} is acknowledged")
 
+    def _check_caught_up(self) -> None:
+        """Every control node has applied what was committed `CATCH_UP_TIME` of calm ago."""
+        leader = self.leader()
+        if leader is not None and leader.node is not None:
+            self._committed.append((self.now, leader.node.host.replica.commit_index))
+        due = self.now - max(CATCH_UP_TIME, int(self.scenario.catch_up * SECOND))
+        while len(self._committed) > 1 and self._committed[1][0] <= due:
+            self._committed.popleft()
+        if not self._committed or self._committed[0][0] > due or not self.calm_since(due + CONTACT_TIME):
+            return
+        for machine in self.machines:
+            node = machine.node
+            if machine.runs and node is not None and node.host.applied_index < self._committed[0][1]:
+                detail = f"{machine.name} has applied {node.host.applied_index} of {self._committed[0][1]}"
+                self.fail("behind", detail)
+
     def _note_terms(self) -> None:
         leader = self.leader()
         if leader is not None and leader.node is not None:
--- a/brackenladder/system/app.py
+++ b/brackenladder/system/app.py
@@ -12,6 +12,7 @@
 from brackenladder.system.errors import CommandError, ExitCode
 from brackenladder.system.evacuate_command import evacuate
 from brackenladder.system.local_command import local
+from brackenladder.system.simulate_command import simulate
 from brackenladder.system.status_command import status
 from brackenladder.system.store_commands import store
 
@@ -28,6 +29,7 @@
 app.command()(status)
 app.add_typer(config, name="config")
 app.command()(evacuate)
+app.command()(simulate)
 app.add_typer(store, name="store")
 
 
--- a/tests/consensus/test_snapshot_transfer.py
+++ b/tests/consensus/test_snapshot_transfer.py
@@ -65,6 +65,13 @@
         self.assertEqual(self.chunks(299), [])
         self.assertEqual([chunk.offset for chunk in self.chunks(300)], [20, 30, 40])
 
+    def test_a_new_link_goes_on_at_once(self) -> None:
+        self.chunks()
+        self.sender.replied(0, reply(received=10))
+        self.chunks()
+        self.sender.link_up(1)
+        self.assertEqual([chunk.offset for chunk in self.chunks(1)], [10, 20, 30])
+
     def test_progress_ends_the_growing_waits(self) -> None:
         self.chunks()
         self.chunks(100)
