--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # From a fresh clone, with nothing but python3 and make. All is installed into .venv, pinned.
 PYTHON ?= python3
 BIN = .venv/bin
-NEEDS = requirements.txt requirements-tools.txt requirements-dev.txt requirements-system.txt \
-	requirements-cli.txt
+NEEDS = requirements.txt requirements-tools.txt requirements-dev.txt requirements-cli.txt
+HASHED = requirements-system.txt # pip takes files with hashes only together with others that have them
 
 .PHONY: test rehearse demo local gate fleet-test
 # All checks: style, types, tests.
@@ -32,7 +32,8 @@
 local: .venv/ready
 	@$(BIN)/python -m brackenladder.system local
 
-.venv/ready: $(NEEDS) requirements-operator.txt
+.venv/ready: $(NEEDS) $(HASHED) requirements-operator.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps $(addprefix -r ,$(HASHED))
 	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps $(addprefix -r ,$(NEEDS))
 	touch $@
