--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -20,6 +20,7 @@
     Invalid,
     Order,
     Outcome,
+    Outdated,
     ReplaceConfiguration,
     UpdateConfiguration,
     encode_order,
@@ -311,6 +312,22 @@
         self.assert_accepted(FinishEvacuation("a"), 7)
         self.assertEqual(self.read_back(), whole())
 
+    def test_one_that_is_late_changes_nothing(self) -> None:
+        self.assert_accepted(BeginEvacuation("a", seen=0), 0)
+        self.assert_accepted(FinishEvacuation("a", seen=1), 0)
+        self.assertEqual(self.assert_unchanged_by(BeginEvacuation("a", seen=1)), Outdated())
+        self.assertEqual(self.catalog.check(BeginEvacuation("a", seen=1)), Outdated())
+        self.assert_accepted(BeginEvacuation("a", seen=2), 0)
+
+    def test_one_that_is_late_and_says_what_holds_is_accepted(self) -> None:
+        self.assert_accepted(BeginEvacuation("a", seen=0), 0)
+        self.assertEqual(self.assert_unchanged_by(BeginEvacuation("a", seen=0)), Accepted(0))
+
+    def test_a_change_of_another_zone_makes_none_late(self) -> None:
+        self.assert_accepted(BeginEvacuation("a", seen=0), 0)
+        self.assert_accepted(BeginEvacuation("b", seen=0), 0)
+        self.assertEqual(self.catalog.evacuated, {"a", "b"})
+
     def test_they_count_as_changes(self) -> None:
         for revision, order in enumerate(
             (replace(0, whole()), BeginEvacuation("a"), FinishEvacuation("a")), 1
@@ -355,6 +372,16 @@
         self.assertEqual(copy.check(first), Accepted(7))
         self.assertEqual(copy.check(update(9, 10, remove={"Routes": ["x"]})), Accepted(10))
 
+    def test_one_of_an_earlier_version(self) -> None:
+        self.catalog.restore(msgpack.packb([1, 5, b"", ["a"], b""]))
+        self.assertEqual((self.catalog.evacuated, self.catalog.revision), ({"a"}, 5))
+        self.assert_accepted(FinishEvacuation("a", seen=5), 0)
+
+    def test_late_evacuations_are_known_after_a_snapshot(self) -> None:
+        self.assert_accepted(BeginEvacuation("a", seen=0), 0)
+        self.assert_accepted(FinishEvacuation("a", seen=1), 0)
+        self.assertEqual(self.restored().check(BeginEvacuation("a", seen=0)), Outdated())
+
     def test_it_takes_the_place_of_what_was(self) -> None:
         snapshot = Catalog().snapshot()
         self.assert_accepted(replace(0, whole()), 7)
@@ -371,6 +398,10 @@
             snapshot[:-1],
             snapshot + b"\0",
             msgpack.packb([2, 0, b"", [], b""]),
+            msgpack.packb([2, 0, b"", [], b"", [["a"]]]),
+            msgpack.packb([2, 0, b"", [], b"", [["a", "b"]]]),
+            msgpack.packb([2, 0, b"", [], b"", 7]),
+            msgpack.packb([3, 0, b"", [], b"", []]),
             msgpack.packb([1, 0, b"{", [], b""]),
             msgpack.packb([1, 0, text(whole(Services=[])), [], b""]),
             msgpack.packb({}),
--- a/tests/catalog/test_catalog_orders.py
+++ b/tests/catalog/test_catalog_orders.py
@@ -25,6 +25,8 @@
     st.builds(UpdateConfiguration, st.integers(), st.binary()),
     st.builds(BeginEvacuation, st.text()),
     st.builds(FinishEvacuation, st.text()),
+    st.builds(BeginEvacuation, st.text(), st.integers(0, 1 << 40)),
+    st.builds(FinishEvacuation, st.text(), st.integers(0, 1 << 40)),
 )
 
 
--- a/tests/control_plane/test_consensus_host.py
+++ b/tests/control_plane/test_consensus_host.py
@@ -12,8 +12,10 @@
 
 from brackenladder.catalog.catalog import Catalog
 from brackenladder.catalog.orders import Accepted, BeginEvacuation, encode_order
+from brackenladder.consensus.command_parts import PART_BYTES
+from brackenladder.consensus.messages import UNKNOWN_AGE
 from brackenladder.consensus.replica import Replica, Timing
-from brackenladder.consensus.types import DurableState, Member, Members, Write
+from brackenladder.consensus.types import DurableState, Member, Members, Snapshot, Write
 from brackenladder.control_plane.consensus_host import Answer, ConsensusHost
 from brackenladder.control_plane.errors import Unavailable
 from brackenladder.node.role_runner import monotonic_microseconds
@@ -104,6 +106,31 @@
         self.store.refuses = False
         self.assertEqual(await self.propose(), Success(Accepted(0)))
 
+    async def test_a_snapshot_that_cannot_be_read_ends_its_say(self) -> None:
+        self.assertEqual(await self.propose(), Success(Accepted(0)))
+        self.host._restore(Snapshot(self.host.applied_index, 1, Members(), b"of a later version"))
+        self.assertEqual(await self.propose_once(), Failure(Unavailable.NO_LEADER))
+        self.assertEqual(await self.host.confirm_read(), Failure(Unavailable.NO_LEADER))
+        self.assertEqual(self.host.contact_age(), UNKNOWN_AGE)
+        self.host._restore(Snapshot(self.host.applied_index, 1, Members(), self.catalog.snapshot()))
+        self.assertEqual(await self.propose(), Success(Accepted(0)))
+
+    async def test_a_large_command_is_applied_whole(self) -> None:
+        await self.propose()
+        zone = "z" * (3 * PART_BYTES)
+        async with asyncio.timeout(PATIENCE):
+            answer = await self.host.propose(encode_order(BeginEvacuation(zone)))
+        self.assertEqual(answer, Success(Accepted(0)))
+        self.assertIn(zone, self.catalog.evacuated)
+
+    async def test_a_read_of_a_revision_waits_for_it(self) -> None:
+        waiting = asyncio.create_task(self.host.catalog_at(1))
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        await self.propose()
+        async with asyncio.timeout(PATIENCE):
+            await waiting
+
     async def test_closing_ends_all_waits(self) -> None:
         self.store.answers.clear()
         last_index = self.host.replica.last_index
--- /dev/null
+++ b/tests/control_plane/test_order_parts.py
@@ -0,0 +1,97 @@
+"""Large orders in parts between two nodes, and answers on the link of their call."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from returns.result import Failure, Success
+
+from brackenladder.control_plane.errors import Unavailable
+from brackenladder.control_plane.forwarding import ReplyTable
+from brackenladder.control_plane.messages import OrderOutcome, OrderPart, OrderPartTaken, OrderReply
+from brackenladder.control_plane.order_parts import (
+    LARGEST_ORDER,
+    MOST_ARRIVING,
+    PART_BYTES,
+    WINDOW_BYTES,
+    OrderReceiver,
+    OrderSender,
+)
+
+ORDER = bytes(range(256)) * 3_000
+WAIT_SECONDS = 0.01
+
+
+class OrderPartsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.receiver = OrderReceiver()
+
+    def test_an_order_arrives_whole(self) -> None:
+        sender = OrderSender(1, ORDER)
+        whole = None
+        while (parts := sender.due()) and whole is None:
+            for part in parts:
+                taken = self.receiver.take(part)
+                if isinstance(taken, OrderPartTaken):
+                    sender.taken(taken.received)
+                else:
+                    whole = taken
+        self.assertEqual(whole, ORDER)
+
+    def test_no_more_than_the_window_is_on_the_way(self) -> None:
+        sender = OrderSender(1, ORDER)
+        self.assertEqual(sum(len(part.data) for part in sender.due()), WINDOW_BYTES)
+        self.assertEqual(sender.due(), [])
+        sender.taken(PART_BYTES)
+        self.assertEqual(len(sender.due()), 1)
+
+    def test_a_part_out_of_place_ends_its_order(self) -> None:
+        first, second, third, *_ = OrderSender(1, ORDER).due()
+        self.receiver.take(first)
+        self.assertIsNone(self.receiver.take(third))
+        self.assertIsNone(self.receiver.take(second))
+
+    def test_an_order_that_is_too_large_is_not_begun(self) -> None:
+        self.assertIsNone(self.receiver.take(OrderPart(1, 0, LARGEST_ORDER + 1, b"x")))
+
+    def test_orders_that_are_never_finished_are_bounded(self) -> None:
+        for request in range(MOST_ARRIVING + 5):
+            self.receiver.take(OrderPart(request, 0, 100, b"x"))
+        self.assertEqual(len(self.receiver._arriving), MOST_ARRIVING)
+
+
+class ReplyTableTest(unittest.IsolatedAsyncioTestCase):
+    """Links are told apart by identity; any object stands for one."""
+
+    async def asyncSetUp(self) -> None:
+        self.table = ReplyTable()
+        self.link, self.other = object(), object()
+        self.leader_changed = asyncio.Event()
+
+    async def reply(self, request: int) -> object:
+        return await self.table.wait(request, OrderReply, self.leader_changed, WAIT_SECONDS)
+
+    async def test_an_answer_on_the_link_of_its_call_counts(self) -> None:
+        request = self.table.open(self.link)
+        answer = OrderReply(request, OrderOutcome.ACCEPTED, 3)
+        self.table.resolve(self.link, answer)
+        self.assertEqual(await self.reply(request), Success(answer))
+
+    async def test_an_answer_on_another_link_does_not(self) -> None:
+        request = self.table.open(self.link)
+        self.table.resolve(self.other, OrderReply(request, OrderOutcome.ACCEPTED, 3))
+        self.assertEqual(await self.reply(request), Failure(Unavailable.TIMEOUT))
+
+    async def test_a_second_answer_changes_nothing(self) -> None:
+        request = self.table.open(self.link)
+        first = OrderReply(request, OrderOutcome.ACCEPTED, 3)
+        self.table.resolve(self.link, first)
+        self.table.resolve(self.link, OrderReply(request, OrderOutcome.CONFLICT, 4))
+        self.assertEqual(await self.reply(request), Success(first))
+
+    async def test_answers_of_calls_that_have_ended_are_dropped(self) -> None:
+        request = self.table.open(self.link)
+        await self.reply(request)
+        self.table.resolve(self.link, OrderReply(request, OrderOutcome.ACCEPTED, 3))
+        self.assertEqual(self.table._waiting, {})
--- a/tests/delivery/test_publisher.py
+++ b/tests/delivery/test_publisher.py
@@ -67,6 +67,14 @@
         )
         self.assertEqual(self.gateway.take(AT), [])
 
+    def test_the_catalog_is_held_back_while_it_may_be_an_old_one(self) -> None:
+        self.publisher.set_catalog(7, b"{}", NO_ZONES)
+        self.publisher.subscribed("gateway", subscribe())
+        held = self.publisher.take(AT, FRESH, tells_catalog=False)
+        self.assertEqual([type(each.message) for each in held], [ServersUpdate])
+        told = self.publisher.take(AT, FRESH, tells_catalog=True)
+        self.assertEqual([type(each.message) for each in told], [CatalogUpdate])
+
     def test_it_is_told_also_that_there_is_nothing_yet(self) -> None:
         self.publisher.subscribed("gateway", subscribe())
         self.assertEqual(
