--- a/brackenladder/simulation/mutants.py
+++ b/brackenladder/simulation/mutants.py
@@ -16,6 +16,7 @@
 from brackenladder.consensus import following
 from brackenladder.consensus.command_parts import CommandAssembler
 from brackenladder.consensus.election import Election
+from brackenladder.consensus.leadership import Leadership
 from brackenladder.consensus.messages import AppendReply
 from brackenladder.consensus.planning import _Planner
 from brackenladder.consensus.replica import Replica
@@ -215,6 +216,19 @@
 # -- snapshots and delivery
 
 
+def _transfer_begun_anew() -> AbstractContextManager[None]:
+    send_chunks = Leadership._send_chunks
+
+    def restless(self: Leadership, now: int, replica_id: str, transfer: Any) -> None:
+        snapshot = self._core.log.snapshot
+        if snapshot is not None and snapshot.index > transfer.snapshot.index:
+            self._begin_snapshot(now, self._progress[replica_id])
+            transfer = self._progress[replica_id].transfer
+        send_chunks(self, now, replica_id, transfer)
+
+    return _replaced(Leadership, _send_chunks=restless, oldest_transfer=lambda self: None)
+
+
 def _snapshot_within_a_command() -> AbstractContextManager[None]:
     return _replaced(CommandAssembler, between_commands=True)
 
@@ -359,6 +373,13 @@
         "no-recovery",
         _voters_added_for_ever,
     )
+    yield mutant(
+        "transfer-begun-anew",
+        "each new snapshot begins the transfer of the last one anew",
+        "snapshots",
+        "behind no-recovery",
+        _transfer_begun_anew,
+    )
     yield mutant(
         "snapshot-within-command",
         "a snapshot is taken between the parts of a large order",
--- a/brackenladder/simulation/profiles.py
+++ b/brackenladder/simulation/profiles.py
@@ -313,7 +313,9 @@
                 Site(
                     gateways=2,
                     megabits=2.0,
-                    timing=Timing(compact_entries=10, kept_bytes=4_096, snapshot_chunk=4_096),
+                    timing=Timing(
+                        compact_entries=5, kept_bytes=1_024, snapshot_chunk=1_024, snapshot_window=2_048
+                    ),
                 ),
                 Habits(
                     pause=0.05,
