--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Passes over the tests that KNOWN-RED.txt lists, and prints them.
+"""Passes over the tests that KNOWN-RED.txt lists, and prints them; the fixture of several files of tests.
 
 One line each: `TEST: cause; issue`. A listed test must fail: once it passes, or is gone, the run fails
 until its line is taken out.
@@ -10,6 +10,8 @@
 
 import pytest
 
+from brackenladder.policy import subset as balance
+
 ROOT = Path(__file__).parent.parent
 LIST = ROOT / "KNOWN-RED.txt"
 SEPARATOR = ": "
@@ -45,3 +47,9 @@
     """Print what was passed over."""
     for name, cause in known_red().items():
         terminalreporter.write_line(f"KNOWN RED {name}: {cause}")
+
+
+@pytest.fixture
+def wide(monkeypatch):
+    """All servers of a small list are members."""
+    monkeypatch.setattr(balance, "SUBSET_LEAST", 24)
