--- a/brackenladder/simulation/run.py
+++ b/brackenladder/simulation/run.py
@@ -21,6 +21,7 @@
 
 START_SECONDS = 3.0  # from the first boot until operators begin
 LOOK_SECONDS = 0.2
+CLEAN_UP_TIME = 1_000  # microseconds after a run in which tasks take note of their cancellation
 
 
 @frozen
@@ -75,6 +76,9 @@
         rule = error.rule if isinstance(error, Violation) else type(error).__name__
         detail = str(error)
     loop.set_exception_handler(lambda _loop, _context: None)
+    for task in asyncio.all_tasks(loop):
+        task.cancel()
+    loop.run_for(CLEAN_UP_TIME)
     return _result(profile, seed, world, rule, detail)
 
 
