--- a/brackenladder/simulation/mutants.py
+++ b/brackenladder/simulation/mutants.py
@@ -17,7 +17,6 @@
 from brackenladder.consensus.command_parts import CommandAssembler
 from brackenladder.consensus.election import Election
 from brackenladder.consensus.leadership import Leadership
-from brackenladder.consensus.messages import AppendReply
 from brackenladder.consensus.planning import _Planner
 from brackenladder.consensus.replica import Replica
 from brackenladder.control_plane import control_node as control_node_module
@@ -166,21 +165,14 @@
 
 
 def _acknowledged_before_durable() -> AbstractContextManager[None]:
-    def accept(core: Any, now: int, request: Any, received: int) -> None:
-        reply = AppendReply(
-            sender=core.replica_id,
-            to=request.sender,
-            term=core.term,
-            ok=True,
-            round=request.round,
-            prev_index=request.prev_index,
-            match=received,
-            received=received,
-            sent_at=now,
-        )
-        core.send(request.sender, reply)
-
-    return _replaced(following, _accept=accept)
+    accept = following._accept
+
+    def hasty(core: Any, now: int, request: Any, received: int) -> None:
+        durable, core.log.durable_index = core.log.durable_index, received
+        accept(core, now, request, received)
+        core.log.durable_index = durable
+
+    return _replaced(following, _accept=hasty)
 
 
 def _vote_without_a_look_at_the_log() -> AbstractContextManager[None]:
--- /dev/null
+++ b/brackenladder/simulation/strikes.py
@@ -0,0 +1,183 @@
+"""What strikes a simulated system: single faults, and faults at the worst moment for what they meet."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from brackenladder.simulation.faults import Faults
+from brackenladder.simulation.machines import ControlMachine
+
+LONG_CUT_SECONDS = (15.0, 25.0)
+SHORT_SECONDS = (0.3, 4.0)
+
+Strike = Callable[[Faults, Random, ControlMachine], Awaitable[None]]
+
+
+async def long_cut(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine is cut off from everyone for some twenty seconds."""
+    await faults.cut(machine, faults.everyone(), random.uniform(*LONG_CUT_SECONDS), "both")
+
+
+async def long_cut_from_peers(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """The same, but operators, servers and gateways still reach it."""
+    how = random.choice(("both", "both", "in", "out"))
+    await faults.cut(machine, faults.peers_of(machine), random.uniform(*LONG_CUT_SECONDS), how)
+
+
+async def partial_cut(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine is parted from some of the others."""
+    others = random.sample(faults.everyone(), max(1, len(faults.everyone()) // 3))
+    await faults.cut(machine, others, random.uniform(*SHORT_SECONDS), random.choice(("both", "in", "out")))
+
+
+async def cut_from_operator(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """What an operator sends to a machine is held up."""
+    names = [operator.name for operator in faults.world.operators]
+    await faults.cut(machine, names, random.uniform(1.0, 8.0), random.choice(("both", "in", "out")))
+
+
+async def kill_one(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """One process ends and comes back."""
+    await faults.kill([machine], random.random() < 0.5, random.uniform(0.2, 3.0))
+
+
+async def kill_all(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """All processes of control end at one moment."""
+    await faults.kill(list(faults.world.machines), random.random() < 0.5, random.uniform(0.2, 1.0))
+
+
+async def power_after_decision(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """All or most machines lose power within 4 ms after an order was acknowledged; disks may be slow."""
+    if random.random() < 0.5:
+        async with asyncio.TaskGroup() as group:
+            for one in faults.world.machines:
+                if one is not faults.world.leader():
+                    group.create_task(faults.slow_disk(one, 4.0))
+            group.create_task(_power_after_decision(faults, random, 1.0))
+    else:
+        await _power_after_decision(faults, random, 0.0)
+
+
+async def _power_after_decision(faults: Faults, random: Random, delay: float) -> None:
+    await asyncio.sleep(delay)
+    await faults.world.next_decision()
+    await asyncio.sleep(random.uniform(0.0, 0.004))
+    machines = list(faults.world.machines)
+    struck = random.sample(machines, random.randint(len(machines) // 2 + 1, len(machines)))
+    await faults.kill(struck, True, random.uniform(0.2, 1.0))
+
+
+async def disk_after_decision(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """The leader's disk is lost within 4 ms after an order was acknowledged."""
+    await faults.world.next_decision()
+    await asyncio.sleep(random.uniform(0.0, 0.004))
+    await faults.lose_disk(faults.world.leader() or machine, random.uniform(0.3, 3.0))
+
+
+async def cut_during_change(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A disk is lost; as its voter is replaced, the leader and the successor are cut off from the others."""
+    await _once_allowed(faults, machine)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(faults.lose_disk(machine, random.uniform(0.3, 1.0)))
+        group.create_task(_cut_at_change(faults, random))
+
+
+async def _cut_at_change(faults: Faults, random: Random) -> None:
+    world = faults.world
+    leader = world.leader()
+    if leader is None or leader.node is None:
+        return
+    node = leader.node
+    before = node.host.replica.members.voters
+    for _ in range(2_000):
+        await asyncio.sleep(0.005)
+        if node.host.replica.members.voters != before:
+            break
+    joining = {voter.address for voter in node.host.replica.members.voters} - {one.address for one in before}
+    together = {one.name for one in world.machines if one.inner_address in joining} | {leader.name}
+    others = [one.name for one in world.machines if one.name not in together]
+    async with asyncio.TaskGroup() as group:
+        for one in world.machines:
+            if one.name in together:
+                group.create_task(faults.cut(one, others, random.uniform(3.0, 6.0), "both"))
+
+
+async def region_alone(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine and a gateway are cut off together; both restart before the cut ends."""
+    world = faults.world
+    gateway = random.choice(world.gateways)
+    inside = {machine.name, gateway.name}
+    outside = [name for name in faults.everyone() if name not in inside]
+    async with asyncio.TaskGroup() as group:
+        group.create_task(faults.cut(machine, outside, random.uniform(8.0, 20.0), "both"))
+        group.create_task(faults.part(gateway.name, outside, random.uniform(8.0, 20.0)))
+        await asyncio.sleep(random.uniform(2.5, 5.0))
+        if random.random() < 0.7:
+            group.create_task(faults.kill([machine], random.random() < 0.5, random.uniform(0.2, 1.0)))
+        await asyncio.sleep(random.uniform(0.0, 1.2))
+        faults.restart_gateway(gateway)
+
+
+async def restart_alone(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine restarts while it is cut off from its peers."""
+    async with asyncio.TaskGroup() as group:
+        group.create_task(faults.cut(machine, faults.peers_of(machine), random.uniform(6.0, 20.0), "both"))
+        group.create_task(faults.kill([machine], random.random() < 0.5, random.uniform(0.2, 2.0)))
+
+
+async def freeze_one(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine stands still."""
+    await faults.freeze(machine, random.choice((random.uniform(0.3, 3.0), random.uniform(10.0, 22.0))))
+
+
+async def reset_links(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """All links of a machine are reset."""
+    faults.reset_links(machine)
+
+
+async def restart_gateway(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A gateway starts with an empty view."""
+    faults.restart_gateway(random.choice(faults.world.gateways))
+
+
+async def lose_disk(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A disk is lost, as soon as one may be."""
+    await _once_allowed(faults, machine)
+    await faults.lose_disk(machine, random.uniform(0.3, 3.0))
+
+
+async def replace_machine(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine is replaced by an empty one at another address."""
+    await _once_allowed(faults, machine)
+    await faults.replace(machine, random.uniform(0.3, 3.0))
+
+
+async def lose_oldest_disk(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """The disk that has lasted longest is lost, as soon as one may be."""
+    oldest = min(faults.world.machines, key=lambda one: one.disk.made_at)
+    await lose_disk(faults, random, oldest)
+
+
+async def trouble_disk(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A disk hangs, is full or slow."""
+    trouble = random.choice((faults.hang_disk, faults.fill_disk, faults.slow_disk))
+    await trouble(machine, random.uniform(0.5, 6.0))
+
+
+async def squeeze(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine's link has little bandwidth."""
+    await faults.squeeze(machine, random.choice((2.0, 10.0)), random.uniform(2.0, 10.0))
+
+
+async def absent(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine is down for long, while the others go on."""
+    await faults.kill([machine], random.random() < 0.5, random.uniform(5.0, 12.0))
+
+
+async def _once_allowed(faults: Faults, machine: ControlMachine) -> None:
+    for _ in range(100):
+        if faults.may_lose_disk(machine):
+            return
+        await asyncio.sleep(0.1)
