A local run tells of the node that has applied most, not of the first that answers

The leader that the run had killed was back and answered first, before it knew what is committed; a change could have been based on its 0 too. Change: of all nodes that answer the one with the highest applied index counts.

--- a/brackenladder/system/local/local_system.py
+++ b/brackenladder/system/local/local_system.py
@@ -59,11 +59,17 @@
     # -- what it is asked and told while it runs
 
     async def status(self) -> ControlStatus:
-        """The system as the first control node that answers sees it."""
+        """The system as the control node sees it that has applied most of the log.
+
+        Failure prevented: a node that has just restarted answers first, and tells of no configuration.
+        """
         told = await self.control.status()
         if isinstance(told, Failure):
             raise LocalError(f"no status: {told.failure()}")
-        return told.unwrap()
+        answers = [told.unwrap()]
+        for answer in (await self.control.statuses()).values():
+            answers.extend(answer.map(lambda status: [status]).value_or([]))
+        return max(answers, key=lambda status: status.applied_index)
 
     async def leader(self) -> Machine:
         """The machine that leads, as soon as one does."""
