--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -70,6 +70,9 @@
     def test_an_evacuation_that_was_held_up(self) -> None:
         self.assertEqual(run(PROFILES["isolation"], 9).rule, "")
 
+    def test_a_process_that_stood_still_has_had_contact_since_its_start(self) -> None:
+        self.assertEqual(run(PROFILES["answers"], 5021).rule, "")
+
     def test_voters_that_are_gone_for_good(self) -> None:
         self.assertEqual(run(PROFILES["members"], 0).rule, "")
 
