Invariants: checks in the running programs, counted, logged, on in every test

An autouse fixture fails each test whose code breaks one. Ruled out: assertions (an end serves fewer clients than going on).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from brackenladder.invariants import VIOLATIONS
 from brackenladder.policy import subset as balance
 
 ROOT = Path(__file__).parent.parent
@@ -53,3 +54,11 @@
 def wide(monkeypatch):
     """All servers of a small list are members."""
     monkeypatch.setattr(balance, "SUBSET_LEAST", 24)
+
+
+@pytest.fixture(autouse=True)
+def invariants_hold():
+    """Every test is watched: what its code counts as a broken invariant fails it."""
+    before = VIOLATIONS.violations()
+    yield
+    assert VIOLATIONS.violations() == before, "an invariant was broken"
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -9,7 +9,7 @@
 
 ROOT = Path(__file__).parents[1] / "brackenladder"
 FLOORS = {
-    **dict.fromkeys(["interface", "settings"], 0),
+    **dict.fromkeys(["interface", "settings", "invariants"], 0),
     **dict.fromkeys(["policy", "membership", "operations", "routing", "control", "cluster", "recovery"], 1),
     # The whole system's pure packages: what is agreed, what is known of servers, what gateways are told.
     **dict.fromkeys(["consensus", "catalog", "prefix_cache"], 1),
@@ -23,8 +23,8 @@
     # The rehearsal meets a node through its sockets and its command line; the model hosts the core.
     "rehearsal": 0,
     "fleet": 2,
-    # Whole control nodes in virtual time; nothing but the command line imports it.
-    "simulation": 6,
+    # Control nodes in virtual time, processes under troubles; only the command line imports them.
+    **dict.fromkeys(["simulation", "soak"], 6),
     **dict.fromkeys(["cli", "system"], 6),
     "__main__": 7,
     "serve": 7,
