Directory: logs and counts how far its answers reach, and what it knows of the client's region

Change: control_plane/directory.py takes resolving out of SoftState, logs each change of reach by region with the gateways known there, and counts answers by reach. The client's place and host come as one type. What is answered is unchanged.

--- a/brackenladder/control_plane/directory_api.py
+++ b/brackenladder/control_plane/directory_api.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from brackenladder.control_plane.http_server import not_found, unavailable
-from brackenladder.registry.directory import Offer
+from brackenladder.registry.directory import ClientPlace, Offer
 
 RESOLVE_PATH = "/-/resolve"
 NEAR_TIME_TO_LIVE = 1  # seconds
@@ -17,14 +17,14 @@
 # vain before each of its look-ups.
 FAR_TIME_TO_LIVE = 4
 
-Resolve = Callable[[str, str], Offer]
+Resolve = Callable[[ClientPlace], Offer]
 
 
 class DirectoryApi:
     """Handles calls of `Listen.Directory`."""
 
     def __init__(self, resolve: Resolve, longest_time_to_live: float) -> None:
-        self._resolve = resolve  # region, zone -> front addresses
+        self._resolve = resolve
         self._longest = longest_time_to_live  # seconds that count at most
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -32,7 +32,8 @@
         if request.method != "GET" or request.rel_url.raw_path != RESOLVE_PATH:
             return not_found(request.rel_url.raw_path)
         query = request.rel_url.query
-        offer = self._resolve(query.get("Region", ""), query.get("Zone", ""))
+        client = ClientPlace(query.get("Name", ""), query.get("Region", ""), query.get("Zone", ""))
+        offer = self._resolve(client)
         if not offer.addresses:
             return unavailable("no gateway is ready")
         time_to_live = min(NEAR_TIME_TO_LIVE if offer.near else FAR_TIME_TO_LIVE, self._longest)
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -7,6 +7,7 @@
 import logbook
 
 from brackenladder.catalog.catalog import Catalog
+from brackenladder.control_plane.directory import Directory
 from brackenladder.control_plane.peers import PeerLinks
 from brackenladder.control_plane.restart_cache import RememberedCatalog
 from brackenladder.control_plane.status import (
@@ -19,7 +20,7 @@
 from brackenladder.delivery.publisher import Publisher
 from brackenladder.prefix_cache.messages import PrefixNotice, PrefixNotices
 from brackenladder.prefix_cache.relay import PrefixRelay, Receiver
-from brackenladder.registry.directory import NO_OFFER, Offer, resolve
+from brackenladder.registry.directory import NO_OFFER, ClientPlace, Offer
 from brackenladder.registry.exchange import PeerExchange
 from brackenladder.registry.gateways import GatewayRegistry
 from brackenladder.registry.records import ServerRecord
@@ -60,6 +61,7 @@
         self._region = region
         self._servers = ServerRegistry(SILENT_HEARTBEATS * heartbeat)
         self._gateways = GatewayRegistry()
+        self._directory = Directory(self._gateways)
         settle_time = int(SETTLE_HEARTBEATS * heartbeat)
         self._exchange = PeerExchange(self._servers, self._gateways, now, settle_time)
         self._publisher = Publisher(self._servers)
@@ -71,7 +73,6 @@
         self._last_name = 0
         self._confirmed_at: int | None = None  # when a majority confirmed a remembered catalog
         self._ticked_at = now
-        self._answers = 0
 
     # -- calls of servers and clients
 
@@ -89,15 +90,14 @@
             self.flush()
         return self._in_touch()
 
-    def resolve(self, region: str, zone: str) -> Offer:
+    def resolve(self, client: ClientPlace) -> Offer:
         """The front addresses for a client; none while this node can't know of all gateways."""
         now = self._clock()
         if not self._gateways.settled(now):
             return NO_OFFER
         for name, node in self._nodes.items():
             self._gateways.linked(node, now - self._subscribers[name].silence)
-        self._answers += 1
-        return resolve(self._gateways.ready(now), region, zone, offset=self._answers)
+        return self._directory.resolve(now, client)
 
     # -- what operators ask
 
--- a/brackenladder/registry/directory.py
+++ b/brackenladder/registry/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import Enum
 
 from attrs import frozen
 
@@ -11,31 +12,62 @@
 MOST_ADDRESSES = 64  # of one answer
 
 
+class Reach(Enum):
+    """How far from a client the gateways of an answer are."""
+
+    ZONE = "its zone"
+    REGION = "its region"
+    ELSEWHERE = "other regions"
+    NOWHERE = "none"  # there is no gateway to be named
+
+
+@frozen
+class ClientPlace:
+    """Where a client is, and the host that it wants to reach."""
+
+    host: str
+    region: str
+    zone: str
+
+
 @frozen
 class Offer:
     """The front addresses that a client gets."""
 
     addresses: tuple[str, ...] = ()
-    near: bool = True  # they are of the client's own region
+    reach: Reach = Reach.NOWHERE
+
+    @property
+    def near(self) -> bool:
+        """Whether they are of the client's own region."""
+        return self.reach in (Reach.ZONE, Reach.REGION)
 
 
 NO_OFFER = Offer()
 
 
 def resolve(
-    gateways: Iterable[GatewayRecord], region: str, zone: str, limit: int = MOST_ADDRESSES, offset: int = 0
+    gateways: Iterable[GatewayRecord], client: ClientPlace, limit: int = MOST_ADDRESSES, offset: int = 0
 ) -> Offer:
-    """Return the front addresses for a client in `zone` of `region`.
+    """Return the front addresses for a client.
 
     They are the ready ones of its zone if there are any, else those of its region, else all. Where there are
     more than `limit`, `offset` turns the list, so that callers who vary it spread their clients over all.
     """
     ready = [gateway for gateway in gateways if gateway.state is GatewayState.READY]
-    nearest = [gateway for gateway in ready if gateway.zone == zone] or [
-        gateway for gateway in ready if gateway.region == region
-    ]
-    addresses = sorted({gateway.front_address for gateway in nearest or ready})
+    reach, chosen = _nearest(ready, client)
+    addresses = sorted({gateway.front_address for gateway in chosen})
     if len(addresses) > limit:
         start = offset % len(addresses)
         addresses = (addresses[start:] + addresses[:start])[:limit]
-    return Offer(tuple(addresses), near=bool(nearest))
+    return Offer(tuple(addresses), reach)
+
+
+def _nearest(ready: list[GatewayRecord], client: ClientPlace) -> tuple[Reach, list[GatewayRecord]]:
+    in_zone = [gateway for gateway in ready if gateway.zone == client.zone]
+    if in_zone:
+        return Reach.ZONE, in_zone
+    in_region = [gateway for gateway in ready if gateway.region == client.region]
+    if in_region:
+        return Reach.REGION, in_region
+    return (Reach.ELSEWHERE, ready) if ready else (Reach.NOWHERE, [])
--- /dev/null
+++ b/tests/control_plane/test_directory_log.py
@@ -0,0 +1,55 @@
+"""What a control node logs and counts of the answers of its directory."""
+
+from __future__ import annotations
+
+import unittest
+
+import logbook
+from registry.registry_samples import gateway
+
+from brackenladder.control_plane.directory import Directory
+from brackenladder.registry.directory import ClientPlace, Reach
+from brackenladder.registry.gateways import GatewayRegistry, GatewayState
+
+SECOND = 1_000_000  # microseconds
+CLIENT = ClientPlace("a.example", "north", "hall-a")
+
+
+class DirectoryLogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gateways = GatewayRegistry()
+        self.directory = Directory(self.gateways)
+        self.gateways.presence(0, gateway("a1", zone="hall-a", region="north"))
+        self.gateways.presence(0, gateway("c1", zone="hall-c", region="south"))
+
+    def lines(self, now: int) -> list[str]:
+        with logbook.TestHandler() as handler:
+            self.directory.resolve(now, CLIENT)
+        return [record.message for record in handler.records]
+
+    def test_a_change_is_logged_once(self) -> None:
+        self.assertEqual(len(self.lines(0)), 1)
+        self.assertEqual(self.lines(SECOND // 2), [])
+
+    def test_a_region_whose_gateways_leave_is_told_from_one_that_was_not_heard(self) -> None:
+        self.lines(0)
+        leaving = gateway("a1", zone="hall-a", region="north", state=GatewayState.LEAVING, seq=2)
+        self.gateways.presence(SECOND, leaving)
+        [line] = self.lines(SECOND)
+        self.assertIn("of their region: a1 leaving, heard 0 ms ago", line)
+        self.gateways.presence(2 * SECOND, gateway("a1", zone="hall-a", region="north", seq=3))
+        self.lines(2 * SECOND)
+        self.gateways.presence(4 * SECOND, gateway("c1", zone="hall-c", region="south", seq=2))
+        [line] = self.lines(4 * SECOND)
+        self.assertIn("a1 ready, heard 2000 ms ago", line)
+
+    def test_a_region_without_any(self) -> None:
+        other = ClientPlace("a.example", "east", "hall-e")
+        with logbook.TestHandler() as handler:
+            self.directory.resolve(0, other)
+        self.assertIn("of their region: none known", handler.records[0].message)
+
+    def test_answers_are_counted_by_their_reach(self) -> None:
+        self.lines(0)
+        self.directory.resolve(0, ClientPlace("a.example", "north", "hall-x"))
+        self.assertEqual(self.directory.answers, {Reach.ZONE: 1, Reach.REGION: 1})
