--- a/tests/control_plane/control_cluster.py
+++ b/tests/control_plane/control_cluster.py
@@ -36,6 +36,7 @@
 
     status: int
     body: bytes
+    retry_after: str | None = None  # of the header; None: there was none
 
     @property
     def document(self) -> Any:
@@ -186,7 +187,7 @@
         async with self.session.post(
             url, data=body if document is not None else b"", headers=headers
         ) as answer:
-            return Answer(answer.status, await answer.read())
+            return Answer(answer.status, await answer.read(), answer.headers.get("Retry-After"))
 
     async def insist(
         self, number: int, path: str, document: object = None, base: int | None = None
@@ -208,7 +209,7 @@
     async def get(self, address: str, path: str) -> Answer:
         """A GET from any address."""
         async with self.session.get(f"http://{address}{path}") as answer:
-            return Answer(answer.status, await answer.read())
+            return Answer(answer.status, await answer.read(), answer.headers.get("Retry-After"))
 
     async def fetch(self, number: int) -> Answer:
         """The configuration as a node reads it back."""
--- /dev/null
+++ b/tests/control_plane/test_directory_homes.py
@@ -0,0 +1,91 @@
+"""The directory of running control nodes keeps the homes of a host's routes, even if that leaves nobody."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from control_cluster import HOST, Answer, ControlCluster, configuration
+
+from brackenladder.control_plane.wire import gateway_codec
+from brackenladder.delivery.presence import Presence
+from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.node.control_links import ControlLinks
+from brackenladder.node.role_runner import monotonic_microseconds
+from brackenladder.prefix_cache.relay_choice import RelayChoice
+from brackenladder.registry.gateways import GatewayState
+from brackenladder.transport.link import LinkTiming
+from brackenladder.transport.tcp import TcpTransport
+
+FREE_HOST = "free.example"  # no route of it has homes
+NORTH, SOUTH, EAST = "10.0.0.1:8144", "10.0.0.2:8144", "10.0.0.3:8144"  # the regions' gateways
+
+
+class ReadyGateway:
+    """The control side of a ready gateway."""
+
+    def __init__(self, cluster: ControlCluster, front: str, zone: str) -> None:
+        zones = cluster.platforms[0].zones
+        self.presence = Presence(front, front, zone, zones[zone], 1)
+        self.presence.set_state(GatewayState.READY)
+        self.transport = TcpTransport(gateway_codec(), LinkTiming(), Random(1))
+        self.links = ControlLinks(
+            self.transport,
+            Subscriber(),
+            self.presence,
+            monotonic_microseconds,
+            Random(1),
+            RelayChoice(front, zone, zones),
+            lambda notices: None,
+        )
+        self.links.set_seeds(cluster.platforms[0].seed_inner_addresses)
+
+
+class DirectoryHomesTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = await self.enterAsyncContext(ControlCluster())
+        await self.cluster.leader()
+        self.gateways = {
+            front: ReadyGateway(self.cluster, front, zone)
+            for front, zone in ((NORTH, "hall-1"), (SOUTH, "hall-2"), (EAST, "hall-3"))
+        }
+        for gateway in self.gateways.values():
+            self.addAsyncCleanup(gateway.transport.close)
+        await self.put_in_force(1, north=["north", "south"], any_region=[])
+
+    async def put_in_force(self, version: int, **homes: list[str]) -> None:
+        """A configuration with a route for each name, all of HOST; `any_region` is one of FREE_HOST too."""
+        document = configuration(version, *homes)
+        for route in document["Routes"]:
+            route["HomeRegions"] = homes[route["Name"]]
+        document["Routes"].append({**document["Routes"][-1], "Name": "free", "Hostname": FREE_HOST})
+        document["Routes"][-1]["HomeRegions"] = []
+        answer = await self.cluster.insist(0, "/-/Config.Replace", document, version - 1)
+        self.assertEqual(answer.status, HTTPStatus.OK)
+
+    async def ask(self, region: str, host: str = HOST) -> Answer:
+        """What a client of a region gets from the directory of the first node."""
+        for gateway in self.gateways.values():
+            gateway.links.tick()
+        address = self.cluster.platforms[0].listen.directory
+        return await self.cluster.get(address, f"/-/resolve?Name={host}&Region={region}&Zone=hall-{region}")
+
+    async def told(self, region: str, addresses: set[str], host: str = HOST) -> None:
+        """The client is told just these addresses, as soon as the node knows of them."""
+
+        def complete(answer: Answer) -> bool:
+            return answer.status == HTTPStatus.OK and set(answer.document["Addresses"]) == addresses
+
+        await self.cluster.repeat(lambda: self.ask(region, host), complete)
+
+    async def leave(self, *fronts: str) -> None:
+        for front in fronts:
+            self.gateways[front].presence.set_state(GatewayState.LEAVING)
+
+    async def test_a_region_without_gateways_is_led_to_the_homes_only(self) -> None:
+        await self.told("south", {SOUTH})
+        await self.leave(SOUTH)
+        await self.told("south", {NORTH})  # not to the east, which is no home
+        await self.told("south", {NORTH, EAST}, FREE_HOST)
+        await self.told("east", {EAST})  # its own region may always be named
