Directory: whoever is led out of its region gets gateways in the homes of the host's routes only

Cause: where no gateway of the client's region was ready, the directory named all that were, whatever the homes of the host's routes: it had the client's region and zone, the homes were known to placement alone. Class: a fallback that widens past a constraint when the preferred set is empty. Change: catalog/homes.py, the homes that bind a host: all its routes' together, as a client uses one answer for all of them; a host that no route names is led nowhere else, its homes may be on their way. A node without contact with the leader leads nobody out of its region. If nobody may be named: 503 with Retry-After. An answer that leads out of the region is told for a third of ConfigMs at most (clients hold some for three times as long), before 4 s. Invariants: directory-keeps-homes at each answer, server-keeps-homes at each attempt of a gateway.

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -126,7 +126,7 @@
         self._remembered: RememberedCatalog | None = None
         operator_api = OperatorApi(self.orders, self.soft_state, self._zones, self.status)
         self._control_listener = surroundings.listener(operator_api.handle)
-        directory_api = DirectoryApi(self.soft_state.resolve, platform.bounds.ttl_max_s)
+        directory_api = DirectoryApi(self.soft_state.resolve, platform.bounds)
         self._directory_listener = surroundings.listener(directory_api.handle)
         self._writer = writer
         self._transport = transport
--- a/brackenladder/control_plane/directory.py
+++ b/brackenladder/control_plane/directory.py
@@ -10,25 +10,50 @@
 
 import logbook
 
+from brackenladder.catalog.configuration import Configuration
+from brackenladder.catalog.homes import ConfigurationHomes
+from brackenladder.invariants import VIOLATIONS, Invariant
 from brackenladder.registry.directory import ClientPlace, Offer, Reach, resolve
 from brackenladder.registry.gateways import GatewayRegistry, HeardGateway
 
 MICROSECONDS_PER_MILLISECOND = 1000
+MOST_REACHES = 4096  # hosts and regions whose last reach is remembered
 
 log = logbook.Logger("directory")
 
 
 class Directory:
-    """Resolves hosts by the gateways of a registry."""
+    """Resolves hosts by the gateways of a registry and the homes of the newest configuration."""
 
     def __init__(self, gateways: GatewayRegistry) -> None:
         self._gateways = gateways
+        self._homes = ConfigurationHomes()
+        self._revision = 0  # of the catalog that the homes are of
         self._answers: Counter[Reach] = Counter()
-        self._reaches: dict[str, Reach] = {}  # the last one by the clients' region
+        self._reaches: dict[tuple[str, str], Reach] = {}  # the last one by host and the clients' region
 
-    def resolve(self, now: int, client: ClientPlace) -> Offer:
-        """The front addresses for a client."""
-        offer = resolve(self._gateways.ready(now), client, offset=self._answers.total())
+    def configured(self, revision: int, configuration: Configuration | None) -> None:
+        """Take the configuration as of a revision of the catalog; an older one is ignored."""
+        if revision <= self._revision:
+            return
+        self._revision = revision
+        self._homes = ConfigurationHomes(configuration)
+
+    def resolve(self, now: int, client: ClientPlace, current: bool) -> Offer:
+        """The front addresses for a client.
+
+        Where the homes known here may have been replaced without this node's knowledge (not `current`), no
+        client is led out of its region.
+        """
+        homes = self._homes.of(client.host)
+        permitted = homes.permit if current else _nowhere
+        offer = resolve(self._gateways.ready(now), client, permitted, offset=self._answers.total())
+        breached = homes.breached(client.region, offer.regions)
+        VIOLATIONS.check(
+            Invariant.DIRECTORY_KEEPS_HOMES,
+            not breached,
+            f"a client of {client.region} is led to {breached} for {client.host}",
+        )
         self._note(now, client, offer.reach)
         return offer
 
@@ -39,12 +64,16 @@
 
     def _note(self, now: int, client: ClientPlace, reach: Reach) -> None:
         self._answers[reach] += 1
-        before = self._reaches.get(client.region)
+        place = (client.host, client.region)
+        before = self._reaches.get(place)
         if before is reach:
             return
-        self._reaches[client.region] = reach
+        if len(self._reaches) >= MOST_REACHES:
+            self._reaches.clear()
+        self._reaches[place] = reach
         log.info(
-            "clients of {} get {} (before: {}); of their region: {}",
+            "{}: clients of {} get {} (before: {}); of their region: {}",
+            client.host,
             client.region,
             reach.value,
             before.value if before is not None else "not asked",
@@ -57,6 +86,10 @@
         return ", ".join(map(_described, known)) or "none known"
 
 
+def _nowhere(_region: str) -> bool:
+    return False
+
+
 def _described(known: HeardGateway) -> str:
     silent = known.age // MICROSECONDS_PER_MILLISECOND
     return f"{known.gateway.node} {known.gateway.state.name.lower()}, heard {silent} ms ago"
--- a/brackenladder/control_plane/directory_api.py
+++ b/brackenladder/control_plane/directory_api.py
@@ -9,13 +9,16 @@
 from aiohttp import web
 
 from brackenladder.control_plane.http_server import not_found, unavailable
+from brackenladder.platform_settings import Bounds
 from brackenladder.registry.directory import ClientPlace, Offer
 
 RESOLVE_PATH = "/-/resolve"
 NEAR_TIME_TO_LIVE = 1  # seconds
 # A client without a gateway in its region has hardly a living directory there either: it waits a second in
 # vain before each of its look-ups.
-FAR_TIME_TO_LIVE = 4
+FAR_TIME_TO_LIVE = 4.0  # seconds, at most
+LONGEST_HOLD = 3  # times the time to live: so long do clients hold an answer while they can get a new one
+MILLISECONDS_PER_SECOND = 1000
 
 Resolve = Callable[[ClientPlace], Offer]
 
@@ -23,9 +26,13 @@
 class DirectoryApi:
     """Handles calls of `Listen.Directory`."""
 
-    def __init__(self, resolve: Resolve, longest_time_to_live: float) -> None:
+    def __init__(self, resolve: Resolve, bounds: Bounds) -> None:
+        """`bounds` tells how long an answer counts, and within what time a configuration is in force."""
         self._resolve = resolve
-        self._longest = longest_time_to_live  # seconds that count at most
+        self._near_seconds = min(NEAR_TIME_TO_LIVE, bounds.ttl_max_s)
+        # Homes may change: whoever was led out of its region asks again within the time that a change has.
+        in_force = bounds.config_ms / MILLISECONDS_PER_SECOND
+        self._far_seconds = min(FAR_TIME_TO_LIVE, in_force / LONGEST_HOLD, bounds.ttl_max_s)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """`GET /-/resolve?Name=&Region=&Zone=`."""
@@ -35,7 +42,7 @@
         client = ClientPlace(query.get("Name", ""), query.get("Region", ""), query.get("Zone", ""))
         offer = self._resolve(client)
         if not offer.addresses:
-            return unavailable("no gateway is ready")
-        time_to_live = min(NEAR_TIME_TO_LIVE if offer.near else FAR_TIME_TO_LIVE, self._longest)
+            return unavailable("no gateway that the client may be led to is ready")
+        time_to_live = self._near_seconds if offer.near else self._far_seconds
         body = json.dumps({"Addresses": offer.addresses, "TtlS": time_to_live}).encode()
         return web.Response(status=HTTPStatus.OK, body=body, content_type="application/json")
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -7,6 +7,7 @@
 import logbook
 
 from brackenladder.catalog.catalog import Catalog
+from brackenladder.catalog.configuration import parse_configuration
 from brackenladder.control_plane.directory import Directory
 from brackenladder.control_plane.peers import PeerLinks
 from brackenladder.control_plane.restart_cache import RememberedCatalog
@@ -97,7 +98,7 @@
             return NO_OFFER
         for name, node in self._nodes.items():
             self._gateways.linked(node, now - self._subscribers[name].silence)
-        return self._directory.resolve(now, client)
+        return self._directory.resolve(now, client, current=self._tells_catalog(now))
 
     # -- what operators ask
 
@@ -174,12 +175,14 @@
     def catalog_changed(self, catalog: Catalog) -> None:
         """Publishes the newest catalog at once."""
         self._publisher.set_catalog(catalog.revision, catalog.document, catalog.evacuated)
+        self._directory.configured(catalog.revision, catalog.configuration)
         self.flush()
 
     def catalog_confirmed(self, catalog: RememberedCatalog) -> None:
         """Publishes what was committed before this node's restart; a majority knows of nothing later."""
         self._confirmed_at = self._clock()
         self._publisher.set_catalog(catalog.revision, catalog.document, frozenset(catalog.evacuated))
+        self._directory.configured(catalog.revision, parse_configuration(catalog.document).value_or(None))
         self.flush()
 
     def prefixes_remembered(self, notices: tuple[PrefixNotice, ...]) -> None:
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -28,6 +28,7 @@
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import outcome_of
 from brackenladder.interface import Outcome
+from brackenladder.invariants import VIOLATIONS, Invariant
 from brackenladder.registry.records import ServerRecord, ServerState
 
 EVENT_STREAM = "text/event-stream"
@@ -81,6 +82,7 @@
         gateway_call: GatewayCall = call  # type: ignore[assignment]  # the gateway's pools get no other
         if record is None or not gateway_call.exchange.may_be_sent_to(record.id):
             return None
+        _check_homes(gateway_call, record)
         return ServerAttempt(self, server, record, gateway_call, expires, done)
 
     def probe(self, server: int, done: Probed) -> None:
@@ -94,6 +96,19 @@
             self.connections.close_idle(record.address)
 
 
+def _check_homes(call: GatewayCall, record: ServerRecord) -> None:
+    """The invariant, by the settings' own table of zones."""
+    homes = call.traits.route.homes
+    if not homes:
+        return
+    region = call.pool.platform.region_of(record.zone)
+    VIOLATIONS.check(
+        Invariant.SERVER_KEEPS_HOMES,
+        region in homes,
+        f"{call.traits.route.name} with homes {homes} goes to {record.id} in {record.zone} of {region!r}",
+    )
+
+
 def connection_part(most: int, gateways: int) -> int:
     """This gateway's part of the connections that a server accepts."""
     return max(LEAST_CONNECTIONS, int(most * CONNECTION_SHARE / max(1, gateways)))
--- a/brackenladder/registry/directory.py
+++ b/brackenladder/registry/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from attrs import frozen
@@ -32,10 +32,11 @@
 
 @frozen
 class Offer:
-    """The front addresses that a client gets."""
+    """The gateways that a client gets, by their front addresses."""
 
     addresses: tuple[str, ...] = ()
     reach: Reach = Reach.NOWHERE
+    regions: frozenset[str] = frozenset()  # of these gateways
 
     @property
     def near(self) -> bool:
@@ -46,28 +47,40 @@
 NO_OFFER = Offer()
 
 
+Permitted = Callable[[str], bool]
+
+
 def resolve(
-    gateways: Iterable[GatewayRecord], client: ClientPlace, limit: int = MOST_ADDRESSES, offset: int = 0
+    gateways: Iterable[GatewayRecord],
+    client: ClientPlace,
+    permitted: Permitted,
+    limit: int = MOST_ADDRESSES,
+    offset: int = 0,
 ) -> Offer:
     """Return the front addresses for a client.
 
-    They are the ready ones of its zone if there are any, else those of its region, else all. Where there are
-    more than `limit`, `offset` turns the list, so that callers who vary it spread their clients over all.
+    They are the ready ones of its zone if there are any, else those of its region, else those of the regions
+    that are `permitted` to the host's clients from elsewhere, else none. Where there are more than `limit`,
+    `offset` turns the list, so that callers who vary it spread their clients over all.
     """
     ready = [gateway for gateway in gateways if gateway.state is GatewayState.READY]
-    reach, chosen = _nearest(ready, client)
-    addresses = sorted({gateway.front_address for gateway in chosen})
+    reach, chosen = _nearest(ready, client, permitted)
+    regions = {gateway.front_address: gateway.region for gateway in chosen}
+    addresses = sorted(regions)
     if len(addresses) > limit:
         start = offset % len(addresses)
         addresses = (addresses[start:] + addresses[:start])[:limit]
-    return Offer(tuple(addresses), reach)
+    return Offer(tuple(addresses), reach, frozenset(regions[address] for address in addresses))
 
 
-def _nearest(ready: list[GatewayRecord], client: ClientPlace) -> tuple[Reach, list[GatewayRecord]]:
-    in_zone = [gateway for gateway in ready if gateway.zone == client.zone]
+def _nearest(
+    ready: list[GatewayRecord], client: ClientPlace, permitted: Permitted
+) -> tuple[Reach, list[GatewayRecord]]:
+    in_region = [gateway for gateway in ready if gateway.region == client.region]
+    in_zone = [gateway for gateway in in_region if gateway.zone == client.zone]
     if in_zone:
         return Reach.ZONE, in_zone
-    in_region = [gateway for gateway in ready if gateway.region == client.region]
     if in_region:
         return Reach.REGION, in_region
-    return (Reach.ELSEWHERE, ready) if ready else (Reach.NOWHERE, [])
+    elsewhere = [gateway for gateway in ready if permitted(gateway.region)]
+    return (Reach.ELSEWHERE, elsewhere) if elsewhere else (Reach.NOWHERE, [])
--- /dev/null
+++ b/tests/control_plane/test_directory.py
@@ -0,0 +1,68 @@
+"""What a control node's directory answers by the homes that it knows, and the invariant that watches it."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from registry.registry_samples import gateway
+
+from brackenladder.catalog.configuration import Configuration, Route, RouteKind
+from brackenladder.catalog.homes import HostHomes
+from brackenladder.control_plane.directory import Directory
+from brackenladder.invariants import VIOLATIONS, Invariant
+from brackenladder.registry.directory import NO_OFFER, ClientPlace
+from brackenladder.registry.gateways import GatewayRegistry, GatewayState
+
+CLIENT = ClientPlace("a.example", "east", "hall-e")
+
+
+def configuration(*homes: str) -> Configuration:
+    return Configuration(1, (Route("a", "a.example", "/", RouteKind.SAFE, 1000, 500, homes=homes),), ())
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gateways = GatewayRegistry()
+        self.directory = Directory(self.gateways)
+        self.gateways.presence(0, gateway("n1", zone="hall-n", region="north"))
+        self.gateways.presence(0, gateway("s1", zone="hall-s", region="south"))
+
+    def nodes(self, current: bool = True) -> list[str]:
+        offer = self.directory.resolve(0, CLIENT, current)
+        return [address.split(":")[0] for address in offer.addresses]
+
+    def test_without_a_configuration_nobody_is_led_out_of_its_region(self) -> None:
+        self.assertEqual(self.nodes(), [])
+        self.gateways.presence(0, gateway("e1", zone="hall-e", region="east"))
+        self.assertEqual(self.nodes(), ["e1"])
+
+    def test_homes_that_may_have_been_replaced_lead_nobody_out_of_its_region(self) -> None:
+        self.directory.configured(1, configuration())
+        self.assertEqual(self.nodes(), ["n1", "s1"])
+        self.assertEqual(self.directory.resolve(0, CLIENT, current=False), NO_OFFER)
+
+    def test_an_older_revision_changes_nothing(self) -> None:
+        self.directory.configured(2, configuration("south"))
+        self.directory.configured(1, configuration())
+        self.assertEqual(self.nodes(), ["s1"])
+
+    def test_a_region_whose_gateways_leave_start_or_fall_silent_keeps_the_homes(self) -> None:
+        self.directory.configured(1, configuration("south"))
+        for seq, state in enumerate((GatewayState.STARTING, GatewayState.READY, GatewayState.LEAVING)):
+            own = gateway("e1", seq=seq, state=state, zone="hall-e", region="east")
+            self.gateways.presence(0, own)
+            self.assertEqual(self.nodes(), ["e1"] if state is GatewayState.READY else ["s1"])
+
+    def test_a_breach_is_counted(self) -> None:
+        self.directory.configured(1, configuration("south"))
+        with VIOLATIONS.apart():
+            before = VIOLATIONS.violations().get(Invariant.DIRECTORY_KEEPS_HOMES, 0)
+            real, answers = HostHomes.permit, iter((True, True))  # the choice errs, the check does not
+            erring = mock.patch.object(
+                HostHomes, "permit", lambda homes, region: next(answers, None) or real(homes, region)
+            )
+            with erring:
+                self.assertEqual(self.nodes(), ["n1", "s1"])
+            counted = VIOLATIONS.violations()[Invariant.DIRECTORY_KEEPS_HOMES] - before
+        self.assertEqual(counted, 1)
--- a/tests/control_plane/test_directory_api.py
+++ b/tests/control_plane/test_directory_api.py
@@ -11,18 +11,20 @@
 
 from brackenladder.control_plane.directory_api import (
     FAR_TIME_TO_LIVE,
+    LONGEST_HOLD,
     NEAR_TIME_TO_LIVE,
     RESOLVE_PATH,
     DirectoryApi,
 )
+from brackenladder.platform_settings import Bounds
 from brackenladder.registry.directory import NO_OFFER, ClientPlace, Offer, Reach
 
-LONGEST = 5.0  # seconds
+BOUNDS = Bounds(ttl_max_s=5, config_ms=12_000)
 
 
 class DirectoryApiTest(unittest.IsolatedAsyncioTestCase):
-    async def ask(self, offer: Offer, longest: float = LONGEST, path: str = RESOLVE_PATH) -> web.Response:
-        api = DirectoryApi(lambda client: self.asked_for(client, offer), longest)
+    async def ask(self, offer: Offer, bounds: Bounds = BOUNDS, path: str = RESOLVE_PATH) -> web.Response:
+        api = DirectoryApi(lambda client: self.asked_for(client, offer), bounds)
         request = make_mocked_request("GET", f"{path}?Name=a.example&Region=north&Zone=hall-a")
         answer = await api.handle(request)
         assert isinstance(answer, web.Response)
@@ -32,8 +34,8 @@
         self.assertEqual(client, ClientPlace("a.example", "north", "hall-a"))
         return offer
 
-    async def told(self, offer: Offer, longest: float = LONGEST) -> dict[str, object]:
-        answer = await self.ask(offer, longest)
+    async def told(self, offer: Offer, bounds: Bounds = BOUNDS) -> dict[str, object]:
+        answer = await self.ask(offer, bounds)
         assert isinstance(answer.body, bytes)
         content: dict[str, object] = json.loads(answer.body)
         return content
@@ -46,13 +48,20 @@
         told = await self.told(Offer(("10.1.0.1:80",), Reach.ELSEWHERE))
         self.assertEqual(told["TtlS"], FAR_TIME_TO_LIVE)
 
+    async def test_far_ones_are_not_held_for_longer_than_a_change_takes(self) -> None:
+        told = await self.told(Offer(("10.1.0.1:80",), Reach.ELSEWHERE), bounds=Bounds(config_ms=3000))
+        self.assertEqual(told["TtlS"], 3.0 / LONGEST_HOLD)
+
     async def test_never_for_longer_than_counts(self) -> None:
-        told = await self.told(Offer(("10.1.0.1:80",), Reach.ELSEWHERE), longest=2.0)
+        told = await self.told(
+            Offer(("10.1.0.1:80",), Reach.ELSEWHERE), bounds=Bounds(ttl_max_s=2, config_ms=12_000)
+        )
         self.assertEqual(told["TtlS"], 2.0)
 
     async def test_no_gateway(self) -> None:
         answer = await self.ask(NO_OFFER)
         self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
 
     async def test_another_path(self) -> None:
         answer = await self.ask(Offer(("10.1.0.1:80",), Reach.ZONE), path="/-/other")
--- a/tests/control_plane/test_directory_homes.py
+++ b/tests/control_plane/test_directory_homes.py
@@ -79,6 +79,14 @@
 
         await self.cluster.repeat(lambda: self.ask(region, host), complete)
 
+    async def refused(self, region: str, host: str = HOST) -> None:
+        """The client is told of nobody, and when to come back."""
+        answer = await self.cluster.repeat(
+            lambda: self.ask(region, host), lambda answer: answer.status != HTTPStatus.OK
+        )
+        self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE)
+        self.assertIsNotNone(answer.retry_after)
+
     async def leave(self, *fronts: str) -> None:
         for front in fronts:
             self.gateways[front].presence.set_state(GatewayState.LEAVING)
@@ -89,3 +97,30 @@
         await self.told("south", {NORTH})  # not to the east, which is no home
         await self.told("south", {NORTH, EAST}, FREE_HOST)
         await self.told("east", {EAST})  # its own region may always be named
+
+    async def test_nobody_is_named_where_no_permitted_gateway_is_ready(self) -> None:
+        await self.told("south", {SOUTH})
+        await self.leave(SOUTH, NORTH)
+        await self.refused("south")
+        await self.told("south", {EAST}, FREE_HOST)
+
+    async def test_homes_that_change_bind_the_next_answer(self) -> None:
+        await self.told("south", {SOUTH})
+        await self.leave(SOUTH)
+        await self.told("south", {NORTH})
+        await self.put_in_force(2, north=["south", "east"], any_region=[])
+        await self.told("south", {EAST})
+        await self.put_in_force(3, north=["south"], any_region=[])
+        await self.refused("south")
+
+    async def test_all_homes_of_a_host_bind_together(self) -> None:
+        await self.put_in_force(2, north=["north", "east"], other=["east"], any_region=[])
+        await self.leave(SOUTH)
+        await self.told("south", {EAST})
+        await self.put_in_force(3, north=["north"], other=["east"], any_region=[])
+        await self.refused("south")
+
+    async def test_a_host_that_is_not_known_is_led_to_its_own_region_only(self) -> None:
+        await self.told("south", {SOUTH}, "new.example")
+        await self.leave(SOUTH)
+        await self.refused("south", "new.example")
--- a/tests/control_plane/test_directory_log.py
+++ b/tests/control_plane/test_directory_log.py
@@ -24,7 +24,7 @@
 
     def lines(self, now: int) -> list[str]:
         with logbook.TestHandler() as handler:
-            self.directory.resolve(now, CLIENT)
+            self.directory.resolve(now, CLIENT, current=True)
         return [record.message for record in handler.records]
 
     def test_a_change_is_logged_once(self) -> None:
@@ -46,10 +46,10 @@
     def test_a_region_without_any(self) -> None:
         other = ClientPlace("a.example", "east", "hall-e")
         with logbook.TestHandler() as handler:
-            self.directory.resolve(0, other)
+            self.directory.resolve(0, other, current=True)
         self.assertIn("of their region: none known", handler.records[0].message)
 
     def test_answers_are_counted_by_their_reach(self) -> None:
         self.lines(0)
-        self.directory.resolve(0, ClientPlace("a.example", "north", "hall-x"))
+        self.directory.resolve(0, ClientPlace("a.example", "north", "hall-x"), current=True)
         self.assertEqual(self.directory.answers, {Reach.ZONE: 1, Reach.REGION: 1})
--- a/tests/registry/test_resolve.py
+++ b/tests/registry/test_resolve.py
@@ -15,6 +15,14 @@
 C1 = gateway("c1", zone="hall-c", region="south")
 
 
+def everywhere(_region: str) -> bool:
+    return True
+
+
+def nowhere(_region: str) -> bool:
+    return False
+
+
 def client(region: str, zone: str, host: str = "a.example") -> ClientPlace:
     return ClientPlace(host, region, zone)
 
@@ -25,37 +33,53 @@
 
 class ResolveTest(unittest.TestCase):
     def test_those_of_the_zone(self) -> None:
-        self.assertEqual(nodes(resolve([C1, B1, A2, A1], client("north", "hall-a"))), ["a1", "a2"])
+        self.assertEqual(
+            nodes(resolve([C1, B1, A2, A1], client("north", "hall-a"), everywhere)), ["a1", "a2"]
+        )
 
     def test_else_those_of_the_region(self) -> None:
-        self.assertEqual(nodes(resolve([C1, B1, A1], client("north", "hall-x"))), ["a1", "b1"])
+        self.assertEqual(nodes(resolve([C1, B1, A1], client("north", "hall-x"), everywhere)), ["a1", "b1"])
 
     def test_else_all(self) -> None:
-        self.assertEqual(nodes(resolve([C1, B1, A1], client("east", "hall-x"))), ["a1", "b1", "c1"])
+        self.assertEqual(
+            nodes(resolve([C1, B1, A1], client("east", "hall-x"), everywhere)), ["a1", "b1", "c1"]
+        )
+
+    def test_of_other_regions_the_permitted_ones_only(self) -> None:
+        offer = resolve([C1, B1, A1], client("east", "hall-x"), lambda region: region == "south")
+        self.assertEqual((nodes(offer), offer.regions), (["c1"], {"south"}))
+
+    def test_nobody_where_no_region_is_permitted(self) -> None:
+        self.assertEqual(resolve([C1, B1], client("east", "hall-x"), nowhere), NO_OFFER)
+
+    def test_the_own_region_needs_no_permission(self) -> None:
+        self.assertEqual(nodes(resolve([C1, B1], client("north", "hall-a"), nowhere)), ["b1"])
 
     def test_near_are_those_of_the_region(self) -> None:
-        self.assertTrue(resolve([C1, B1], client("north", "hall-b")).near)
-        self.assertTrue(resolve([C1, B1], client("north", "hall-x")).near)
-        self.assertFalse(resolve([C1, B1], client("east", "hall-x")).near)
+        self.assertTrue(resolve([C1, B1], client("north", "hall-b"), everywhere).near)
+        self.assertTrue(resolve([C1, B1], client("north", "hall-x"), everywhere).near)
+        self.assertFalse(resolve([C1, B1], client("east", "hall-x"), everywhere).near)
 
     def test_how_far_they_are(self) -> None:
-        self.assertIs(resolve([C1, B1], client("north", "hall-b")).reach, Reach.ZONE)
-        self.assertIs(resolve([C1, B1], client("north", "hall-x")).reach, Reach.REGION)
-        self.assertIs(resolve([C1, B1], client("east", "hall-x")).reach, Reach.ELSEWHERE)
-        self.assertIs(resolve([], client("east", "hall-x")).reach, Reach.NOWHERE)
+        self.assertIs(resolve([C1, B1], client("north", "hall-b"), everywhere).reach, Reach.ZONE)
+        self.assertIs(resolve([C1, B1], client("north", "hall-x"), everywhere).reach, Reach.REGION)
+        self.assertIs(resolve([C1, B1], client("east", "hall-x"), everywhere).reach, Reach.ELSEWHERE)
+        self.assertIs(resolve([], client("east", "hall-x"), everywhere).reach, Reach.NOWHERE)
 
     def test_only_ready_ones(self) -> None:
         leaving = gateway("a3", state=GatewayState.LEAVING)
         starting = gateway("a4", state=GatewayState.STARTING)
-        self.assertEqual(nodes(resolve([leaving, starting, B1], client("north", "hall-a"))), ["b1"])
         self.assertEqual(
-            resolve([leaving, starting], client("north", "hall-a")).addresses, NO_OFFER.addresses
+            nodes(resolve([leaving, starting, B1], client("north", "hall-a"), everywhere)), ["b1"]
+        )
+        self.assertEqual(
+            resolve([leaving, starting], client("north", "hall-a"), everywhere).addresses, NO_OFFER.addresses
         )
 
     def test_no_more_than_the_limit_and_all_in_turn(self) -> None:
         many = [gateway(f"n{number:03}") for number in range(100)]
-        first = resolve(many, client("north", "hall-a")).addresses
-        second = resolve(many, client("north", "hall-a"), offset=MOST_ADDRESSES).addresses
+        first = resolve(many, client("north", "hall-a"), everywhere).addresses
+        second = resolve(many, client("north", "hall-a"), everywhere, offset=MOST_ADDRESSES).addresses
         self.assertEqual((len(first), len(second)), (MOST_ADDRESSES, MOST_ADDRESSES))
         self.assertEqual(len({*first, *second}), 100)
         self.assertEqual(first[0], "n000:8144")
