--- a/brackenladder/rehearsal/standins/heartbeats.py
+++ b/brackenladder/rehearsal/standins/heartbeats.py
@@ -59,6 +59,10 @@
                 await self._task
         await self._session.close()
 
+    def loses_answer(self) -> bool:
+        """Whether an acknowledgement is lost on its way; a server that plays this overrides it."""
+        return False
+
     async def _run(self) -> None:
         while True:
             acknowledged = await self._beat()
@@ -74,7 +78,7 @@
             "Version": "v1",
             "Slots": settings.engine.slots if settings.engine else settings.slots,
             "State": "draining" if self._server.draining else "ready",
-            "ColdRemainingMs": 0,
+            "ColdRemainingMs": self._server.cold_remaining_ms(),
             "Seq": self._seq,
         }
         if settings.engine:
@@ -87,7 +91,7 @@
         try:
             async with self._session.post(f"http://{node}{path}", json=document) as answer:
                 await answer.read()
-                if answer.status == HTTPStatus.OK:
+                if answer.status == HTTPStatus.OK and not self.loses_answer():
                     return True
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
--- a/brackenladder/rehearsal/standins/model_server.py
+++ b/brackenladder/rehearsal/standins/model_server.py
@@ -96,9 +96,24 @@
             return web.Response(status=503 if self.draining else 200, headers=headers)
         if request.method == "GET" and request.path == "/-/report":
             return web.json_response(self._report())
+        self.arrived(request.headers.get(REQUEST_ID, ""), request.path)
         await request.read()
         return await self._serve(request)
 
+    def arrived(self, request_id: str, path: str) -> None:
+        """A request has come; a server that keeps a record overrides this and the next two."""
+
+    def begun(self, request_id: str) -> None:
+        """Work on a request begins."""
+        self.executed[request_id] += 1
+
+    def turned_away(self, request_id: str, status: int) -> None:
+        """A request has not run and will not."""
+
+    def cold_remaining_ms(self) -> int:
+        """How long the server says that it is still cold."""
+        return 0
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers.get(REQUEST_ID, "")
         if not request_id:
@@ -112,7 +127,7 @@
         except ValueError:
             return self._refused(request_id, 400)
         async with self._slot():
-            self.executed[request_id] += 1
+            self.begun(request_id)
             if self.settings.engine is None:
                 return await self._answer(request_id)
             return await self._stream(request, request_id, prompt)
@@ -189,6 +204,7 @@
 
     def _refused(self, request_id: str, status: int) -> web.Response:
         """The request has not run."""
+        self.turned_away(request_id, status)
         return web.Response(status=status, headers=self._headers(request_id) | {NOT_EXECUTED: "true"})
 
     def _report(self) -> dict[str, object]:
--- /dev/null
+++ b/brackenladder/soak/configuration.py
@@ -0,0 +1,202 @@
+"""The configurations of a soak: hosts with and without homes, and how each version differs from the last."""
+
+from __future__ import annotations
+
+import json
+from copy import deepcopy
+from random import Random
+from typing import Any
+
+from attrs import frozen
+
+from brackenladder.simulation.documents import MARKER
+from brackenladder.soak.site import CARDS, CHAT, ENGINE, FORMS, REGIONS
+
+PLAIN_HOST, HOME_HOST, MOVING_HOST = "plain.soak", "home.soak", "moving.soak"
+FIXED_HOMES = ("north",)
+IDLE_TIMEOUT_MS = 15_000
+Document = dict[str, Any]
+
+
+@frozen
+class Call:
+    """A request that clients send: to which route, and what a repeat may do."""
+
+    host: str
+    path: str
+    kind: str
+    streaming: bool = False
+    idempotent: bool = False
+    deadline_ms: int = 4000
+
+
+CALLS = (
+    Call(PLAIN_HOST, "/chat/1", "streaming", streaming=True, idempotent=True, deadline_ms=6000),
+    Call(PLAIN_HOST, "/cards/1", "safe", idempotent=True),
+    Call(PLAIN_HOST, "/pay/1", "unsafe"),
+    Call(PLAIN_HOST, "/flip/1", "safe", idempotent=True),
+    Call(PLAIN_HOST, "/split/1", "unsafe"),
+    Call(HOME_HOST, "/chat/1", "streaming", streaming=True, deadline_ms=6000),
+    Call(HOME_HOST, "/cards/1", "safe", idempotent=True),
+    Call(HOME_HOST, "/pay/1", "unsafe"),
+    Call(MOVING_HOST, "/cards/1", "safe", idempotent=True),
+    Call(MOVING_HOST, "/pay/1", "unsafe"),
+)
+IDEMPOTENT = {(call.host, call.path): call.idempotent for call in CALLS}
+HOSTS = (PLAIN_HOST, HOME_HOST, MOVING_HOST)
+
+
+def first_configuration(number: int, version: int) -> Document:
+    """The configuration that a soak begins with."""
+    routes = [_route(call, number) for call in CALLS] + [_marker(number)]
+    services = [_service(CHAT), _service(CARDS), _service(FORMS)]
+    limits = {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 1048576,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": IDLE_TIMEOUT_MS,
+    }
+    return {"Version": version, "Routes": routes, "Services": services, "Limits": limits}
+
+
+def changed(base: Document, number: int, version: int, random: Random) -> tuple[Document, Document]:
+    """A next configuration, and the update that makes it of `base`."""
+    document = deepcopy(base)
+    document["Version"] = version
+    routes = {route["Name"]: route for route in document["Routes"]}
+    routes["marker"].update(_marker(number))
+    touched = {"marker"}
+    for change in random.sample((_flip, _split, _move_homes, _retime), random.randint(1, 2)):
+        touched |= change(routes, random)
+    upsert = [route for route in document["Routes"] if route["Name"] in touched]
+    return document, {"Version": version, "Upsert": {"Routes": upsert}, "Remove": {}}
+
+
+def invalid(base: Document, number: int, version: int) -> Document:
+    """A configuration whose route names a service that there isn't."""
+    document = deepcopy(base) | {"Version": version}
+    next(route for route in document["Routes"] if route["Name"] == "marker").update(
+        _marker(number) | {"Backend": "none"}
+    )
+    return document
+
+
+@frozen
+class RouteRule:
+    """What one version lets become of the requests of a route."""
+
+    services: frozenset[str]
+    homes: frozenset[str]  # empty: every region
+
+
+def rules_of(whole: str) -> dict[tuple[str, str], RouteRule]:
+    """The rules of a configuration by host and path of `CALLS`."""
+    routes = json.loads(whole)["Routes"]
+    found = {}
+    for call in CALLS:
+        fitting = [
+            route
+            for route in routes
+            if route["Hostname"] == call.host and call.path.startswith(route["PathPrefix"])
+        ]
+        for route in fitting:
+            parts = [part["Backend"] for part in route.get("TrafficSplit", ())] or [route["Backend"]]
+            found[call.host, call.path] = RouteRule(frozenset(parts), frozenset(route["HomeRegions"]))
+    return found
+
+
+def _flip(routes: dict[str, Document], random: Random) -> set[str]:
+    """A route goes to the other service."""
+    route = routes[f"{PLAIN_HOST}/flip/"]
+    route["Backend"] = FORMS if route["Backend"] == CARDS else CARDS
+    return {route["Name"]}
+
+
+def _split(routes: dict[str, Document], random: Random) -> set[str]:
+    """The weights of a split change."""
+    route = routes[f"{PLAIN_HOST}/split/"]
+    weight = random.choice((0, 10, 50, 90, 100))
+    route["TrafficSplit"] = _split_parts(weight)
+    return {route["Name"]}
+
+
+def _move_homes(routes: dict[str, Document], random: Random) -> set[str]:
+    """The homes of a host's routes move."""
+    homes = sorted(random.sample(REGIONS, random.randint(1, 2)))
+    names = {name for name, route in routes.items() if route["Hostname"] == MOVING_HOST}
+    for name in names:
+        routes[name]["HomeRegions"] = homes
+    return names
+
+
+def _retime(routes: dict[str, Document], random: Random) -> set[str]:
+    """A route's time-out changes."""
+    route = routes[f"{PLAIN_HOST}/cards/"]
+    route["TimeoutMs"] = random.randint(2500, 3500)
+    return {route["Name"]}
+
+
+def _split_parts(weight: int) -> list[Document]:
+    return [{"Backend": CARDS, "Weight": weight}, {"Backend": FORMS, "Weight": 100 - weight}]
+
+
+def _route(call: Call, number: int) -> Document:
+    prefix = call.path.rstrip("1")
+    homes = {PLAIN_HOST: (), HOME_HOST: FIXED_HOMES, MOVING_HOST: ("south",)}[call.host]
+    route: Document = {
+        "Name": f"{call.host}{prefix}",
+        "Hostname": call.host,
+        "PathPrefix": prefix,
+        "Kind": call.kind,
+        "TimeoutMs": call.deadline_ms,
+        "TargetLatencyMs": 800,
+        "Priority": 0,
+        "MaxAttempts": 2,
+        "Sticky": call.streaming,
+        "HomeRegions": list(homes),
+    }
+    if prefix == "/split/":
+        return route | {"TrafficSplit": _split_parts(50)}
+    route["Backend"] = CHAT if call.streaming else CARDS
+    if call.streaming:
+        route |= {"Resumable": call.idempotent, "gap_aim_ms": 400}
+    return route
+
+
+def _marker(number: int) -> Document:
+    """The route that tells which order made a configuration."""
+    return {
+        "Name": "marker",
+        "Hostname": "marker.soak",
+        "PathPrefix": f"{MARKER}{number}/",
+        "Kind": "safe",
+        "TimeoutMs": 1000,
+        "TargetLatencyMs": 500,
+        "Priority": 9,
+        "Backend": CARDS,
+        "MaxAttempts": 1,
+        "Sticky": False,
+        "HomeRegions": [],
+    }
+
+
+def _service(name: str) -> Document:
+    service: Document = {
+        "Name": name,
+        "HealthPath": "/healthz",
+        "MaxConnections": 200,
+        "Protocol": "h1",
+        "Tls": False,
+        "ColdStartS": 2.0,
+        "ColdPerS": 20.0,
+    }
+    if name != CHAT:
+        return service
+    return service | {
+        "Engine": {
+            "Slots": ENGINE.slots,
+            "KvTokens": ENGINE.kv_tokens,
+            "stride": ENGINE.tokens_an_event,
+            "Models": [{"Name": "m"}],
+        }
+    }
--- /dev/null
+++ b/brackenladder/soak/connection.py
@@ -0,0 +1,119 @@
+"""A client's connection: HTTP/1.1 as far as a soak needs it, and strict about what an answer may be."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from attrs import frozen
+
+LARGEST_LINE = 64 * 1024  # bytes
+
+
+class AnswerError(Exception):
+    """The bytes are no answer in the protocol."""
+
+
+class Ended(Exception):
+    """The connection has ended before the answer was whole."""
+
+
+@frozen
+class Head:
+    """The beginning of an answer; names of headers in lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+    @property
+    def keeps(self) -> bool:
+        """Whether the connection may be used again."""
+        return self.headers.get("connection", "").lower() != "close"
+
+
+class Connection:
+    """One connection; one request at a time."""
+
+    def __init__(self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.address = address
+        self.requests = 0
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: str, seconds: float) -> Connection:
+        """An OSError, a TimeoutError among them, if there is none in time."""
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(host, int(port), limit=LARGEST_LINE)
+        return cls(address, reader, writer)
+
+    async def send(self, method: str, path: str, headers: dict[str, str], body: bytes = b"") -> None:
+        """Sends a request; `Ended` if the connection is gone."""
+        self.requests += 1
+        lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        try:
+            self._writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+            await self._writer.drain()
+        except OSError as error:
+            raise Ended(f"in sending: {error}") from error
+
+    async def head(self) -> Head:
+        """The beginning of the answer."""
+        status_line = (await self._line()).split(" ", 2)
+        if len(status_line) < 2 or status_line[0] != "HTTP/1.1" or not status_line[1].isdigit():
+            raise AnswerError(f"status line {' '.join(status_line)!r}")
+        headers: dict[str, str] = {}
+        while line := await self._line():
+            name, colon, value = line.partition(":")
+            if not colon:
+                raise AnswerError(f"header line {line!r}")
+            headers[name.strip().lower()] = value.strip()
+        return Head(int(status_line[1]), headers)
+
+    async def body(self, head: Head) -> AsyncIterator[bytes]:
+        """The pieces of the body as they come."""
+        if head.headers.get("transfer-encoding", "").lower() == "chunked":
+            async for piece in self._chunks():
+                yield piece
+            return
+        length = head.headers.get("content-length", "")
+        if not length.isdigit():
+            raise AnswerError("a body of no length")
+        if int(length):
+            yield await self._exactly(int(length))
+
+    def close(self) -> None:
+        """Ends it."""
+        self._writer.close()
+
+    async def _chunks(self) -> AsyncIterator[bytes]:
+        while True:
+            line = await self._line()
+            try:
+                size = int(line.partition(";")[0], 16)
+            except ValueError:
+                raise AnswerError(f"chunk size {line!r}") from None
+            if size:
+                yield await self._exactly(size)
+            if await self._line():
+                raise AnswerError("no line end after a chunk")
+            if not size:
+                return
+
+    async def _line(self) -> str:
+        try:
+            line = await self._reader.readuntil(b"\r\n")
+        except asyncio.LimitOverrunError as error:
+            raise AnswerError("an endless line") from error
+        except (asyncio.IncompleteReadError, OSError) as error:
+            raise Ended(str(error)) from error
+        return line[:-2].decode("latin-1")
+
+    async def _exactly(self, size: int) -> bytes:
+        try:
+            return await self._reader.readexactly(size)
+        except (asyncio.IncompleteReadError, OSError) as error:
+            raise Ended(str(error)) from error
--- /dev/null
+++ b/brackenladder/soak/processes.py
@@ -0,0 +1,249 @@
+"""The processes of a soak: roles that are signalled, held down and started again, and actors."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from asyncio.subprocess import DEVNULL, PIPE, Process
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from brackenladder.soak.actors import READY
+from brackenladder.soak.events import MICROSECONDS, Event, ProcessEnded, Trouble, now
+from brackenladder.soak.relayed_role import PORT_VARIABLE
+from brackenladder.soak.site import SoakLayout
+from brackenladder.system.local.layout import GRACE_S, Machine
+from brackenladder.system.local.processes import PACKAGE_ROOT
+
+KILL_MARGIN_SECONDS = 2.0  # after the grace
+DEAF_SECONDS = 2.0  # after the start of a process
+ACTOR_SECONDS = 30.0  # for an actor to start, or to end
+POLL_SECONDS = 0.02
+Tell = Callable[[Event], None]
+
+
+def environment(**added: str) -> dict[str, str]:
+    """What a process of ours gets."""
+    path = os.pathsep.join(filter(None, (str(PACKAGE_ROOT), os.environ.get("PYTHONPATH"))))
+    return {**os.environ, "PYTHONPATH": path, **added}
+
+
+class Role:
+    """The process of one machine. It runs while nothing holds it down; troubles may overlap."""
+
+    def __init__(self, layout: SoakLayout, machine: Machine, relayed: bool, tell: Tell) -> None:
+        self.machine = machine
+        self._layout = layout
+        self._relayed = relayed
+        self._tell = tell
+        self._process: Process | None = None
+        self._watch: asyncio.Task[None] | None = None
+        self._holds = 0  # troubles that want it down
+        self._pauses = 0
+        self._bootstrap = True
+        self._starting = asyncio.Lock()
+        self._started = 0
+
+    @property
+    def running(self) -> bool:
+        """Whether its process has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def pid(self) -> int:
+        """The process id; 0 if it does not run."""
+        return self._process.pid if self._process is not None and self.running else 0
+
+    async def start(self) -> None:
+        """Starts it, unless it runs or something holds it down."""
+        async with self._starting:
+            if not self._holds and not self.running:
+                await self._spawn()
+
+    async def _spawn(self) -> None:
+        self._write_settings()
+        self._bootstrap = False
+        module = "brackenladder.soak.relayed_role" if self._relayed else "brackenladder.serve"
+        port = self._layout.relay_address(self.machine, self.machine)[1]
+        with self._layout.log_path(self.machine).open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                self.machine.role,
+                env=environment(
+                    BRACKENLADDER_CONFIG=str(self._layout.settings_path(self.machine)),
+                    **{PORT_VARIABLE: str(port)},
+                ),
+                stdin=DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+        self._started = now()
+        self._watch = asyncio.create_task(self._notice_end(self._process))
+
+    async def kill(self, away: float) -> None:
+        """SIGKILL, and down for so many seconds."""
+        await self._down("kill", away, planned=False)
+
+    async def roll(self, away: float, kind: str = "roll") -> None:
+        """SIGTERM, and down for so many seconds after its end."""
+        await self._down(kind, away, planned=True)
+
+    async def pause(self, seconds: float) -> None:
+        """SIGSTOP, and SIGCONT after so many seconds."""
+        began = now()
+        self._pauses += 1
+        self._send(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._pauses -= 1
+            if not self._pauses:
+                self._send(signal.SIGCONT)
+            self._tell(Trouble(began, now(), "pause", (self.machine.name,), planned=False))
+
+    def reload(self) -> None:
+        """The settings file is written anew, and SIGHUP tells so."""
+        if self.running:
+            self._write_settings()
+            self._send(signal.SIGHUP)
+            self._tell(Trouble(now(), now(), "reload", (self.machine.name,), planned=True))
+
+    async def end(self) -> None:
+        """SIGTERM for good."""
+        self._holds += 1
+        await self._terminate()
+
+    async def _down(self, kind: str, away: float, planned: bool) -> None:
+        began = now()
+        self._holds += 1
+        try:
+            if planned:
+                await self._terminate()
+            else:
+                self._send(signal.SIGKILL)
+            await asyncio.sleep(away)
+        finally:
+            self._holds -= 1
+            await self._until_gone()
+            await self.start()
+            self._tell(Trouble(began, now(), kind, (self.machine.name,), planned))
+
+    async def _terminate(self) -> None:
+        """SIGTERM; SIGKILL if it has not ended within its grace, of which pauses are no part."""
+        process = self._process
+        if process is None:
+            return
+        self._send(signal.SIGTERM)
+        left = GRACE_S + KILL_MARGIN_SECONDS
+        while process.returncode is None and left > 0:
+            await asyncio.sleep(POLL_SECONDS)
+            left -= 0 if self._pauses else POLL_SECONDS
+        if process.returncode is None:
+            self._tell(ProcessEnded(now(), self.machine.name, 0, "has not ended within its grace"))
+            self._send(signal.SIGKILL)
+            await process.wait()
+
+    async def _until_gone(self) -> None:
+        if self._process is not None and self._holds == 0:
+            await self._process.wait()
+
+    def _send(self, number: signal.Signals) -> None:
+        if self._process is not None:
+            with suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def _notice_end(self, process: Process) -> None:
+        """Nothing but a trouble that holds it down may end a process; SIGTERM ends it with status 0.
+
+        A process that has hardly begun does not listen to signals yet, and ends by SIGTERM itself.
+        """
+        status = await process.wait()
+        fault = ""
+        if status == -signal.SIGTERM and now() - self._started < DEAF_SECONDS * MICROSECONDS:
+            status = 0
+        if not self._holds:
+            fault = "ended by itself"
+        elif status not in (0, -signal.SIGKILL):
+            fault = "ended with a fault"
+        self._tell(ProcessEnded(now(), self.machine.name, status, fault))
+        if fault:
+            await self.start()
+
+    def _write_settings(self) -> None:
+        path = self._layout.settings_path(self.machine)
+        path.write_text(self._layout.settings_text(self.machine, self._bootstrap))
+
+
+class ActorProcess:
+    """A process of stand-ins; orders go to its standard input."""
+
+    def __init__(self, layout: SoakLayout, role: str, region: str, seed: str, tell: Tell) -> None:
+        self.name = f"{role}-{region}"
+        self._arguments = (role, str(layout.folder), self.name, region, seed)
+        self._folder = layout.folder
+        self._tell = tell
+        self._process: Process
+        self._pauses = 0
+
+    @property
+    def journal(self) -> Path:
+        """Where it writes its events."""
+        return self._folder / f"{self.name}.jsonl"
+
+    async def start(self) -> None:
+        """Returns once it is ready; a TimeoutError if it does not come."""
+        with (self._folder / f"{self.name}.log").open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "brackenladder.soak.actors",
+                *self._arguments,
+                env=environment(),
+                stdin=PIPE,
+                stdout=PIPE,
+                stderr=log,
+                start_new_session=True,
+            )
+        assert self._process.stdout is not None
+        async with asyncio.timeout(ACTOR_SECONDS):
+            line = await self._process.stdout.readline()
+        if line.decode().strip() != READY:
+            raise OSError(f"{self.name} did not start")
+
+    def order(self, do: str, **details: Any) -> None:
+        """Sends an order."""
+        assert self._process.stdin is not None
+        with suppress(OSError):
+            self._process.stdin.write(json.dumps({"do": do} | details).encode() + b"\n")
+
+    async def pause(self, seconds: float) -> None:
+        """SIGSTOP, and SIGCONT after so many seconds."""
+        began = now()
+        self._pauses += 1
+        self._process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._pauses -= 1
+            if not self._pauses:
+                self._process.send_signal(signal.SIGCONT)
+            self._tell(Trouble(began, now(), "actor-pause", (self.name,), planned=False))
+
+    async def stop(self) -> None:
+        """Lets it end in order, and ends it if it doesn't."""
+        self.order("stop")
+        try:
+            async with asyncio.timeout(ACTOR_SECONDS):
+                await self._process.wait()
+        except TimeoutError:
+            self._process.kill()
+            await self._process.wait()
+            self._tell(ProcessEnded(now(), self.name, 0, "a stand-in has not ended"))
--- /dev/null
+++ b/brackenladder/soak/run.py
@@ -0,0 +1,94 @@
+"""One soak of one seed: start, planned work, a storm, healing, planned work again, the verdict."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+
+from attrs import frozen
+
+from brackenladder.soak.checker import Verdict, judge
+from brackenladder.soak.events import MICROSECONDS, Journal, LogFault, Recovery, now, read_journals
+from brackenladder.soak.schedule import CALM_SECONDS, Step, make_schedule
+from brackenladder.soak.site import Size, SoakLayout
+from brackenladder.soak.system import SoakError, SoakSystem
+
+RECOVERY_SECONDS = 20.0  # after healing: RecoveryS, and the start of processes
+STEP_SECONDS = 90.0  # the last step is healed by then
+PLAYER = "player"
+BAD_LINES = ("Traceback", "invariant broken", "fault in a request")
+
+
+@frozen
+class SoakPlan:
+    """What is to be played."""
+
+    seed: int
+    seconds: float
+    size: Size
+    network: str
+    folder: Path
+
+
+async def run_soak(plan: SoakPlan) -> Verdict:
+    """Plays a seed, and judges what was seen."""
+    layout = SoakLayout(plan.network, plan.folder, plan.size)
+    schedule = make_schedule(plan.seed, layout, plan.seconds)
+    journal = Journal(plan.folder / f"{PLAYER}.jsonl")
+    system = SoakSystem(layout, plan.seed, schedule.relayed, journal.add)
+    try:
+        await system.start()
+        await _phase(system, schedule.planned, schedule.planned_seconds)
+        await _phase(system, schedule.storm, schedule.storm_seconds)
+        await _recover(system, journal)
+        await asyncio.sleep(CALM_SECONDS)
+        await _phase(system, schedule.late, schedule.late_seconds)
+        await _recover(system, journal)
+        await asyncio.sleep(CALM_SECONDS)
+        await system.rest()
+        await _read_back(system)
+    finally:
+        await system.stop()
+        for fault in _log_faults(plan.folder):
+            journal.add(fault)
+        journal.close()
+    events = list(read_journals(sorted(plan.folder.glob("*.jsonl"))))
+    return judge(events, layout)
+
+
+async def _phase(system: SoakSystem, steps: tuple[Step, ...], seconds: float) -> None:
+    """All steps, until the last one is healed; never shorter than the phase is."""
+    try:
+        async with asyncio.timeout(seconds + STEP_SECONDS):
+            await asyncio.gather(asyncio.sleep(seconds), *(system.play(step) for step in steps))
+    except TimeoutError:
+        raise SoakError(f"a step was not healed {STEP_SECONDS:g} s after its phase") from None
+
+
+async def _recover(system: SoakSystem, journal: Journal) -> None:
+    """All is healed: within a bounded time everything is back."""
+    healed = now()
+    missing = await system.missing()
+    while missing and now() < healed + RECOVERY_SECONDS * MICROSECONDS:
+        await asyncio.sleep(0.2)
+        missing = await system.missing()
+    journal.add(Recovery(healed, now(), missing))
+
+
+async def _read_back(system: SoakSystem) -> None:
+    """The configuration at the end, more than once: any node may answer."""
+    until = now() + RECOVERY_SECONDS * MICROSECONDS
+    reads = Counter[str]()
+    while reads["done"] < 2 * len(system.layout.control) and now() < until:
+        reads["done"] += await system.inspector.read(final=True)
+
+
+def _log_faults(folder: Path) -> list[LogFault]:
+    """Lines that must not be in any log."""
+    return [
+        LogFault(path.stem, line.strip())
+        for path in sorted(folder.glob("*.log"))
+        for line in path.read_text(errors="replace").splitlines()
+        if any(bad in line for bad in BAD_LINES)
+    ]
--- /dev/null
+++ b/brackenladder/soak/site.py
@@ -0,0 +1,127 @@
+"""Who runs where in a soak: sizes, zones, processes and servers."""
+
+from __future__ import annotations
+
+import json
+from enum import Enum
+
+from attrs import field, frozen
+
+from brackenladder.rehearsal.standins.model_engine import EngineSettings
+from brackenladder.rehearsal.standins.model_server import ServerSettings
+from brackenladder.system.local.layout import (
+    FIRST_CONTROL,
+    FIRST_GATEWAY,
+    INNER_PORTS,
+    SERVER_PORT,
+    Layout,
+    Machine,
+)
+
+ZONES = {
+    "north-a": "north",
+    "south-a": "south",
+    "east-a": "east",
+    "north-b": "north",
+    "south-b": "south",
+}
+REGIONS = ("north", "south", "east")
+CHAT, CARDS, FORMS = "chat", "cards", "forms"
+FIRST_SERVER = 101  # last number of the first server's address
+RELAY_PORT = 17_000  # a node that dials through the relay uses this port, and its own number above it
+ENGINE = EngineSettings()
+
+
+@frozen
+class Shape:
+    """How many of each there are."""
+
+    control: int
+    gateways_a_zone: int
+    servers: tuple[tuple[str, int], ...]  # by service: in each zone
+    lanes: int  # connections of the clients of a zone at one time
+
+
+class Size(Enum):
+    """How large a soak is."""
+
+    SMALL = "small"
+    LARGE = "large"
+
+
+SHAPES = {
+    Size.SMALL: Shape(3, 1, ((CHAT, 1), (CARDS, 1), (FORMS, 1)), lanes=5),
+    Size.LARGE: Shape(5, 8, ((CHAT, 3), (CARDS, 3), (FORMS, 2)), lanes=12),
+}
+
+
+@frozen
+class SoakLayout(Layout):
+    """The machines and servers of one soak."""
+
+    size: Size = Size.SMALL
+    control: tuple[Machine, ...] = field(init=False)
+    gateways: tuple[Machine, ...] = field(init=False)
+
+    @control.default
+    def _control_nodes(self) -> tuple[Machine, ...]:
+        zones = list(ZONES)
+        return tuple(
+            Machine(f"control-{number}", "control", f"{self.network}.{FIRST_CONTROL + number}", zones[number])
+            for number in range(SHAPES[self.size].control)
+        )
+
+    @gateways.default
+    def _gateway_nodes(self) -> tuple[Machine, ...]:
+        places = [zone for _ in range(SHAPES[self.size].gateways_a_zone) for zone in ZONES]
+        return tuple(
+            Machine(f"gateway-{number}", "gateway", f"{self.network}.{FIRST_GATEWAY + number}", zone)
+            for number, zone in enumerate(places)
+        )
+
+    @property
+    def machines(self) -> tuple[Machine, ...]:
+        """All machines of roles; a machine's place here is its number for the relay."""
+        return (*self.control, *self.gateways)
+
+    @property
+    def zones(self) -> dict[str, str]:
+        """The region of each zone."""
+        return ZONES
+
+    def servers(self) -> tuple[ServerSettings, ...]:
+        """The stand-in servers of the first start."""
+        places = [
+            (service, zone)
+            for service, number in SHAPES[self.size].servers
+            for _ in range(number)
+            for zone in ZONES
+        ]
+        return tuple(
+            ServerSettings(
+                f"{service}-{number}.1",
+                service,
+                f"{self.network}.{FIRST_SERVER + number}:{SERVER_PORT}",
+                zone,
+                ENGINE if service == CHAT else None,
+            )
+            for number, (service, zone) in enumerate(places)
+        )
+
+    def relay_address(self, source: Machine, target: Machine) -> tuple[str, int]:
+        """Where `source` reaches the inner listener of `target` through the relay."""
+        return target.ip, RELAY_PORT + self.machines.index(source)
+
+    def inner_address(self, machine: Machine) -> tuple[str, int]:
+        """Where a machine listens for other nodes."""
+        return machine.ip, INNER_PORTS[0]
+
+    def directories_near(self, region: str, zone: str) -> tuple[str, ...]:
+        """The directories, nearest first."""
+        ranked = sorted(self.control, key=lambda node: (node.zone != zone, node.region != region))
+        return tuple(node.directory for node in ranked)
+
+
+def layout_document(layout: SoakLayout) -> str:
+    """What an actor's process needs to make the same layout."""
+    return json.dumps({"Network": layout.network, "Folder": str(layout.folder), "Size": layout.size.value})
--- a/brackenladder/system/app.py
+++ b/brackenladder/system/app.py
@@ -13,6 +13,7 @@
 from brackenladder.system.evacuate_command import evacuate
 from brackenladder.system.local_command import local
 from brackenladder.system.simulate_command import simulate
+from brackenladder.system.soak_command import soak
 from brackenladder.system.status_command import status
 from brackenladder.system.store_commands import store
 
@@ -30,6 +31,7 @@
 app.add_typer(config, name="config")
 app.command()(evacuate)
 app.command()(simulate)
+app.command()(soak)
 app.add_typer(store, name="store")
 
 
--- a/brackenladder/system/local/layout.py
+++ b/brackenladder/system/local/layout.py
@@ -55,8 +55,8 @@
 
     @property
     def region(self) -> str:
-        """The region of its zone."""
-        return ZONES[self.zone]
+        """The region of its zone, whose name begins with it."""
+        return self.zone.rpartition("-")[0]
 
 
 @frozen
@@ -82,6 +82,11 @@
             for number, zone in enumerate(ZONES)
         )
 
+    @property
+    def zones(self) -> dict[str, str]:
+        """The region of each zone."""
+        return ZONES
+
     @property
     def seeds(self) -> tuple[str, ...]:
         """The control addresses."""
@@ -140,7 +145,7 @@
             f"DataDir = {json.dumps(str(self.data_dir(machine)) if is_control else '')}",
             f"HeartbeatMs = {HEARTBEAT_MS}",
             "[Zones]",
-            *(f"{zone} = {json.dumps(region)}" for zone, region in ZONES.items()),
+            *(f"{zone} = {json.dumps(region)}" for zone, region in self.zones.items()),
             "[Listen]",
             *(f"{name} = {json.dumps(address)}" for name, address in listen.items()),
             "[Limits]",
--- /dev/null
+++ b/brackenladder/system/soak_command.py
@@ -0,0 +1,169 @@
+"""`soak`: real processes on loopback under overlapping troubles, for many seeds."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import sys
+from collections import Counter
+from pathlib import Path
+from shutil import rmtree
+from typing import Annotated, Any
+
+import typer
+from attrs import frozen
+
+from brackenladder.soak.checker import Verdict
+from brackenladder.soak.events import MICROSECONDS
+from brackenladder.soak.run import SoakPlan, run_soak
+from brackenladder.soak.site import Size
+from brackenladder.soak.system import SoakError
+from brackenladder.system.errors import ExitCode, Unusable
+from brackenladder.system.options import JsonOption
+from brackenladder.system.output import print_json, say
+
+DEFAULT_SECONDS = 40.0
+FOUND = Path("found")
+MOST_LINES = 20  # breaches that are printed of one seed
+LONGEST_RUN_SECONDS = 600.0  # beyond the troubles' own time
+FIRST_NETWORK, LAST_NETWORK = 120, 199  # second number of the loopback addresses
+_SEEDS = re.compile(r"(\d{1,9})(?:-(\d{1,9}))?")
+
+
+@frozen
+class Settings:
+    """What all seeds of a call share."""
+
+    seconds: float
+    size: Size
+    as_json: bool
+
+
+def soak(
+    seeds: Annotated[str, typer.Option("--seeds", help="A or A-B, both included.")] = "1",
+    jobs: Annotated[int, typer.Option("--jobs", min=1, help="Seeds that run side by side.")] = 1,
+    seconds: Annotated[
+        float, typer.Option("--seconds", min=5.0, help="For troubles, beside start, healing and end.")
+    ] = DEFAULT_SECONDS,
+    size: Annotated[Size, typer.Option("--size", help="How many processes.")] = Size.SMALL,
+    network: Annotated[
+        str, typer.Option("--network", help="For one seed: first three numbers of its addresses.")
+    ] = "",
+    as_json: JsonOption = False,
+) -> int:
+    """Plays seeded troubles against a whole system of real processes. Exit code 1: something broke."""
+    settings = Settings(seconds, size, as_json)
+    numbers = _numbers(seeds)
+    if len(numbers) == 1:
+        return asyncio.run(_one(numbers[0], network or _network(numbers[0]), settings))
+    if network:
+        raise Unusable("--network: is for one seed")
+    return asyncio.run(_many(numbers, jobs, settings))
+
+
+def _numbers(text: str) -> range:
+    match = _SEEDS.fullmatch(text)
+    if match is None:
+        raise Unusable(f"--seeds: {text!r} is neither A nor A-B")
+    first, last = int(match[1]), int(match[2] or match[1])
+    if last < first:
+        raise Unusable(f"--seeds: {text!r} is no range")
+    return range(first, last + 1)
+
+
+def _network(seed: int) -> str:
+    """A loopback network for a seed; neighbours have different ones."""
+    wide = LAST_NETWORK - FIRST_NETWORK + 1
+    return f"127.{FIRST_NETWORK + seed // 250 % wide}.{1 + seed % 250}"
+
+
+async def _one(seed: int, network: str, settings: Settings) -> int:
+    folder = (FOUND / f"soak-{settings.size.value}-{seed}").absolute()
+    rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    plan = SoakPlan(seed, settings.seconds, settings.size, network, folder)
+    try:
+        async with asyncio.timeout(settings.seconds + LONGEST_RUN_SECONDS):
+            verdict = await run_soak(plan)
+    except (SoakError, TimeoutError, OSError) as error:
+        say(f"seed {seed}: not played to its end: {error or type(error).__name__}; files in {folder}")
+        return ExitCode.NO
+    if settings.as_json:
+        print_json(_document(seed, verdict))
+    else:
+        _say_verdict(plan, verdict)
+    if verdict.held:
+        rmtree(folder, ignore_errors=True)
+    return ExitCode.DONE if verdict.held else ExitCode.NO
+
+
+def _document(seed: int, verdict: Verdict) -> dict[str, Any]:
+    return {
+        "Seed": seed,
+        "Held": verdict.held,
+        "Violations": Counter(breach.rule.value for breach in verdict.breaches),
+        "Checked": verdict.checked,
+        "Excused": verdict.excused,
+        "Requests": verdict.outcomes,
+        "Breaches": [
+            {"Rule": breach.rule.value, "At": breach.at, "Detail": breach.detail}
+            for breach in verdict.breaches
+        ],
+    }
+
+
+def _say_verdict(plan: SoakPlan, verdict: Verdict) -> None:
+    told = ", ".join(f"{number} {name}" for name, number in sorted(verdict.outcomes.items()))
+    say(f"seed {plan.seed}: {'held' if verdict.held else 'BROKEN'}; requests: {told}")
+    say(f"  checked: {_counts(verdict.checked)}; excused: {_counts(verdict.excused)}")
+    if verdict.held:
+        return
+    say(f"  violations: {_counts(Counter(breach.rule.value for breach in verdict.breaches))}")
+    for breach in verdict.breaches[:MOST_LINES]:
+        since = max(0, breach.at - verdict.began) / MICROSECONDS
+        say(f"  {breach.rule.value} at {since:.3f} s: {breach.detail}")
+    if len(verdict.breaches) > MOST_LINES:
+        say(f"  and {len(verdict.breaches) - MOST_LINES} more")
+    say(f"  settings, logs and events (*.jsonl) are kept in {plan.folder}")
+    options = f"--seeds {plan.seed} --seconds {plan.seconds:g} --size {plan.size.value}"
+    say(f"  again: python -m brackenladder.system soak {options}")
+
+
+def _counts(counts: Counter[str]) -> str:
+    return ", ".join(f"{name} {number}" for name, number in sorted(counts.items()) if number) or "none"
+
+
+async def _many(seeds: range, jobs: int, settings: Settings) -> int:
+    """Each seed in a process of its own, some side by side."""
+    places = asyncio.Semaphore(jobs)
+    statuses = await asyncio.gather(*(_child(seed, places, settings) for seed in seeds))
+    broken = [seed for seed, status in zip(seeds, statuses, strict=True) if status]
+    held = len(seeds) - len(broken)
+    line = f"{held} of {len(seeds)} seeds held"
+    if settings.as_json:
+        say(json.dumps({"Held": held, "Seeds": len(seeds), "Broken": broken}))
+    else:
+        say(line + (f"; broken: {', '.join(map(str, broken))}" if broken else ""))
+    return ExitCode.NO if broken else ExitCode.DONE
+
+
+async def _child(seed: int, places: asyncio.Semaphore, settings: Settings) -> int:
+    async with places:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "brackenladder.system",
+            "soak",
+            "--seeds",
+            str(seed),
+            "--seconds",
+            str(settings.seconds),
+            "--size",
+            settings.size.value,
+            *(["--json"] if settings.as_json else []),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        out, _ = await process.communicate()
+        say(out.decode().rstrip())
+        return process.returncode or 0
