--- a/brackenladder/soak/actors.py
+++ b/brackenladder/soak/actors.py
@@ -12,22 +12,19 @@
 import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from random import Random
-from typing import Any, Protocol
+from typing import Protocol
 
-from brackenladder.soak.clients import Lane, Place
-from brackenladder.soak.configuration import HOSTS
-from brackenladder.soak.events import MICROSECONDS, Journal, Lagged, now
+from brackenladder.soak.clients import Clients
+from brackenladder.soak.events import MICROSECONDS, Journal, Lagged, Order, Tell, now
 from brackenladder.soak.relay import Relay
-from brackenladder.soak.servers import Leave, ServerFarm
-from brackenladder.soak.site import SHAPES, ZONES, Size, SoakLayout
+from brackenladder.soak.servers import ServerFarm
+from brackenladder.soak.site import Size, SoakLayout
 
 LAYOUT_FILE = "layout.json"
 READY = "ready"
 BEAT_SECONDS = 0.05
 NOTABLE_LAG_SECONDS = 0.25
 FLUSH_SECONDS = 1.0
-Order = dict[str, Any]
 
 
 class Actor(Protocol):
@@ -43,89 +40,10 @@
         """Ends."""
 
 
-class ServersActor:
-    """The servers of one region."""
-
-    def __init__(self, layout: SoakLayout, region: str, seed: str, journal: Journal) -> None:
-        own = tuple(one for one in layout.servers() if ZONES[one.zone] == region)
-        self._farm = ServerFarm(own, layout.seeds, Random(seed), journal.add)
-
-    async def start(self) -> None:
-        """All servers."""
-        await self._farm.start()
-
-    def order(self, order: Order) -> Awaitable[None] | None:
-        """`leave` or `lose`."""
-        if order["do"] == "leave":
-            return self._farm.leave(order["place"], Leave(order["how"]), order["away"])
-        self._farm.lose_acknowledgements(order["share"])
-        return None
-
-    async def stop(self) -> None:
-        """All at once."""
-        await self._farm.stop()
-
-
-class ClientsActor:
-    """The clients of one region."""
-
-    def __init__(self, layout: SoakLayout, region: str, seed: str, journal: Journal) -> None:
-        zones = [zone for zone in ZONES if ZONES[zone] == region]
-        self._lanes = [
-            Lane(
-                Place(region, zone, layout.directories_near(region, zone)),
-                HOSTS[number % len(HOSTS)],
-                Random(f"{seed} {zone} {number}"),
-                journal.add,
-            )
-            for zone in zones
-            for number in range(SHAPES[layout.size].lanes)
-        ]
-        self._tasks: list[asyncio.Task[None]] = []
-
-    async def start(self) -> None:
-        """All lanes."""
-        self._tasks = [asyncio.create_task(lane.run()) for lane in self._lanes]
-
-    def order(self, order: Order) -> None:
-        """There is none."""
-
-    async def stop(self) -> None:
-        """What is open is finished first."""
-        for lane in self._lanes:
-            lane.stop()
-        await asyncio.gather(*self._tasks)
-
-
-class RelayActor:
-    """The relay between nodes."""
-
-    def __init__(self, layout: SoakLayout, _region: str, _seed: str, _journal: Journal) -> None:
-        self._relay = Relay(layout)
-
-    async def start(self) -> None:
-        """All listeners."""
-        await self._relay.start()
-
-    def order(self, order: Order) -> None:
-        """`hold`, `release` or `reset` of a list of pairs."""
-        for one, other in order["pairs"]:
-            if order["do"] == "hold":
-                self._relay.hold((one, other))
-            elif order["do"] == "release":
-                self._relay.release((one, other))
-            else:
-                self._relay.reset(one, other)
-
-    async def stop(self) -> None:
-        """All links end."""
-        await self._relay.stop()
-
-
-ACTORS: dict[str, Callable[[SoakLayout, str, str, Journal], Actor]] = {
-    "servers": ServersActor,
-    "clients": ClientsActor,
-    "relay": RelayActor,
+ACTORS: dict[str, Callable[[SoakLayout, str, str, Tell], Actor]] = {
+    "servers": ServerFarm,
+    "clients": Clients,
+    "relay": Relay,
 }
 
 
@@ -138,7 +56,7 @@
 async def run_actor(role: str, folder: Path, name: str, region: str, seed: str) -> None:
     """Until the orders end."""
     journal = Journal(folder / f"{name}.jsonl")
-    actor = ACTORS[role](read_layout(folder), region, seed, journal)
+    actor = ACTORS[role](read_layout(folder), region, seed, journal.add)
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
--- a/brackenladder/soak/checker.py
+++ b/brackenladder/soak/checker.py
@@ -16,18 +16,17 @@
     Arrived,
     Evacuated,
     Event,
+    Handled,
     LeaveAcknowledged,
     LogFault,
     Ordered,
     Outcome,
     ProcessEnded,
-    Ran,
     ReadBack,
     Recovery,
     Repeated,
     Resolved,
     Tried,
-    TurnedAway,
 )
 from brackenladder.soak.site import SoakLayout
 from brackenladder.soak.touch import Troubles
@@ -106,8 +105,8 @@
         self._arrivals: defaultdict[str, list[Arrived]] = defaultdict(list)
         for arrival in self._of(Arrived):
             self._arrivals[arrival.request].append(arrival)
-        self._ran = Counter(one.request for one in self._of(Ran))
-        self._turned = {(one.request, one.server): one.status for one in self._of(TurnedAway)}
+        self._ran = Counter(one.request for one in self._of(Handled) if not one.refusal)
+        self._refusals = {(one.request, one.server): one.refusal for one in self._of(Handled)}
         self._troubles = Troubles(events, [machine.name for machine in layout.control])
         self._versions = Versions(self._of(Ordered))
         self._verdict = Verdict()
@@ -254,7 +253,7 @@
 
     def _late(self, rule: Rule, arrival: Arrived, detail: str) -> None:
         """A late arrival, unless the gateway was out of touch or the server's process held up."""
-        if self._turned.get((arrival.request, arrival.server)) == HTTPStatus.MISDIRECTED_REQUEST:
+        if self._refusals.get((arrival.request, arrival.server)) == HTTPStatus.MISDIRECTED_REQUEST:
             return
         gateway = self._gateway(arrival.request)
         actor = f"servers-{self._regions[arrival.zone]}"
--- a/brackenladder/soak/configuration.py
+++ b/brackenladder/soak/configuration.py
@@ -10,11 +10,12 @@
 from attrs import frozen
 
 from brackenladder.simulation.documents import MARKER
-from brackenladder.soak.site import CARDS, CHAT, ENGINE, FORMS, REGIONS
+from brackenladder.soak.site import CARDS, FORMS, REGIONS
+from brackenladder.system.local.first_configuration import first_configuration
 
 PLAIN_HOST, HOME_HOST, MOVING_HOST = "plain.soak", "home.soak", "moving.soak"
-FIXED_HOMES = ("north",)
-IDLE_TIMEOUT_MS = 15_000
+FIRST_HOMES = {HOME_HOST: ("north",), MOVING_HOST: ("south",)}  # those of the first host never change
+COLD = {"ColdStartS": 2.0, "ColdPerS": 20.0, "MaxConnections": 400}
 Document = dict[str, Any]
 
 
@@ -46,17 +47,15 @@
 HOSTS = (PLAIN_HOST, HOME_HOST, MOVING_HOST)
 
 
-def first_configuration(number: int, version: int) -> Document:
-    """The configuration that a soak begins with."""
-    routes = [_route(call, number) for call in CALLS] + [_marker(number)]
-    services = [_service(CHAT), _service(CARDS), _service(FORMS)]
-    limits = {
-        "MaxHeaderBytes": 16384,
-        "MaxBodyBytes": 1048576,
-        "HeaderTimeoutMs": 3000,
-        "IdleTimeoutMs": IDLE_TIMEOUT_MS,
-    }
-    return {"Version": version, "Routes": routes, "Services": services, "Limits": limits}
+def initial(number: int, version: int) -> Document:
+    """The configuration that a soak begins with: the local system's, with the soak's routes and services."""
+    document = deepcopy(first_configuration())
+    model, plain = document["Services"]
+    services = [model, plain, plain | {"Name": FORMS}]
+    for service in services:
+        service.update(COLD)
+    routes = [_route(call) for call in CALLS] + [_marker(number)]
+    return document | {"Version": version, "Routes": routes, "Services": services}
 
 
 def changed(base: Document, number: int, version: int, random: Random) -> tuple[Document, Document]:
@@ -140,63 +139,25 @@
     return [{"Backend": CARDS, "Weight": weight}, {"Backend": FORMS, "Weight": 100 - weight}]
 
 
-def _route(call: Call, number: int) -> Document:
+def _route(call: Call) -> Document:
+    streaming, plain = first_configuration()["Routes"]
     prefix = call.path.rstrip("1")
-    homes = {PLAIN_HOST: (), HOME_HOST: FIXED_HOMES, MOVING_HOST: ("south",)}[call.host]
-    route: Document = {
+    route: Document = (streaming if call.streaming else plain) | {
         "Name": f"{call.host}{prefix}",
         "Hostname": call.host,
         "PathPrefix": prefix,
         "Kind": call.kind,
         "TimeoutMs": call.deadline_ms,
-        "TargetLatencyMs": 800,
-        "Priority": 0,
-        "MaxAttempts": 2,
-        "Sticky": call.streaming,
-        "HomeRegions": list(homes),
+        "HomeRegions": list(FIRST_HOMES.get(call.host, ())),
     }
-    if prefix == "/split/":
-        return route | {"TrafficSplit": _split_parts(50)}
-    route["Backend"] = CHAT if call.streaming else CARDS
     if call.streaming:
-        route |= {"Resumable": call.idempotent, "gap_aim_ms": 400}
+        return route | {"Resumable": call.idempotent}
+    if prefix == "/split/":
+        del route["Backend"]
+        route["TrafficSplit"] = _split_parts(50)
     return route
 
 
 def _marker(number: int) -> Document:
     """The route that tells which order made a configuration."""
-    return {
-        "Name": "marker",
-        "Hostname": "marker.soak",
-        "PathPrefix": f"{MARKER}{number}/",
-        "Kind": "safe",
-        "TimeoutMs": 1000,
-        "TargetLatencyMs": 500,
-        "Priority": 9,
-        "Backend": CARDS,
-        "MaxAttempts": 1,
-        "Sticky": False,
-        "HomeRegions": [],
-    }
-
-
-def _service(name: str) -> Document:
-    service: Document = {
-        "Name": name,
-        "HealthPath": "/healthz",
-        "MaxConnections": 200,
-        "Protocol": "h1",
-        "Tls": False,
-        "ColdStartS": 2.0,
-        "ColdPerS": 20.0,
-    }
-    if name != CHAT:
-        return service
-    return service | {
-        "Engine": {
-            "Slots": ENGINE.slots,
-            "KvTokens": ENGINE.kv_tokens,
-            "stride": ENGINE.tokens_an_event,
-            "Models": [{"Name": "m"}],
-        }
-    }
+    return _route(Call("marker.soak", f"{MARKER}{number}/1", "safe")) | {"Name": "marker"}
--- a/brackenladder/soak/connection.py
+++ b/brackenladder/soak/connection.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
+from typing import Any
 
 from attrs import frozen
 
+CALL_SECONDS = 1.0
 LARGEST_LINE = 64 * 1024  # bytes
 
 
@@ -117,3 +120,50 @@
             return await self._reader.readexactly(size)
         except (asyncio.IncompleteReadError, OSError) as error:
             raise Ended(str(error)) from error
+
+
+@frozen
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """Its JSON object; a ValueError if it holds none."""
+        document = json.loads(self.body)
+        if not isinstance(document, dict):
+            raise ValueError("no object")
+        return document
+
+
+async def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    seconds: float = CALL_SECONDS,
+    lost_after: float | None = None,
+) -> Reply | None:
+    """One call on a connection of its own; None without an answer.
+
+    `lost_after`: the answer is lost, and the connection ends so many seconds after the call was sent.
+    """
+    connection = None
+    length = {"Content-Length": "0"} if method == "POST" and not body else {}
+    try:
+        async with asyncio.timeout(seconds):
+            connection = await Connection.open(address, seconds)
+            await connection.send(method, path, {"Host": address} | length | (headers or {}), body)
+            if lost_after is not None:
+                await asyncio.sleep(lost_after)
+                return None
+            head = await connection.head()
+            return Reply(head.status, b"".join([piece async for piece in connection.body(head)]))
+    except (OSError, Ended, AnswerError):
+        return None
+    finally:
+        if connection is not None:
+            connection.close()
--- a/brackenladder/soak/events.py
+++ b/brackenladder/soak/events.py
@@ -6,12 +6,12 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from time import monotonic_ns
-from typing import Any, TextIO, get_args
+from typing import Any, ClassVar, TextIO
 
-from attrs import frozen
+from attrs import define, frozen
 from cattrs import Converter
 
 MICROSECONDS = 1_000_000
@@ -23,8 +23,21 @@
     return monotonic_ns() // 1000
 
 
+class Event:
+    """What is written down; each kind is known by its name."""
+
+    kinds: ClassVar[dict[str, type[Any]]] = {}
+
+    def __init_subclass__(cls) -> None:
+        Event.kinds[cls.__name__] = cls
+
+
+Tell = Callable[[Event], None]  # writes down
+Order = dict[str, Any]  # what the player tells an actor's process: `do`, and its details
+
+
 @frozen
-class Resolved:
+class Resolved(Event):
     """A directory has told a client where to go."""
 
     at: int
@@ -35,22 +48,22 @@
     addresses: tuple[str, ...]
 
 
-@frozen
-class Tried:
+@define
+class Tried(Event):
     """One try of a client, written down at its end; each has an id of its own."""
 
     began: int
-    ended: int
     request: str
     region: str  # of the client
     gateway: str  # "ip:port"
     host: str
     path: str
     kind: str  # of the route
-    outcome: str  # see `Outcome`
-    status: int = 0
+    deadline_ms: int
+    ended: int = 0
     read: int = 0  # the last byte of the request was sent; 0: it never was
-    deadline_ms: int = 0
+    outcome: str = ""  # see `Outcome`
+    status: int = 0
     detail: str = ""
     fresh: bool = True  # the first request on its connection
 
@@ -68,7 +81,7 @@
 
 
 @frozen
-class Arrived:
+class Arrived(Event):
     """A request has reached a server."""
 
     at: int
@@ -80,26 +93,17 @@
 
 
 @frozen
-class Ran:
-    """A server has begun to work on a request."""
+class Handled(Event):
+    """A server has begun to work on a request, or says with a status that it does not run it."""
 
     at: int
     request: str
     server: str
+    refusal: int = 0
 
 
 @frozen
-class TurnedAway:
-    """A server has said that it does not run a request."""
-
-    at: int
-    request: str
-    server: str
-    status: int
-
-
-@frozen
-class LeaveAcknowledged:
+class LeaveAcknowledged(Event):
     """A server has been told that its drain, or its end, is known."""
 
     at: int
@@ -107,7 +111,7 @@
 
 
 @frozen
-class Trouble:
+class Trouble(Event):
     """Something that was done to processes, from its beginning until it was over."""
 
     began: int
@@ -118,7 +122,7 @@
 
 
 @frozen
-class ProcessEnded:
+class ProcessEnded(Event):
     """A process has ended. `fault`: why that is against the rules; empty if it was made to end."""
 
     at: int
@@ -128,7 +132,7 @@
 
 
 @frozen
-class Ordered:
+class Ordered(Event):
     """An operator's configuration and what became of it; written down at its end."""
 
     number: int
@@ -138,15 +142,15 @@
     body: str  # the order as it was sent
     whole: str  # the configuration that it makes
     update: bool
+    valid: bool
     invoked: int
     ended: int
     outcome: str  # name of the simulation's `Outcome`
     told_version: int
-    valid: bool = True
 
 
 @frozen
-class Repeated:
+class Repeated(Event):
     """An acknowledged order has arrived again and got a clear answer."""
 
     at: int
@@ -155,7 +159,7 @@
 
 
 @frozen
-class ReadBack:
+class ReadBack(Event):
     """A configuration that an operator has read."""
 
     operator: str
@@ -168,7 +172,7 @@
 
 
 @frozen
-class Evacuated:
+class Evacuated(Event):
     """An operator's evacuation of a zone, or the end of one."""
 
     zone: str
@@ -179,7 +183,7 @@
 
 
 @frozen
-class Recovery:
+class Recovery(Event):
     """What came back after all troubles were healed; an empty `missing` is all of it."""
 
     healed: int
@@ -188,7 +192,7 @@
 
 
 @frozen
-class LogFault:
+class LogFault(Event):
     """A line of a process's log that must not be there."""
 
     process: str
@@ -196,7 +200,7 @@
 
 
 @frozen
-class Lagged:
+class Lagged(Event):
     """An actor's own process did not run for a while: what it saw then was seen late."""
 
     began: int
@@ -204,24 +208,6 @@
     process: str
 
 
-Event = (
-    Resolved
-    | Tried
-    | Arrived
-    | Ran
-    | TurnedAway
-    | LeaveAcknowledged
-    | Trouble
-    | ProcessEnded
-    | Ordered
-    | Repeated
-    | ReadBack
-    | Evacuated
-    | Recovery
-    | LogFault
-    | Lagged
-)
-_TYPES: dict[str, type[Any]] = {kind.__name__: kind for kind in get_args(Event)}
 _CONVERTER = Converter()
 
 
@@ -233,7 +219,7 @@
 def decode(line: str) -> Event:
     """The event of a line; a ValueError or KeyError if it is none."""
     table = json.loads(line)
-    event: Event = _CONVERTER.structure(table, _TYPES[table.pop(TYPE_FIELD)])
+    event: Event = _CONVERTER.structure(table, Event.kinds[table.pop(TYPE_FIELD)])
     return event
 
 
--- a/brackenladder/soak/operators.py
+++ b/brackenladder/soak/operators.py
@@ -4,19 +4,19 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Container
 from http import HTTPStatus
 from itertools import count
 from random import Random
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from brackenladder.control_plane.operator_api import BASE_VERSION_HEADER
 from brackenladder.simulation.documents import read_back
 from brackenladder.simulation.history import Outcome
-from brackenladder.soak.configuration import Document, changed, first_configuration, invalid
-from brackenladder.soak.connection import AnswerError, Connection, Ended
-from brackenladder.soak.events import MICROSECONDS, Evacuated, Event, Ordered, ReadBack, Repeated, now
+from brackenladder.soak.configuration import Document, changed, initial, invalid
+from brackenladder.soak.connection import Reply, call
+from brackenladder.soak.events import MICROSECONDS, Evacuated, Ordered, ReadBack, Repeated, Tell, now
 
 CALL_SECONDS = 3.0  # for one call
 PATIENCE_SECONDS = 12.0  # for which a configuration without a clear answer is sent again
@@ -31,20 +31,6 @@
     HTTPStatus.PRECONDITION_FAILED: Outcome.CONFLICT,
     HTTPStatus.BAD_REQUEST: Outcome.INVALID,
 }
-Tell = Callable[[Event], None]
-
-
-@frozen
-class Reply:
-    """The answer of a control node."""
-
-    status: int
-    body: bytes
-
-    @property
-    def version(self) -> int:
-        """The version that it names."""
-        return int(json.loads(self.body).get("Version", 0))
 
 
 @define
@@ -60,52 +46,40 @@
 
     async def call(self, method: str, path: str, body: bytes = b"", base: int | None = None) -> Reply | None:
         """One call of one node; None without an answer."""
-        node = self.random.choice(self.nodes)
-        headers = {"Host": node} | ({} if base is None else {BASE_VERSION_HEADER: str(base)})
-        if not body and method == "POST":
-            headers["Content-Length"] = "0"
-        connection = None
-        try:
-            async with asyncio.timeout(CALL_SECONDS):
-                connection = await Connection.open(node, CALL_SECONDS)
-                await connection.send(method, path, headers, body)
-                if self.lossy and self.random.random() < LOST_SHARE:
-                    await asyncio.sleep(self.random.uniform(0.0, LOST_AFTER_SECONDS))
-                    return None
-                head = await connection.head()
-                return Reply(head.status, b"".join([piece async for piece in connection.body(head)]))
-        except (OSError, Ended, AnswerError):
-            return None
-        finally:
-            if connection is not None:
-                connection.close()
+        lost = self.lossy and self.random.random() < LOST_SHARE
+        return await call(
+            self.random.choice(self.nodes),
+            method,
+            path,
+            body,
+            {} if base is None else {BASE_VERSION_HEADER: str(base)},
+            CALL_SECONDS,
+            lost_after=self.random.uniform(0.0, LOST_AFTER_SECONDS) if lost else None,
+        )
+
+    async def insist(
+        self, path: str, clear: Container[int], patience: float, body: bytes = b"", base: int | None = None
+    ) -> Reply | None:
+        """Sends an order again, with growing pauses, until an answer is clear or the time is over."""
+        until = now() + patience * MICROSECONDS
+        pause = FIRST_PAUSE_SECONDS
+        while now() < until:
+            reply = await self.call("POST", path, body, base)
+            if reply is not None and reply.status in clear:
+                return reply
+            await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+        return None
 
     async def evacuate(self, zone: str, begin: bool, patience: float = EVACUATION_SECONDS) -> bool:
         """Begins or finishes an evacuation; whether that was acknowledged."""
         invoked = now()
         path = f"/-/Evacuations.{'Begin' if begin else 'Finish'}/{zone}"
-
-        async def acknowledged() -> bool:
-            reply = await self.call("POST", path)
-            return reply is not None and reply.status == HTTPStatus.OK
-
-        done = await insist(acknowledged, patience, self.random)
+        done = await self.insist(path, {HTTPStatus.OK}, patience) is not None
         self.tell(Evacuated(zone, begin, invoked, now(), done))
         return done
 
 
-async def insist(attempt: Callable[[], object], patience: float, random: Random) -> bool:
-    """Calls again, with growing pauses, until it is true or the time is over."""
-    until = now() + patience * MICROSECONDS
-    pause = FIRST_PAUSE_SECONDS
-    while not await attempt():  # type: ignore[misc]
-        if now() >= until:
-            return False
-        await asyncio.sleep(pause * random.uniform(0.5, 1.0))
-        pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
-    return True
-
-
 class Operator:
     """One operator, who builds on the newest configuration that is known to it."""
 
@@ -133,7 +107,7 @@
     async def first(self) -> bool:
         """Puts the first configuration in force."""
         number = next(self._office.numbers)
-        document = first_configuration(number, 1)
+        document = initial(number, 1)
         return await self._submit(number, document, document, update=False)
 
     async def configure(self, invalid_share: float = INVALID_SHARE) -> bool:
@@ -167,32 +141,11 @@
         office.documents[number] = whole
         data, path = json.dumps(body).encode(), f"/-/Config.{'Update' if update else 'Replace'}"
         invoked = now()
-        replies: list[Reply] = []
-
-        async def clear() -> bool:
-            reply = await office.call("POST", path, data, base)
-            if reply is not None and reply.status in OUTCOMES:
-                replies.append(reply)
-            return bool(replies)
-
-        await insist(clear, PATIENCE_SECONDS, self._random)
-        outcome = OUTCOMES[HTTPStatus(replies[0].status)] if replies else Outcome.UNCLEAR
-        office.tell(
-            Ordered(
-                number=number,
-                operator=self.name,
-                base=base,
-                version=version,
-                body=data.decode(),
-                whole=json.dumps(whole),
-                update=update,
-                invoked=invoked,
-                ended=now(),
-                outcome=outcome.name,
-                told_version=replies[0].version if replies else 0,
-                valid=valid,
-            )
-        )
+        reply = await office.insist(path, OUTCOMES, PATIENCE_SECONDS, data, base)
+        outcome = Outcome.UNCLEAR if reply is None else OUTCOMES[HTTPStatus(reply.status)]
+        told = 0 if reply is None else int(reply.document.get("Version", 0))
+        order = (base, version, data.decode(), json.dumps(whole), update, valid)
+        office.tell(Ordered(number, self.name, *order, invoked, now(), outcome.name, told))
         if outcome is not Outcome.ACKNOWLEDGED:
             self._number = 0  # it reads before it builds again
             return False
--- a/brackenladder/soak/processes.py
+++ b/brackenladder/soak/processes.py
@@ -8,13 +8,13 @@
 import signal
 import sys
 from asyncio.subprocess import DEVNULL, PIPE, Process
-from collections.abc import Callable
+from collections.abc import Mapping
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 from brackenladder.soak.actors import READY
-from brackenladder.soak.events import MICROSECONDS, Event, ProcessEnded, Trouble, now
+from brackenladder.soak.events import MICROSECONDS, ProcessEnded, Tell, Trouble, now
 from brackenladder.soak.relayed_role import PORT_VARIABLE
 from brackenladder.soak.site import SoakLayout
 from brackenladder.system.local.layout import GRACE_S, Machine
@@ -24,27 +24,66 @@
 DEAF_SECONDS = 2.0  # after the start of a process
 ACTOR_SECONDS = 30.0  # for an actor to start, or to end
 POLL_SECONDS = 0.02
-Tell = Callable[[Event], None]
 
 
-def environment(**added: str) -> dict[str, str]:
-    """What a process of ours gets."""
-    path = os.pathsep.join(filter(None, (str(PACKAGE_ROOT), os.environ.get("PYTHONPATH"))))
-    return {**os.environ, "PYTHONPATH": path, **added}
+class ManagedProcess:
+    """A process of ours and its pauses, which may overlap."""
 
+    def __init__(self, name: str, log: Path, tell: Tell) -> None:
+        self.name = name
+        self._log = log
+        self._tell = tell
+        self._process: Process | None = None
+        self._pauses = 0
+
+    async def _spawn(
+        self,
+        module: str,
+        *arguments: str,
+        piped: bool = False,
+        variables: Mapping[str, str] | None = None,
+    ) -> Process:
+        path = os.pathsep.join(filter(None, (str(PACKAGE_ROOT), os.environ.get("PYTHONPATH"))))
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", module, *arguments),
+                env={**os.environ, "PYTHONPATH": path, **(variables or {})},
+                stdin=PIPE if piped else DEVNULL,
+                stdout=PIPE if piped else log,
+                stderr=log,
+                start_new_session=True,
+            )
+        return self._process
 
-class Role:
+    async def pause(self, seconds: float) -> None:
+        """SIGSTOP, and SIGCONT after so many seconds."""
+        began = now()
+        self._pauses += 1
+        self._send(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._pauses -= 1
+            if not self._pauses:
+                self._send(signal.SIGCONT)
+            self._tell(Trouble(began, now(), "pause", (self.name,), planned=False))
+
+    def _send(self, number: signal.Signals) -> None:
+        if self._process is not None:
+            with suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+
+class Role(ManagedProcess):
     """The process of one machine. It runs while nothing holds it down; troubles may overlap."""
 
     def __init__(self, layout: SoakLayout, machine: Machine, relayed: bool, tell: Tell) -> None:
-        self.machine = machine
+        super().__init__(machine.name, layout.log_path(machine), tell)
+        self._machine = machine
         self._layout = layout
         self._relayed = relayed
-        self._tell = tell
-        self._process: Process | None = None
         self._watch: asyncio.Task[None] | None = None
         self._holds = 0  # troubles that want it down
-        self._pauses = 0
         self._bootstrap = True
         self._starting = asyncio.Lock()
         self._started = 0
@@ -54,39 +93,22 @@
         """Whether its process has not ended."""
         return self._process is not None and self._process.returncode is None
 
-    @property
-    def pid(self) -> int:
-        """The process id; 0 if it does not run."""
-        return self._process.pid if self._process is not None and self.running else 0
-
     async def start(self) -> None:
         """Starts it, unless it runs or something holds it down."""
         async with self._starting:
-            if not self._holds and not self.running:
-                await self._spawn()
-
-    async def _spawn(self) -> None:
-        self._write_settings()
-        self._bootstrap = False
-        module = "brackenladder.soak.relayed_role" if self._relayed else "brackenladder.serve"
-        port = self._layout.relay_address(self.machine, self.machine)[1]
-        with self._layout.log_path(self.machine).open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                module,
-                self.machine.role,
-                env=environment(
-                    BRACKENLADDER_CONFIG=str(self._layout.settings_path(self.machine)),
-                    **{PORT_VARIABLE: str(port)},
-                ),
-                stdin=DEVNULL,
-                stdout=log,
-                stderr=log,
-                start_new_session=True,
-            )
-        self._started = now()
-        self._watch = asyncio.create_task(self._notice_end(self._process))
+            if self._holds or self.running:
+                return
+            self._write_settings()
+            self._bootstrap = False
+            module = "brackenladder.soak.relayed_role" if self._relayed else "brackenladder.serve"
+            port = self._layout.relay_address(self._machine, self._machine)[1]
+            variables = {
+                "BRACKENLADDER_CONFIG": str(self._layout.settings_path(self._machine)),
+                PORT_VARIABLE: str(port),
+            }
+            process = await self._spawn(module, self._machine.role, variables=variables)
+            self._started = now()
+            self._watch = asyncio.create_task(self._notice_end(process))
 
     async def kill(self, away: float) -> None:
         """SIGKILL, and down for so many seconds."""
@@ -96,25 +118,12 @@
         """SIGTERM, and down for so many seconds after its end."""
         await self._down(kind, away, planned=True)
 
-    async def pause(self, seconds: float) -> None:
-        """SIGSTOP, and SIGCONT after so many seconds."""
-        began = now()
-        self._pauses += 1
-        self._send(signal.SIGSTOP)
-        try:
-            await asyncio.sleep(seconds)
-        finally:
-            self._pauses -= 1
-            if not self._pauses:
-                self._send(signal.SIGCONT)
-            self._tell(Trouble(began, now(), "pause", (self.machine.name,), planned=False))
-
     def reload(self) -> None:
         """The settings file is written anew, and SIGHUP tells so."""
         if self.running:
             self._write_settings()
             self._send(signal.SIGHUP)
-            self._tell(Trouble(now(), now(), "reload", (self.machine.name,), planned=True))
+            self._tell(Trouble(now(), now(), "reload", (self.name,), planned=True))
 
     async def end(self) -> None:
         """SIGTERM for good."""
@@ -134,7 +143,7 @@
             self._holds -= 1
             await self._until_gone()
             await self.start()
-            self._tell(Trouble(began, now(), kind, (self.machine.name,), planned))
+            self._tell(Trouble(began, now(), kind, (self.name,), planned))
 
     async def _terminate(self) -> None:
         """SIGTERM; SIGKILL if it has not ended within its grace, of which pauses are no part."""
@@ -147,7 +156,7 @@
             await asyncio.sleep(POLL_SECONDS)
             left -= 0 if self._pauses else POLL_SECONDS
         if process.returncode is None:
-            self._tell(ProcessEnded(now(), self.machine.name, 0, "has not ended within its grace"))
+            self._tell(ProcessEnded(now(), self.name, 0, "has not ended within its grace"))
             self._send(signal.SIGKILL)
             await process.wait()
 
@@ -155,11 +164,6 @@
         if self._process is not None and self._holds == 0:
             await self._process.wait()
 
-    def _send(self, number: signal.Signals) -> None:
-        if self._process is not None:
-            with suppress(ProcessLookupError):
-                self._process.send_signal(number)
-
     async def _notice_end(self, process: Process) -> None:
         """Nothing but a trouble that holds it down may end a process; SIGTERM ends it with status 0.
 
@@ -173,77 +177,48 @@
             fault = "ended by itself"
         elif status not in (0, -signal.SIGKILL):
             fault = "ended with a fault"
-        self._tell(ProcessEnded(now(), self.machine.name, status, fault))
+        self._tell(ProcessEnded(now(), self.name, status, fault))
         if fault:
             await self.start()
 
     def _write_settings(self) -> None:
-        path = self._layout.settings_path(self.machine)
-        path.write_text(self._layout.settings_text(self.machine, self._bootstrap))
+        path = self._layout.settings_path(self._machine)
+        path.write_text(self._layout.settings_text(self._machine, self._bootstrap))
 
 
-class ActorProcess:
+class ActorProcess(ManagedProcess):
     """A process of stand-ins; orders go to its standard input."""
 
     def __init__(self, layout: SoakLayout, role: str, region: str, seed: str, tell: Tell) -> None:
-        self.name = f"{role}-{region}"
-        self._arguments = (role, str(layout.folder), self.name, region, seed)
-        self._folder = layout.folder
-        self._tell = tell
-        self._process: Process
-        self._pauses = 0
-
-    @property
-    def journal(self) -> Path:
-        """Where it writes its events."""
-        return self._folder / f"{self.name}.jsonl"
+        name = f"{role}-{region}"
+        super().__init__(name, layout.folder / f"{name}.log", tell)
+        self._arguments = (role, str(layout.folder), name, region, seed)
 
     async def start(self) -> None:
-        """Returns once it is ready; a TimeoutError if it does not come."""
-        with (self._folder / f"{self.name}.log").open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "brackenladder.soak.actors",
-                *self._arguments,
-                env=environment(),
-                stdin=PIPE,
-                stdout=PIPE,
-                stderr=log,
-                start_new_session=True,
-            )
-        assert self._process.stdout is not None
+        """Returns once it is ready; an OSError, a TimeoutError among them, if it does not come."""
+        process = await self._spawn("brackenladder.soak.actors", *self._arguments, piped=True)
+        assert process.stdout is not None
         async with asyncio.timeout(ACTOR_SECONDS):
-            line = await self._process.stdout.readline()
+            line = await process.stdout.readline()
         if line.decode().strip() != READY:
             raise OSError(f"{self.name} did not start")
 
     def order(self, do: str, **details: Any) -> None:
         """Sends an order."""
-        assert self._process.stdin is not None
-        with suppress(OSError):
-            self._process.stdin.write(json.dumps({"do": do} | details).encode() + b"\n")
-
-    async def pause(self, seconds: float) -> None:
-        """SIGSTOP, and SIGCONT after so many seconds."""
-        began = now()
-        self._pauses += 1
-        self._process.send_signal(signal.SIGSTOP)
-        try:
-            await asyncio.sleep(seconds)
-        finally:
-            self._pauses -= 1
-            if not self._pauses:
-                self._process.send_signal(signal.SIGCONT)
-            self._tell(Trouble(began, now(), "actor-pause", (self.name,), planned=False))
+        if self._process is not None and self._process.stdin is not None:
+            with suppress(OSError):
+                self._process.stdin.write(json.dumps({"do": do} | details).encode() + b"\n")
 
     async def stop(self) -> None:
         """Lets it end in order, and ends it if it doesn't."""
+        if self._process is None:
+            return
         self.order("stop")
         try:
             async with asyncio.timeout(ACTOR_SECONDS):
-                await self._process.wait()
+                status = await self._process.wait()
         except TimeoutError:
             self._process.kill()
-            await self._process.wait()
-            self._tell(ProcessEnded(now(), self.name, 0, "a stand-in has not ended"))
+            status = await self._process.wait()
+        if status:
+            self._tell(ProcessEnded(now(), self.name, status, "a stand-in has not ended in order"))
--- a/brackenladder/soak/relay.py
+++ b/brackenladder/soak/relay.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import suppress
 
+from brackenladder.soak.events import Order, Tell
 from brackenladder.soak.site import SoakLayout
 from brackenladder.system.local.layout import Machine
 
@@ -40,7 +41,7 @@
 class Relay:
     """All links from nodes to control nodes."""
 
-    def __init__(self, layout: SoakLayout) -> None:
+    def __init__(self, layout: SoakLayout, _region: str, _seed: str, _tell: Tell) -> None:
         self._layout = layout
         self._gates: dict[Direction, Gate] = {}
         self._servers: list[asyncio.Server] = []
@@ -53,19 +54,15 @@
                 if source is not target:
                     await self._listen(source, target)
 
-    def hold(self, direction: Direction) -> None:
-        """Holds up what one node sends another; it arrives late."""
-        self._gate(direction).hold()
-
-    def release(self, direction: Direction) -> None:
-        """Ends one hold."""
-        self._gate(direction).release()
-
-    def reset(self, one: str, other: str) -> None:
-        """Resets the links between two nodes."""
-        for task, direction in tuple(self._links.items()):
-            if set(direction) == {one, other}:
-                task.cancel()
+    def order(self, order: Order) -> None:
+        """`hold` (what is sent in these directions arrives late), `release`, or `reset` of links."""
+        for one, other in order["pairs"]:
+            if order["do"] == "reset":
+                self._reset(one, other)
+            elif order["do"] == "hold":
+                self._gate((one, other)).hold()
+            else:
+                self._gate((one, other)).release()
 
     async def stop(self) -> None:
         """Ends all."""
@@ -75,6 +72,11 @@
             task.cancel()
         await asyncio.gather(*self._links, return_exceptions=True)
 
+    def _reset(self, one: str, other: str) -> None:
+        for task, direction in tuple(self._links.items()):
+            if set(direction) == {one, other}:
+                task.cancel()
+
     def _gate(self, direction: Direction) -> Gate:
         return self._gates.setdefault(direction, Gate())
 
--- a/brackenladder/soak/schedule.py
+++ b/brackenladder/soak/schedule.py
@@ -60,11 +60,6 @@
     storm_seconds: float
     late_seconds: float
 
-    @property
-    def phases(self) -> tuple[tuple[Step, ...], ...]:
-        """In their order."""
-        return self.planned, self.storm, self.late
-
 
 def make_schedule(seed: int, layout: SoakLayout, seconds: float) -> Schedule:
     """The schedule of a seed."""
--- a/brackenladder/soak/servers.py
+++ b/brackenladder/soak/servers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable
 from contextlib import suppress
 from enum import Enum
 from random import Random
@@ -14,13 +14,13 @@
 from brackenladder.platform_settings import DEFAULT_BOUNDS
 from brackenladder.rehearsal.standins.heartbeats import FAREWELL_SECONDS, RETRY_SECONDS, Heartbeats
 from brackenladder.rehearsal.standins.model_server import ModelServer, ServerSettings
-from brackenladder.soak.events import Arrived, Event, LeaveAcknowledged, Ran, Trouble, TurnedAway, now
+from brackenladder.soak.events import Arrived, Handled, LeaveAcknowledged, Order, Tell, Trouble, now
+from brackenladder.soak.site import SoakLayout
 from brackenladder.system.local.layout import HEARTBEAT_MS
 
 COLD_SECONDS = 2.0  # after a start during traffic
 LONGEST_STAY_SECONDS = 2.0  # beyond DrainMs
 FINISH_SECONDS = 10.0  # for what still runs at the end
-Tell = Callable[[Event], None]
 
 
 class Leave(Enum):
@@ -47,11 +47,11 @@
     def begun(self, request_id: str) -> None:
         """From here on it has run."""
         super().begun(request_id)
-        self._tell(Ran(now(), request_id, self.settings.id))
+        self._tell(Handled(now(), request_id, self.settings.id))
 
     def turned_away(self, request_id: str, status: int) -> None:
         """It has not run."""
-        self._tell(TurnedAway(now(), request_id, self.settings.id, status))
+        self._tell(Handled(now(), request_id, self.settings.id, status))
 
     def cold_remaining_ms(self) -> int:
         """As its start tells."""
@@ -81,12 +81,11 @@
 class ServerFarm:
     """All servers of one region, by the place that a server and its successors have."""
 
-    def __init__(
-        self, settings: tuple[ServerSettings, ...], control: tuple[str, ...], random: Random, tell: Tell
-    ) -> None:
-        self._settings = {one.id.partition(".")[0]: one for one in settings}
-        self._control = control
-        self._random = random
+    def __init__(self, layout: SoakLayout, region: str, seed: str, tell: Tell) -> None:
+        own = [one for one in layout.servers() if layout.zones[one.zone] == region]
+        self._settings = {one.id.partition(".")[0]: one for one in own}
+        self._control = layout.seeds
+        self._random = Random(seed)
         self._tell = tell
         self._servers: dict[str, RecordingServer] = {}
         self._heartbeats: dict[str, LossyHeartbeats] = {}
@@ -98,11 +97,14 @@
         for place in self._settings:
             await self._begin(place, cold=False)
 
-    def lose_acknowledgements(self, share: float) -> None:
-        """From now on so many answers to heartbeats are lost."""
-        self._lost_share = share
+    def order(self, order: Order) -> Awaitable[None] | None:
+        """`leave`, or `lose`: from now on so many answers to heartbeats are lost."""
+        if order["do"] == "leave":
+            return self.leave(order["place"], Leave(order["how"]), order["away"])
+        self._lost_share = order["share"]
         for heartbeats in self._heartbeats.values():
-            heartbeats.lost_share = share
+            heartbeats.lost_share = self._lost_share
+        return None
 
     async def leave(self, place: str, how: Leave, away: float) -> None:
         """A server goes, and comes back after `away` seconds as a new one; nothing if it is going already."""
--- a/brackenladder/soak/system.py
+++ b/brackenladder/soak/system.py
@@ -8,8 +8,8 @@
 from random import Random
 
 from brackenladder.soak.actors import LAYOUT_FILE
-from brackenladder.soak.connection import AnswerError, Connection, Ended
-from brackenladder.soak.events import Event, Trouble, now
+from brackenladder.soak.connection import call
+from brackenladder.soak.events import Tell, Trouble, now
 from brackenladder.soak.operators import Office, Operator
 from brackenladder.soak.processes import ActorProcess, Role
 from brackenladder.soak.schedule import Kind, Step
@@ -17,7 +17,6 @@
 from brackenladder.system.control_client import ControlClient
 
 START_SECONDS = 60.0  # for the whole system to come up
-ASK_SECONDS = 1.0
 POLL_SECONDS = 0.1
 LOST_SHARE = 0.9  # of the answers to heartbeats, while they are lost
 
@@ -29,13 +28,12 @@
 class SoakSystem:
     """Started by `start`; each step of a schedule is a task that ends once it is healed."""
 
-    def __init__(self, layout: SoakLayout, seed: int, relayed: bool, tell: Callable[[Event], None]) -> None:
+    def __init__(self, layout: SoakLayout, seed: int, relayed: bool, tell: Tell) -> None:
         self.layout = layout
         self.tell = tell
         self.roles = {one.name: Role(layout, one, relayed, tell) for one in layout.machines}
-        names = [("servers", region) for region in REGIONS] + [("clients", region) for region in REGIONS]
-        if relayed:
-            names.insert(0, ("relay", "all"))
+        names = [(role, region) for role in ("servers", "clients") for region in REGIONS]
+        names += [("relay", "all")] * relayed
         actors = [ActorProcess(layout, role, region, f"{seed} {region}", tell) for role, region in names]
         self.actors = {actor.name: actor for actor in actors}
         self.office = Office(layout.seeds, Random(f"operators {seed}"), tell)
@@ -146,9 +144,13 @@
 
     async def missing(self) -> tuple[str, ...]:
         """What is not there: gateways that are not ready, an order that is not taken, silent directories."""
-        checks = {f"{one.name} is not ready": f"http://{one.ready}/-/readyz" for one in self.layout.gateways}
-        answers = await asyncio.gather(*(self._says_ok(url) for url in checks.values()))
-        found = [name for name, sound in zip(checks, answers, strict=True) if not sound]
+        gateways = self.layout.gateways
+        answers = await asyncio.gather(*(call(one.ready, "GET", "/-/readyz") for one in gateways))
+        found = [
+            f"{one.name} is not ready"
+            for one, answer in zip(gateways, answers, strict=True)
+            if answer is None or answer.status != HTTPStatus.OK
+        ]
         if not await self._takes_orders():
             found.append("no order is taken")
         return tuple(found)
@@ -162,23 +164,11 @@
     async def _all_back(self) -> bool:
         if await self.missing():
             return False
-        async with ControlClient(self.layout.seeds, ASK_SECONDS) as control:
+        async with ControlClient(self.layout.seeds) as control:
             status = (await control.status()).value_or(None)
         wanted = len(self.layout.servers())
         return status is not None and sum(service.ready for service in status.services) == wanted
 
-    async def _says_ok(self, url: str) -> bool:
-        address, _, path = url.removeprefix("http://").partition("/")
-        try:
-            async with asyncio.timeout(ASK_SECONDS):
-                connection = await Connection.open(address, ASK_SECONDS)
-                await connection.send("GET", f"/{path}", {"Host": address})
-                head = await connection.head()
-                connection.close()
-                return head.status == HTTPStatus.OK
-        except (OSError, Ended, AnswerError):
-            return False
-
     async def _until(self, condition: Callable[[], Awaitable[bool]], complaint: str) -> None:
         try:
             async with asyncio.timeout(START_SECONDS):
--- a/brackenladder/system/simulate_command.py
+++ b/brackenladder/system/simulate_command.py
@@ -56,7 +56,7 @@
         return _convict(_known(mutant or list(MUTANTS), MUTANTS, "--mutant"), tries, workers)
     if replay is not None:
         return _replay(Schedule(_only(names), replay), trace, fewest)
-    return _play(schedules(names, _seeds(seeds)), workers)
+    return _play(schedules(names, seed_range(seeds)), workers)
 
 
 def _list(mutants_listed: bool) -> int:
@@ -83,7 +83,8 @@
     return names[0]
 
 
-def _seeds(text: str) -> range:
+def seed_range(text: str) -> range:
+    """The seeds that `A` or `A-B` names."""
     match = _SEEDS.fullmatch(text)
     if match is None:
         raise Unusable(f"--seeds: {text!r} is neither A nor A-B")
--- a/brackenladder/system/soak_command.py
+++ b/brackenladder/system/soak_command.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import re
 import sys
 from collections import Counter
 from pathlib import Path
@@ -13,6 +11,7 @@
 
 import typer
 from attrs import frozen
+from cattrs import unstructure
 
 from brackenladder.soak.checker import Verdict
 from brackenladder.soak.events import MICROSECONDS
@@ -22,13 +21,13 @@
 from brackenladder.system.errors import ExitCode, Unusable
 from brackenladder.system.options import JsonOption
 from brackenladder.system.output import print_json, say
+from brackenladder.system.simulate_command import seed_range
 
 DEFAULT_SECONDS = 40.0
 FOUND = Path("found")
 MOST_LINES = 20  # breaches that are printed of one seed
 LONGEST_RUN_SECONDS = 600.0  # beyond the troubles' own time
 FIRST_NETWORK, LAST_NETWORK = 120, 199  # second number of the loopback addresses
-_SEEDS = re.compile(r"(\d{1,9})(?:-(\d{1,9}))?")
 
 
 @frozen
@@ -54,7 +53,7 @@
 ) -> int:
     """Plays seeded troubles against a whole system of real processes. Exit code 1: something broke."""
     settings = Settings(seconds, size, as_json)
-    numbers = _numbers(seeds)
+    numbers = seed_range(seeds)
     if len(numbers) == 1:
         return asyncio.run(_one(numbers[0], network or _network(numbers[0]), settings))
     if network:
@@ -62,16 +61,6 @@
     return asyncio.run(_many(numbers, jobs, settings))
 
 
-def _numbers(text: str) -> range:
-    match = _SEEDS.fullmatch(text)
-    if match is None:
-        raise Unusable(f"--seeds: {text!r} is neither A nor A-B")
-    first, last = int(match[1]), int(match[2] or match[1])
-    if last < first:
-        raise Unusable(f"--seeds: {text!r} is no range")
-    return range(first, last + 1)
-
-
 def _network(seed: int) -> str:
     """A loopback network for a seed; neighbours have different ones."""
     wide = LAST_NETWORK - FIRST_NETWORK + 1
@@ -99,18 +88,10 @@
 
 
 def _document(seed: int, verdict: Verdict) -> dict[str, Any]:
-    return {
-        "Seed": seed,
-        "Held": verdict.held,
-        "Violations": Counter(breach.rule.value for breach in verdict.breaches),
-        "Checked": verdict.checked,
-        "Excused": verdict.excused,
-        "Requests": verdict.outcomes,
-        "Breaches": [
-            {"Rule": breach.rule.value, "At": breach.at, "Detail": breach.detail}
-            for breach in verdict.breaches
-        ],
-    }
+    violations = Counter(breach.rule.value for breach in verdict.breaches)
+    document = {"seed": seed, "held": verdict.held, "violations": violations}
+    document.update(unstructure(verdict))
+    return document
 
 
 def _say_verdict(plan: SoakPlan, verdict: Verdict) -> None:
@@ -140,30 +121,20 @@
     statuses = await asyncio.gather(*(_child(seed, places, settings) for seed in seeds))
     broken = [seed for seed, status in zip(seeds, statuses, strict=True) if status]
     held = len(seeds) - len(broken)
-    line = f"{held} of {len(seeds)} seeds held"
     if settings.as_json:
-        say(json.dumps({"Held": held, "Seeds": len(seeds), "Broken": broken}))
+        print_json({"held": held, "seeds": len(seeds), "broken": broken})
     else:
-        say(line + (f"; broken: {', '.join(map(str, broken))}" if broken else ""))
+        say(f"{held} of {len(seeds)} seeds held; broken: {', '.join(map(str, broken)) or 'none'}")
     return ExitCode.NO if broken else ExitCode.DONE
 
 
 async def _child(seed: int, places: asyncio.Semaphore, settings: Settings) -> int:
+    options = f"--seeds {seed} --seconds {settings.seconds} --size {settings.size.value}".split()
+    options += ["--json"] * settings.as_json
     async with places:
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "brackenladder.system",
-            "soak",
-            "--seeds",
-            str(seed),
-            "--seconds",
-            str(settings.seconds),
-            "--size",
-            settings.size.value,
-            *(["--json"] if settings.as_json else []),
-            stdout=asyncio.subprocess.PIPE,
+            *(sys.executable, "-m", "brackenladder.system", "soak", *options), stdout=asyncio.subprocess.PIPE
         )
         out, _ = await process.communicate()
-        say(out.decode().rstrip())
-        return process.returncode or 0
+    say(out.decode().rstrip())
+    return process.returncode or 0
