Gateway: an answer read as the call's time ends leaves the request in doubt: 504, no promise

Cause: a gateway stood still (SIGSTOP) between sending a request and its answer. Once it went on, the call's time was over and the whole answer lay in the socket: the call was concluded as expired, its attempt ended OK, and OK did not count as 'may have run', so the client got 503, a promise, for a request that had run (REFUSED). Ruled out: a refusal by the server (it recorded the run and no refusal). Change: an attempt that was written and did not end as never run leaves the call in doubt, whatever its outcome.

--- a/brackenladder/gateway/calls.py
+++ b/brackenladder/gateway/calls.py
@@ -73,10 +73,14 @@
         self._wake()
 
     def attempt_ended(self, attempt: RunnableAttempt, end: AttemptEnd) -> None:
-        """Note what an attempt's end says, before the core hears of it."""
+        """Note what an attempt's end says, before the core hears of it.
+
+        Failure prevented: the process stood still, the call's time is over, and the whole answer lies in the
+        socket. The call is concluded without it, and is no less in doubt for that.
+        """
         if end.outcome == Outcome.REJECTED:
             self.exchange.turned_away(attempt.record.id)
-        elif attempt.written and end.outcome not in NEVER_RAN and end.outcome != Outcome.OK:
+        elif attempt.written and end.outcome not in NEVER_RAN:
             self.may_have_run = True
         self.timed_out = end.outcome == Outcome.TIMEOUT
         if isinstance(end.answer, WholeAnswer) and end.outcome in (Outcome.ERROR, Outcome.TIMEOUT):
