Role processes: SIGHUP waits while a process is loaded, and no longer ends it

Cause: until the runner says what it does with SIGHUP, the signal has its default action, which ends the process. Ruled out: a fault of the program (status -1, no trace in its log). Both tests fail on the code before (the first ends the test's own process).

--- a/brackenladder/node/role_runner.py
+++ b/brackenladder/node/role_runner.py
@@ -16,6 +16,7 @@
 import logbook
 from returns.result import Failure, Success
 
+from brackenladder.node import held_signal
 from brackenladder.platform_settings import Platform, load_platform
 
 EXIT_OK = 0
@@ -74,6 +75,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._ending.set)
         loop.add_signal_handler(signal.SIGINT, self._ending.set)
         loop.add_signal_handler(signal.SIGHUP, self._settings_changed.set)
+        held_signal.release()
         try:
             await self._start()
         except RoleError as error:
--- a/tests/control_plane/test_role_runner.py
+++ b/tests/control_plane/test_role_runner.py
@@ -12,6 +12,7 @@
 from unittest.mock import patch
 
 from brackenladder import serve
+from brackenladder.node import held_signal
 from brackenladder.node.role_runner import EXIT_FAILED, EXIT_OK, RoleError, RoleRunner
 from brackenladder.platform_settings import Platform
 
@@ -90,6 +91,16 @@
             os.kill(os.getpid(), signal.SIGTERM)
             await running
 
+    async def test_sighup_before_the_role_can_take_it_waits(self) -> None:
+        held_signal.hold()
+        self.addCleanup(held_signal.release)
+        os.kill(os.getpid(), signal.SIGHUP)
+        role = RecordingRole()
+        running = asyncio.create_task(RoleRunner(role, self.path).run())
+        self.assertEqual((await self.reloaded(role)).seeds, ("127.0.0.1:1",))
+        os.kill(os.getpid(), signal.SIGTERM)
+        self.assertEqual(await running, EXIT_OK)
+
     async def reloaded(self, role: RecordingRole) -> Platform:
         """The next settings that the role gets."""
         return await asyncio.wait_for(role.reloaded.get(), PATIENCE)
@@ -101,6 +112,14 @@
 
 
 class ServeTest(TestCase):
+    def tearDown(self) -> None:
+        held_signal.release()
+
+    def test_sighup_is_held_from_the_first_line_on(self) -> None:
+        self.run_with(["nope"], "")
+        held = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        self.assertIn(signal.SIGHUP, held)
+
     def run_with(self, arguments: list[str], settings: str) -> tuple[int, list[str]]:
         """Exit status, and the lines on standard error."""
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as file, redirect_stderr(io.StringIO()) as told:
