--- a/brackenladder/soak/relayed_role.py
+++ b/brackenladder/soak/relayed_role.py
@@ -6,12 +6,11 @@
 from __future__ import annotations
 
 import os
-import sys
+import runpy
 from random import Random
 
 from attrs import evolve
 
-from brackenladder import serve
 from brackenladder.transport import tcp
 from brackenladder.transport.address import Address
 from brackenladder.transport.dialer import TcpDialer
@@ -38,4 +37,4 @@
 
 if __name__ == "__main__":
     setattr(tcp, "TcpDialer", RelayedDialer)  # noqa: B010
-    sys.exit(serve.main(sys.argv[1:]))
+    runpy.run_module("brackenladder.serve", run_name="__main__")
