--- a/brackenladder/soak/checker.py
+++ b/brackenladder/soak/checker.py
@@ -224,12 +224,10 @@
     def _check_leaves(self) -> None:
         """DRAIN: nothing reaches a server later than DrainMs after its leave was acknowledged."""
         leaves = {one.server: one.at for one in self._of(LeaveAcknowledged)}
+        self._verdict.checked[Rule.DRAIN.value] = len(leaves)
         for arrival in self._of(Arrived):
             left = leaves.get(arrival.server)
-            if left is None or arrival.at <= left:
-                continue
-            self._verdict.checked[Rule.DRAIN.value] += 1
-            if arrival.at > left + DRAIN:
+            if left is not None and arrival.at > left + DRAIN:
                 late = (arrival.at - left) / 1000
                 self._late(Rule.DRAIN, arrival, f"{late:.0f} ms after its leave was acknowledged")
 
@@ -242,12 +240,10 @@
                 known.append((order.ended, None))
             elif not order.begin and known and known[-1][1] is None:
                 known[-1] = (known[-1][0], order.invoked)
+                self._verdict.checked[Rule.EVAC.value] += order.invoked > known[-1][0] + EVACUATE
         for arrival in self._of(Arrived):
             for began, ended in spans[arrival.zone]:
-                if arrival.at < began or (ended is not None and arrival.at > ended):
-                    continue
-                self._verdict.checked[Rule.EVAC.value] += 1
-                if arrival.at > began + EVACUATE:
+                if arrival.at > began + EVACUATE and (ended is None or arrival.at < ended):
                     late = (arrival.at - began) / 1000
                     self._late(Rule.EVAC, arrival, f"{late:.0f} ms after the evacuation of {arrival.zone}")
 
--- a/brackenladder/soak/processes.py
+++ b/brackenladder/soak/processes.py
@@ -14,16 +14,16 @@
 from typing import Any
 
 from brackenladder.soak.actors import READY
-from brackenladder.soak.events import MICROSECONDS, ProcessEnded, Tell, Trouble, now
+from brackenladder.soak.events import ProcessEnded, Tell, Trouble, now
 from brackenladder.soak.relayed_role import PORT_VARIABLE
 from brackenladder.soak.site import SoakLayout
 from brackenladder.system.local.layout import GRACE_S, Machine
 from brackenladder.system.local.processes import PACKAGE_ROOT
 
 KILL_MARGIN_SECONDS = 2.0  # after the grace
-DEAF_SECONDS = 2.0  # after the start of a process
 ACTOR_SECONDS = 30.0  # for an actor to start, or to end
 POLL_SECONDS = 0.02
+DEADLY = frozenset({signal.SIGTERM, signal.SIGHUP})  # to a program that has not said what it does with them
 
 
 class ManagedProcess:
@@ -86,7 +86,7 @@
         self._holds = 0  # troubles that want it down
         self._bootstrap = True
         self._starting = asyncio.Lock()
-        self._started = 0
+        self._loading = False  # at the last signal: the program had not come to heed it
 
     @property
     def running(self) -> bool:
@@ -107,7 +107,6 @@
                 PORT_VARIABLE: str(port),
             }
             process = await self._spawn(module, self._machine.role, variables=variables)
-            self._started = now()
             self._watch = asyncio.create_task(self._notice_end(process))
 
     async def kill(self, away: float) -> None:
@@ -164,22 +163,36 @@
         if self._process is not None and self._holds == 0:
             await self._process.wait()
 
+    def _send(self, number: signal.Signals) -> None:
+        if self.running and number in DEADLY:
+            self._loading = not self._heeds(number)
+        super()._send(number)
+
+    def _heeds(self, number: signal.Signals) -> bool:
+        """Whether the process catches a signal, or holds it until it does."""
+        assert self._process is not None
+        try:
+            lines = Path(f"/proc/{self._process.pid}/status").read_text().splitlines()
+        except OSError:
+            return True
+        masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigCgt", "SigBlk"))]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     async def _notice_end(self, process: Process) -> None:
         """Nothing but a trouble that holds it down may end a process; SIGTERM ends it with status 0.
 
-        A process that has hardly begun does not listen to signals yet, and ends by SIGTERM itself.
+        A signal that comes before the program heeds it ends the process itself.
         """
         status = await process.wait()
         fault = ""
-        if status == -signal.SIGTERM and now() - self._started < DEAF_SECONDS * MICROSECONDS:
+        if self._loading and -status in DEADLY:
             status = 0
-        if not self._holds:
+        elif not self._holds:
             fault = "ended by itself"
         elif status not in (0, -signal.SIGKILL):
             fault = "ended with a fault"
         self._tell(ProcessEnded(now(), self.name, status, fault))
-        if fault:
-            await self.start()
+        await self.start()
 
     def _write_settings(self) -> None:
         path = self._layout.settings_path(self._machine)
