--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 NEEDS = requirements.txt requirements-tools.txt requirements-dev.txt requirements-cli.txt
 HASHED = requirements-system.txt # pip takes files with hashes only together with others that have them
 
-.PHONY: test rehearse demo local gate fleet-test
+.PHONY: test rehearse demo local gate fleet-test soak soak-short
 # All checks: style, types, tests.
 test: .venv/ready
 	$(BIN)/ruff check .
@@ -24,6 +24,17 @@
 fleet-test: .venv/ready
 	$(BIN)/python benchmarks/fleet_test.py
 
+# A whole system of real processes under overlapping troubles, a seed after the other (docs/soak.md).
+SEEDS ?= 1-10
+JOBS ?= 2
+SIZE ?= small
+soak: .venv/ready
+	$(BIN)/python -m brackenladder.system soak --seeds $(SEEDS) --jobs $(JOBS) --size $(SIZE)
+
+# The same for CI: two seeds side by side, under two minutes.
+soak-short: .venv/ready
+	$(BIN)/python -m brackenladder.system soak --seeds 101-102 --jobs 2 --seconds 20
+
 # One node before four stand-in servers, until Ctrl-C.
 demo: .venv/ready
 	$(BIN)/python -m brackenladder demo
