--- a/brackenladder/soak/actors.py
+++ b/brackenladder/soak/actors.py
@@ -1,4 +1,4 @@
-"""One actor's process: `python -m brackenladder.soak.actors servers|clients|relay FOLDER NAME REGION SEED`.
+"""One actor's process: `python -m brackenladder.soak.actors ROLE REGION SEED NETWORK FOLDER SIZE`.
 
 Orders come as JSON lines on standard input; it ends at `stop` or at the end of the input. What it does and
 sees goes into its journal in the folder.
@@ -20,7 +20,6 @@
 from brackenladder.soak.servers import ServerFarm
 from brackenladder.soak.site import Size, SoakLayout
 
-LAYOUT_FILE = "layout.json"
 READY = "ready"
 BEAT_SECONDS = 0.05
 NOTABLE_LAG_SECONDS = 0.25
@@ -47,16 +46,16 @@
 }
 
 
-def read_layout(folder: Path) -> SoakLayout:
-    """The layout that the player has left in the folder."""
-    table = json.loads((folder / LAYOUT_FILE).read_text())
-    return SoakLayout(table["Network"], folder, Size(table["Size"]))
+def actor_name(role: str, region: str) -> str:
+    """The name of its process."""
+    return f"{role}-{region}"
 
 
-async def run_actor(role: str, folder: Path, name: str, region: str, seed: str) -> None:
+async def run_actor(role: str, layout: SoakLayout, region: str, seed: str) -> None:
     """Until the orders end."""
-    journal = Journal(folder / f"{name}.jsonl")
-    actor = ACTORS[role](read_layout(folder), region, seed, journal.add)
+    name = actor_name(role, region)
+    journal = Journal(layout.folder / f"{name}.jsonl")
+    actor = ACTORS[role](layout, region, seed, journal.add)
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
@@ -101,4 +100,5 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(run_actor(sys.argv[1], Path(sys.argv[2]), sys.argv[3], sys.argv[4], sys.argv[5]))
+    network, folder, size = sys.argv[4:]
+    asyncio.run(run_actor(sys.argv[1], SoakLayout(network, Path(folder), Size(size)), *sys.argv[2:4]))
--- a/brackenladder/soak/checker.py
+++ b/brackenladder/soak/checker.py
@@ -11,23 +11,8 @@
 from attrs import define, field, frozen
 
 from brackenladder.platform_settings import DEFAULT_BOUNDS
+from brackenladder.soak import events as seen
 from brackenladder.soak.configuration import CALLS, HOSTS, IDEMPOTENT
-from brackenladder.soak.events import (
-    Arrived,
-    Evacuated,
-    Event,
-    Handled,
-    LeaveAcknowledged,
-    LogFault,
-    Ordered,
-    Outcome,
-    ProcessEnded,
-    ReadBack,
-    Recovery,
-    Repeated,
-    Resolved,
-    Tried,
-)
 from brackenladder.soak.site import SoakLayout
 from brackenladder.soak.touch import Troubles
 from brackenladder.soak.versions import Versions, fault_of_orders
@@ -88,7 +73,7 @@
         self.breaches.append(Breach(rule, at, detail))
 
 
-def judge(events: list[Event], layout: SoakLayout) -> Verdict:
+def judge(events: list[seen.Event], layout: SoakLayout) -> Verdict:
     """Holds every rule against the events."""
     return _Judge(events, layout).verdict()
 
@@ -96,19 +81,19 @@
 class _Judge:
     """The events by their kinds, and a method for each rule."""
 
-    def __init__(self, events: list[Event], layout: SoakLayout) -> None:
+    def __init__(self, events: list[seen.Event], layout: SoakLayout) -> None:
         self._events = events
         self._regions = layout.zones
         self._gateways = {machine.front: machine for machine in layout.gateways}
         self._directories = {machine.directory: machine.name for machine in layout.control}
-        self._tries = {one.request: one for one in self._of(Tried)}
-        self._arrivals: defaultdict[str, list[Arrived]] = defaultdict(list)
-        for arrival in self._of(Arrived):
+        self._tries = {one.request: one for one in self._of(seen.Tried)}
+        self._arrivals: defaultdict[str, list[seen.Arrived]] = defaultdict(list)
+        for arrival in self._of(seen.Arrived):
             self._arrivals[arrival.request].append(arrival)
-        self._ran = Counter(one.request for one in self._of(Handled) if not one.refusal)
-        self._refusals = {(one.request, one.server): one.refusal for one in self._of(Handled)}
+        self._ran = Counter(one.request for one in self._of(seen.Handled) if not one.refusal)
+        self._refusals = {(one.request, one.server): one.refusal for one in self._of(seen.Handled)}
         self._troubles = Troubles(events, [machine.name for machine in layout.control])
-        self._versions = Versions(self._of(Ordered))
+        self._versions = Versions(self._of(seen.Ordered))
         self._verdict = Verdict()
 
     def verdict(self) -> Verdict:
@@ -154,7 +139,7 @@
                     continue
                 self._check_arrival(arrival, tried)
 
-    def _check_arrival(self, arrival: Arrived, tried: Tried) -> None:
+    def _check_arrival(self, arrival: seen.Arrived, tried: seen.Tried) -> None:
         in_touch = self._troubles.in_touch(self._gateway(arrival.request), arrival.at)
         route = (tried.host, tried.path)
         rules = self._versions.rules(route, tried.began, arrival.at, in_touch)
@@ -171,7 +156,7 @@
 
     def _check_directory(self) -> None:
         """HOME: a client is led to gateways of its own region and of the host's homes."""
-        for answer in self._of(Resolved):
+        for answer in self._of(seen.Resolved):
             in_touch = self._troubles.in_touch(self._directories.get(answer.directory, ""), answer.at)
             routes = [(call.host, call.path) for call in CALLS if call.host == answer.host]
             rules = [
@@ -198,7 +183,7 @@
             runs = self._ran[tried.request]
             if runs > 1:
                 self._verdict.add(Rule.TWICE, tried.ended, f"{_name(tried)} ran {runs} times")
-            if tried.outcome == Outcome.REFUSED:
+            if tried.outcome == seen.Outcome.REFUSED:
                 self._verdict.checked[Rule.REFUSED.value] += 1
                 if runs:
                     detail = f"{_name(tried)} got {tried.status} by {tried.gateway} and has run"
@@ -207,15 +192,15 @@
     def _check_answers(self) -> None:
         """MIXED and DENIED: an answer is the server's, and proper requests are not turned away for good."""
         for tried in self._tries.values():
-            if tried.outcome == Outcome.MIXED:
+            if tried.outcome == seen.Outcome.MIXED:
                 self._verdict.add(Rule.MIXED, tried.ended, f"{_name(tried)}: {tried.detail}")
-            elif tried.outcome == Outcome.SERVED:
+            elif tried.outcome == seen.Outcome.SERVED:
                 self._verdict.checked[Rule.MIXED.value] += 1
                 servers = {arrival.server for arrival in self._arrivals[tried.request]}
                 if not self._ran[tried.request] or tried.detail not in servers:
                     detail = f"{_name(tried)} was answered for {tried.detail}, which did not run it"
                     self._verdict.add(Rule.MIXED, tried.ended, detail)
-            elif tried.outcome == Outcome.FAILED and tried.detail:
+            elif tried.outcome == seen.Outcome.FAILED and tried.detail:
                 detail = f"{_name(tried)} got {tried.status} by {tried.gateway}"
                 self._verdict.add(Rule.DENIED, tried.ended, detail)
 
@@ -223,9 +208,9 @@
 
     def _check_leaves(self) -> None:
         """DRAIN: nothing reaches a server later than DrainMs after its leave was acknowledged."""
-        leaves = {one.server: one.at for one in self._of(LeaveAcknowledged)}
+        leaves = {one.server: one.at for one in self._of(seen.LeaveAcknowledged)}
         self._verdict.checked[Rule.DRAIN.value] = len(leaves)
-        for arrival in self._of(Arrived):
+        for arrival in self._of(seen.Arrived):
             left = leaves.get(arrival.server)
             if left is not None and arrival.at > left + DRAIN:
                 late = (arrival.at - left) / 1000
@@ -234,20 +219,20 @@
     def _check_evacuations(self) -> None:
         """EVAC: nothing reaches a zone later than EvacuateMs after its evacuation was acknowledged."""
         spans: defaultdict[str, list[tuple[int, int | None]]] = defaultdict(list)
-        for order in sorted(self._of(Evacuated), key=lambda one: one.invoked):
+        for order in sorted(self._of(seen.Evacuated), key=lambda one: one.invoked):
             known = spans[order.zone]
             if order.begin and order.acknowledged:
                 known.append((order.ended, None))
             elif not order.begin and known and known[-1][1] is None:
                 known[-1] = (known[-1][0], order.invoked)
                 self._verdict.checked[Rule.EVAC.value] += order.invoked > known[-1][0] + EVACUATE
-        for arrival in self._of(Arrived):
+        for arrival in self._of(seen.Arrived):
             for began, ended in spans[arrival.zone]:
                 if arrival.at > began + EVACUATE and (ended is None or arrival.at < ended):
                     late = (arrival.at - began) / 1000
                     self._late(Rule.EVAC, arrival, f"{late:.0f} ms after the evacuation of {arrival.zone}")
 
-    def _late(self, rule: Rule, arrival: Arrived, detail: str) -> None:
+    def _late(self, rule: Rule, arrival: seen.Arrived, detail: str) -> None:
         """A late arrival, unless the gateway was out of touch or the server's process held up."""
         if self._refusals.get((arrival.request, arrival.server)) == HTTPStatus.MISDIRECTED_REQUEST:
             return
@@ -263,7 +248,7 @@
 
     def _check_orders(self) -> None:
         """CONFIG: orders and reads are one history; what was acknowledged is acknowledged again."""
-        orders, reads = list(self._of(Ordered)), list(self._of(ReadBack))
+        orders, reads = list(self._of(seen.Ordered)), list(self._of(seen.ReadBack))
         self._verdict.checked["CONFIG orders"] = len(orders)
         self._verdict.checked["CONFIG reads"] = len(reads)
         fault = fault_of_orders(orders, reads)
@@ -271,7 +256,7 @@
             self._verdict.add(Rule.CONFIG, 0, str(fault))
         if orders and not any(read.final for read in reads):
             self._verdict.add(Rule.CONFIG, 0, "no configuration could be read at the end")
-        for repeat in self._of(Repeated):
+        for repeat in self._of(seen.Repeated):
             if repeat.status != HTTPStatus.OK:
                 detail = f"order {repeat.number} was acknowledged, and got {repeat.status} when it came again"
                 self._verdict.add(Rule.CONFIG, repeat.at, detail)
@@ -284,11 +269,11 @@
             if not tried.read:
                 continue
             if not self._troubles.calm(tried.began, tried.ended):
-                self._verdict.excused[Rule.LOST.value] += tried.outcome == Outcome.CLOSED
+                self._verdict.excused[Rule.LOST.value] += tried.outcome == seen.Outcome.CLOSED
                 continue
             self._verdict.checked[Rule.LOST.value] += 1
             spent = (tried.ended - tried.began) / 1000 > SPENT_SHARE * tried.deadline_ms
-            if tried.outcome != Outcome.CLOSED or spent:
+            if tried.outcome != seen.Outcome.CLOSED or spent:
                 continue
             passed_on = bool(self._arrivals[tried.request])
             late = tried.ended - tried.read > LOSS_SLACK
@@ -303,16 +288,16 @@
 
     def _check_processes(self) -> None:
         """ENDED and LOG: processes end when they are made to, and nothing in their logs says otherwise."""
-        for end in self._of(ProcessEnded):
+        for end in self._of(seen.ProcessEnded):
             self._verdict.checked[Rule.ENDED.value] += 1
             if end.fault:
                 self._verdict.add(Rule.ENDED, end.at, f"{end.process} {end.fault} (status {end.status})")
-        for fault in self._of(LogFault):
+        for fault in self._of(seen.LogFault):
             self._verdict.add(Rule.LOG, 0, f"{fault.process}: {fault.line}")
 
     def _check_recovery(self) -> None:
         """RECOVER: after healing all is back in a bounded time, and clients of each region are served."""
-        for recovery in self._of(Recovery):
+        for recovery in self._of(seen.Recovery):
             self._verdict.checked[Rule.RECOVER.value] += 1
             for missing in recovery.missing:
                 self._verdict.add(Rule.RECOVER, recovery.ended, f"{missing}, though all was healed")
@@ -328,17 +313,17 @@
                     if one.region == region
                     and one.host == host
                     and since <= one.began <= since + SERVED_SECONDS
-                    and one.outcome != Outcome.UNREACHED
+                    and one.outcome != seen.Outcome.UNREACHED
                 ]
-                served = sum(one.outcome == Outcome.SERVED for one in tries)
+                served = sum(one.outcome == seen.Outcome.SERVED for one in tries)
                 if not tries or served < SERVED_SHARE * len(tries):
                     detail = f"clients of {region} on {host}: {served} of {len(tries)} requests served"
                     self._verdict.add(Rule.RECOVER, since, f"{detail} after the recovery")
 
 
-def _name(tried: Tried) -> str:
+def _name(tried: seen.Tried) -> str:
     return f"{tried.kind} request {tried.request} on {tried.host}{tried.path} from {tried.region}"
 
 
-def _span(tried: Tried) -> tuple[int, int]:
+def _span(tried: seen.Tried) -> tuple[int, int]:
     return tried.began, tried.ended
--- a/brackenladder/soak/connection.py
+++ b/brackenladder/soak/connection.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from attrs import frozen
@@ -57,11 +58,9 @@
         lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
         if body:
             lines.append(f"Content-Length: {len(body)}")
-        try:
+        with _showing_its_end():
             self._writer.write("\r\n".join([*lines, "", ""]).encode() + body)
             await self._writer.drain()
-        except OSError as error:
-            raise Ended(f"in sending: {error}") from error
 
     async def head(self) -> Head:
         """The beginning of the answer."""
@@ -108,18 +107,24 @@
 
     async def _line(self) -> str:
         try:
-            line = await self._reader.readuntil(b"\r\n")
+            with _showing_its_end():
+                line = await self._reader.readuntil(b"\r\n")
         except asyncio.LimitOverrunError as error:
             raise AnswerError("an endless line") from error
-        except (asyncio.IncompleteReadError, OSError) as error:
-            raise Ended(str(error)) from error
         return line[:-2].decode("latin-1")
 
     async def _exactly(self, size: int) -> bytes:
-        try:
+        with _showing_its_end():
             return await self._reader.readexactly(size)
-        except (asyncio.IncompleteReadError, OSError) as error:
-            raise Ended(str(error)) from error
+
+
+@contextmanager
+def _showing_its_end() -> Iterator[None]:
+    """Raises `Ended` if the connection ends."""
+    try:
+        yield
+    except (asyncio.IncompleteReadError, OSError) as error:
+        raise Ended(str(error)) from error
 
 
 @frozen
@@ -130,12 +135,9 @@
     body: bytes
 
     @property
-    def document(self) -> dict[str, Any]:
+    def document(self) -> Any:
         """Its JSON object; a ValueError if it holds none."""
-        document = json.loads(self.body)
-        if not isinstance(document, dict):
-            raise ValueError("no object")
-        return document
+        return json.loads(self.body)
 
 
 async def call(
--- a/brackenladder/soak/processes.py
+++ b/brackenladder/soak/processes.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from brackenladder.soak.actors import READY
+from brackenladder.soak.actors import READY, actor_name
 from brackenladder.soak.events import ProcessEnded, Tell, Trouble, now
 from brackenladder.soak.relayed_role import PORT_VARIABLE
 from brackenladder.soak.site import SoakLayout
@@ -37,11 +37,7 @@
         self._pauses = 0
 
     async def _spawn(
-        self,
-        module: str,
-        *arguments: str,
-        piped: bool = False,
-        variables: Mapping[str, str] | None = None,
+        self, module: str, *arguments: str, piped: bool = False, variables: Mapping[str, str] | None = None
     ) -> Process:
         path = os.pathsep.join(filter(None, (str(PACKAGE_ROOT), os.environ.get("PYTHONPATH"))))
         with self._log.open("ab") as log:
@@ -203,9 +199,9 @@
     """A process of stand-ins; orders go to its standard input."""
 
     def __init__(self, layout: SoakLayout, role: str, region: str, seed: str, tell: Tell) -> None:
-        name = f"{role}-{region}"
+        name = actor_name(role, region)
         super().__init__(name, layout.folder / f"{name}.log", tell)
-        self._arguments = (role, str(layout.folder), name, region, seed)
+        self._arguments = (role, region, seed, layout.network, str(layout.folder), layout.size.value)
 
     async def start(self) -> None:
         """Returns once it is ready; an OSError, a TimeoutError among them, if it does not come."""
--- a/brackenladder/soak/relay.py
+++ b/brackenladder/soak/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from contextlib import suppress
 
 from brackenladder.soak.events import Order, Tell
@@ -11,39 +12,16 @@
 
 PIECE = 64 * 1024  # bytes read at a time
 CONNECT_SECONDS = 1.0
+LOOK_SECONDS = 0.02  # between two looks at whether a hold is over
 Direction = tuple[str, str]  # names of the sender and the receiver
 
 
-class Gate:
-    """What passes in one direction between two nodes; several troubles may hold it at a time."""
-
-    def __init__(self) -> None:
-        self._holds = 0
-        self._open = asyncio.Event()
-        self._open.set()
-
-    def hold(self) -> None:
-        """Nothing passes until `release`."""
-        self._holds += 1
-        self._open.clear()
-
-    def release(self) -> None:
-        """One hold less."""
-        self._holds -= 1
-        if not self._holds:
-            self._open.set()
-
-    async def passed(self) -> None:
-        """Returns once the way is open."""
-        await self._open.wait()
-
-
 class Relay:
     """All links from nodes to control nodes."""
 
     def __init__(self, layout: SoakLayout, _region: str, _seed: str, _tell: Tell) -> None:
         self._layout = layout
-        self._gates: dict[Direction, Gate] = {}
+        self._holds: Counter[Direction] = Counter()  # troubles that hold up a direction
         self._servers: list[asyncio.Server] = []
         self._links: dict[asyncio.Task[None], Direction] = {}
 
@@ -60,9 +38,9 @@
             if order["do"] == "reset":
                 self._reset(one, other)
             elif order["do"] == "hold":
-                self._gate((one, other)).hold()
+                self._holds[one, other] += 1
             else:
-                self._gate((one, other)).release()
+                self._holds[one, other] -= 1
 
     async def stop(self) -> None:
         """Ends all."""
@@ -77,8 +55,10 @@
             if set(direction) == {one, other}:
                 task.cancel()
 
-    def _gate(self, direction: Direction) -> Gate:
-        return self._gates.setdefault(direction, Gate())
+    async def _passed(self, direction: Direction) -> None:
+        """Returns once nothing holds up this direction."""
+        while self._holds[direction] > 0:
+            await asyncio.sleep(LOOK_SECONDS)
 
     async def _listen(self, source: Machine, target: Machine) -> None:
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -97,16 +77,16 @@
         self, source: Machine, target: Machine, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Until one side ends."""
-        forth, back = self._gate((source.name, target.name)), self._gate((target.name, source.name))
-        await forth.passed()
+        forth, back = (source.name, target.name), (target.name, source.name)
+        await self._passed(forth)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 inner, outer = await asyncio.open_connection(*self._layout.inner_address(target))
         except OSError:
             return
         pumps = [
-            asyncio.create_task(_pump(reader, outer, forth)),
-            asyncio.create_task(_pump(inner, writer, back)),
+            asyncio.create_task(self._pump(reader, outer, forth)),
+            asyncio.create_task(self._pump(inner, writer, back)),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -115,10 +95,11 @@
                 pump.cancel()
             outer.transport.abort()
 
-
-async def _pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, gate: Gate) -> None:
-    with suppress(OSError):
-        while data := await reader.read(PIECE):
-            await gate.passed()
-            writer.write(data)
-            await writer.drain()
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: Direction
+    ) -> None:
+        with suppress(OSError):
+            while data := await reader.read(PIECE):
+                await self._passed(direction)
+                writer.write(data)
+                await writer.drain()
--- a/brackenladder/soak/relayed_role.py
+++ b/brackenladder/soak/relayed_role.py
@@ -7,15 +7,12 @@
 
 import os
 import runpy
-from random import Random
+from typing import Any
 
 from attrs import evolve
 
 from brackenladder.transport import tcp
-from brackenladder.transport.address import Address
 from brackenladder.transport.dialer import TcpDialer
-from brackenladder.transport.link import LinkHandler, OnRefused
-from brackenladder.transport.tcp_link import LinkSettings
 
 PORT_VARIABLE = "BRACKENLADDER_RELAY_PORT"
 
@@ -23,16 +20,9 @@
 class RelayedDialer(TcpDialer):
     """Dials the relay in place of the node."""
 
-    def __init__(
-        self,
-        settings: LinkSettings,
-        address: Address,
-        handler: LinkHandler,
-        random: Random,
-        on_refused: OnRefused,
-    ) -> None:
-        super().__init__(settings, address, handler, random, on_refused)
-        self._target = evolve(address, port=int(os.environ[PORT_VARIABLE]))
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._target = evolve(self._target, port=int(os.environ[PORT_VARIABLE]))
 
 
 if __name__ == "__main__":
--- a/brackenladder/soak/run.py
+++ b/brackenladder/soak/run.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from pathlib import Path
 
 from attrs import frozen
 
 from brackenladder.soak.checker import Verdict, judge
 from brackenladder.soak.events import MICROSECONDS, Journal, LogFault, Recovery, now, read_journals
-from brackenladder.soak.schedule import CALM_SECONDS, Step, make_schedule
+from brackenladder.soak.schedule import CALM_SECONDS, Phase, make_schedule
 from brackenladder.soak.site import Size, SoakLayout
 from brackenladder.soak.system import SoakError, SoakSystem
 
@@ -39,11 +38,11 @@
     system = SoakSystem(layout, plan.seed, schedule.relayed, journal.add)
     try:
         await system.start()
-        await _phase(system, schedule.planned, schedule.planned_seconds)
-        await _phase(system, schedule.storm, schedule.storm_seconds)
+        await _play(system, schedule.planned)
+        await _play(system, schedule.storm)
         await _recover(system, journal)
         await asyncio.sleep(CALM_SECONDS)
-        await _phase(system, schedule.late, schedule.late_seconds)
+        await _play(system, schedule.late)
         await _recover(system, journal)
         await asyncio.sleep(CALM_SECONDS)
         await system.rest()
@@ -57,11 +56,11 @@
     return judge(events, layout)
 
 
-async def _phase(system: SoakSystem, steps: tuple[Step, ...], seconds: float) -> None:
+async def _play(system: SoakSystem, phase: Phase) -> None:
     """All steps, until the last one is healed; never shorter than the phase is."""
     try:
-        async with asyncio.timeout(seconds + STEP_SECONDS):
-            await asyncio.gather(asyncio.sleep(seconds), *(system.play(step) for step in steps))
+        async with asyncio.timeout(phase.seconds + STEP_SECONDS):
+            await asyncio.gather(asyncio.sleep(phase.seconds), *(system.play(step) for step in phase.steps))
     except TimeoutError:
         raise SoakError(f"a step was not healed {STEP_SECONDS:g} s after its phase") from None
 
@@ -79,9 +78,9 @@
 async def _read_back(system: SoakSystem) -> None:
     """The configuration at the end, more than once: any node may answer."""
     until = now() + RECOVERY_SECONDS * MICROSECONDS
-    reads = Counter[str]()
-    while reads["done"] < 2 * len(system.layout.control) and now() < until:
-        reads["done"] += await system.inspector.read(final=True)
+    reads = 0
+    while reads < 2 * len(system.layout.control) and now() < until:
+        reads += await system.inspector.read(final=True)
 
 
 def _log_faults(folder: Path) -> list[LogFault]:
--- a/brackenladder/soak/schedule.py
+++ b/brackenladder/soak/schedule.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Sequence
 from enum import Enum
 from random import Random
 
@@ -13,7 +13,11 @@
 
 CORE_SHARE = 0.5  # of the seeds trouble control nodes too
 RELAY_SHARE = 0.5  # of the seeds have links through the relay
+WHOLE_REGION_SHARE = 0.6  # of the removals take all gateways of a region
+PLANNED_SHARE, STORM_SHARE, LATE_SHARE = 0.3, 0.45, 0.25  # of the time
 CALM_SECONDS = 4.5  # before planned work: over ContactMs
+FIRST_SECONDS = 0.5  # until the first step of a phase
+PAUSES = (0.4, 2.0)  # seconds between two steps, shortest and longest
 
 
 class Kind(Enum):
@@ -33,7 +37,22 @@
     EVACUATE = "evacuate"
 
 
-PLANNED = frozenset({Kind.ROLL, Kind.RELOAD, Kind.REMOVE, Kind.EVACUATE, Kind.SERVER})
+LINKS = frozenset({Kind.HOLD, Kind.HOLD_ONE_WAY, Kind.RESET})
+SPANS = {  # seconds, shortest and longest
+    Kind.KILL: (0.1, 5.0),
+    Kind.PAUSE: (0.2, 5.0),
+    Kind.ROLL: (0.0, 2.0),
+    Kind.RELOAD: (0.0, 0.0),
+    Kind.REMOVE: (6.0, 12.0),
+    Kind.SERVER: (2.0, 6.0),
+    Kind.SERVERS_PAUSE: (0.5, 3.0),
+    Kind.LOSE_ACKNOWLEDGEMENTS: (0.5, 3.0),
+    Kind.EVACUATE: (6.0, 10.0),
+    **dict.fromkeys(LINKS, (0.3, 6.0)),
+}
+IN_ORDER = (Leave.DRAIN, Leave.DRAIN, Leave.DEREGISTER_FIRST)
+WORK = (Kind.ROLL, Kind.ROLL, Kind.RELOAD, Kind.REMOVE, Kind.EVACUATE, Kind.SERVER, Kind.SERVER)
+STORM = (*Kind, Kind.KILL, Kind.PAUSE, Kind.REMOVE)
 
 
 @frozen
@@ -47,107 +66,71 @@
     leave: Leave = Leave.CRASH
 
 
+@frozen
+class Phase:
+    """Steps that begin within so many seconds."""
+
+    seconds: float
+    steps: tuple[Step, ...]
+
+
 @frozen
 class Schedule:
     """The phases of a soak."""
 
     relayed: bool  # nodes are linked through the relay
-    core: bool  # control nodes are troubled too
-    planned: tuple[Step, ...]
-    storm: tuple[Step, ...]
-    late: tuple[Step, ...]  # planned work again, after all is healed
-    planned_seconds: float
-    storm_seconds: float
-    late_seconds: float
+    planned: Phase
+    storm: Phase
+    late: Phase  # planned work again, after all is healed
 
 
 def make_schedule(seed: int, layout: SoakLayout, seconds: float) -> Schedule:
     """The schedule of a seed."""
     random = Random(f"schedule {seed}")
     core, relayed = random.random() < CORE_SHARE, random.random() < RELAY_SHARE
-    planned_seconds, storm_seconds, late_seconds = 0.3 * seconds, 0.45 * seconds, 0.25 * seconds
-    planner = _Planner(layout, core, relayed, random)
+    planner = _Planner(layout, core, random)
+    storm = [kind for kind in STORM if relayed or kind not in LINKS]
     return Schedule(
         relayed,
-        core,
-        tuple(planner.steps(planned_seconds, planner.planned)),
-        tuple(planner.steps(storm_seconds, planner.storm)),
-        tuple(planner.steps(late_seconds, planner.planned)),
-        planned_seconds,
-        storm_seconds,
-        late_seconds,
+        planner.phase(PLANNED_SHARE * seconds, WORK, IN_ORDER),
+        planner.phase(STORM_SHARE * seconds, storm, tuple(Leave)),
+        planner.phase(LATE_SHARE * seconds, WORK, IN_ORDER),
     )
 
 
 class _Planner:
-    """Draws steps; each lasts longer than the pause to the next, so that they overlap."""
+    """Draws steps; most last longer than the pause to the next, so that they overlap."""
 
-    def __init__(self, layout: SoakLayout, core: bool, relayed: bool, random: Random) -> None:
+    def __init__(self, layout: SoakLayout, core: bool, random: Random) -> None:
         self._random = random
-        self._gateways = [machine.name for machine in layout.gateways]
-        self._control = [machine.name for machine in layout.control]
-        self._by_region = {
-            region: tuple(machine.name for machine in layout.gateways if machine.region == region)
-            for region in REGIONS
-        }
+        self._gateways = layout.gateways
+        self._names = [one.name for one in (layout.machines if core else layout.gateways)]
         self._servers = [one.id.partition(".")[0] for one in layout.servers()]
-        self._core = core
-        self._relayed = relayed
-        self._scale = max(1, len(self._gateways) // 5)  # larger systems see more at a time
+        self._scale = max(1, len(layout.gateways) // 5)  # larger systems see more at a time
 
-    def steps(self, seconds: float, draw: Callable[[float], Step]) -> Iterator[Step]:
-        """Steps of one phase, the last of which begins before its end."""
-        at = 0.5
+    def phase(self, seconds: float, kinds: Sequence[Kind], leaves: Sequence[Leave]) -> Phase:
+        """Steps of these kinds."""
+        steps, at = [], FIRST_SECONDS
         while at < seconds:
-            yield draw(at)
-            at += self._random.uniform(0.4, 2.0)
-
-    def planned(self, at: float) -> Step:
-        """Work that loses nothing."""
-        kind = self._random.choice(
-            (Kind.ROLL, Kind.ROLL, Kind.RELOAD, Kind.REMOVE, Kind.EVACUATE, Kind.SERVER, Kind.SERVER)
-        )
-        if kind is Kind.SERVER:
-            leave = self._random.choice((Leave.DRAIN, Leave.DRAIN, Leave.DEREGISTER_FIRST))
-            return self._server(at, leave)
-        return self._step(at, kind)
-
-    def storm(self, at: float) -> Step:
-        """Anything."""
-        kinds = [kind for kind in Kind if self._relayed or kind not in _LINKS]
-        kind = self._random.choice([*kinds, Kind.KILL, Kind.PAUSE, Kind.REMOVE])
-        if kind is Kind.SERVER:
-            return self._server(at, self._random.choice(tuple(Leave)))
-        return self._step(at, kind)
-
-    def _server(self, at: float, leave: Leave) -> Step:
-        away = self._random.uniform(2.0, 6.0)
-        return Step(at, Kind.SERVER, (self._random.choice(self._servers),), away, leave)
-
-    def _step(self, at: float, kind: Kind) -> Step:
+            kind = self._random.choice(kinds)
+            lasting = self._random.uniform(*SPANS[kind])
+            steps.append(Step(at, kind, self._targets(kind), lasting, self._random.choice(leaves)))
+            at += self._random.uniform(*PAUSES)
+        return Phase(seconds, tuple(steps))
+
+    def _targets(self, kind: Kind) -> tuple[str, ...]:
         random = self._random
-        if kind is Kind.REMOVE:
-            return Step(at, kind, self._removed(), random.uniform(6.0, 12.0))
-        if kind is Kind.EVACUATE:
-            return Step(at, kind, (random.choice(tuple(ZONES)),), random.uniform(6.0, 10.0))
-        if kind in (Kind.SERVERS_PAUSE, Kind.LOSE_ACKNOWLEDGEMENTS):
-            return Step(at, kind, (f"servers-{random.choice(REGIONS)}",), random.uniform(0.5, 3.0))
-        if kind in _LINKS:
-            return Step(at, kind, self._some(1), random.uniform(0.3, 6.0))
-        if kind is Kind.RELOAD:
-            return Step(at, kind, self._some(random.randint(1, 3)))
-        seconds = {Kind.PAUSE: (0.2, 5.0), Kind.KILL: (0.1, 5.0), Kind.ROLL: (0.0, 2.0)}[kind]
-        return Step(at, kind, self._some(random.choice((1, 1, 2, 3))), random.uniform(*seconds))
-
-    def _removed(self) -> tuple[str, ...]:
-        """All gateways of a region, or one."""
-        if self._random.random() < 0.6:
-            return self._by_region[self._random.choice(REGIONS)]
-        return (self._random.choice(self._gateways),)
-
-    def _some(self, number: int) -> tuple[str, ...]:
-        names = self._gateways + (self._control if self._core else [])
-        return tuple(self._random.sample(names, min(number * self._scale, len(names))))
-
-
-_LINKS = frozenset({Kind.HOLD, Kind.HOLD_ONE_WAY, Kind.RESET})
+        region = random.choice(REGIONS)
+        match kind:
+            case Kind.SERVER:
+                return (random.choice(self._servers),)
+            case Kind.EVACUATE:
+                return (random.choice(tuple(ZONES)),)
+            case Kind.SERVERS_PAUSE | Kind.LOSE_ACKNOWLEDGEMENTS:
+                return (f"servers-{region}",)
+            case Kind.REMOVE if random.random() < WHOLE_REGION_SHARE:
+                return tuple(one.name for one in self._gateways if one.region == region)
+            case Kind.REMOVE:
+                return (random.choice(self._gateways).name,)
+        number = 1 if kind in LINKS else random.choice((1, 1, 2, 3))
+        return tuple(random.sample(self._names, min(number * self._scale, len(self._names))))
--- a/brackenladder/soak/site.py
+++ b/brackenladder/soak/site.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from enum import Enum
 
 from attrs import field, frozen
@@ -18,13 +17,7 @@
     Machine,
 )
 
-ZONES = {
-    "north-a": "north",
-    "south-a": "south",
-    "east-a": "east",
-    "north-b": "north",
-    "south-b": "south",
-}
+ZONES = {"north-a": "north", "south-a": "south", "east-a": "east", "north-b": "north", "south-b": "south"}
 REGIONS = ("north", "south", "east")
 CHAT, CARDS, FORMS = "chat", "cards", "forms"
 FIRST_SERVER = 101  # last number of the first server's address
@@ -120,8 +113,3 @@
         """The directories, nearest first."""
         ranked = sorted(self.control, key=lambda node: (node.zone != zone, node.region != region))
         return tuple(node.directory for node in ranked)
-
-
-def layout_document(layout: SoakLayout) -> str:
-    """What an actor's process needs to make the same layout."""
-    return json.dumps({"Network": layout.network, "Folder": str(layout.folder), "Size": layout.size.value})
--- a/brackenladder/soak/system.py
+++ b/brackenladder/soak/system.py
@@ -7,13 +7,12 @@
 from http import HTTPStatus
 from random import Random
 
-from brackenladder.soak.actors import LAYOUT_FILE
 from brackenladder.soak.connection import call
 from brackenladder.soak.events import Tell, Trouble, now
 from brackenladder.soak.operators import Office, Operator
 from brackenladder.soak.processes import ActorProcess, Role
 from brackenladder.soak.schedule import Kind, Step
-from brackenladder.soak.site import REGIONS, SoakLayout, layout_document
+from brackenladder.soak.site import REGIONS, SoakLayout
 from brackenladder.system.control_client import ControlClient
 
 START_SECONDS = 60.0  # for the whole system to come up
@@ -46,7 +45,6 @@
 
     async def start(self) -> None:
         """All processes, the first configuration, then the clients."""
-        (self.layout.folder / LAYOUT_FILE).write_text(layout_document(self.layout))
         for actor in self._actors("relay"):
             await actor.start()
         await asyncio.gather(*(role.start() for role in self.roles.values()))
