--- a/brackenladder/soak/actors.py
+++ b/brackenladder/soak/actors.py
@@ -76,7 +76,7 @@
     await asyncio.gather(*under_way, return_exceptions=True)
     await actor.stop()
     watch.cancel()
-    journal.close()
+    journal.file.close()
 
 
 def _report(task: asyncio.Future[None]) -> None:
@@ -95,7 +95,7 @@
             journal.add(Lagged(before, moment, name))
         before = moment
         if moment - flushed > FLUSH_SECONDS * MICROSECONDS:
-            journal.flush()
+            journal.file.flush()
             flushed = moment
 
 
--- a/brackenladder/soak/checker.py
+++ b/brackenladder/soak/checker.py
@@ -256,10 +256,12 @@
             self._verdict.add(Rule.CONFIG, 0, str(fault))
         if orders and not any(read.final for read in reads):
             self._verdict.add(Rule.CONFIG, 0, "no configuration could be read at the end")
-        for repeat in self._of(seen.Repeated):
-            if repeat.status != HTTPStatus.OK:
-                detail = f"order {repeat.number} was acknowledged, and got {repeat.status} when it came again"
-                self._verdict.add(Rule.CONFIG, repeat.at, detail)
+        for order in orders:
+            if order.repeat_status not in (0, HTTPStatus.OK):
+                detail = (
+                    f"order {order.number} was acknowledged, and got {order.repeat_status} when it came again"
+                )
+                self._verdict.add(Rule.CONFIG, order.ended, detail)
 
     # -- planned work
 
--- a/brackenladder/soak/events.py
+++ b/brackenladder/soak/events.py
@@ -147,15 +147,7 @@
     ended: int
     outcome: str  # name of the simulation's `Outcome`
     told_version: int
-
-
-@frozen
-class Repeated(Event):
-    """An acknowledged order has arrived again and got a clear answer."""
-
-    at: int
-    number: int
-    status: int
+    repeat_status: int = 0  # an acknowledged order came again, and got this
 
 
 @frozen
@@ -227,19 +219,11 @@
     """A file of events that one process writes."""
 
     def __init__(self, path: Path) -> None:
-        self._file: TextIO = path.open("a")
+        self.file: TextIO = path.open("a")
 
     def add(self, event: Event) -> None:
         """Writes an event down."""
-        self._file.write(encode(event) + "\n")
-
-    def flush(self) -> None:
-        """What was added is in the file."""
-        self._file.flush()
-
-    def close(self) -> None:
-        """Ends the file."""
-        self._file.close()
+        self.file.write(encode(event) + "\n")
 
 
 def read_journals(paths: Iterable[Path]) -> Iterator[Event]:
--- a/brackenladder/soak/operators.py
+++ b/brackenladder/soak/operators.py
@@ -16,7 +16,7 @@
 from brackenladder.simulation.history import Outcome
 from brackenladder.soak.configuration import Document, changed, initial, invalid
 from brackenladder.soak.connection import Reply, call
-from brackenladder.soak.events import MICROSECONDS, Evacuated, Ordered, ReadBack, Repeated, Tell, now
+from brackenladder.soak.events import MICROSECONDS, Evacuated, Ordered, ReadBack, Tell, now
 
 CALL_SECONDS = 3.0  # for one call
 PATIENCE_SECONDS = 12.0  # for which a configuration without a clear answer is sent again
@@ -144,14 +144,11 @@
         reply = await office.insist(path, OUTCOMES, PATIENCE_SECONDS, data, base)
         outcome = Outcome.UNCLEAR if reply is None else OUTCOMES[HTTPStatus(reply.status)]
         told = 0 if reply is None else int(reply.document.get("Version", 0))
+        ended, repeated = now(), None
+        if outcome is Outcome.ACKNOWLEDGED and self._random.random() < REPEAT_SHARE:
+            repeated = await office.call("POST", path, data, base)
+        again = repeated.status if repeated is not None and repeated.status in OUTCOMES else 0
         order = (base, version, data.decode(), json.dumps(whole), update, valid)
-        office.tell(Ordered(number, self.name, *order, invoked, now(), outcome.name, told))
-        if outcome is not Outcome.ACKNOWLEDGED:
-            self._number = 0  # it reads before it builds again
-            return False
-        self._version, self._number = version, number
-        if self._random.random() < REPEAT_SHARE:
-            reply = await office.call("POST", path, data, base)
-            if reply is not None and reply.status in OUTCOMES:
-                office.tell(Repeated(now(), number, reply.status))
-        return True
+        office.tell(Ordered(number, self.name, *order, invoked, ended, outcome.name, told, again))
+        self._version, self._number = version, number if outcome is Outcome.ACKNOWLEDGED else 0
+        return bool(self._number)  # without: it reads before it builds again
--- a/brackenladder/soak/processes.py
+++ b/brackenladder/soak/processes.py
@@ -105,14 +105,6 @@
             process = await self._spawn(module, self._machine.role, variables=variables)
             self._watch = asyncio.create_task(self._notice_end(process))
 
-    async def kill(self, away: float) -> None:
-        """SIGKILL, and down for so many seconds."""
-        await self._down("kill", away, planned=False)
-
-    async def roll(self, away: float, kind: str = "roll") -> None:
-        """SIGTERM, and down for so many seconds after its end."""
-        await self._down(kind, away, planned=True)
-
     def reload(self) -> None:
         """The settings file is written anew, and SIGHUP tells so."""
         if self.running:
@@ -125,7 +117,8 @@
         self._holds += 1
         await self._terminate()
 
-    async def _down(self, kind: str, away: float, planned: bool) -> None:
+    async def down(self, kind: str, away: float, planned: bool) -> None:
+        """SIGTERM if that is planned, else SIGKILL, and down for so many seconds after that."""
         began = now()
         self._holds += 1
         try:
@@ -136,7 +129,8 @@
             await asyncio.sleep(away)
         finally:
             self._holds -= 1
-            await self._until_gone()
+            if self._process is not None and not self._holds:
+                await self._process.wait()
             await self.start()
             self._tell(Trouble(began, now(), kind, (self.name,), planned))
 
@@ -155,10 +149,6 @@
             self._send(signal.SIGKILL)
             await process.wait()
 
-    async def _until_gone(self) -> None:
-        if self._process is not None and self._holds == 0:
-            await self._process.wait()
-
     def _send(self, number: signal.Signals) -> None:
         if self.running and number in DEADLY:
             self._loading = not self._heeds(number)
--- a/brackenladder/soak/relay.py
+++ b/brackenladder/soak/relay.py
@@ -8,7 +8,7 @@
 
 from brackenladder.soak.events import Order, Tell
 from brackenladder.soak.site import SoakLayout
-from brackenladder.system.local.layout import Machine
+from brackenladder.system.local.layout import INNER_PORTS, Machine
 
 PIECE = 64 * 1024  # bytes read at a time
 CONNECT_SECONDS = 1.0
@@ -81,7 +81,7 @@
         await self._passed(forth)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
-                inner, outer = await asyncio.open_connection(*self._layout.inner_address(target))
+                inner, outer = await asyncio.open_connection(target.ip, INNER_PORTS[0])
         except OSError:
             return
         pumps = [
--- a/brackenladder/soak/run.py
+++ b/brackenladder/soak/run.py
@@ -51,7 +51,7 @@
         await system.stop()
         for fault in _log_faults(plan.folder):
             journal.add(fault)
-        journal.close()
+        journal.file.close()
     events = list(read_journals(sorted(plan.folder.glob("*.jsonl"))))
     return judge(events, layout)
 
--- a/brackenladder/soak/schedule.py
+++ b/brackenladder/soak/schedule.py
@@ -14,6 +14,7 @@
 CORE_SHARE = 0.5  # of the seeds trouble control nodes too
 RELAY_SHARE = 0.5  # of the seeds have links through the relay
 WHOLE_REGION_SHARE = 0.6  # of the removals take all gateways of a region
+POWER_SHARE = 0.1  # of the kills take all that may be troubled, as a loss of power does
 PLANNED_SHARE, STORM_SHARE, LATE_SHARE = 0.3, 0.45, 0.25  # of the time
 CALM_SECONDS = 4.5  # before planned work: over ContactMs
 FIRST_SECONDS = 0.5  # until the first step of a phase
@@ -132,5 +133,7 @@
                 return tuple(one.name for one in self._gateways if one.region == region)
             case Kind.REMOVE:
                 return (random.choice(self._gateways).name,)
+        if kind is Kind.KILL and random.random() < POWER_SHARE:
+            return tuple(self._names)
         number = 1 if kind in LINKS else random.choice((1, 1, 2, 3))
         return tuple(random.sample(self._names, min(number * self._scale, len(self._names))))
--- a/brackenladder/soak/site.py
+++ b/brackenladder/soak/site.py
@@ -11,7 +11,6 @@
 from brackenladder.system.local.layout import (
     FIRST_CONTROL,
     FIRST_GATEWAY,
-    INNER_PORTS,
     SERVER_PORT,
     Layout,
     Machine,
@@ -105,10 +104,6 @@
         """Where `source` reaches the inner listener of `target` through the relay."""
         return target.ip, RELAY_PORT + self.machines.index(source)
 
-    def inner_address(self, machine: Machine) -> tuple[str, int]:
-        """Where a machine listens for other nodes."""
-        return machine.ip, INNER_PORTS[0]
-
     def directories_near(self, region: str, zone: str) -> tuple[str, ...]:
         """The directories, nearest first."""
         ranked = sorted(self.control, key=lambda node: (node.zone != zone, node.region != region))
--- a/brackenladder/soak/system.py
+++ b/brackenladder/soak/system.py
@@ -99,15 +99,12 @@
                 await asyncio.gather(*(self._of_role(step, self.roles[name]) for name in step.targets))
 
     async def _of_role(self, step: Step, role: Role) -> None:
-        match step.kind:
-            case Kind.KILL:
-                await role.kill(step.seconds)
-            case Kind.PAUSE:
-                await role.pause(step.seconds)
-            case Kind.ROLL | Kind.REMOVE:
-                await role.roll(step.seconds, step.kind.value)
-            case Kind.RELOAD:
-                role.reload()
+        if step.kind is Kind.PAUSE:
+            await role.pause(step.seconds)
+        elif step.kind is Kind.RELOAD:
+            role.reload()
+        else:
+            await role.down(step.kind.value, step.seconds, planned=step.kind is not Kind.KILL)
 
     def _of_server(self, place: str) -> ActorProcess:
         zones = {one.id.partition(".")[0]: one.zone for one in self.layout.servers()}
--- a/brackenladder/system/soak_command.py
+++ b/brackenladder/system/soak_command.py
@@ -10,7 +10,6 @@
 from typing import Annotated, Any
 
 import typer
-from attrs import frozen
 from cattrs import unstructure
 
 from brackenladder.soak.checker import Verdict
@@ -30,15 +29,6 @@
 FIRST_NETWORK, LAST_NETWORK = 120, 199  # second number of the loopback addresses
 
 
-@frozen
-class Settings:
-    """What all seeds of a call share."""
-
-    seconds: float
-    size: Size
-    as_json: bool
-
-
 def soak(
     seeds: Annotated[str, typer.Option("--seeds", help="A or A-B, both included.")] = "1",
     jobs: Annotated[int, typer.Option("--jobs", min=1, help="Seeds that run side by side.")] = 1,
@@ -52,13 +42,19 @@
     as_json: JsonOption = False,
 ) -> int:
     """Plays seeded troubles against a whole system of real processes. Exit code 1: something broke."""
-    settings = Settings(seconds, size, as_json)
     numbers = seed_range(seeds)
-    if len(numbers) == 1:
-        return asyncio.run(_one(numbers[0], network or _network(numbers[0]), settings))
-    if network:
+    if len(numbers) > 1 and network:
         raise Unusable("--network: is for one seed")
-    return asyncio.run(_many(numbers, jobs, settings))
+    plans = [
+        SoakPlan(seed, seconds, size, network or _network(seed), _folder(size, seed)) for seed in numbers
+    ]
+    if len(plans) == 1:
+        return asyncio.run(_one(plans[0], as_json))
+    return asyncio.run(_many(plans, jobs, as_json))
+
+
+def _folder(size: Size, seed: int) -> Path:
+    return (FOUND / f"soak-{size.value}-{seed}").absolute()
 
 
 def _network(seed: int) -> str:
@@ -67,23 +63,21 @@
     return f"127.{FIRST_NETWORK + seed // 250 % wide}.{1 + seed % 250}"
 
 
-async def _one(seed: int, network: str, settings: Settings) -> int:
-    folder = (FOUND / f"soak-{settings.size.value}-{seed}").absolute()
-    rmtree(folder, ignore_errors=True)
-    folder.mkdir(parents=True)
-    plan = SoakPlan(seed, settings.seconds, settings.size, network, folder)
+async def _one(plan: SoakPlan, as_json: bool) -> int:
+    rmtree(plan.folder, ignore_errors=True)
+    plan.folder.mkdir(parents=True)
     try:
-        async with asyncio.timeout(settings.seconds + LONGEST_RUN_SECONDS):
+        async with asyncio.timeout(plan.seconds + LONGEST_RUN_SECONDS):
             verdict = await run_soak(plan)
     except (SoakError, TimeoutError, OSError) as error:
-        say(f"seed {seed}: not played to its end: {error or type(error).__name__}; files in {folder}")
+        say(f"seed {plan.seed}: not played to its end: {error!r}; files in {plan.folder}")
         return ExitCode.NO
-    if settings.as_json:
-        print_json(_document(seed, verdict))
+    if as_json:
+        print_json(_document(plan.seed, verdict))
     else:
         _say_verdict(plan, verdict)
     if verdict.held:
-        rmtree(folder, ignore_errors=True)
+        rmtree(plan.folder, ignore_errors=True)
     return ExitCode.DONE if verdict.held else ExitCode.NO
 
 
@@ -115,26 +109,24 @@
     return ", ".join(f"{name} {number}" for name, number in sorted(counts.items()) if number) or "none"
 
 
-async def _many(seeds: range, jobs: int, settings: Settings) -> int:
+async def _many(plans: list[SoakPlan], jobs: int, as_json: bool) -> int:
     """Each seed in a process of its own, some side by side."""
     places = asyncio.Semaphore(jobs)
-    statuses = await asyncio.gather(*(_child(seed, places, settings) for seed in seeds))
-    broken = [seed for seed, status in zip(seeds, statuses, strict=True) if status]
-    held = len(seeds) - len(broken)
-    if settings.as_json:
-        print_json({"held": held, "seeds": len(seeds), "broken": broken})
+    statuses = await asyncio.gather(*(_child(plan, places, as_json) for plan in plans))
+    broken = [plan.seed for plan, status in zip(plans, statuses, strict=True) if status]
+    held = len(plans) - len(broken)
+    if as_json:
+        print_json({"held": held, "seeds": len(plans), "broken": broken})
     else:
-        say(f"{held} of {len(seeds)} seeds held; broken: {', '.join(map(str, broken)) or 'none'}")
+        say(f"{held} of {len(plans)} seeds held; broken: {', '.join(map(str, broken)) or 'none'}")
     return ExitCode.NO if broken else ExitCode.DONE
 
 
-async def _child(seed: int, places: asyncio.Semaphore, settings: Settings) -> int:
-    options = f"--seeds {seed} --seconds {settings.seconds} --size {settings.size.value}".split()
-    options += ["--json"] * settings.as_json
+async def _child(plan: SoakPlan, places: asyncio.Semaphore, as_json: bool) -> int:
+    options = f"--seeds {plan.seed} --seconds {plan.seconds} --size {plan.size.value}".split()
+    command = (sys.executable, "-m", "brackenladder.system", "soak", *options, *["--json"] * as_json)
     async with places:
-        process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "brackenladder.system", "soak", *options), stdout=asyncio.subprocess.PIPE
-        )
+        process = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE)
         out, _ = await process.communicate()
     say(out.decode().rstrip())
     return process.returncode or 0
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -24,7 +24,6 @@
     ProcessEnded,
     ReadBack,
     Recovery,
-    Repeated,
     Resolved,
     Tried,
     Trouble,
@@ -225,8 +224,9 @@
         self.assertEqual(self.broken(without=ReadBack), {Rule.CONFIG})
 
     def test_a_repeat_that_is_refused(self) -> None:
-        self.assertEqual(self.broken(Repeated(BEGAN, 1, 412)), {Rule.CONFIG})
-        self.assertEqual(self.broken(Repeated(BEGAN, 1, 200)), set())
+        for status, rules in ((412, {Rule.CONFIG}), (200, set()), (0, set())):
+            repeated = evolve(FIRST, repeat_status=status)
+            self.assertEqual(self.broken(repeated, without=Ordered), rules)
 
     # -- planned work
 
