A gateway that ends takes new requests for 2.7 s at most, not for 3.2 s of an 8 s grace

Cause: LOST excuses what is broken off at the end of the grace only if it was sent no later than 3 s after the SIGTERM; requests were taken for 0.4 of the grace. Ruled out: the abort margin (they ran longer than any grace). Change: accept_seconds(), bounded by the rule's 3 s less 0.3 s.

--- a/brackenladder/gateway/server.py
+++ b/brackenladder/gateway/server.py
@@ -26,12 +26,21 @@
 READY_PATH = "/-/readyz"
 BACKLOG = 1024  # connections that wait to be accepted
 ACCEPT_SHARE = 0.4  # of the grace: so long clients may hold to an old answer of the directory
+# A request that was sent later than this after SIGTERM has to be answered whole, however long it takes; one
+# that was sent earlier may be broken off in the last part of the grace (rule LOST).
+LATEST_EXCUSED_SECONDS = 3.0
+ACCEPT_MARGIN_SECONDS = 0.3  # from the end of accepting to the arrival of what was still accepted
 ABORT_MARGIN_SECONDS = 0.7  # before the end of the grace: what is left is broken off
 DRAIN_STEP_SECONDS = 0.1
 
 log = logbook.Logger("gateway")
 
 
+def accept_seconds(grace_s: float) -> float:
+    """How long after SIGTERM new connections and requests are taken, within a grace of so many seconds."""
+    return min(grace_s * ACCEPT_SHARE, LATEST_EXCUSED_SECONDS - ACCEPT_MARGIN_SECONDS)
+
+
 def _nobody_listens() -> None:
     """For a gateway by itself: its notices go nowhere."""
 
@@ -92,7 +101,7 @@
         began = loop.time()
         self.ready = False
         self._context.draining = True
-        await self._drained(began + grace_s * ACCEPT_SHARE, idle_too=False)
+        await self._drained(began + accept_seconds(grace_s), idle_too=False)
         self._listeners[0].close()
         if not await self._drained(began + grace_s - ABORT_MARGIN_SECONDS, idle_too=True):
             self._failures("broken off at the end of the grace", str(len(self._clients.connections)))
