A removed service's pool follows the view while its calls and streams go on

Cause: a service that a configuration removes leaves the gateway's pools, and its pool heard of no further change: neither of servers that drain or are gone, nor of zones. It was also closed while streams ran in it, since only open calls counted. A stream that broke later was taken up by that old list, at a server that had been told to drain or to be gone. A service that came back while calls of before went on got a second pool, with a second whole part of the retry budget and the cold share.

Ruled out: zones that are evacuated, which the upstream reads from the view at the moment of writing.

Change: pools that leave are refreshed like the others, are kept until no call is open and no stream runs, and are taken back if the service is configured again.

--- a/brackenladder/gateway/pools.py
+++ b/brackenladder/gateway/pools.py
@@ -66,7 +66,8 @@
         self.limits = Limits()
         self._services: dict[str, Service] = {}
         self._pools: dict[str, ServicePool] = {}
-        self._leaving: list[ServicePool] = []  # of services that are no more, until their calls have ended
+        # Of services that are no more, until their calls and streams have ended; they follow the view too.
+        self._leaving: list[ServicePool] = []
         self._early = EarlyNotices()
         self._read_configuration()
         self._unsubscribe = view.subscribe(self._changed)
@@ -119,7 +120,7 @@
     def _changed(self, change: ViewChange) -> None:
         if ViewChange.CATALOG in change:
             self._read_configuration()
-        for pool in self._pools.values():
+        for pool in (*self._pools.values(), *self._leaving):
             pool.refresh()
         if self._early:
             self._tell_early()
@@ -136,16 +137,27 @@
             self._leaving.append(self._pools.pop(name))
         for name in self._services:
             if name not in self._pools:
-                self._pools[name] = self._new_pool(name)
+                self._pools[name] = self._taken_back(name) or self._new_pool(name)
         self.routes = RouteTable(configuration)
         self._close_idle_pools()
 
     def _close_idle_pools(self) -> None:
-        idle = [pool for pool in self._leaving if not pool.host.calls]
-        for pool in idle:
+        for pool in [pool for pool in self._leaving if pool.idle]:
             pool.close()
             self._leaving.remove(pool)
 
+    def _taken_back(self, name: str) -> ServicePool | None:
+        """The pool of a service that is configured again while calls of before go on.
+
+        Failure prevented: two pools of one service each spend the gateway's whole part of the retry budget
+        and of the cold share.
+        """
+        for pool in self._leaving:
+            if pool.service == name:
+                self._leaving.remove(pool)
+                return pool
+        return None
+
     def _new_pool(self, name: str) -> ServicePool:
         limit = partial(self._connection_limit, name)
         upstream = ServiceUpstream(self.view, self.connections, self.now, limit, self.failures)
--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -114,6 +114,11 @@
         assert isinstance(module, PromptBalancer)
         return module
 
+    @property
+    def idle(self) -> bool:
+        """Whether no call is open and no stream runs that could be taken up here."""
+        return not self.host.calls and not self.balancer.in_flight.streams
+
     def take(self, call: PoolCall) -> None:
         """A call begins; its conclusion may come before this returns."""
         call.klass = self._class_of(call.traits)
