Each attempt keeps to the newest route besides the one that the request was read under

Cause: a request's route is found when its head is read, and its homes, its number of servers and whether it may be repeated were taken from that route for as long as the request lasts: while a slow body comes, while it is turned away and sent elsewhere, while a broken stream is taken up, which may be as long as the client's deadline. A configuration that came meanwhile and gave the route homes, or fewer servers, was not heeded: the next attempt left the homes. Between the choice of a server and the first byte (a connection that comes up, 0.6 s at the most, and a check) homes were not asked again, while state and evacuation of the server were.

Ruled out: evacuated zones and draining servers, asked at the moment of writing already; a server of a zone that is not known, whose region is empty and never a home.

Change: before each attempt, and again before its first byte, the route that the request would take by now is looked up. Where it is another one both bind: the region must be among the homes of each, the number of servers is the lower, a repeat and a resumption must be allowed by both. A route that is dropped binds its requests as it was.

--- a/brackenladder/gateway/calls.py
+++ b/brackenladder/gateway/calls.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from attrs import evolve
+
 from brackenladder.core.call import Failure
 from brackenladder.gateway.answers import Failed, Refused, WholeAnswer
 from brackenladder.gateway.contracts import AttemptEnd, ClientExchange, RunnableAttempt
@@ -42,6 +44,13 @@
         self._conclusion: Conclusion | None = None
         self._waiter: asyncio.Future[None] | None = None
 
+    def current_traits(self) -> CallTraits:
+        """With the route that the request would take by now, if that is another one."""
+        newest = self.exchange.newest_route()
+        if newest is not self.traits.newest:
+            self.traits = evolve(self.traits, newest=newest)
+        return self.traits
+
     # ---- Call -----------------------------------------------------------------------------------------
 
     def served(self, answer: object) -> None:
--- a/brackenladder/gateway/contracts.py
+++ b/brackenladder/gateway/contracts.py
@@ -90,8 +90,11 @@
     def longest_silence(self) -> int:
         """The silence in microseconds after which the client gives a stream up."""
 
+    def newest_route(self) -> Route | None:
+        """The route that the request would take by now; None: the same one, or none any more."""
+
     def may_be_sent_to(self, server_id: str) -> bool:
-        """Whether the route allows this server."""
+        """Whether the routes that bind allow this server, beside those that may have run the request."""
 
     def sent_to(self, server_id: str) -> None:
         """The request was written to a server."""
--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -29,7 +29,7 @@
     forwarded_lines,
     header_bytes,
 )
-from brackenladder.gateway.hints import read_deadline_ms, read_traits
+from brackenladder.gateway.hints import is_idempotent, read_deadline_ms, read_traits
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import may_be_passed_on
 from brackenladder.gateway.relay import Relay
@@ -181,9 +181,26 @@
         traits = evolve(broken.traits, exclude=frozenset(self.servers))
         return GatewayCall(self, broken.pool, traits, left, self.client_deadline, last_event_id)
 
+    def newest_route(self) -> Route | None:
+        """The route that the request would take by now; None: the same one, or none any more.
+
+        Failure prevented: a request is read slowly, turned away, or its stream breaks, a configuration that
+        allows its route fewer regions or servers is in force by then, and the next attempt does not heed it.
+        """
+        newest = self.context.pools.routes.find(self.request.headers.get(HOST, ""), self.target)
+        return None if newest is self.route or newest == self.route else newest
+
+    def _binding_routes(self) -> tuple[Route, ...]:
+        """What bound the request when it was read, and what binds it now."""
+        newest = self.newest_route()
+        return (self.route,) if newest is None else (self.route, newest)
+
     def may_resume(self) -> bool:
-        """Whether the route allows this request's stream to be taken up at one more server."""
-        return self.route.resumable and len(self.servers) < self.route.max_attempts
+        """Whether the routes that bind allow this stream to be taken up at one more server."""
+        return all(route.resumable for route in self._binding_routes()) and self._has_attempts()
+
+    def _has_attempts(self) -> bool:
+        return len(self.servers) < min([route.max_attempts for route in self._binding_routes()])
 
     @property
     def longest_silence(self) -> int:
@@ -194,8 +211,10 @@
         return max(LEAST_SILENCE, aims, gaps)
 
     def may_be_sent_to(self, server_id: str) -> bool:
-        """Whether the route still allows one more server, unless this one may have run it already."""
-        return server_id in self.servers or len(self.servers) < self.route.max_attempts
+        """Whether the routes that bind allow one more server, unless this one may have run it already."""
+        if server_id in self.servers or not self.servers:
+            return True
+        return self._has_attempts() and all(is_idempotent(route) for route in self._binding_routes())
 
     def sent_to(self, server_id: str) -> None:
         """The request was written to a server."""
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -29,6 +29,7 @@
 from brackenladder.gateway.outcomes import outcome_of
 from brackenladder.interface import Outcome
 from brackenladder.invariants import VIOLATIONS, Invariant
+from brackenladder.placement.traits import CallTraits
 from brackenladder.registry.records import ServerRecord, ServerState
 
 EVENT_STREAM = "text/event-stream"
@@ -46,6 +47,9 @@
     def record(self, number: int) -> ServerRecord | None:
         """The server's record; None if it is gone."""
 
+    def region(self, record: ServerRecord) -> str:
+        """Where a server stands; empty if that is not known."""
+
 
 class ServiceUpstream:
     """Makes the attempts of one service's pool. It chooses no server and repeats nothing."""
@@ -69,12 +73,14 @@
         """The server of that number, if it may still be used."""
         return None if self.records is None else self.records.record(server)
 
-    def usable(self, server: int, server_id: str) -> bool:
-        """Whether something new may still be sent to a server."""
+    def usable(self, server: int, server_id: str, traits: CallTraits) -> bool:
+        """Whether a call may still be sent to a server, by all that is known at this moment."""
         record = self.record(server)
-        if record is None or record.id != server_id or record.state is not ServerState.READY:
+        if self.records is None or record is None or record.id != server_id:
+            return False
+        if record.state is not ServerState.READY or record.zone in self.view.evacuated:
             return False
-        return record.zone not in self.view.evacuated
+        return traits.permits(self.records.region(record))
 
     def attempt(self, server: int, call: Call, expires: int, done: Done) -> Attempt | None:
         """An attempt at a server; None if nothing may be sent there."""
@@ -241,7 +247,7 @@
         now = self.upstream.now()
         if now >= self.expires or not self.call.may_go(now):
             return False
-        return self.upstream.usable(self.number, self.record.id)
+        return self.upstream.usable(self.number, self.record.id, self.call.current_traits())
 
     async def _read(
         self, connection: ServerConnection, message: RawResponseMessage, payload: StreamReader
--- a/brackenladder/placement/balancer.py
+++ b/brackenladder/placement/balancer.py
@@ -51,7 +51,7 @@
 
 
 class PromptBalancer(Balancer):
-    """A Balancer that places prompts. `traits_of` gives the traits of an open call by its id."""
+    """A Balancer that places prompts. `traits_of` gives the traits of an open call, as of now, by its id."""
 
     def __init__(
         self,
@@ -173,6 +173,7 @@
     def attempt(self, now: int, r: Request) -> None:
         """Sends the request to the server chosen for it, or answers it when there is none."""
         job = self.jobs[r.id]
+        job.traits = self.traits_of(r.id) or job.traits
         harmless = r.ran_on is None or r.effect == Effect.SAFE
         choice = self.choose(now, r, job)
         if choice is None and harmless:
--- a/brackenladder/placement/choice.py
+++ b/brackenladder/placement/choice.py
@@ -57,8 +57,7 @@
     def allows(self, job: Job, server: Server) -> bool:
         """Whether the server may take the call at all: by the homes, and where it was before."""
         place = self.site.places.get(server.id)
-        homes = job.traits.route.homes
-        if place is None or homes and place.region not in homes:
+        if place is None or not job.traits.permits(place.region):
             return False
         return server.id not in job.excluded
 
--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -50,6 +50,10 @@
         self.traits = traits
         self.number_of_server = 0  # the server of the newest attempt
 
+    def current_traits(self) -> CallTraits:
+        """The traits under the newest configuration; asked for before each attempt."""
+        return self.traits
+
 
 class _PoolUpstream:
     """Notes the server of each attempt in its call."""
@@ -129,6 +133,10 @@
         """The server that an attempt names, while it is listed or drains."""
         return self.records.get(number)
 
+    def region(self, record: ServerRecord) -> str:
+        """Where a server stands; empty if that is not known."""
+        return self.platform.region_of(record.zone)
+
     def stream_ended(self, call: PoolCall) -> None:
         """After `served`: the call's place and memory are free again."""
         self.host.post(self.balancer.stream_ended, call.id)
@@ -209,7 +217,7 @@
 
     def _traits_of(self, request: int) -> CallTraits | None:
         call = self.host.calls.get(request)
-        return call.traits if isinstance(call, PoolCall) else None
+        return call.current_traits() if isinstance(call, PoolCall) else None
 
     def _class_of(self, traits: CallTraits) -> int:
         shape = shape_of(traits)
@@ -224,12 +232,12 @@
         return record.state is ServerState.READY and record.zone not in self.view.evacuated
 
     def _place(self, record: ServerRecord) -> ServerPlace:
-        region = self.platform.region_of(record.zone)
+        region = self.region(record)
         return ServerPlace(record.id, record.zone, region, record.slots, self.view.ends_at(record.id))
 
     def _entry(self, number: int, record: ServerRecord) -> ServerEntry:
         zone = numbered(self.zones, record.zone)
-        region = numbered(self.region_numbers, self.platform.region_of(record.zone))
+        region = numbered(self.region_numbers, self.region(record))
         return ServerEntry(number, zone=zone, kind=region)
 
     def _share(self) -> None:
