A sample of far servers is drawn from regions that may serve the call only

Cause: of more than 48 servers in other regions a random sample was drawn and filtered by the homes afterwards. With a small home beside a large region the filtered sample was mostly empty, and the call was refused though the home had a server with free places. The preferred set was empty by chance, and the answer (a refusal) was that for a set that is empty.

Change: servers of other regions are kept by region, and only those of regions that the call's routes permit are drawn from.

--- a/brackenladder/placement/choice.py
+++ b/brackenladder/placement/choice.py
@@ -62,8 +62,15 @@
         return server.id not in job.excluded
 
     def _far(self, now: int, job: Job) -> Sequence[Server]:
-        """Servers of other regions: all of a few, of many a sample and those that keep the prompt."""
-        far = self.site.far
+        """Servers of other regions: all of a few, of many a sample and those that keep the prompt.
+
+        Failure prevented: none of a sample from all regions stands in a small home, and a call that the
+        home's servers could take is refused.
+        """
+        far: list[Server] = []
+        for region, servers in self.site.far.items():
+            if job.traits.permits(region):
+                far += servers
         if len(far) <= MOST_FAR:
             return far
         held = [self.site.far_by_number.get(number) for number in self.costs.held(now, job)]
--- a/brackenladder/placement/site.py
+++ b/brackenladder/placement/site.py
@@ -38,16 +38,19 @@
     cold_until: Callable[[str], int] = never_cold
     places: dict[int, ServerPlace] = field(factory=dict)  # by the server's number
     local: list[Server] = field(factory=list)  # in this region
-    far: list[Server] = field(factory=list)
+    far: dict[str, list[Server]] = field(factory=dict)  # in other ones, by region
     far_by_number: dict[int, Server] = field(factory=dict)
 
     def sort(self, servers: list[Server]) -> None:
         """Tell the servers of this region from the others."""
         known = [server for server in servers if server.id in self.places]
         self.local = [server for server in known if self.places[server.id].region == self.region]
-        self.far = [server for server in known if self.places[server.id].region != self.region]
-        self.far_by_number = {server.id: server for server in self.far}
+        far = [server for server in known if self.places[server.id].region != self.region]
+        self.far = {}
+        for server in far:
+            self.far.setdefault(self.places[server.id].region, []).append(server)
+        self.far_by_number = {server.id: server for server in far}
 
     def size(self) -> int:
         """How many servers may be used."""
-        return len(self.local) + len(self.far)
+        return len(self.local) + len(self.far_by_number)
--- a/tests/placement/test_prompt_balancer.py
+++ b/tests/placement/test_prompt_balancer.py
@@ -179,6 +179,22 @@
             stage.serve(homed)
         self.assertFalse(set(stage.counts()) & set(ISLE))
 
+    def test_a_small_home_is_found_beside_a_large_region(self) -> None:
+        stage = Stage(servers_in("south-1", 400) | servers_in("isle-1", 1))
+        homed = traits(of=route(homes=("isle",)))
+        for _ in range(20):
+            stage.serve(homed)
+        self.assertEqual(stage.counts(), {"isle-1-server-0": 20})
+
+    def test_the_newest_homes_bind_besides_the_first(self) -> None:
+        stage = Stage(NORTH | SOUTH | ISLE)
+        first, newest = route(homes=("north", "south")), route(homes=("south", "isle"))
+        for _ in range(40):
+            stage.serve(traits(of=first, newest=newest))
+        self.assertLessEqual(set(stage.counts()), set(SOUTH))
+        apart = traits(of=route(homes=("north",)), newest=route(homes=("isle",)))
+        self.assertIsInstance(stage.ask(apart), Refused)
+
     def test_without_a_server_in_a_home_the_call_is_refused(self) -> None:
         stage = Stage(ISLE, zone="isle-1")
         refused = stage.ask(traits(of=route(homes=("north",))))
