A gateway without a configuration judges no request by usual limits

Cause: the size of a request's head was checked before it was asked whether a configuration is known, against the usual limits that stand in until one is. A head of more than 16 KiB got 431, after which a client doesn't come again, though the limits in force may allow it.

Change: a request in proper form that comes before the first configuration gets 503, whatever its size.

Test: test_without_a_configuration_no_limit_is_known; without the change it gets 431.

--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -98,20 +98,24 @@
     # ---- reading --------------------------------------------------------------------------------------
 
     async def _read(self) -> Result[CallTraits, RequestFault]:
-        """Check the head, find the route, read the body."""
+        """Check the head, find the route, read the body.
+
+        Failure prevented: a gateway that knows no configuration yet judges a request by usual limits, and
+        turns it away for good though the limits that are in force allow it.
+        """
         request = self.request
         headers = request.headers
+        if not self.target or self.method == "CONNECT":
+            return Failure(RequestFault.MALFORMED)
+        if not self.context.pools.configured:
+            return Failure(RequestFault.NOT_CONFIGURED)
         limits = self.context.pools.limits
         if header_bytes(request.raw_headers, self.target) > limits.max_header_bytes:
             return Failure(RequestFault.HEADER_TOO_LARGE)
-        if not self.target or self.method == "CONNECT":
-            return Failure(RequestFault.MALFORMED)
         ids = headers.getall(REQUEST_ID, ())
         if len(ids) != 1 or not ids[0]:
             return Failure(RequestFault.NO_REQUEST_ID)
         self.request_id = ids[0]
-        if not self.context.pools.configured:
-            return Failure(RequestFault.NOT_CONFIGURED)
         route = self.context.pools.routes.find(headers.get(HOST, ""), self.target)
         if route is None:
             return Failure(RequestFault.NO_ROUTE)
--- a/tests/gateway/test_start_gate.py
+++ b/tests/gateway/test_start_gate.py
@@ -76,3 +76,8 @@
         self.gateway.ready = True
         got = await self.ask(post("/plain/x"))
         self.assertEqual(got.status, 503)
+
+    async def test_without_a_configuration_no_limit_is_known(self) -> None:
+        self.gateway.ready = True
+        large = post("/plain/x", extra=["X-Big: " + "b" * 20_000])
+        self.assertEqual((await self.ask(large)).status, 503)
