A gateway that was not told how many there are takes no part of a bound for all

Cause: the number of living gateways is 1 until a control node tells it, and one that has just started tells as many as have come to it by then. Each gateway divided the cold share of a server and the slack of the retry budget by that number. Where all processes start at once, for some tenths of a second and up to 1.5 s each takes itself for the only one, or for one of a few, and the sum may be several times the bound. Both bounds hold for the sum over all machines, in touch or not.

Change: a control node tells along with the number whether every gateway has had time to be heard there (as it must before it answers clients); a node of an earlier version counts as settled. Until one that had has told it, cold servers get nothing and nothing is repeated; first attempts at warm servers and the floor of the limit go on by the number at hand. Once known it stays known: the highest number of the last 20 s holds as before.

The stage and the loopback gateway of the tests now say that their number is known.

--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -292,4 +292,5 @@
         self._begin_informing(replica_id)
 
     def _count_gateways(self) -> None:
-        self._publisher.set_gateways(self._gateways.living(self._clock()))
+        now = self._clock()
+        self._publisher.set_gateways(self._gateways.living(now), self._gateways.settled(now))
--- a/brackenladder/delivery/gateway_count.py
+++ b/brackenladder/delivery/gateway_count.py
@@ -20,9 +20,11 @@
         self._told: dict[str, int] = {}  # by control node, while it is connected
         self._held: list[_Held] = []
         self._last = 1
+        self.known = False  # a control node has told it that had heard all
 
-    def told(self, now: int, control_node: str, number: int) -> None:
-        """Take the number that a connected control node tells."""
+    def told(self, now: int, control_node: str, number: int, settled: bool = True) -> None:
+        """Take the number that a connected control node tells; not `settled`: there may be more."""
+        self.known = self.known or settled
         before = self._told.get(control_node, 0)
         if before > number:
             self._held.append(_Held(before, now + HOLD_TIME))
--- a/brackenladder/delivery/messages.py
+++ b/brackenladder/delivery/messages.py
@@ -120,6 +120,7 @@
 
     sequence: int
     number: int
+    settled: bool = True  # False: the control node has just started and may not have heard all of them
 
 
 MESSAGE_TYPES: tuple[type, ...] = (
--- a/brackenladder/delivery/publisher.py
+++ b/brackenladder/delivery/publisher.py
@@ -63,7 +63,7 @@
         self._catalog = CatalogUpdate(revision=0, document_revision=0)
         self._document = PackedDocument()
         self._control_nodes = ControlNodes(revision=NOTHING, addresses=())
-        self._gateways = GatewayCount(sequence=0, number=0)
+        self._gateways = GatewayCount(sequence=0, number=0, settled=False)
         self._fresh = False
         self._tells_catalog = False
 
@@ -115,11 +115,11 @@
         self._control_nodes = ControlNodes(revision, addresses, zones)
         self._mark_all()
 
-    def set_gateways(self, number: int) -> None:
-        """Take the living number of gateways."""
-        if number == self._gateways.number:
+    def set_gateways(self, number: int, settled: bool = True) -> None:
+        """Take the living number of gateways; not `settled`: there may be more."""
+        if (number, settled) == (self._gateways.number, self._gateways.settled):
             return
-        self._gateways = GatewayCount(self._gateways.sequence + 1, number)
+        self._gateways = GatewayCount(self._gateways.sequence + 1, number, settled)
         self._mark_all()
 
     def take(self, now: int, leader_contact_age: int, tells_catalog: bool = True) -> tuple[Delivery, ...]:
--- a/brackenladder/delivery/subscriber.py
+++ b/brackenladder/delivery/subscriber.py
@@ -103,7 +103,7 @@
 
     def tick(self, now: int) -> None:
         """Let what was told earlier run out."""
-        self.view.set_gateways(self._count.highest(now))
+        self.view.set_gateways(self._count.highest(now), self._count.known)
         self.view.remove_servers(self._left_out.take_due(now))
         self.view.expire(now)
 
@@ -167,8 +167,8 @@
         return (Ack(UpdateKind.CONTROL_NODES, message.revision),)
 
     def _gateway_count(self, now: int, control_address: str, message: GatewayCount) -> tuple[object, ...]:
-        self._count.told(now, control_address, message.number)
-        self.view.set_gateways(self._count.highest(now))
+        self._count.told(now, control_address, message.number, message.settled)
+        self.view.set_gateways(self._count.highest(now), self._count.known)
         return (Ack(UpdateKind.GATEWAY_COUNT, message.sequence),)
 
     def _note_complete(self, source: _Source) -> None:
--- a/brackenladder/delivery/view.py
+++ b/brackenladder/delivery/view.py
@@ -35,6 +35,7 @@
         self.configuration: Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.gateways = 1  # the highest living number of the last 20 s
+        self.gateways_known = False  # it was told by a control node that had heard all of them
         self._servers: dict[str, ServerRecord] = {}
         self.servers: Mapping[str, ServerRecord] = MappingProxyType(
             self._servers
@@ -92,11 +93,13 @@
         """Drop servers whose announced end has passed, and what is remembered of those long gone."""
         self._show(self._registry.expire(now, trusted=False))
 
-    def set_gateways(self, number: int) -> None:
-        """Take the living number of gateways."""
-        if number == self.gateways:
+    def set_gateways(self, number: int, known: bool = True) -> None:
+        """Take the living number of gateways; once it is known it stays so."""
+        known = known or self.gateways_known
+        if (number, known) == (self.gateways, self.gateways_known):
             return
         self.gateways = number
+        self.gateways_known = known
         self._notify(ViewChange.GATEWAYS)
 
     def _show(self, changed: tuple[ServerRecord, ...]) -> None:
--- a/brackenladder/placement/balancer.py
+++ b/brackenladder/placement/balancer.py
@@ -182,7 +182,7 @@
         if choice is None or self.gives_way(now, r, choice):
             self.finish(r, refuse=harmless)
             return
-        if job.arrived and not self.budget.spend(now, self.site.gateways):
+        if job.arrived and not self.may_repeat(now):
             self.finish(r, refuse=harmless)
             return
         self.go(now, r, job, choice)
@@ -214,6 +214,14 @@
         self.in_flight.send(now, r.id, job, server.id, choice.unread)
         self.actions.send(r.id, server.id, self.time_for(now, r, job, choice))
 
+    def may_repeat(self, now: int) -> bool:
+        """Takes a repeat from this gateway's part of the budget; there is none until the part is known.
+
+        Failure prevented: all processes start at once, each gateway takes itself for the only one, and all
+        together spend the budget, or a cold server's share, as many times over.
+        """
+        return self.site.gateways_known and self.budget.spend(now, self.site.gateways)
+
     def time_for(self, now: int, r: Request, job: Job, choice: Choice) -> int:
         """How long an attempt may take. One that may be repeated elsewhere leaves time for that."""
         left = r.useful_until - now
@@ -311,6 +319,8 @@
             return False
         if not self.is_cold(now, server):
             return True
+        if not self.site.gateways_known and self.cold.bound is not None:
+            return False
         return self.cold.allows(now, server.id, self.site.gateways, self.site.gateway_names)
 
     def is_silent(self, now: int, srv: Server, least: float) -> bool:
--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -241,6 +241,7 @@
         return ServerEntry(number, zone=zone, kind=region)
 
     def _share(self) -> None:
+        self.site.gateways_known = self.view.gateways_known
         gateways = max(1, self.view.gateways)
         if gateways != self.site.gateways:
             self.site.gateways = gateways
--- a/brackenladder/placement/site.py
+++ b/brackenladder/placement/site.py
@@ -34,6 +34,7 @@
     kv_tokens: int = 0  # a server's memory; 0: it has none that is told
     again: int = 10_000_000  # microseconds after a prefix's last use within which reading it again is priced
     gateways: int = 1  # the living ones, this one included
+    gateways_known: bool = False  # without that there is no telling this gateway's part of a bound for all
     gateway_names: tuple[str, ...] = ()  # theirs, where they are known
     cold_until: Callable[[str], int] = never_cold
     places: dict[int, ServerPlace] = field(factory=dict)  # by the server's number
--- a/tests/control_plane/test_control_servers.py
+++ b/tests/control_plane/test_control_servers.py
@@ -101,6 +101,11 @@
         back = [each for message in self.gateway.told for each in message.notices if each.unread]
         self.assertEqual(back, [])  # a snapshot may hold it, with nothing left to read
 
+    async def test_the_number_of_gateways_is_known_once_every_one_had_time_to_be_heard(self) -> None:
+        view = self.gateway.subscriber.view
+        await self.cluster.until(lambda: self.tick(self.gateway) and view.gateways_known)
+        self.assertEqual(view.gateways, 1)
+
     def tick(self, gateway: FollowingGateway) -> bool:
         gateway.links.tick()
         return True
--- a/tests/delivery/test_publisher.py
+++ b/tests/delivery/test_publisher.py
@@ -170,6 +170,12 @@
         self.publisher.set_gateways(2)
         self.assertEqual(self.gateway.take(), [GatewayCount(2, 2)])
 
+    def test_and_once_all_of_them_had_time_to_be_heard(self) -> None:
+        self.publisher.set_gateways(3, settled=False)
+        self.acknowledge_all(self.gateway.take())
+        self.publisher.set_gateways(3)
+        self.assertEqual(self.gateway.take(), [GatewayCount(2, 3, settled=True)])
+
     def test_all_is_told_again_once_an_end_is_forgotten_that_it_missed(self) -> None:
         self.servers.heartbeat(AT, draining("i-2", seq=2))
         self.gateway.take()
--- a/tests/delivery/test_subscriber.py
+++ b/tests/delivery/test_subscriber.py
@@ -237,6 +237,15 @@
         self.assertEqual(self.view.gateways, 5)
         self.assertEqual(self.changes, [ViewChange.GATEWAYS])
 
+    def test_it_is_known_once_a_control_node_has_told_it_that_heard_all(self) -> None:
+        self.assertFalse(self.view.gateways_known)
+        self.told(GatewayCount(1, 5, settled=False), "a")
+        self.assertEqual((self.view.gateways, self.view.gateways_known), (5, False))
+        self.told(GatewayCount(1, 4), "b")
+        self.assertEqual((self.view.gateways, self.view.gateways_known), (5, True))
+        self.told(GatewayCount(2, 1, settled=False), "b")
+        self.assertTrue(self.view.gateways_known)
+
     def test_it_falls_late(self) -> None:
         self.told(GatewayCount(1, 5), "a")
         self.told(GatewayCount(2, 4), "a", AT + SECOND)
--- a/tests/gateway/gateway_loopback.py
+++ b/tests/gateway/gateway_loopback.py
@@ -292,6 +292,7 @@
     async def asyncSetUp(self) -> None:
         self.script = Script()
         self.view = SystemView()
+        self.view.set_gateways(1)
         self.stand_ins = [StandIn(f"s{number}", self.script) for number in range(self.servers)]
         for stand_in in self.stand_ins:
             await stand_in.start()
--- a/tests/placement/placement_stage.py
+++ b/tests/placement/placement_stage.py
@@ -133,7 +133,9 @@
         self.actions = RecordingActions()
         self.open: dict[int, CallTraits] = {}
         self.cold_until: dict[str, int] = {}
-        self.site = ServiceSite(zone, ZONES[zone], kv_tokens=kv_tokens, gateways=gateways)
+        self.site = ServiceSite(
+            zone, ZONES[zone], kv_tokens=kv_tokens, gateways=gateways, gateways_known=True
+        )
         self.site.cold_until = lambda server: self.cold_until.get(server, 0)
         settings = Settings(
             classes=(FIRST.settings(),),
--- a/tests/placement/test_prompt_balancer.py
+++ b/tests/placement/test_prompt_balancer.py
@@ -372,6 +372,13 @@
         unsent = [stage.end(stage.send(), Outcome.CONNECT_FAILED, latency=MS) for _ in range(2)]
         self.assertTrue(all(isinstance(one, Sent) for one in unsent))
 
+    def test_gateways_that_do_not_know_how_many_they_are_repeat_nothing(self) -> None:
+        stage = Stage(NORTH)
+        stage.site.gateways_known = False
+        self.assertIsInstance(stage.end(stage.send(), Outcome.REJECTED, latency=MS), Refused)
+        stage.site.gateways_known = True
+        self.assertIsInstance(stage.end(stage.send(), Outcome.REJECTED, latency=MS), Sent)
+
     def test_a_resumed_stream_takes_from_the_budget(self) -> None:
         stage = Stage(NORTH, gateways=54)  # 0.7 of a repeat from the slack
         first = next(iter(NORTH))
@@ -463,6 +470,18 @@
         warm = Counter(stage.serve(latency=5 * MS).server for _ in range(200))
         self.assertGreater(warm[cold], 25)
 
+    def test_gateways_that_do_not_know_how_many_they_are_keep_the_sum(self) -> None:
+        sent = Counter[str]()
+        for number in range(7):
+            stage = Stage(NORTH, name=f"front-{number}", seed=number, cold=COLD)
+            stage.site.gateways_known = False
+            cold = next(iter(NORTH))
+            stage.cold_until[cold] = stage.now + 3 * SECOND
+            for _ in range(100):  # within a second
+                stage.now += 10 * MS
+                sent[stage.serve(latency=MS).server] += 1
+        self.assertLessEqual(sent[cold], COLD.calls)
+
     def test_where_all_are_cold_and_have_had_their_share_calls_are_refused(self) -> None:
         stage = Stage(NORTH, gateways=7, cold=COLD)
         for server in NORTH:
--- a/tests/placement/test_service_pool.py
+++ b/tests/placement/test_service_pool.py
@@ -151,6 +151,18 @@
         self.assertEqual(self.pool.balancer.settings.instances, 9)
         self.assertEqual(self.pool.host.settings.instances, 9)
 
+    def test_whether_that_number_is_known_reaches_it_too(self) -> None:
+        self.assertTrue(self.pool.site.gateways_known)
+        self.view = SystemView()
+        pool = self.new_pool()
+        self.assertFalse(pool.site.gateways_known)
+        self.view.set_gateways(3, known=False)
+        pool.refresh()
+        self.assertFalse(pool.site.gateways_known)
+        self.view.set_gateways(3)
+        pool.refresh()
+        self.assertTrue(pool.site.gateways_known)
+
     def test_the_own_region_serves(self) -> None:
         self.assertEqual(self.used(), {"a", "b"})
 
