Invariants of a gateway at the first byte: homes by every route that binds, and the server as told

The check of the homes stood at the choice of a server, by the route of before. It now stands where the request is written, after the connection has come up, by the route that was read and by the newest one. Beside it a second invariant, server-takes-requests: at that moment the server is known to the gateway as ready, in a zone that is not evacuated. It asks the view, which holds what control nodes told, where the code that is to keep it asks the pool; so it counts a pool that missed a change, as the pools of removed services did.

Tests: a pool that is kept from following the view, and a choice that ignores homes, are counted.

--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -88,7 +88,6 @@
         gateway_call: GatewayCall = call  # type: ignore[assignment]  # the gateway's pools get no other
         if record is None or not gateway_call.exchange.may_be_sent_to(record.id):
             return None
-        _check_homes(gateway_call, record)
         return ServerAttempt(self, server, record, gateway_call, expires, done)
 
     def probe(self, server: int, done: Probed) -> None:
@@ -103,16 +102,24 @@
 
 
 def _check_homes(call: GatewayCall, record: ServerRecord) -> None:
-    """The invariant, by the settings' own table of zones."""
-    homes = call.traits.route.homes
-    if not homes:
-        return
+    """The invariant at the first byte, by the settings' own table of zones."""
     region = call.pool.platform.region_of(record.zone)
-    VIOLATIONS.check(
-        Invariant.SERVER_KEEPS_HOMES,
-        region in homes,
-        f"{call.traits.route.name} with homes {homes} goes to {record.id} in {record.zone} of {region!r}",
-    )
+    for route in (call.exchange.route, call.exchange.newest_route()):
+        if route is not None and route.homes and region not in route.homes:
+            detail = (
+                f"{route.name} with homes {route.homes} goes to {record.id} in {record.zone} of {region!r}"
+            )
+            VIOLATIONS.check(Invariant.SERVER_KEEPS_HOMES, False, detail)
+
+
+def _check_server(call: GatewayCall, record: ServerRecord, view: SystemView) -> None:
+    """The invariant at the first byte, by what the gateway was told, not by what the pool made of it."""
+    known = view.servers.get(record.id)
+    if known is None or known.state is not ServerState.READY or known.zone in view.evacuated:
+        detail = (
+            f"{call.exchange.route.name} goes to {record.id}, known as {known}; evacuated: {view.evacuated}"
+        )
+        VIOLATIONS.check(Invariant.SERVER_TAKES_REQUESTS, False, detail)
 
 
 def connection_part(most: int, gateways: int) -> int:
@@ -221,6 +228,8 @@
                 connection, started = await self._open_another(connection), 0
             if not self._may_write():
                 return AttemptEnd(Outcome.NOT_SENT)
+        _check_homes(self.call, self.record)
+        _check_server(self.call, self.record, self.upstream.view)
         if not connection.send(data[started:], exchange.request_id, exchange.method == "HEAD"):
             return AttemptEnd(Outcome.NOT_SENT)
         self.written = True
--- a/tests/gateway/test_leaving_services.py
+++ b/tests/gateway/test_leaving_services.py
@@ -21,6 +21,7 @@
 )
 
 from brackenladder.catalog.configuration import Target
+from brackenladder.invariants import VIOLATIONS, Invariant
 from brackenladder.registry.records import ServerRecord, ServerState
 
 OTHER = "other"
@@ -103,6 +104,15 @@
         self.assertIs(pools._pools[SERVICE], before)
         self.assertEqual(pools._leaving, [])
 
+    async def test_a_pool_that_misses_a_servers_draining_is_counted(self) -> None:
+        """The invariant would have shown the fault."""
+        self.gateway._context.pools._pools[SERVICE].close()
+        self.list_servers(ServerState.DRAINING, seq=2)
+        with VIOLATIONS.apart():
+            before = VIOLATIONS.violations().get(Invariant.SERVER_TAKES_REQUESTS, 0)
+            self.assertEqual((await self.ask(post("/plain/x"))).status, 200)
+            self.assertEqual(VIOLATIONS.violations().get(Invariant.SERVER_TAKES_REQUESTS), before + 1)
+
     async def test_a_removed_service_without_calls_is_forgotten(self) -> None:
         pools = self.gateway._context.pools
         before = pools._pools[SERVICE]
--- a/tests/gateway/test_newest_route.py
+++ b/tests/gateway/test_newest_route.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import Any
+from unittest.mock import patch
 
 from attrs import evolve
 from gateway.gateway_loopback import (
@@ -26,6 +27,7 @@
 from brackenladder.catalog.configuration import Route
 from brackenladder.delivery.view import SystemView
 from brackenladder.gateway.upstream import ServiceUpstream
+from brackenladder.invariants import VIOLATIONS, Invariant
 from brackenladder.placement.traits import CallTraits
 from brackenladder.registry.records import ServerRecord, ServerState
 
@@ -134,6 +136,14 @@
         self.assertEqual(answer.status, 502)
         self.assertEqual(self.served_by(), ["s0"])
 
+    async def test_a_choice_that_left_the_homes_would_be_counted(self) -> None:
+        self.change(homes=(THERE,))
+        with VIOLATIONS.apart(), patch.object(CallTraits, "permits", lambda *_: True):
+            before = VIOLATIONS.violations().get(Invariant.SERVER_KEEPS_HOMES, 0)
+            self.assertEqual((await self.ask(post("/safe/x"))).status, 200)
+            self.assertEqual(VIOLATIONS.violations().get(Invariant.SERVER_KEEPS_HOMES), before + 1)
+        self.assertEqual(self.served_by(), ["s0"])
+
 
 class Regions:
     """The records of a pool with one server."""
