--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -29,6 +29,7 @@
 from brackenladder.gateway.outcomes import outcome_of
 from brackenladder.interface import Outcome
 from brackenladder.invariants import VIOLATIONS, Invariant
+from brackenladder.placement.traits import CallTraits
 from brackenladder.registry.records import ServerRecord, ServerState
 
 EVENT_STREAM = "text/event-stream"
@@ -46,6 +47,9 @@
     def record(self, number: int) -> ServerRecord | None:
         """The server's record; None if it is gone."""
 
+    def region(self, record: ServerRecord) -> str:
+        """Where a server stands; empty if that is not known."""
+
 
 class ServiceUpstream:
     """Makes the attempts of one service's pool. It chooses no server and repeats nothing."""
@@ -69,12 +73,14 @@
         """The server of that number, if it may still be used."""
         return None if self.records is None else self.records.record(server)
 
-    def usable(self, server: int, server_id: str) -> bool:
-        """Whether something new may still be sent to a server."""
+    def usable(self, server: int, server_id: str, traits: CallTraits) -> bool:
+        """Whether a call may still be sent to a server, by all that is known at this moment."""
         record = self.record(server)
-        if record is None or record.id != server_id or record.state is not ServerState.READY:
+        if self.records is None or record is None or record.id != server_id:
+            return False
+        if record.state is not ServerState.READY or record.zone in self.view.evacuated:
             return False
-        return record.zone not in self.view.evacuated
+        return traits.permits(self.records.region(record))
 
     def attempt(self, server: int, call: Call, expires: int, done: Done) -> Attempt | None:
         """An attempt at a server; None if nothing may be sent there."""
@@ -82,7 +88,6 @@
         gateway_call: GatewayCall = call  # type: ignore[assignment]  # the gateway's pools get no other
         if record is None or not gateway_call.exchange.may_be_sent_to(record.id):
             return None
-        _check_homes(gateway_call, record)
         return ServerAttempt(self, server, record, gateway_call, expires, done)
 
     def probe(self, server: int, done: Probed) -> None:
@@ -97,16 +102,24 @@
 
 
 def _check_homes(call: GatewayCall, record: ServerRecord) -> None:
-    """The invariant, by the settings' own table of zones."""
-    homes = call.traits.route.homes
-    if not homes:
-        return
+    """The invariant at the first byte, by the settings' own table of zones."""
     region = call.pool.platform.region_of(record.zone)
-    VIOLATIONS.check(
-        Invariant.SERVER_KEEPS_HOMES,
-        region in homes,
-        f"{call.traits.route.name} with homes {homes} goes to {record.id} in {record.zone} of {region!r}",
-    )
+    for route in (call.exchange.route, call.exchange.newest_route()):
+        if route is not None and route.homes and region not in route.homes:
+            detail = (
+                f"{route.name} with homes {route.homes} goes to {record.id} in {record.zone} of {region!r}"
+            )
+            VIOLATIONS.check(Invariant.SERVER_KEEPS_HOMES, False, detail)
+
+
+def _check_server(call: GatewayCall, record: ServerRecord, view: SystemView) -> None:
+    """The invariant at the first byte, by what the gateway was told, not by what the pool made of it."""
+    known = view.servers.get(record.id)
+    if known is None or known.state is not ServerState.READY or known.zone in view.evacuated:
+        detail = (
+            f"{call.exchange.route.name} goes to {record.id}, known as {known}; evacuated: {view.evacuated}"
+        )
+        VIOLATIONS.check(Invariant.SERVER_TAKES_REQUESTS, False, detail)
 
 
 def connection_part(most: int, gateways: int) -> int:
@@ -215,6 +228,8 @@
                 connection, started = await self._open_another(connection), 0
             if not self._may_write():
                 return AttemptEnd(Outcome.NOT_SENT)
+        _check_homes(self.call, self.record)
+        _check_server(self.call, self.record, self.upstream.view)
         if not connection.send(data[started:], exchange.request_id, exchange.method == "HEAD"):
             return AttemptEnd(Outcome.NOT_SENT)
         self.written = True
@@ -241,7 +256,7 @@
         now = self.upstream.now()
         if now >= self.expires or not self.call.may_go(now):
             return False
-        return self.upstream.usable(self.number, self.record.id)
+        return self.upstream.usable(self.number, self.record.id, self.call.current_traits())
 
     async def _read(
         self, connection: ServerConnection, message: RawResponseMessage, payload: StreamReader
--- a/tests/placement/test_prompt_balancer.py
+++ b/tests/placement/test_prompt_balancer.py
@@ -179,6 +179,22 @@
             stage.serve(homed)
         self.assertFalse(set(stage.counts()) & set(ISLE))
 
+    def test_a_small_home_is_found_beside_a_large_region(self) -> None:
+        stage = Stage(servers_in("south-1", 400) | servers_in("isle-1", 1))
+        homed = traits(of=route(homes=("isle",)))
+        for _ in range(20):
+            stage.serve(homed)
+        self.assertEqual(stage.counts(), {"isle-1-server-0": 20})
+
+    def test_the_newest_homes_bind_besides_the_first(self) -> None:
+        stage = Stage(NORTH | SOUTH | ISLE)
+        first, newest = route(homes=("north", "south")), route(homes=("south", "isle"))
+        for _ in range(40):
+            stage.serve(traits(of=first, newest=newest))
+        self.assertLessEqual(set(stage.counts()), set(SOUTH))
+        apart = traits(of=route(homes=("north",)), newest=route(homes=("isle",)))
+        self.assertIsInstance(stage.ask(apart), Refused)
+
     def test_without_a_server_in_a_home_the_call_is_refused(self) -> None:
         stage = Stage(ISLE, zone="isle-1")
         refused = stage.ask(traits(of=route(homes=("north",))))
@@ -356,6 +372,13 @@
         unsent = [stage.end(stage.send(), Outcome.CONNECT_FAILED, latency=MS) for _ in range(2)]
         self.assertTrue(all(isinstance(one, Sent) for one in unsent))
 
+    def test_gateways_that_do_not_know_how_many_they_are_repeat_nothing(self) -> None:
+        stage = Stage(NORTH)
+        stage.site.gateways_known = False
+        self.assertIsInstance(stage.end(stage.send(), Outcome.REJECTED, latency=MS), Refused)
+        stage.site.gateways_known = True
+        self.assertIsInstance(stage.end(stage.send(), Outcome.REJECTED, latency=MS), Sent)
+
     def test_a_resumed_stream_takes_from_the_budget(self) -> None:
         stage = Stage(NORTH, gateways=54)  # 0.7 of a repeat from the slack
         first = next(iter(NORTH))
@@ -447,6 +470,18 @@
         warm = Counter(stage.serve(latency=5 * MS).server for _ in range(200))
         self.assertGreater(warm[cold], 25)
 
+    def test_gateways_that_do_not_know_how_many_they_are_keep_the_sum(self) -> None:
+        sent = Counter[str]()
+        for number in range(7):
+            stage = Stage(NORTH, name=f"front-{number}", seed=number, cold=COLD)
+            stage.site.gateways_known = False
+            cold = next(iter(NORTH))
+            stage.cold_until[cold] = stage.now + 3 * SECOND
+            for _ in range(100):  # within a second
+                stage.now += 10 * MS
+                sent[stage.serve(latency=MS).server] += 1
+        self.assertLessEqual(sent[cold], COLD.calls)
+
     def test_where_all_are_cold_and_have_had_their_share_calls_are_refused(self) -> None:
         stage = Stage(NORTH, gateways=7, cold=COLD)
         for server in NORTH:
