A server's drain or end is acknowledged after a quorum round that follows its telling

A node that had been cut off for less than 1.5 s acknowledged a drain, or an end (Deregister), that nobody else had heard of; after an end no heartbeat follows that would tell others, and gateways went on with the server until its silence ended it.

Ruled out: a shorter time in touch (any time leaves a gap), an acknowledgement of each peer (a message more, while the round of a read says the same).

A heartbeat that says draining, and a Deregister, are taken and told on as before, then wait for a confirmed read (`OrderService.reaches_quorum`, 0.7 s at most, then 503). What servers say goes to a peer over the link that consensus uses, so the round's answers come after it: before, of the two links between two nodes it could be the other one.

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -27,6 +27,7 @@
 from brackenladder.control_plane.restart_cache import RememberedCatalog, RestartCache
 from brackenladder.control_plane.restart_file import DiskRestartFile, RestartFile
 from brackenladder.control_plane.restart_gate import RestartGate
+from brackenladder.control_plane.server_calls import ServerCalls
 from brackenladder.control_plane.soft_state import TICK_SECONDS, SoftState
 from brackenladder.control_plane.status import ControlStatus, age_ms, member_statuses
 from brackenladder.platform_settings import Platform
@@ -124,7 +125,8 @@
         )
         self._restart_gate = RestartGate()
         self._remembered: RememberedCatalog | None = None
-        operator_api = OperatorApi(self.orders, self.soft_state, self._zones, self.status)
+        self.server_calls = ServerCalls(self.soft_state, self.orders)
+        operator_api = OperatorApi(self.orders, self.server_calls, self._zones, self.status)
         self._control_listener = surroundings.listener(operator_api.handle)
         directory_api = DirectoryApi(self.soft_state.resolve, platform.bounds.ttl_max_s)
         self._directory_listener = surroundings.listener(directory_api.handle)
--- a/brackenladder/control_plane/operator_api.py
+++ b/brackenladder/control_plane/operator_api.py
@@ -33,10 +33,10 @@
 class ServerEvents(Protocol):
     """Takes what servers say about themselves. False: this node is out of touch and must not acknowledge."""
 
-    def heartbeat(self, record: ServerRecord) -> bool:
+    async def heartbeat(self, record: ServerRecord) -> bool:
         """A server's word, handed on to all nodes before this returns."""
 
-    def deregister(self, server_id: str) -> bool:
+    async def deregister(self, server_id: str) -> bool:
         """A server's end, handed on to all nodes before this returns."""
 
 
@@ -78,7 +78,7 @@
     async def _heartbeat(self, request: web.BaseRequest, server_id: str) -> web.Response:
         match parse_heartbeat(server_id, await request.read()):
             case Success(record) if server_id:
-                acknowledged = self._servers.heartbeat(record)
+                acknowledged = await self._servers.heartbeat(record)
             case Failure(fault):
                 return json_response(HTTPStatus.BAD_REQUEST, {"Error": str(fault)})
             case _:
@@ -87,7 +87,7 @@
 
     async def _deregister(self, request: web.BaseRequest, server_id: str) -> web.Response:
         await request.read()
-        if not self._servers.deregister(server_id):
+        if not await self._servers.deregister(server_id):
             return unavailable("out of touch")
         return json_response(HTTPStatus.OK, {})
 
--- a/brackenladder/control_plane/orders.py
+++ b/brackenladder/control_plane/orders.py
@@ -40,6 +40,7 @@
 CALL_SECONDS = 2.5  # longest that a caller is held without a clear answer
 ATTEMPT_SECONDS = 1.5  # a leader that has said nothing for so long is asked again
 RETRY_SECONDS = 0.1
+LEAVING_SECONDS = 0.7  # for the quorum that a server's drain or end waits for; the server waits a second
 SLOWEST_BYTES_PER_SECOND = 500_000  # at which a large order is expected to travel
 NO_CLEAR_ANSWER = OrderReply(0, OrderOutcome.UNAVAILABLE)
 
@@ -93,6 +94,14 @@
         """The newest configuration, confirmed by a quorum."""
         return await self._insist(self._fetch_once)
 
+    async def reaches_quorum(self) -> bool:
+        """Whether a leader with a quorum has had all that this node wrote to its links before the call.
+
+        What is told to other nodes goes over the links that consensus uses, in sequence: the leader that
+        confirms a read has taken it, or a quorum has that answered this leader.
+        """
+        return isinstance(await self._insist(self._newest_revision, LEAVING_SECONDS), Success)
+
     def received(self, link: Link, message: object) -> bool:
         """A message of another control node; False if it isn't of this kind."""
         match message:
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -76,14 +76,14 @@
     # -- calls of servers and clients
 
     def heartbeat(self, record: ServerRecord) -> bool:
-        """See `operator_api.ServerEvents`. It is taken even where it must not be acknowledged."""
+        """Takes a server's word, out of touch too; whether this node is in touch."""
         if self._servers.heartbeat(self._clock(), record):
             log.debug("server {} {} {}", record.id, record.state.name, record.address)
             self.flush()
         return self._in_touch()
 
     def deregister(self, server_id: str) -> bool:
-        """See `operator_api.ServerEvents`. It is taken even where it must not be acknowledged."""
+        """The same for a server's end."""
         if self._servers.deregister(self._clock(), server_id):
             log.debug("server {} deregistered", server_id)
             self.flush()
@@ -123,10 +123,20 @@
     # -- events of links
 
     def peer_connected(self, replica_id: str) -> None:
-        """A link to a control node is up."""
+        """A link to a control node is up.
+
+        What a node is told goes over the link that consensus uses: `OrderService.reaches_quorum` rests on the
+        sequence of both.
+        """
         if replica_id not in self._informed:
             self._begin_informing(replica_id)
-            self.flush()
+        elif self._informed[replica_id] is not self._peers.link(replica_id):
+            self._forget_peer(replica_id)
+        self.flush()
+
+    def informed(self, replica_id: str) -> Link | None:
+        """The link over which a control node is told."""
+        return self._informed.get(replica_id)
 
     def peer_received(self, replica_id: str, message: object) -> bool:
         """A message of a control node; False if it isn't of this kind."""
--- a/brackenladder/simulation/machines.py
+++ b/brackenladder/simulation/machines.py
@@ -25,6 +25,7 @@
 from brackenladder.prefix_cache.relay_choice import RelayChoice
 from brackenladder.registry.gateways import GatewayState
 from brackenladder.registry.recall import HealthAnswer, RememberedServer
+from brackenladder.registry.records import ServerState
 from brackenladder.simulation.disk import Disk, SimulatedRestartFile, SimulatedWriter
 from brackenladder.simulation.documents import order_of
 from brackenladder.simulation.network import SimulatedNetwork
@@ -125,6 +126,14 @@
         """Whether its process is there, if only frozen."""
         return self.node is not None
 
+    def counts_ready(self, server_id: str) -> bool:
+        """Whether the node takes a server for one that may be sent requests."""
+        if self.node is None:
+            return False
+        tell = self.node.soft_state.servers_in
+        alive = (record for region in set(ZONES.values()) for record in tell(region, ZONES))
+        return any(record.id == server_id and record.state is ServerState.READY for record in alive)
+
     def boot(self, genesis: Members | None = None) -> None:
         """Starts the program on what the disk holds."""
         process = Process(f"{self.name}.{self.starts}")
--- a/brackenladder/simulation/mutants.py
+++ b/brackenladder/simulation/mutants.py
@@ -24,7 +24,7 @@
 from brackenladder.control_plane.forwarding import ReplyTable
 from brackenladder.control_plane.orders import OrderService, _reply
 from brackenladder.control_plane.restart_gate import RestartGate
-from brackenladder.control_plane.soft_state import SoftState
+from brackenladder.control_plane.soft_state import IN_TOUCH_AGE, SoftState
 from brackenladder.delivery.subscriber import Subscriber
 
 MOST_VOTERS = 5
@@ -146,6 +146,13 @@
     return _replaced(SoftState, _in_touch=lambda self: True)
 
 
+def _drain_not_confirmed() -> AbstractContextManager[None]:
+    async def at_once(self: OrderService) -> bool:
+        return self._host.contact_age() <= IN_TOUCH_AGE
+
+    return _replaced(OrderService, reaches_quorum=at_once)
+
+
 def _catalog_told_alone() -> AbstractContextManager[None]:
     return _replaced(SoftState, _tells_catalog=lambda self, now: True)
 
@@ -309,6 +316,13 @@
         "ack-alone",
         _acknowledged_alone,
     )
+    yield mutant(
+        "drain-not-confirmed",
+        "a drain is acknowledged as long as the node was in touch a moment ago",
+        "isolation",
+        "drain-untold",
+        _drain_not_confirmed,
+    )
     yield mutant(
         "catalog-alone",
         "a node without contact tells its catalog to gateways that start",
--- a/brackenladder/simulation/servers.py
+++ b/brackenladder/simulation/servers.py
@@ -130,8 +130,8 @@
 
 
 async def _heartbeat(node: ControlNode, record: ServerRecord) -> bool:
-    return node.soft_state.heartbeat(record)
+    return await node.server_calls.heartbeat(record)
 
 
 async def _deregister(node: ControlNode, server_id: str) -> bool:
-    return node.soft_state.deregister(server_id)
+    return await node.server_calls.deregister(server_id)
--- a/brackenladder/simulation/world.py
+++ b/brackenladder/simulation/world.py
@@ -247,8 +247,18 @@
 
     def _server_acknowledged(self, ack: ServerAck) -> None:
         if ack.draining:
+            self._check_told(ack)
             self.loop.call_later(DRAIN_TIME / SECOND, self._check_drained, ack)
 
+    def _check_told(self, ack: ServerAck) -> None:
+        """What a node that is alone acknowledges is known where a majority is."""
+        if not self.isolation.alone_for(ack.answered_at, ack.answered_by):
+            return
+        alone = self.isolation.alone_for
+        with_majority = [one for one in self.machines if one.runs and not alone(self.now, one.name)]
+        if with_majority and all(one.counts_ready(ack.server) for one in with_majority):
+            self.fail("drain-untold", f"{ack.answered_by} alone has acknowledged {ack.server}")
+
     def _check_drained(self, ack: ServerAck) -> None:
         if not self.calm_since(ack.answered_at):
             return
--- a/tests/control_plane/test_control_servers.py
+++ b/tests/control_plane/test_control_servers.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from http import HTTPStatus
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 
 from control_cluster import Answer, ControlCluster, configuration, heartbeat
 
+from brackenladder.control_plane.soft_state import IN_TOUCH_AGE
 from brackenladder.control_plane.wire import gateway_codec
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
@@ -81,6 +83,21 @@
         answer = await self.cluster.post(2, HEARTBEAT, heartbeat(1, "draining"))
         self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE)
 
+    async def test_a_node_that_was_just_cut_off_acknowledges_no_end_of_a_server(self) -> None:
+        self.assertEqual((await self.cluster.insist(2, HEARTBEAT, heartbeat(1))).status, HTTPStatus.OK)
+        for number in (0, 1):
+            await self.cluster.crash(number)
+        self.assertLess(self.cluster.node(2).host.contact_age(), IN_TOUCH_AGE)
+        leaving = self.cluster.post(2, HEARTBEAT, heartbeat(2, "draining"))
+        for answer in await asyncio.gather(leaving, self.cluster.post(2, DEREGISTER)):
+            self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def test_what_a_node_is_told_goes_over_the_link_that_consensus_uses(self) -> None:
+        for number in range(3):
+            node = self.cluster.node(number)
+            for peer, link in node.peers.peers():
+                self.assertIs(node.soft_state.informed(peer.replica_id), link)
+
     async def test_a_prefix_notice_reaches_the_other_gateways_and_those_that_come_later(self) -> None:
         other = FollowingGateway(self.cluster, "gateway-2")
         self.addAsyncCleanup(other.transport.close)
