The end of a gateway: intake below three seconds, every unanswered request gets an answer

Now: the intake is 2.8 s at most; what is read later gets 503 and the end of the connection; a stream of before the drain ends with its connection; the end comes in the last tenth of the grace (0.7 s at most), and there what was sent to no server gets 503, what was gets 502, and only answers that have begun are cut.

In its place test_what_outlasts_the_grace_is_answered_or_seen_to_be_cut asks for a whole 502 and the end of the connection, and for an open stream that is seen to be cut.

--- a/brackenladder/core/host.py
+++ b/brackenladder/core/host.py
@@ -156,6 +156,13 @@
         if self.release(call.id) is not None:
             self.post(self.balancer.client_left, call.id)
 
+    def give_up(self) -> None:
+        """The node ends: every open call is failed."""
+        for call in tuple(self.calls.values()):
+            if self.release(call.id) is not None:
+                call.failed(Failure.GIVEN_UP)
+                self.post(self.balancer.client_left, call.id)
+
     def expire(self, call: Call) -> None:
         """The guard: a call still open after its deadline. The module should have concluded it."""
         self.guarded += 1
--- a/brackenladder/gateway/answers.py
+++ b/brackenladder/gateway/answers.py
@@ -42,6 +42,7 @@
     BODY_TOO_LARGE = "body too large"
     HEADER_TOO_LARGE = "header too large"
     NOT_CONFIGURED = "not configured"
+    LEAVING = "the gateway ends"
 
 
 FAULT_STATUS = {
@@ -52,6 +53,7 @@
     RequestFault.BODY_TOO_LARGE: Status.BODY_TOO_LARGE,
     RequestFault.HEADER_TOO_LARGE: Status.HEADER_TOO_LARGE,
     RequestFault.NOT_CONFIGURED: Status.UNAVAILABLE,
+    RequestFault.LEAVING: Status.UNAVAILABLE,
 }
 
 
--- a/brackenladder/gateway/context.py
+++ b/brackenladder/gateway/context.py
@@ -20,3 +20,4 @@
     failures: FailureLog
     start_gate: StartGate
     draining: bool = False
+    intake_over: bool = False  # what is read from now on can't be served to its end
--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -76,6 +76,8 @@
         read = await self._read()
         if isinstance(read, Failure):
             return self._turned_away(read.failure())
+        if self.context.intake_over:
+            return self._turned_away(RequestFault.LEAVING)
         self.prompt_tokens = read.unwrap().prompt_tokens
         pool = self.context.pools.choose(self.route, read.unwrap().parts)
         if pool is None:
--- a/brackenladder/gateway/pools.py
+++ b/brackenladder/gateway/pools.py
@@ -104,6 +104,11 @@
         for pool in self._pools.values():
             pool.prefixes_told(now, notices)
 
+    def give_up(self) -> None:
+        """The gateway ends: calls without an answer are concluded."""
+        for pool in (*self._pools.values(), *self._leaving):
+            pool.host.give_up()
+
     def close(self) -> None:
         """End all pools."""
         self._unsubscribe()
--- a/brackenladder/gateway/relay.py
+++ b/brackenladder/gateway/relay.py
@@ -70,7 +70,7 @@
             self._end()
         if not complete:
             self._break_off()
-        return response
+        return exchange.finished(response)  # the drain may have begun after its head was sent
 
     async def _pass_all(self, response: web.StreamResponse) -> bool:
         """Pass on what comes; False if the answer breaks and can't be taken up."""
--- a/brackenladder/gateway/server.py
+++ b/brackenladder/gateway/server.py
@@ -25,8 +25,10 @@
 
 READY_PATH = "/-/readyz"
 BACKLOG = 1024  # connections that wait to be accepted
-ACCEPT_SHARE = 0.4  # of the grace: so long clients may hold to an old answer of the directory
-ABORT_MARGIN_SECONDS = 0.7  # before the end of the grace: what is left is broken off
+INTAKE_SHARE = 0.4  # of the grace: so long clients may hold to an old answer of the directory
+MOST_INTAKE_SECONDS = 2.8  # what is sent within three seconds after SIGTERM may be broken off at the end
+LAST_PART = 1 / 10  # of the grace, in which what is left is given up; a server at work is excused in a sixth
+MOST_LAST_SECONDS = 0.7
 DRAIN_STEP_SECONDS = 0.1
 
 log = logbook.Logger("gateway")
@@ -92,11 +94,21 @@
         began = loop.time()
         self.ready = False
         self._context.draining = True
-        await self._drained(began + grace_s * ACCEPT_SHARE, idle_too=False)
+        await self._drained(began + intake_seconds(grace_s), idle_too=False)
+        self._context.intake_over = True
         self._listeners[0].close()
-        if not await self._drained(began + grace_s - ABORT_MARGIN_SECONDS, idle_too=True):
-            self._failures("broken off at the end of the grace", str(len(self._clients.connections)))
-            self._clients.abort_all()
+        if not await self._drained(began + grace_s - last_seconds(grace_s), idle_too=True):
+            await self._give_up()
+
+    async def _give_up(self) -> None:
+        """Answer whatever has no answer yet, and break off the answers that have begun.
+
+        Failure prevented: a request that waits, or whose server is silent, ends with its connection.
+        """
+        self._failures("broken off at the end of the grace", str(len(self._clients.connections)))
+        self._context.pools.give_up()
+        await asyncio.sleep(DRAIN_STEP_SECONDS)
+        self._clients.abort_all()
 
     async def close(self) -> None:
         """Close everything at once."""
@@ -163,3 +175,13 @@
         if request.path != READY_PATH:
             return own_answer(Status.NOT_FOUND)
         return web.Response(status=200) if self.ready else own_answer(Status.UNAVAILABLE)
+
+
+def intake_seconds(grace_s: float) -> float:
+    """For how long after SIGTERM requests are taken."""
+    return min(grace_s * INTAKE_SHARE, MOST_INTAKE_SECONDS)
+
+
+def last_seconds(grace_s: float) -> float:
+    """How long before the end of the grace what is left is given up."""
+    return min(grace_s * LAST_PART, MOST_LAST_SECONDS)
--- a/tests/gateway/gateway_loopback.py
+++ b/tests/gateway/gateway_loopback.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 import unittest
 from collections.abc import Awaitable, Callable, Iterable
@@ -137,6 +138,8 @@
         self.address = ""
         self._server: asyncio.Server
         self._writers: set[asyncio.StreamWriter] = set()
+        self._full: socket.socket | None = None
+        self._waiting: list[socket.socket] = []
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
@@ -145,9 +148,25 @@
 
     async def close(self) -> None:
         self._server.close()
+        for held in (self._full, *self._waiting):
+            if held is not None:
+                held.close()
         for writer in self._writers:
             writer.transport.abort()
 
+    def take_no_connections(self) -> None:
+        """New connections neither come up nor are refused."""
+        self._server.close()
+        host, _, port = self.address.rpartition(":")
+        self._full = socket.socket()
+        self._full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._full.bind((host, int(port)))
+        self._full.listen(0)
+        self._waiting = [socket.socket() for _ in range(4)]
+        for waiting in self._waiting:
+            waiting.setblocking(False)
+            waiting.connect_ex((host, int(port)))
+
     def stop_listening(self) -> None:
         self._server.close()
 
@@ -248,7 +267,11 @@
         return int(first.split(" ")[1]), {key.lower(): value.strip() for key, _, value in pairs}
 
     async def read(self) -> ClientAnswer:
-        status, headers = await self.head()
+        return await self.read_body(*await self.head())
+
+    async def read_body(self, status: int = 200, headers: dict[str, str] | None = None) -> ClientAnswer:
+        """The rest of an answer whose head was read; in chunks, unless the head says otherwise."""
+        headers = {"transfer-encoding": "chunked"} if headers is None else headers
         if headers.get("transfer-encoding") == "chunked":
             return await self._read_chunks(status, headers)
         length = int(headers.get("content-length", "0"))
--- a/tests/gateway/test_gateway_clients.py
+++ b/tests/gateway/test_gateway_clients.py
@@ -16,10 +16,12 @@
     chunk,
     event,
     post,
+    silent,
     stream_head,
 )
 
 from brackenladder.catalog.configuration import Limits
+from brackenladder.gateway.server import intake_seconds, last_seconds
 
 
 class Malformed(GatewayTest):
@@ -145,16 +147,81 @@
         self.assertEqual((got.status, got.headers["connection"]), (200, "close"))
         await asyncio.wait_for(ended, PATIENCE)
 
-    async def test_drain_breaks_off_what_outlasts_the_grace(self) -> None:
-        async def never(request: Received) -> None:
+    async def test_what_outlasts_the_grace_is_answered_or_seen_to_be_cut(self) -> None:
+        async def begin(request: Received) -> None:
+            request.write(stream_head(request.id) + chunk(event(1)))
             await request.client_closed()
 
-        self.play(never)
+        self.play(silent, begin)
+        unanswered, begun = await self.client(), await self.client()
+        unanswered.send(post("/plain/x", "r0"))
+        await self.arrival()
+        begun.send(post("/stream/x"))
+        await self.arrival()
+        await asyncio.wait_for(self.gateway.drain(0.8), PATIENCE)
+        got = await asyncio.wait_for(unanswered.read(), PATIENCE)
+        self.assertEqual((got.status, got.whole, got.headers["connection"]), (502, True, "close"))
+        self.assertNotIn("x-brackenladder-response-signature", got.headers)
+        self.assertTrue(await asyncio.wait_for(unanswered.at_end(), PATIENCE))
+        got = await asyncio.wait_for(begun.read(), PATIENCE)
+        self.assertEqual((got.body, got.whole), (event(1), False))
+
+    async def test_what_was_sent_to_no_server_by_the_end_of_the_grace_is_promised_so(self) -> None:
+        for stand_in in self.stand_ins:
+            stand_in.take_no_connections()
         client = await self.client()
         client.send(post("/plain/x"))
+        await self.until_open()
+        await asyncio.wait_for(self.gateway.drain(0.3), PATIENCE)
+        got = await asyncio.wait_for(client.read(), PATIENCE)
+        self.assertEqual((got.status, got.whole, got.headers["connection"]), (503, True, "close"))
+        self.assertEqual(self.script.requests, [])
+
+    async def test_what_is_read_after_the_intake_is_promised_not_to_run(self) -> None:
+        idle, late = await self.client(), await self.client()
+        await asyncio.wait_for(idle.ask(post("/plain/x", "r0")), PATIENCE)
+        request = post("/plain/x", "r1", b"hello")
+        late.send(request[:-2])
+        await self.until_open()
+        ended = asyncio.ensure_future(self.gateway.drain(1.0))
+        self.assertTrue(await asyncio.wait_for(idle.at_end(), PATIENCE))
+        late.send(request[-2:])
+        got = await asyncio.wait_for(late.read(), PATIENCE)
+        self.assertEqual((got.status, got.whole, got.headers["connection"]), (503, True, "close"))
+        await asyncio.wait_for(ended, PATIENCE)
+        self.assertEqual([one.id for one in self.script.requests], ["r0"])
+
+    async def test_a_stream_of_before_the_drain_ends_with_its_connection(self) -> None:
+        go = asyncio.Event()
+
+        async def begin(request: Received) -> None:
+            request.write(stream_head(request.id) + chunk(event(1)))
+            await go.wait()
+            request.write(chunk(event(2)) + LAST_CHUNK)
+
+        self.play(begin, serve_at_once)
+        client = await self.client()
+        client.send(post("/stream/x"))
+        await client.head()
+        ended = asyncio.ensure_future(self.gateway.drain(30.0))
+        self.addCleanup(ended.cancel)
         await self.arrival()
-        await asyncio.wait_for(self.gateway.drain(0.8), PATIENCE)
+        go.set()
+        got = await asyncio.wait_for(client.read_body(), PATIENCE)
+        self.assertEqual((got.body, got.whole), (event(1) + event(2), True))
         self.assertTrue(await asyncio.wait_for(client.at_end(), PATIENCE))
+        self.assertEqual((await self.ask(post("/plain/x", "r2"))).status, 200)  # others are still taken
+
+    def test_the_parts_of_the_grace(self) -> None:
+        for grace in (1.0, 3.0, 6.0, 8.0, 30.0):
+            with self.subTest(grace=grace):
+                self.assertLess(intake_seconds(grace), min(3.0, grace / 2))
+                self.assertLess(last_seconds(grace), grace / 6)
+                self.assertGreaterEqual(last_seconds(grace), min(0.5, grace / 10))
+
+    async def until_open(self) -> None:
+        """Returns once what was sent to the gateway before has been read there."""
+        await asyncio.wait_for(self.ask(post("/none/x", "r9")), PATIENCE)
 
 
 class Split(GatewayTest):
