A split's targets get their weight's share, whatever sessions carry the traffic

On a sticky route a request went to the target at the hash of its last part: with few sessions, or one that is busy, their hashes decided the shares, at all gateways alike.

Ruled out: drawing each request anew (sessions would read their prompts again at each change of the service).

`TrafficSplit` keeps the target of the hash (or of the draw, where the route isn't sticky) unless that would be more than one request ahead of its share at this gateway; then the target most behind gets it.

--- a/brackenladder/gateway/pools.py
+++ b/brackenladder/gateway/pools.py
@@ -15,6 +15,7 @@
 from brackenladder.delivery.view import SystemView, ViewChange
 from brackenladder.gateway.connections import ServerConnections
 from brackenladder.gateway.failures import FailureLog
+from brackenladder.gateway.traffic_split import TrafficSplit
 from brackenladder.gateway.upstream import ServiceUpstream, connection_part
 from brackenladder.placement.pool import ServicePool
 from brackenladder.placement.traits import PromptPart
@@ -66,6 +67,7 @@
         self.limits = Limits()
         self._services: dict[str, Service] = {}
         self._pools: dict[str, ServicePool] = {}
+        self._splits: dict[str, TrafficSplit] = {}  # by route
         self._leaving: list[ServicePool] = []  # of services that are no more, until their calls have ended
         self._early = EarlyNotices()
         self._read_configuration()
@@ -78,16 +80,14 @@
 
     def choose(self, route: Route, parts: tuple[PromptPart, ...]) -> ServicePool | None:
         """The pool that a request of this route goes to, by the targets' weights."""
-        targets = route.split
-        if len(targets) == 1:
-            return self._pools.get(targets[0].service)
-        total = sum([target.weight for target in targets])
-        at = self._point(route, parts) * total
-        for target in targets:
-            at -= target.weight
-            if at < 0:
-                return self._pools.get(target.service)
-        return self._pools.get(targets[-1].service) if targets else None
+        if not route.split:
+            return None
+        if len(route.split) == 1:
+            return self._pools.get(route.split[0].service)
+        split = self._splits.get(route.name)
+        if split is None or split.targets != route.split:
+            split = self._splits[route.name] = TrafficSplit(route.split)
+        return self._pools.get(split.choose(self._point(route, parts)).service)
 
     def prefixes_told(self, now: int, notices: Sequence[PrefixNotice]) -> None:
         """Each pool takes the notices of its own servers; those of unknown ones wait for a moment."""
@@ -143,6 +143,8 @@
             if name not in self._pools:
                 self._pools[name] = self._new_pool(name)
         self.routes = RouteTable(configuration)
+        names = {route.name for route in configuration.routes}
+        self._splits = {name: split for name, split in self._splits.items() if name in names}
         self._close_idle_pools()
 
     def _close_idle_pools(self) -> None:
--- /dev/null
+++ b/brackenladder/gateway/traffic_split.py
@@ -0,0 +1,44 @@
+"""Which target of a route's `TrafficSplit` a request goes to, so that each gets its weight's share. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from brackenladder.catalog.configuration import Target
+
+MOST_AHEAD = 1.0  # requests by which a target may be ahead of its share
+
+
+class TrafficSplit:
+    """The targets of one route, and how many requests each has been given here.
+
+    Failure prevented: a few sessions carry most of a route's traffic, and where their hashes fall decides the
+    shares, at every gateway alike.
+    """
+
+    def __init__(self, targets: Sequence[Target]) -> None:
+        """`targets`: at least one has a weight above 0."""
+        self.targets = tuple(targets)
+        total = sum([target.weight for target in targets])
+        self._shares = [target.weight / total for target in targets]
+        self._ahead = [0.0] * len(self._shares)  # requests given beyond the share
+
+    def choose(self, point: float) -> Target:
+        """The target at `point`, from 0 up to 1 along the weights, or the one most behind if it is ahead."""
+        chosen = self._at(point)
+        if self._ahead[chosen] + 1.0 - self._shares[chosen] > MOST_AHEAD:
+            chosen = min(range(len(self._ahead)), key=self._ahead.__getitem__)
+        for number, share in enumerate(self._shares):
+            self._ahead[number] -= share
+        self._ahead[chosen] += 1.0
+        return self.targets[chosen]
+
+    def _at(self, point: float) -> int:
+        last = 0
+        for number, share in enumerate(self._shares):
+            if share > 0:
+                last = number
+                point -= share
+                if point < 0:
+                    break
+        return last
