Model, token usage and prompt prefix go on even if Connection names them

A client's `Connection` header that named one of them took it away. They are protected now as the request id is; the test fails without that.

--- a/brackenladder/gateway/headers.py
+++ b/brackenladder/gateway/headers.py
@@ -43,7 +43,10 @@
     name.lower().encode() for name in (REQUEST_DEADLINE, EXPECTED_INSTANCE, PRIORITY, CONTENT_LENGTH, EXPECT)
 )
 # Go on even if `Connection` names them.
-PROTECTED = frozenset(name.lower().encode() for name in (HOST, REQUEST_ID, CONTENT_TYPE, LAST_EVENT_ID))
+PROTECTED = frozenset(
+    name.lower().encode()
+    for name in (HOST, REQUEST_ID, CONTENT_TYPE, LAST_EVENT_ID, MODEL, TOKEN_USAGE, PROMPT_PREFIX)
+)
 ENDED_IN_REQUESTS = HOP_BY_HOP | REWRITTEN
 ENDED_IN_ANSWERS = frozenset(name.decode() for name in HOP_BY_HOP) | {"content-length"}
 
--- a/tests/gateway/test_gateway_parts.py
+++ b/tests/gateway/test_gateway_parts.py
@@ -115,6 +115,12 @@
         )
         self.assertEqual(forwarded_lines(raw), b"Host: a\r\nX-Two: 2\r\nX-Two: 3\r\n")
         self.assertEqual(forwarded_lines(raw, (b"x-two",)), b"Host: a\r\n")
+
+    def test_what_a_server_must_get_as_it_was_goes_on_whatever_connection_names(self) -> None:
+        names = (b"X-Brackenladder-Model", b"X-Brackenladder-Token-Usage", b"X-Brackenladder-Prompt-Prefix")
+        kept = [(name, b"1") for name in names]
+        raw = [(b"Connection", b"close, " + b", ".join(names).lower()), *kept]
+        self.assertEqual(forwarded_lines(raw), b"".join(b"%b: %b\r\n" % one for one in kept))
         got = answer_headers(
             headers(Connection="close, X-A", X_A="1", Keep_Alive="timeout=3", X_B="\udcff", X_C="2")
         )
