--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from brackenladder.catalog.configuration import Service
-from brackenladder.core.call import Attempt, Call, Done, Probed, Upstream
+from brackenladder.core.call import Attempt, Call, Done, Failure, Probed, Upstream
 from brackenladder.core.clock import Clock
 from brackenladder.core.host import Host
 from brackenladder.core.roster import number_of, numbered
@@ -129,6 +129,12 @@
         call.left = min(call.left, call.traits.route.timeout_ms * US_PER_MS)
         self.host.take(call)
 
+    def give_up(self) -> None:
+        """The gateway ends: every open call is failed."""
+        for call in tuple(self.host.calls.values()):
+            self.host.left(call)
+            call.failed(Failure.GIVEN_UP)
+
     def record(self, number: int) -> ServerRecord | None:
         """The server that an attempt names, while it is listed or drains."""
         return self.records.get(number)
--- a/tests/gateway/test_gateway_drain.py
+++ b/tests/gateway/test_gateway_drain.py
@@ -1,23 +1,26 @@
-"""How long a gateway that ends takes new requests."""
+"""How long a gateway that ends takes new requests, and when it gives up what is left."""
 
 from __future__ import annotations
 
 from unittest import TestCase
 
-from brackenladder.gateway.server import (
-    ABORT_MARGIN_SECONDS,
-    ACCEPT_MARGIN_SECONDS,
-    LATEST_EXCUSED_SECONDS,
-    accept_seconds,
-)
+from brackenladder.gateway.server import LATEST_EXCUSED_SECONDS, intake_seconds, last_seconds
 
+ARRIVAL_SECONDS = 0.2  # from the end of the intake to the arrival of what was still accepted
+EXCUSED_PART = 1 / 6  # of the grace, at its end, in which a server at work may be broken off
 
-class AcceptTest(TestCase):
+
+class IntakeTest(TestCase):
     def test_nothing_is_taken_that_may_not_be_broken_off_at_the_end(self) -> None:
-        for grace in (2.0, 5.0, 7.5, 8.0, 10.0, 30.0):
+        for grace in (1.0, 2.0, 5.0, 7.5, 8.0, 10.0, 30.0):
+            with self.subTest(grace=grace):
+                self.assertLessEqual(intake_seconds(grace) + ARRIVAL_SECONDS, LATEST_EXCUSED_SECONDS)
+                self.assertLess(intake_seconds(grace), grace - last_seconds(grace))
+
+    def test_what_is_given_up_is_given_up_in_the_last_sixth(self) -> None:
+        for grace in (1.0, 5.0, 8.0, 30.0):
             with self.subTest(grace=grace):
-                self.assertLessEqual(accept_seconds(grace) + ACCEPT_MARGIN_SECONDS, LATEST_EXCUSED_SECONDS)
-                self.assertLess(accept_seconds(grace), grace - ABORT_MARGIN_SECONDS)
+                self.assertLess(last_seconds(grace), grace * EXCUSED_PART)
 
-    def test_a_short_grace_shortens_it(self) -> None:
-        self.assertAlmostEqual(accept_seconds(2.0), 0.8)
+    def test_a_short_grace_shortens_the_intake(self) -> None:
+        self.assertAlmostEqual(intake_seconds(2.0), 0.8)
