Rehearsal: a node that is starting again meets its next planned end when it is up

Failure: beside load, `NodeError: n0 ended with status -9 before it was ready` in test_a_right_node_holds_and_each_rogue_breaks_its_verdict[right-swapped]. Cause: the plan kills n0 at 6 s and at 8 s; beside load the second SIGKILL met the process while it started, and the runner took its own planned end for a node that doesn't come up. Where the first process was gone and the next not yet there, it would also have started two processes at one address. The rehearsal command has the same fault on a slow machine.

The runner now ends and starts one node's process for one fault at a time; a fault that is due meanwhile begins when the node is up, and lasts as long as planned. Pauses, stalls and moves are as they were.

Test without processes, by forced order: before, the second kill and a second start came while the first start hung; after, the second kill waits. Not ruled out by a run: another SIGKILL at the same moment; the plan sends two within 2 s, and the test shows what the second does.

--- a/brackenladder/rehearsal/runner.py
+++ b/brackenladder/rehearsal/runner.py
@@ -117,6 +117,7 @@
         self.standins: list[StandIn] = []
         self.begin = 0
         self.asking = asyncio.Lock()  # one question to the network's stand-in at a time
+        self.restarting = {node.name: asyncio.Lock() for node in self.nodes}
 
     async def end(self) -> None:
         """Ends all processes, the nodes first."""
@@ -249,13 +250,16 @@
         """A fault of a node."""
         node = next(n for n in self.nodes if n.name == step.target)
         await self.until(step.at)
-        self.journal.add(Fault(now(), self.begin + step.end, step.kind, step.target))
+        if step.kind in ("node-kill", "node-term"):
+            async with self.restarting[node.name]:
+                await self.restart(self.put_off(step), node, network, clients)
+            return
+        self.note(step)
         if step.kind == "node-move":
             network.tell({"moved": node.name})
             node.source = 1
             node.write()
             node.signal("hup")
-            return
         if step.kind in ("node-pause", "node-stall"):
             noticed = step.kind == "node-pause"
             if noticed:
@@ -265,7 +269,14 @@
             node.signal("cont")
             if noticed:
                 clients.tell({"node": node.name, "state": "up"})
-            return
+
+    async def restart(self, step: Step, node: NodeProcess, network: StandIn, clients: StandIn) -> None:
+        """Ends a node's process, and starts the next one when the fault is over.
+
+        One at a time for each node. Failure prevented: a node that takes long to start meets its next planned
+        end, which is taken for one that doesn't come up.
+        """
+        self.note(step)
         if step.kind == "node-kill":
             node.signal("kill")
             await asyncio.sleep(self.scenario.clients.notice_s)
@@ -281,6 +292,14 @@
         await node.start()
         clients.tell({"node": node.name, "state": "up"})
 
+    def put_off(self, step: Step) -> Step:
+        """The same fault from now on, if it is late."""
+        return msgspec.structs.replace(step, at=max(step.at, now() - self.begin))
+
+    def note(self, step: Step) -> None:
+        """Writes down that a fault begins."""
+        self.journal.add(Fault(now(), self.begin + step.end, step.kind, step.target))
+
     async def hand_down(self, node: NodeProcess, network: StandIn) -> None:
         """The configuration of the next process gives the list as the node last had it."""
         async with self.asking:
--- a/tests/rehearsal/test_runner.py
+++ b/tests/rehearsal/test_runner.py
@@ -19,6 +19,7 @@
 from brackenladder.rehearsal.checker import check
 from brackenladder.rehearsal.events import Journal, JournalError, Lag, NodeUp, merged, now, read
 from brackenladder.rehearsal.nodes import NodeError
+from brackenladder.rehearsal.plan import Step
 from brackenladder.rehearsal.report import terms_of
 from brackenladder.rehearsal.runner import Result, Run, RunError, rehearse
 from brackenladder.rehearsal.scenario import Scenario
@@ -121,6 +122,61 @@
         asyncio.run(rehearse(small(), 1, command, tmp_path))
 
 
+class StartingNode:
+    """Stands in for a node's process that takes as long to start as the test wants."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.seen: list[str] = []
+        self.starting = asyncio.Event()
+        self.up = asyncio.Event()
+
+    def signal(self, name: str) -> None:
+        self.seen.append(name)
+
+    async def ended(self, _time: float) -> bool:
+        return True
+
+    async def start(self) -> None:
+        self.seen.append("start")
+        self.starting.set()
+        await self.up.wait()
+        self.seen.append("up")
+
+
+class Told:
+    """Stands in for a stand-in's process."""
+
+    def tell(self, order: dict[str, Any]) -> None:
+        """Takes any order."""
+
+    async def hear(self) -> dict[str, Any]:
+        return {"version": -1}
+
+
+def test_a_node_that_is_starting_again_meets_its_next_end_when_it_is_up(tmp_path: Path) -> None:
+    """Failure prevented: the planned end of a slow start is taken for a node that doesn't come up."""
+
+    async def scene() -> None:
+        run = Run(small(clients={"notice_s": 0}), 1, "", tmp_path, None)
+        run.begin = now()
+        node: Any = StartingNode(run.nodes[0].name)
+        run.nodes = [node]
+        told: Any = Told()
+        steps = [Step(at=at, length=0, kind="node-kill", target=node.name) for at in (0, 1)]
+        tasks = [asyncio.create_task(run.do(step, told, told)) for step in steps]
+        async with asyncio.timeout(PATIENCE):
+            await node.starting.wait()
+            for _ in range(100):  # the second end's time has come
+                await asyncio.sleep(0)
+            assert node.seen == ["kill", "start"]
+            node.up.set()
+            await asyncio.gather(*tasks)
+        assert node.seen == ["kill", "start", "up"] * 2
+
+    asyncio.run(scene())
+
+
 def test_the_nodes_are_told_what_the_deployment_page_says(tmp_path: Path) -> None:
     """A node of any build finds the keys that are published; what it gets is kept in the run's folder."""
     seen = tmp_path / "seen"
