--- /dev/null
+++ b/brackenladder/soak/relayed_role.py
@@ -0,0 +1,30 @@
+"""Starts a role whose links to control nodes go through the soak's relay: `serve` in all else.
+
+The role dials the address it knows, with the port that the relay keeps for it.
+"""
+
+from __future__ import annotations
+
+import os
+import runpy
+from typing import Any
+
+from attrs import evolve
+
+from brackenladder.transport import tcp
+from brackenladder.transport.dialer import TcpDialer
+
+PORT_VARIABLE = "BRACKENLADDER_RELAY_PORT"
+
+
+class RelayedDialer(TcpDialer):
+    """Dials the relay in place of the node."""
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._target = evolve(self._target, port=int(os.environ[PORT_VARIABLE]))
+
+
+if __name__ == "__main__":
+    setattr(tcp, "TcpDialer", RelayedDialer)  # noqa: B010
+    runpy.run_module("brackenladder.serve", run_name="__main__")
