Test that fails: a node that lacks entries counts as current by contact alone

The directory then leads clients out of their region by homes that have been replaced. Shown with entries kept away from a follower: 200 with the old home, where 503 is due, after a contact that is newer than the acknowledgement of the change.

--- a/tests/control_plane/test_directory_homes.py
+++ b/tests/control_plane/test_directory_homes.py
@@ -4,10 +4,12 @@
 
 from http import HTTPStatus
 from random import Random
-from unittest import IsolatedAsyncioTestCase
+from unittest import IsolatedAsyncioTestCase, mock
 
+from attrs import evolve
 from control_cluster import HOST, Answer, ControlCluster, configuration
 
+from brackenladder.consensus.messages import AppendEntries
 from brackenladder.control_plane.wire import gateway_codec
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
@@ -54,14 +56,14 @@
             self.addAsyncCleanup(gateway.transport.close)
         await self.put_in_force(1, north=["north", "south"], any_region=[])
 
-    async def put_in_force(self, version: int, **homes: list[str]) -> None:
+    async def put_in_force(self, version: int, at: int = 0, **homes: list[str]) -> None:
         """A configuration with a route for each name, all of HOST; `any_region` is one of FREE_HOST too."""
         document = configuration(version, *homes)
         for route in document["Routes"]:
             route["HomeRegions"] = homes[route["Name"]]
         document["Routes"].append({**document["Routes"][-1], "Name": "free", "Hostname": FREE_HOST})
         document["Routes"][-1]["HomeRegions"] = []
-        answer = await self.cluster.insist(0, "/-/Config.Replace", document, version - 1)
+        answer = await self.cluster.insist(at, "/-/Config.Replace", document, version - 1)
         self.assertEqual(answer.status, HTTPStatus.OK)
 
     async def ask(self, region: str, host: str = HOST) -> Answer:
@@ -124,3 +126,29 @@
         await self.told("south", {SOUTH}, "new.example")
         await self.leave(SOUTH)
         await self.refused("south", "new.example")
+
+    async def test_a_node_that_hears_its_leader_but_lacks_entries_leads_nobody_out(self) -> None:
+        """Contact alone doesn't tell that the homes are the newest: entries may be on their way."""
+        await self.told("south", {SOUTH})
+        await self.leave(SOUTH)
+        await self.told("south", {NORTH})
+        leader = await self.leader_beside(0)
+        host = self.cluster.node(0).host
+        step = host.step
+
+        def step_without_entries(sender: str, message: object) -> None:
+            step(sender, evolve(message, entries=()) if isinstance(message, AppendEntries) else message)
+
+        with mock.patch.object(host, "step", step_without_entries):
+            await self.put_in_force(2, at=leader, north=["south"], any_region=[])
+            acknowledged = monotonic_microseconds()
+            await self.cluster.until(lambda: host.replica.heard_leader_at > acknowledged)
+            answer = await self.ask("south")
+        self.assertEqual(answer.status, HTTPStatus.SERVICE_UNAVAILABLE, answer.body)
+
+    async def leader_beside(self, number: int) -> int:
+        """The leader, which isn't this node."""
+        while (leader := await self.cluster.leader()) == number:
+            self.cluster.node(number).host.transfer_leadership()
+            await self.cluster.until(lambda: not self.cluster.node(number).host.leads)
+        return leader
