Directory: lines and memory of its log are bounded, whatever clients ask

Cause: the last reach was kept by host and region alone, so clients of two zones of one region, of which one has no gateway, each made a line in turn (200 of 200 answers in a test). Hosts are the clients' own words: 1000 names made 1000 lines, and a name of any length, also with line ends, went into the log and into memory. Change: zone or region is no change of reach; names that no route has share one entry; at most 4096 places are remembered and logged; names are quoted and cut.

--- a/brackenladder/control_plane/directory.py
+++ b/brackenladder/control_plane/directory.py
@@ -12,12 +12,15 @@
 
 from brackenladder.catalog.configuration import Configuration
 from brackenladder.catalog.homes import ConfigurationHomes
+from brackenladder.catalog.hosts import normal_host
 from brackenladder.invariants import VIOLATIONS, Invariant
-from brackenladder.registry.directory import ClientPlace, Offer, Reach, resolve
+from brackenladder.registry.directory import NEAR_REACHES, ClientPlace, Offer, Reach, resolve
 from brackenladder.registry.gateways import GatewayRegistry, HeardGateway
 
 MICROSECONDS_PER_MILLISECOND = 1000
-MOST_REACHES = 4096  # hosts and regions whose last reach is remembered
+MOST_PLACES = 4096  # hosts and regions whose last reach is remembered and whose changes are logged
+LONGEST_NAME = 64  # characters of a client's word in the log
+OTHER_HOSTS = "(no route's host)"
 
 log = logbook.Logger("directory")
 
@@ -54,7 +57,8 @@
             not breached,
             f"a client of {client.region} is led to {breached} for {client.host}",
         )
-        self._note(now, client, offer.reach)
+        host = normal_host(client.host) if homes.known else OTHER_HOSTS
+        self._note(now, host, client.region[:LONGEST_NAME], offer.reach)
         return offer
 
     @property
@@ -62,22 +66,27 @@
         """How many answers reached how far."""
         return dict(self._answers)
 
-    def _note(self, now: int, client: ClientPlace, reach: Reach) -> None:
+    def _note(self, now: int, host: str, region: str, reach: Reach) -> None:
+        """Count an answer, and log where clients are led no longer as before.
+
+        Names are the clients' own: whatever they send, the lines and the memory that they take are bounded.
+        Clients of several zones ask in turn, so zone or region is no change.
+        """
         self._answers[reach] += 1
-        place = (client.host, client.region)
+        place = (host, region)
         before = self._reaches.get(place)
-        if before is reach:
+        if before is None and len(self._reaches) >= MOST_PLACES:
             return
-        if len(self._reaches) >= MOST_REACHES:
-            self._reaches.clear()
         self._reaches[place] = reach
+        if before is reach or before in NEAR_REACHES and reach in NEAR_REACHES:
+            return
         log.info(
-            "{}: clients of {} get {} (before: {}); of their region: {}",
-            client.host,
-            client.region,
+            "{}: clients of {!r} get {} (before: {}); of their region: {}",
+            host,
+            region,
             reach.value,
             before.value if before is not None else "not asked",
-            self._known_of(now, client.region),
+            self._known_of(now, region),
         )
 
     def _known_of(self, now: int, region: str) -> str:
--- a/brackenladder/registry/directory.py
+++ b/brackenladder/registry/directory.py
@@ -21,6 +21,9 @@
     NOWHERE = "none"  # there is no gateway to be named
 
 
+NEAR_REACHES = (Reach.ZONE, Reach.REGION)  # gateways of the client's own region
+
+
 @frozen
 class ClientPlace:
     """Where a client is, and the host that it wants to reach."""
@@ -41,7 +44,7 @@
     @property
     def near(self) -> bool:
         """Whether they are of the client's own region."""
-        return self.reach in (Reach.ZONE, Reach.REGION)
+        return self.reach in NEAR_REACHES
 
 
 NO_OFFER = Offer()
--- a/tests/control_plane/test_directory_log.py
+++ b/tests/control_plane/test_directory_log.py
@@ -53,3 +53,29 @@
         self.lines(0)
         self.directory.resolve(0, ClientPlace("a.example", "north", "hall-x"), current=True)
         self.assertEqual(self.directory.answers, {Reach.ZONE: 1, Reach.REGION: 1})
+
+    def test_clients_of_two_zones_of_a_region_are_no_change_of_each_other(self) -> None:
+        beside = ClientPlace("a.example", "north", "hall-without-gateways")
+        with logbook.TestHandler() as handler:
+            for _ in range(100):
+                self.directory.resolve(0, CLIENT, current=True)
+                self.directory.resolve(0, beside, current=True)
+        self.assertLessEqual(len(handler.records), 2)
+
+    def test_names_that_no_route_has_make_no_line_each(self) -> None:
+        with logbook.TestHandler() as handler:
+            for number in range(1000):
+                self.directory.resolve(0, ClientPlace(f"n{number}.example", "north", "hall-a"), current=True)
+        self.assertLess(len(handler.records), 10)
+
+    def test_a_name_makes_one_line_of_bounded_length(self) -> None:
+        with logbook.TestHandler() as handler:
+            self.directory.resolve(0, ClientPlace("x\ny" * 2000, "north", "hall-a"), current=True)
+        for record in handler.records:
+            self.assertNotIn("\n", record.message)
+            self.assertLess(len(record.message), 1000)
+
+    def test_a_region_that_is_lost_and_comes_back_is_logged_each_time(self) -> None:
+        for seq, state in enumerate((GatewayState.READY, GatewayState.LEAVING) * 3, start=2):
+            self.gateways.presence(0, gateway("a1", zone="hall-a", region="north", state=state, seq=seq))
+            self.assertEqual(len(self.lines(0)), 1)
