Gateway: server connections split by concern, stale connections named so

Cause: connections.py (373 lines) held four things: the bytes of a connection, a request's hold on it, aiohttp's pool and the decision whether an idle connection is checked first; "rested", "forgotten" and "takes" needed explaining, one constant stood for a time and for a fraction, and the statuses without a body stood twice. Change: server_protocol.py (bytes), server_connection.py (one request), stale_check.py (the decision, without I/O or clock), connections.py (pool, 133 lines). Idle and stale as in other HTTP clients. Behaviour unchanged.

--- a/brackenladder/gateway/framing.py
+++ b/brackenladder/gateway/framing.py
@@ -7,12 +7,12 @@
 
 HEAD_END = b"\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+NO_BODY_STATUSES = frozenset((204, 304))
 LARGEST_HEAD = 262_144  # bytes; a longer one is left to the parser, which refuses it
 
 _STATUS = re.compile(rb"HTTP/1\.[0-9] ([0-9]{3})")
 _LENGTH = re.compile(rb"\r\nContent-Length:[ \t]*([0-9]{1,18})[ \t]*\r\n", re.IGNORECASE)
 _CHUNKED = re.compile(rb"\r\nTransfer-Encoding:[^\r]*chunked[ \t]*\r\n", re.IGNORECASE)
-_NO_BODY = frozenset((204, 304))
 
 
 class _Part(Enum):
@@ -71,7 +71,7 @@
         status = _STATUS.match(head)
         number = int(status[1]) if status else 0
         length = _LENGTH.search(head)
-        if self._without_body or number in _NO_BODY or 100 <= number < 200:
+        if self._without_body or number in NO_BODY_STATUSES or 100 <= number < 200:
             self.ended = True
         elif _CHUNKED.search(head):
             self._part = _Part.CHUNKS
--- a/brackenladder/gateway/open_answer.py
+++ b/brackenladder/gateway/open_answer.py
@@ -6,9 +6,10 @@
 from aiohttp.streams import StreamReader
 from multidict import CIMultiDict
 
-from brackenladder.gateway.connections import AnswerBroken, ServerConnection
 from brackenladder.gateway.events import EventParser
 from brackenladder.gateway.headers import answer_headers
+from brackenladder.gateway.server_connection import ServerConnection
+from brackenladder.gateway.server_protocol import AnswerBroken
 
 
 class OpenAnswer:
--- a/brackenladder/gateway/relay.py
+++ b/brackenladder/gateway/relay.py
@@ -8,11 +8,11 @@
 from aiohttp import web
 
 from brackenladder.gateway.calls import GatewayCall
-from brackenladder.gateway.connections import AnswerBroken
 from brackenladder.gateway.contracts import ClientExchange
 from brackenladder.gateway.events import EventTooLarge
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.resume import EventOrder, resume
+from brackenladder.gateway.server_protocol import AnswerBroken
 
 US_PER_S = 1e6
 US_PER_MS = 1000
--- /dev/null
+++ b/brackenladder/gateway/server_connection.py
@@ -0,0 +1,91 @@
+"""A connection to a server while it carries one request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from time import monotonic
+
+from aiohttp.connector import Connection
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from brackenladder.gateway.server_protocol import AnswerBroken, ServerProtocol
+
+
+class ServerConnection:
+    """A connection that carries one request; ends by `release` or `discard`."""
+
+    def __init__(self, connection: Connection, protocol: ServerProtocol, ended: Callable[[], None]) -> None:
+        """`ended` is called once, when the connection is in use no more."""
+        self.protocol = protocol
+        self._connection: Connection | None = connection
+        self._ended = ended
+        self._message: RawResponseMessage | None = None
+
+    @property
+    def idle_for(self) -> float:
+        """Seconds since its last answer ended; 0 for a new connection."""
+        since = self.protocol.idle_since
+        return monotonic() - since if since else 0.0
+
+    async def send_head_start(self, start: bytes, wait: float) -> bool:
+        """Write the start of a request's head; False if the connection is lost within `wait` seconds.
+
+        Failure prevented: the server has forgotten the idle connection, the whole request meets a reset,
+        and as it may have run it can't be sent elsewhere. A head without its end has not run.
+        """
+        transport = self.protocol.transport
+        if transport is None or transport.is_closing():
+            return False
+        transport.write(start)
+        return not await self.protocol.lost_within(wait)
+
+    def send(self, data: bytes, request_id: str, without_body: bool) -> bool:
+        """Write a request; False if the connection is lost, and nothing was written."""
+        transport = self.protocol.transport
+        if transport is None or transport.is_closing():
+            return False
+        self.protocol.begin(request_id, without_body)
+        transport.write(data)
+        return True
+
+    async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
+        """The answer's head and its body's reader; raises `AnswerBroken`."""
+        while True:
+            try:
+                message, payload = await self.protocol.read()
+            except AnswerBroken:
+                raise
+            except Exception as error:  # aiohttp raises many kinds, all for the same: no answer comes
+                raise AnswerBroken(repr(error)) from error
+            if message.code >= 200:
+                self._message = message
+                return message, payload
+
+    def release(self) -> None:
+        """The answer was read whole: the connection may carry another request."""
+        connection = self._take()
+        if connection is None:
+            return
+        if self._message is not None:
+            self.protocol.finish(self._message)
+            connection.release()
+        elif self.protocol.request_id is None:
+            connection.release()
+        else:
+            connection.close()
+
+    def discard(self) -> None:
+        """Break the connection off."""
+        connection = self._take()
+        if connection is None:
+            return
+        self.protocol.request_id = None
+        self.protocol.abort()
+        connection.close()
+
+    def _take(self) -> Connection | None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            self._ended()
+        return connection
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -14,19 +14,15 @@
 from brackenladder.delivery.view import SystemView
 from brackenladder.gateway.answers import WholeAnswer
 from brackenladder.gateway.calls import GatewayCall
-from brackenladder.gateway.connections import (
-    NO_BODY_STATUSES,
-    AnswerBroken,
-    ConnectFailed,
-    ServerConnection,
-    ServerConnections,
-    TooManyConnections,
-)
+from brackenladder.gateway.connections import ConnectFailed, ServerConnections, TooManyConnections
 from brackenladder.gateway.contracts import AttemptEnd
 from brackenladder.gateway.events import EventTooLarge
+from brackenladder.gateway.framing import NO_BODY_STATUSES
 from brackenladder.gateway.headers import CONTENT_LENGTH, CONTENT_TYPE, answer_headers
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import outcome_of
+from brackenladder.gateway.server_connection import ServerConnection
+from brackenladder.gateway.server_protocol import AnswerBroken
 from brackenladder.interface import Outcome
 from brackenladder.invariants import VIOLATIONS, Invariant
 from brackenladder.registry.records import ServerRecord, ServerState
@@ -208,10 +204,10 @@
         left = (self.call.server_deadline - self.upstream.now()) // 1000
         data = exchange.compose(self.record.id, max(1, left), self.call.last_event_id)
         started = 0
-        wait = self.upstream.connections.check_seconds(connection, self.record.address)
+        wait = self.upstream.connections.stale_check_seconds(connection, self.record.address)
         if wait:
             started = data.index(END_OF_HEAD) + len(END_OF_LINE)
-            if not await connection.takes(data[:started], wait):
+            if not await connection.send_head_start(data[:started], wait):
                 connection, started = await self._open_another(connection), 0
             if not self._may_write():
                 return AttemptEnd(Outcome.NOT_SENT)
@@ -232,7 +228,7 @@
         self._connection = None
         lost.discard()
         self.upstream.log("connection forgotten", self.record.address)
-        self.upstream.connections.forgotten(self.record.address)
+        self.upstream.connections.found_stale(self.record.address)
         return await self._open()
 
     def _may_write(self) -> bool:
--- a/tests/gateway/test_gateway_forgotten.py
+++ b/tests/gateway/test_gateway_forgotten.py
@@ -1,23 +1,27 @@
-"""Resting connections that a server has forgotten: nothing that reached no server is lost on them."""
+"""Idle connections that a server has forgotten: nothing that reached no server is lost on them."""
 
 from __future__ import annotations
 
 import asyncio
+import unittest
 from unittest import mock
 
 from gateway_loopback import GatewayTest, Received, answer, post, serve_ok
 
-from brackenladder.gateway import connections
-from brackenladder.gateway.connections import (
-    CHECK_LEAST_SECONDS,
-    CHECK_MOST_SECONDS,
-    FORGOTTEN_SECONDS,
-    LONG_WAY_SECONDS,
-    ServerConnection,
-    ServerConnections,
+from brackenladder.gateway import stale_check
+from brackenladder.gateway.connections import ServerConnections
+from brackenladder.gateway.server_connection import ServerConnection
+from brackenladder.gateway.stale_check import (
+    LEAST_WAIT_SECONDS,
+    LONG_ROUND_TRIP_SECONDS,
+    MOST_WAIT_SECONDS,
+    SUSPICION_SECONDS,
+    StaleCheck,
 )
 
 LONG_CHECK = 5.0  # seconds; a reset comes long before
+IDLE = 1.0  # seconds
+NOW = 100.0  # seconds of the monotonic clock
 
 
 async def forget(request: Received) -> None:
@@ -28,17 +32,17 @@
 
 
 class CheckedTest(GatewayTest):
-    """Every resting connection is checked."""
+    """Every idle connection is checked."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.set("RESTED_SECONDS", 0.0)
-        self.set("CHECK_LEAST_SECONDS", LONG_CHECK)
-        self.set("CHECK_MOST_SECONDS", LONG_CHECK)
-        self.set("LONG_WAY_SECONDS", LONG_CHECK)
+        self.set("IDLE_SECONDS", 0.0)
+        self.set("LEAST_WAIT_SECONDS", LONG_CHECK)
+        self.set("MOST_WAIT_SECONDS", LONG_CHECK)
+        self.set("LONG_ROUND_TRIP_SECONDS", LONG_CHECK)
 
     def set(self, name: str, value: float) -> None:
-        patch = mock.patch.object(connections, name, value)
+        patch = mock.patch.object(stale_check, name, value)
         patch.start()
         self.addCleanup(patch.stop)
 
@@ -69,7 +73,7 @@
         self.assertEqual(self.script.requests[-1].connection, 3)
 
     async def test_a_connection_that_is_kept_gets_the_whole_request(self) -> None:
-        self.set("CHECK_LEAST_SECONDS", 0.001)
+        self.set("LEAST_WAIT_SECONDS", 0.001)
         client = await self.client()
         for number in range(3):
             body = b"body %d" % number
@@ -96,26 +100,47 @@
         self.assertNotIn(first, [request.server for request in self.script.requests[1:]])
 
 
-class When(GatewayTest):
-    async def test_only_a_rested_connection_over_a_short_way_is_checked(self) -> None:
+class When(unittest.TestCase):
+    def setUp(self) -> None:
+        self.check = StaleCheck()
+
+    def test_only_an_idle_connection_over_a_short_way_is_checked(self) -> None:
+        self.assertEqual(self.check.wait_seconds("near", 0.0, NOW), 0.0)
+        self.assertEqual(self.check.wait_seconds("near", IDLE, NOW), LEAST_WAIT_SECONDS)
+        self.check.connected("near", LONG_ROUND_TRIP_SECONDS)  # of which most was spent in this process
+        self.assertEqual(self.check.wait_seconds("near", IDLE, NOW), MOST_WAIT_SECONDS)
+
+    def test_a_long_way_is_checked_after_one_was_forgotten(self) -> None:
+        self.check.connected("far", 0.07)
+        self.assertEqual(self.check.wait_seconds("far", IDLE, NOW), 0.0)
+        self.check.found_stale(NOW)
+        self.assertGreater(self.check.wait_seconds("far", IDLE, NOW), 0.07)
+        self.assertEqual(self.check.wait_seconds("far", IDLE, NOW + SUSPICION_SECONDS + 1), 0.0)
+
+    def test_the_quickest_connect_counts_until_the_server_is_gone(self) -> None:
+        for took in (0.004, 0.003, 0.02):
+            self.check.connected("near", took)
+        self.assertEqual(self.check.wait_seconds("near", IDLE, NOW), 0.006)
+        self.check.forget("near")
+        self.assertEqual(self.check.wait_seconds("near", IDLE, NOW), LEAST_WAIT_SECONDS)
+
+
+class Asked(GatewayTest):
+    async def test_by_the_time_that_the_connection_was_idle(self) -> None:
         kept = ServerConnections(asyncio.get_running_loop())
         connection = mock.create_autospec(ServerConnection, instance=True)
-        connection.rested = 0.0
-        self.assertEqual(kept.check_seconds(connection, "near"), 0.0)
-        connection.rested = 1.0
-        self.assertEqual(kept.check_seconds(connection, "near"), CHECK_LEAST_SECONDS)
-        kept._round_trips["near"] = LONG_WAY_SECONDS  # of which most was spent in this process
-        self.assertEqual(kept.check_seconds(connection, "near"), CHECK_MOST_SECONDS)
+        connection.idle_for = 0.0
+        self.assertEqual(kept.stale_check_seconds(connection, "near"), 0.0)
+        connection.idle_for = IDLE
+        self.assertEqual(kept.stale_check_seconds(connection, "near"), LEAST_WAIT_SECONDS)
         await kept.close()
 
-    async def test_a_long_way_is_checked_after_one_was_forgotten(self) -> None:
+    async def test_by_what_was_found_stale_elsewhere(self) -> None:
         kept = ServerConnections(asyncio.get_running_loop())
-        kept._round_trips["far"] = 0.07
+        kept._stale_check.connected("far", 0.07)
         connection = mock.create_autospec(ServerConnection, instance=True)
-        connection.rested = 1.0
-        self.assertEqual(kept.check_seconds(connection, "far"), 0.0)
-        kept.forgotten("near")
-        self.assertGreater(kept.check_seconds(connection, "far"), 0.07)
-        kept._forgotten_at -= FORGOTTEN_SECONDS + 1
-        self.assertEqual(kept.check_seconds(connection, "far"), 0.0)
+        connection.idle_for = IDLE
+        self.assertEqual(kept.stale_check_seconds(connection, "far"), 0.0)
+        kept.found_stale("near")
+        self.assertGreater(kept.stale_check_seconds(connection, "far"), 0.07)
         await kept.close()
--- a/tests/gateway/test_gateway_parts.py
+++ b/tests/gateway/test_gateway_parts.py
@@ -9,7 +9,6 @@
 
 from brackenladder.core.call import Failure
 from brackenladder.gateway.answers import Failed, Refused, unserved_answer
-from brackenladder.gateway.connections import IDLE_UNTOLD_SECONDS, idle_seconds
 from brackenladder.gateway.events import LARGEST_EVENT, EventParser, EventTooLarge
 from brackenladder.gateway.exchange import origin_form
 from brackenladder.gateway.framing import AnswerFraming
@@ -17,6 +16,7 @@
 from brackenladder.gateway.hints import read_deadline_ms, read_prompt_parts
 from brackenladder.gateway.outcomes import outcome_of
 from brackenladder.gateway.resume import EventOrder
+from brackenladder.gateway.server_protocol import DEFAULT_IDLE_SECONDS, idle_limit_seconds
 from brackenladder.gateway.upstream import connection_part
 from brackenladder.interface import Outcome
 
@@ -131,10 +131,10 @@
             self.assertEqual(origin_form(target), path)
 
     def test_idle_time_of_a_server(self) -> None:
-        self.assertAlmostEqual(idle_seconds("timeout=5, max=10"), 4.3)
-        self.assertAlmostEqual(idle_seconds("timeout=1"), 0.3)
-        self.assertEqual(idle_seconds(None), IDLE_UNTOLD_SECONDS)
-        self.assertEqual(idle_seconds("timeout=x"), IDLE_UNTOLD_SECONDS)
+        self.assertAlmostEqual(idle_limit_seconds("timeout=5, max=10"), 4.3)
+        self.assertAlmostEqual(idle_limit_seconds("timeout=1"), 0.3)
+        self.assertEqual(idle_limit_seconds(None), DEFAULT_IDLE_SECONDS)
+        self.assertEqual(idle_limit_seconds("timeout=x"), DEFAULT_IDLE_SECONDS)
 
 
 class Statuses(unittest.TestCase):
