Control node: membership, restart recovery and status in modules of their own

Cause: control_node.py (366 lines) mixed the wiring of its parts with whom it dials, how it joins, what it remembers over a restart and what it tells operators; "voters_to_bear" needed explaining. Change: membership.py (dialling, joining, members), restart_recovery.py (cache, gate and who is told), node_status.py, surroundings.py; control_node.py, 211 lines, ties them together. max_voters in place of voters_to_bear. The order of effects is kept: what a peer's hello sets off goes out in the same order as before.

--- /dev/null
+++ b/brackenladder/control_plane/membership.py
@@ -0,0 +1,135 @@
+"""A control node's place among the others: whom it dials, whom it asks to join, who the members are."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import logbook
+
+from brackenladder.consensus.members import all_members
+from brackenladder.consensus.messages import JoinRequest
+from brackenladder.consensus.planning import LEAST_VOTERS
+from brackenladder.consensus.types import Member, Members
+from brackenladder.control_plane.consensus_host import ConsensusHost
+from brackenladder.control_plane.messages import Hello
+from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.control_plane.soft_state import SoftState
+
+JOIN_INTERVAL = 300_000  # microseconds between two requests to join
+DIAL_INTERVAL = 5_000_000  # microseconds between two looks at who is to be dialled, without an event
+UNHEARD_LEADER = 2_000_000  # microseconds without a leader after which a member asks to join again
+NEIGHBOUR_LIFETIME = 20_000_000  # microseconds after which an address that only others told of is forgotten
+
+log = logbook.Logger("control")
+
+
+def max_voters(losses: int) -> int:
+    """The number of voters of which so many can be lost at a time.
+
+    More voters than that bear no more, and their number never falls: after machines that were replaced before
+    their silence was noticed, voters that are gone for good would be left in the majority.
+    """
+    return max(LEAST_VOTERS, 2 * losses + 1)
+
+
+class Membership:
+    """Keeps a node linked to the others and, as long as it is none of them, asks to join."""
+
+    def __init__(
+        self,
+        member: Member,
+        host: ConsensusHost,
+        peers: PeerLinks,
+        soft_state: SoftState,
+        clock: Callable[[], int],
+        seeds: tuple[str, ...],
+    ) -> None:
+        """`member` is this node; `seeds` are the inner addresses that its settings name."""
+        self._member = member
+        self._host = host
+        self._peers = peers
+        self._soft_state = soft_state
+        self._clock = clock
+        self._seeds = seeds
+        self._members = Members()  # as last seen
+        self._neighbours: dict[str, int] = {}  # told by peers: address -> when it was last told
+        self._join_due = 0
+        self._dial_due = 0
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes the seeds of changed settings."""
+        self._seeds = seeds
+        self.dial()
+
+    def peer_connected(self, peer: Hello) -> None:
+        """A peer has told its address and whom it is connected to; `dial` is to be called next."""
+        now = self._clock()
+        for address in (peer.address, *peer.neighbours):
+            self._neighbours[address] = now
+        self._join_due = 0
+
+    def tick(self) -> None:
+        """Follows changes of the members, asks to join and dials, as far as it is due."""
+        self._follow_members()
+        self._join_if_due()
+        if self._clock() >= self._dial_due:
+            self.dial()
+
+    def dial(self) -> None:
+        """Dials the seeds, the members and, for a while, whoever a peer is connected to."""
+        now = self._clock()
+        self._dial_due = now + DIAL_INTERVAL
+        oldest = now - NEIGHBOUR_LIFETIME
+        connected = set(self._peers.connected_addresses())
+        self._neighbours = {
+            address: told
+            for address, told in self._neighbours.items()
+            if told >= oldest or address in connected
+        }
+        members = (member.address for member in all_members(self._members))
+        self._peers.keep((*self._seeds, *members, *self._neighbours))
+
+    def join_requested(self, request: JoinRequest) -> None:
+        """Another node asks to join: the leader decides, any other node passes it on once."""
+        if self._host.leads:
+            self._host.join(request.member)
+            return
+        leader = self._host.leader
+        if leader is not None and not request.forwarded:
+            self._peers.send(leader.replica_id, JoinRequest(request.member, forwarded=1))
+
+    def _follow_members(self) -> None:
+        members = self._host.replica.members
+        if members == self._members:
+            return
+        self._members = members
+        log.info(
+            "voters {}, outgoing {}, learners {}",
+            _ids(members.voters),
+            _ids(members.outgoing),
+            _ids(members.learners),
+        )
+        self._publish_addresses(members)
+        self.dial()
+
+    def _publish_addresses(self, members: Members) -> None:
+        zones = {member.address: member.zone for member in all_members(members)}
+        addresses = tuple(sorted(zones))
+        # members of a later entry are always first seen at a higher last index, on whichever node
+        told_zones = tuple(zones[address] for address in addresses)
+        self._soft_state.control_nodes_changed(self._host.replica.last_index, addresses, told_zones)
+
+    def _join_if_due(self) -> None:
+        """Asks all peers to be taken in while no leader counts this replica among the members."""
+        now = self._clock()
+        if now < self._join_due or self._host.leads:
+            return
+        self._join_due = now + JOIN_INTERVAL
+        members = all_members(self._host.replica.members)
+        is_member = any(member.replica_id == self._member.replica_id for member in members)
+        if not is_member or self._host.contact_age() > UNHEARD_LEADER:
+            self._peers.broadcast(JoinRequest(self._member))
+
+
+def _ids(members: tuple[Member, ...]) -> str:
+    return ", ".join(member.replica_id for member in members) or "none"
--- /dev/null
+++ b/brackenladder/control_plane/node_status.py
@@ -0,0 +1,37 @@
+"""A control node's view of itself and of the system, gathered from its parts for operators."""
+
+from __future__ import annotations
+
+from brackenladder.consensus.types import Member
+from brackenladder.control_plane.consensus_host import ConsensusHost
+from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.control_plane.soft_state import SoftState
+from brackenladder.control_plane.status import ControlStatus, age_ms, member_statuses
+
+
+def node_status(
+    member: Member, host: ConsensusHost, peers: PeerLinks, soft_state: SoftState
+) -> ControlStatus:
+    """The status of the node that is this member."""
+    replica, leader, catalog = host.replica, host.leader, host.catalog
+    places = {peer.replica_id: (peer.zone, peer.region) for peer, _ in peers.peers()}
+    places[member.replica_id] = (member.zone, member.region)
+    return ControlStatus(
+        node=member_statuses((member,), places)[0],
+        role=replica.role.name.lower(),
+        term=replica.term,
+        leader=None if leader is None else member_statuses((leader,), places)[0],
+        contact_age_ms=age_ms(host.contact_age()),
+        in_touch=soft_state.in_touch,
+        voters=member_statuses(replica.members.voters, places),
+        outgoing=member_statuses(replica.members.outgoing, places),
+        learners=member_statuses(replica.members.learners, places),
+        last_index=replica.last_index,
+        commit_index=replica.commit_index,
+        applied_index=host.applied_index,
+        revision=catalog.revision,
+        configuration_version=catalog.configuration.version if catalog.configuration else 0,
+        evacuated_zones=tuple(sorted(catalog.evacuated)),
+        services=soft_state.services(),
+        gateways=soft_state.gateways(),
+    )
--- /dev/null
+++ b/brackenladder/control_plane/restart_recovery.py
@@ -0,0 +1,97 @@
+"""What a control node remembers over its restart: written while it runs, told once it may be."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import logbook
+
+from brackenladder.control_plane.consensus_host import ConsensusHost
+from brackenladder.control_plane.restart_cache import RememberedCatalog, RestartCache
+from brackenladder.control_plane.restart_gate import RestartGate
+from brackenladder.control_plane.soft_state import SoftState
+from brackenladder.control_plane.surroundings import Surroundings
+from brackenladder.prefix_cache.messages import PrefixNotice
+from brackenladder.registry.records import ServerRecord
+
+log = logbook.Logger("control")
+
+
+class RestartRecovery:
+    """Joins the restart cache, the gate of its catalog and those who are told; a `RestartListener`."""
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        host: ConsensusHost,
+        soft_state: SoftState,
+        clock: Callable[[], int],
+        replica_id: str,
+        newest_order: Callable[[], int],
+        local_servers: Callable[[], tuple[ServerRecord, ...]],
+    ) -> None:
+        """`newest_order` is that of this node's log; `local_servers` are the living ones of its region."""
+        self._host = host
+        self._soft_state = soft_state
+        self._replica_id = replica_id
+        self._newest_order = newest_order
+        self._local_servers = local_servers
+        self._gate = RestartGate()
+        self._remembered: RememberedCatalog | None = None  # until it is confirmed
+        self._cache = RestartCache(
+            surroundings.restart_file, surroundings.health_checks, replica_id, clock, self
+        )
+
+    def start(self) -> None:
+        """Begins to read what was written before the restart."""
+        self._cache.start()
+
+    def close(self) -> None:
+        """Ends at once."""
+        self._cache.close()
+
+    def tick(self) -> None:
+        """Writes what has changed, if it is time."""
+        if self._cache.due:
+            self.write()
+
+    def peer_told(self, replica_id: str, newest_order: int) -> None:
+        """A peer's log holds orders up to this index."""
+        self._gate.told(replica_id, newest_order)
+        self._publish_if_confirmed()
+
+    def write(self) -> None:
+        """Writes what is of use after a restart; there is nothing before the first configuration."""
+        catalog = self._host.catalog
+        if catalog.configuration is None:
+            return
+        remembered = RememberedCatalog(catalog.revision, catalog.document, tuple(sorted(catalog.evacuated)))
+        paths = {service.name: service.health_path for service in catalog.configuration.services}
+        self._cache.note(remembered, self._local_servers(), paths, self._soft_state.prefixes)
+
+    # -- RestartListener
+
+    def catalog_remembered(self, catalog: RememberedCatalog) -> None:
+        """See `restart_cache.RestartListener`."""
+        self._remembered = catalog
+        self._gate.told(self._replica_id, self._newest_order())
+        self._publish_if_confirmed()
+
+    def prefixes_remembered(self, notices: tuple[PrefixNotice, ...]) -> None:
+        """See `restart_cache.RestartListener`."""
+        self._soft_state.prefixes_remembered(notices)
+
+    def server_found(self, record: ServerRecord) -> None:
+        """See `restart_cache.RestartListener`."""
+        self._soft_state.heartbeat(record)
+
+    def _publish_if_confirmed(self) -> None:
+        """Tells gateways what was committed before the restart, as soon as a majority confirms it."""
+        remembered = self._remembered
+        if remembered is None:
+            return
+        if not self._gate.confirms(self._host.replica.members, remembered.revision):
+            return
+        self._remembered = None
+        log.info("catalog {} of before the restart is confirmed", remembered.revision)
+        self._soft_state.catalog_confirmed(remembered)
--- a/brackenladder/simulation/machines.py
+++ b/brackenladder/simulation/machines.py
@@ -10,12 +10,9 @@
 from brackenladder.consensus.members import genesis_replica_id
 from brackenladder.consensus.timing import Timing
 from brackenladder.consensus.types import Members
-from brackenladder.control_plane.control_node import (
-    ControlNode,
-    ReplicaStart,
-    Surroundings,
-)
+from brackenladder.control_plane.control_node import ControlNode, ReplicaStart
 from brackenladder.control_plane.http_server import Handler
+from brackenladder.control_plane.surroundings import Surroundings
 from brackenladder.control_plane.wire import control_codec, gateway_codec
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
--- a/brackenladder/simulation/mutants.py
+++ b/brackenladder/simulation/mutants.py
@@ -202,7 +202,7 @@
 
 
 def _voters_added_for_ever() -> AbstractContextManager[None]:
-    return _replaced(control_node_module, voters_to_bear=lambda losses: MOST_VOTERS)
+    return _replaced(control_node_module, max_voters=lambda losses: MOST_VOTERS)
 
 
 # -- snapshots and delivery
--- a/tests/control_plane/test_contact_first.py
+++ b/tests/control_plane/test_contact_first.py
@@ -9,7 +9,7 @@
 from returns.result import Success
 
 from brackenladder.catalog.orders import BeginEvacuation, FinishEvacuation, encode_order
-from brackenladder.control_plane.control_node import voters_to_bear
+from brackenladder.control_plane.membership import max_voters
 from brackenladder.control_plane.messages import OrderOutcome
 from brackenladder.simulation.machines import ControlMachine
 from brackenladder.simulation.operators import Habits
@@ -107,4 +107,4 @@
 
 class VotersTest(TestCase):
     def test_as_many_as_bear_the_losses_and_no_fewer_than_three(self) -> None:
-        self.assertEqual([voters_to_bear(losses) for losses in range(5)], [3, 3, 5, 7, 9])
+        self.assertEqual([max_voters(losses) for losses in range(5)], [3, 3, 5, 7, 9])
--- a/tests/control_plane/test_restart_cache.py
+++ b/tests/control_plane/test_restart_cache.py
@@ -62,7 +62,7 @@
     def remembered(self, number: int) -> bool:
         """Whether a node has both written; node 0 is in the server's region."""
         node = self.cluster.node(number)
-        cache = node._restart_cache
+        cache = node.recovery._cache
         written = cache._written_revision == node.catalog.revision > 0 and cache._memory._written
         return bool(written) and cache._writing is not None and cache._writing.done()
 
@@ -108,7 +108,7 @@
     async def test_a_node_that_restarts_without_a_majority_hands_out_no_catalog(self) -> None:
         subscriber = await self.restart(1)
         node = self.cluster.node(0)
-        await self.cluster.until(lambda: node._remembered is not None)
+        await self.cluster.until(lambda: node.recovery._remembered is not None)
         await self.cluster.until(lambda: SERVER in subscriber.view.servers)  # told later than a catalog
         self.assertIsNone(subscriber.view.configuration)
         await self.cluster.start(1)
@@ -125,18 +125,20 @@
             for number in range(2):
                 await self.cluster.start(number)
             older, other = self.cluster.node(0), self.cluster.node(1)
-            older.catalog_remembered(RememberedCatalog(1, b"", ()))  # as if it had been written before
-            await self.cluster.until(lambda: len(older._restart_gate._newest_orders) == 2)
-            self.assertIsNotNone(older._remembered)
+            older.recovery.catalog_remembered(
+                RememberedCatalog(1, b"", ())
+            )  # as if it had been written before
+            await self.cluster.until(lambda: len(older.recovery._gate._newest_orders) == 2)
+            self.assertIsNotNone(older.recovery._remembered)
             self.assertGreater(other._newest_order(), 1)
 
     async def test_the_prefixes_that_servers_keep_are_told_before_anything_else(self) -> None:
         notice = PrefixNotice(7, (1, 2), (2_000, 3_000))
         node = self.cluster.node(0)
         node.soft_state.prefixes_remembered((notice,))
-        cache = node._restart_cache
+        cache = node.recovery._cache
         cache._written_at -= PREFIX_INTERVAL
-        node._remember()
+        node.recovery.write()
         assert cache._writing is not None
         await cache._writing
         await self.restart(1)
@@ -156,7 +158,7 @@
             with self.subTest(status=status, headers=headers):
                 self.server.status, self.server.headers, self.server.asked = status, headers, 0
                 subscriber = await self.restart(1)
-                recalling = self.cluster.node(0)._restart_cache._recalling
+                recalling = self.cluster.node(0).recovery._cache._recalling
                 assert recalling is not None
                 await recalling
                 self.assertEqual((self.server.asked, dict(subscriber.view.servers)), (1, {}))
@@ -164,7 +166,7 @@
                     await self.cluster.start(number)
 
     async def test_a_file_that_was_left_beside_a_new_log_is_passed_over(self) -> None:
-        path = self.cluster.node(0)._restart_cache._file._path
+        path = self.cluster.node(0).recovery._cache._file._path
         with open(path, "rb") as file:
             left = file.read()
         await self.cluster.crash(0)
@@ -173,13 +175,13 @@
         with open(path, "wb") as file:
             file.write(left)
         await self.cluster.start(0)
-        recalling = self.cluster.node(0)._restart_cache._recalling
+        recalling = self.cluster.node(0).recovery._cache._recalling
         assert recalling is not None
         await recalling
         self.assertEqual(self.server.asked, 0)
 
     async def test_a_damaged_file_is_passed_over(self) -> None:
-        path = self.cluster.node(0)._restart_cache._file._path
+        path = self.cluster.node(0).recovery._cache._file._path
         for number in range(3):
             await self.cluster.crash(number)
         with open(path, "r+b") as file:
