--- a/brackenladder/simulation/campaign.py
+++ b/brackenladder/simulation/campaign.py
@@ -11,7 +11,8 @@
 
 from attrs import define, field, frozen
 
-from brackenladder.simulation.mutants import MUTANTS, Mutant
+from brackenladder.simulation.mutants.known import MUTANTS
+from brackenladder.simulation.mutants.mutant import Mutant
 from brackenladder.simulation.profiles import PROFILES
 from brackenladder.simulation.run import RunResult, run
 
--- /dev/null
+++ b/brackenladder/simulation/mutants/contact.py
@@ -0,0 +1,59 @@
+"""Planted faults in what a node says without a majority behind it."""
+
+from __future__ import annotations
+
+from brackenladder.consensus.replica import Replica
+from brackenladder.control_plane.restart_gate import RestartGate
+from brackenladder.control_plane.soft_state import SoftState
+from brackenladder.simulation.mutants.mutant import Fault, Mutant, replaced
+
+
+def _acknowledged_alone() -> Fault:
+    return replaced(SoftState, _in_touch=lambda self: True)
+
+
+def _catalog_told_alone() -> Fault:
+    return replaced(SoftState, _tells_catalog=lambda self, now: True)
+
+
+def _remembered_told_alone() -> Fault:
+    return replaced(RestartGate, confirms=lambda self, members, revision: True)
+
+
+def _contact_when_read() -> Fault:
+    def note(self: Replica, message: object) -> None:
+        self._contact_at = self._now
+
+    return replaced(Replica, _note_contact=note)
+
+
+CONTACT_MUTANTS = (
+    Mutant(
+        name="acknowledged-alone",
+        about="servers are acknowledged without contact with a majority",
+        profile="isolation",
+        rules=frozenset({"ack-alone"}),
+        plant=_acknowledged_alone,
+    ),
+    Mutant(
+        name="catalog-alone",
+        about="a node without contact tells its catalog to gateways that start",
+        profile="isolation",
+        rules=frozenset({"catalog-alone"}),
+        plant=_catalog_told_alone,
+    ),
+    Mutant(
+        name="remembered-alone",
+        about="a remembered catalog is told before a majority confirms it",
+        profile="isolation",
+        rules=frozenset({"catalog-alone"}),
+        plant=_remembered_told_alone,
+    ),
+    Mutant(
+        name="contact-when-read",
+        about="a leader's word counts as contact from when it is read",
+        profile="isolation",
+        rules=frozenset({"ack-alone", "catalog-alone"}),
+        plant=_contact_when_read,
+    ),
+)
--- /dev/null
+++ b/brackenladder/simulation/mutants/snapshots.py
@@ -0,0 +1,63 @@
+"""Planted faults in snapshots and in what gateways take."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from brackenladder.consensus.command_parts import CommandAssembler
+from brackenladder.consensus.leadership import Leadership
+from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.simulation.mutants.mutant import LOST_ORDER_RULES, Fault, Mutant, replaced
+
+
+def _transfer_begun_anew() -> Fault:
+    send_chunks = Leadership._send_chunks
+
+    def restless(self: Leadership, now: int, replica_id: str, transfer: Any) -> None:
+        snapshot = self._core.log.snapshot
+        if snapshot is not None and snapshot.index > transfer.snapshot.index:
+            self._begin_snapshot(now, self._progress[replica_id])
+            transfer = self._progress[replica_id].transfer
+        send_chunks(self, now, replica_id, transfer)
+
+    return replaced(Leadership, _send_chunks=restless, oldest_transfer=lambda self: None)
+
+
+def _snapshot_within_a_command() -> Fault:
+    return replaced(CommandAssembler, between_commands=True)
+
+
+def _older_revision_taken() -> Fault:
+    catalog = Subscriber._catalog
+
+    def forgetful(self: Subscriber, now: int, source: Any, message: Any) -> Any:
+        if message.revision < self.view.revision and message.document:
+            self.view.revision = self._reader._revision = 0
+        return catalog(self, now, source, message)
+
+    return replaced(Subscriber, _catalog=forgetful)
+
+
+SNAPSHOTS_MUTANTS = (
+    Mutant(
+        name="transfer-begun-anew",
+        about="each new snapshot begins the transfer of the last one anew",
+        profile="snapshots",
+        rules=frozenset({"behind", "no-recovery"}),
+        plant=_transfer_begun_anew,
+    ),
+    Mutant(
+        name="snapshot-within-command",
+        about="a snapshot is taken between the parts of a large order",
+        profile="large",
+        rules=LOST_ORDER_RULES | {"no-recovery", "behind"},
+        plant=_snapshot_within_a_command,
+    ),
+    Mutant(
+        name="older-revision",
+        about="a gateway takes an older catalog after a new link",
+        profile="isolation",
+        rules=frozenset({"gateway-back", "config-late"}),
+        plant=_older_revision_taken,
+    ),
+)
--- a/brackenladder/system/simulate_command.py
+++ b/brackenladder/system/simulate_command.py
@@ -10,7 +10,7 @@
 import typer
 
 from brackenladder.simulation.campaign import Schedule, Summary, campaign, convict_all, schedules, shrink
-from brackenladder.simulation.mutants import MUTANTS
+from brackenladder.simulation.mutants.known import MUTANTS
 from brackenladder.simulation.profiles import PROFILES
 from brackenladder.simulation.run import RunResult, run
 from brackenladder.system.errors import ExitCode, Unusable
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -7,7 +7,7 @@
 from unittest import TestCase
 
 from brackenladder.simulation.campaign import Schedule, convict, shrink
-from brackenladder.simulation.mutants import MUTANTS
+from brackenladder.simulation.mutants.known import MUTANTS
 from brackenladder.simulation.profiles import PROFILES
 from brackenladder.simulation.run import run
 from brackenladder.system.app import main
