Simulation: the world no longer holds its checks

Cause: world.py (330 lines) held the machines and actors of a run, what a run consists of, what is checked while it goes on and one check of its end. Behaviour unchanged: random draws and events come in the same order.

--- a/brackenladder/simulation/checks.py
+++ b/brackenladder/simulation/checks.py
@@ -1,4 +1,4 @@
-"""What must hold of a history: orders and reads are linearizable, and nobody speaks for long alone."""
+"""What must hold of a history: orders and reads are linearizable."""
 
 from __future__ import annotations
 
--- a/brackenladder/simulation/faults.py
+++ b/brackenladder/simulation/faults.py
@@ -7,7 +7,8 @@
 from collections.abc import Iterable
 
 from brackenladder.simulation.machines import ControlMachine, GatewayMachine
-from brackenladder.simulation.world import SECOND, World
+from brackenladder.simulation.scenario import SECOND
+from brackenladder.simulation.world import World
 
 
 class Faults:
--- a/brackenladder/simulation/machines.py
+++ b/brackenladder/simulation/machines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from attrs import frozen
@@ -324,3 +324,13 @@
 
 def _ignore_notices(_notices: PrefixNotices) -> None:
     """Prefix notices are hints about prompts, which no actor sends."""
+
+
+def leading_machine(machines: Iterable[ControlMachine]) -> ControlMachine | None:
+    """The running machine that leads in the highest term, if any takes itself for the leader."""
+    leading = [one for one in machines if one.runs and one.node is not None and one.node.host.leads]
+    return max(leading, key=_term, default=None)
+
+
+def _term(machine: ControlMachine) -> int:
+    return 0 if machine.node is None else machine.node.host.replica.term
--- a/brackenladder/simulation/profiles.py
+++ b/brackenladder/simulation/profiles.py
@@ -12,6 +12,7 @@
 from brackenladder.simulation.faults import Faults
 from brackenladder.simulation.machines import ControlMachine, Site
 from brackenladder.simulation.operators import Habits
+from brackenladder.simulation.scenario import Scenario
 from brackenladder.simulation.servers import Lives
 from brackenladder.simulation.strikes import (
     Strike,
@@ -36,7 +37,6 @@
     squeeze,
     trouble_disk,
 )
-from brackenladder.simulation.world import Scenario
 
 
 @frozen
--- a/brackenladder/simulation/run.py
+++ b/brackenladder/simulation/run.py
@@ -11,13 +11,15 @@
 from attrs import frozen
 
 from brackenladder.simulation.checks import check_evacuations, check_history
+from brackenladder.simulation.contact_checks import check_contact
 from brackenladder.simulation.errors import SimulationError, Violation
 from brackenladder.simulation.faults import Faults
 from brackenladder.simulation.machines import ControlMachine, GatewayMachine
 from brackenladder.simulation.profiles import Profile, trouble
+from brackenladder.simulation.scenario import SECOND
 from brackenladder.simulation.trace import TraceHandler
 from brackenladder.simulation.virtual_loop import VirtualEventLoop
-from brackenladder.simulation.world import SECOND, World
+from brackenladder.simulation.world import World
 
 START_SECONDS = 3.0  # from the first boot until operators begin
 LOOK_SECONDS = 0.2
@@ -95,7 +97,7 @@
     await _settle(world)
     check_history(world.history)
     check_evacuations(world.history, world.gateways[0].subscriber.view.evacuated)
-    world.check_alone()
+    check_contact(world.history, world.isolation, world.machines)
 
 
 async def _watched(world: World, work: Awaitable[int]) -> int:
--- /dev/null
+++ b/brackenladder/simulation/scenario.py
@@ -0,0 +1,39 @@
+"""What a simulated run consists of, and what it has brought about."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from attrs import define, field, frozen
+
+from brackenladder.simulation.machines import Site
+from brackenladder.simulation.operators import Habits
+from brackenladder.simulation.servers import Lives
+from brackenladder.simulation.virtual_loop import MICROSECONDS
+
+SECOND = MICROSECONDS
+
+
+@frozen
+class Scenario:
+    """What a run consists of, beside its faults. Times are seconds."""
+
+    site: Site = Site()
+    habits: Habits = Habits()
+    lives: Lives = Lives()
+    operators: int = 2
+    servers: int = 2
+    trouble: float = 40.0  # for which faults come
+    catch_up: float = 4.0  # from the end of a machine's trouble until it counts again
+    calm: float = 0.0  # after the faults, while operators go on
+    settle: float = 30.0  # longest time until all is well again
+
+
+@define
+class Coverage:
+    """What a run has brought about."""
+
+    faults: Counter[str] = field(factory=Counter)
+    meetings: Counter[str] = field(factory=Counter)  # a kind of fault and the role that it met
+    strikes: int = 0
+    terms: set[int] = field(factory=set)
--- a/brackenladder/simulation/world.py
+++ b/brackenladder/simulation/world.py
@@ -1,66 +1,31 @@
-"""One simulated system: its machines, its actors, its faults and what is checked while it runs."""
+"""One simulated system: its machines, its actors and when it was disturbed."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, deque
 from random import Random
 
 import logbook
-from attrs import define, field, frozen
 
 from brackenladder.consensus.members import genesis_replica_id
 from brackenladder.consensus.types import Member, Members
 from brackenladder.control_plane.wire import control_codec
-from brackenladder.registry.records import ServerState
-from brackenladder.simulation.errors import Violation
-from brackenladder.simulation.history import History, ServerAck
+from brackenladder.simulation.history import History
 from brackenladder.simulation.isolation import Isolation
-from brackenladder.simulation.machines import ControlMachine, GatewayMachine, Site, ViewSeen
+from brackenladder.simulation.live_checks import CONTACT_TIME, LiveChecks
+from brackenladder.simulation.machines import ControlMachine, GatewayMachine, leading_machine
 from brackenladder.simulation.network import SimulatedNetwork
-from brackenladder.simulation.operators import Habits, Operator
-from brackenladder.simulation.servers import Lives, Server
-from brackenladder.simulation.virtual_loop import MICROSECONDS, VirtualEventLoop
+from brackenladder.simulation.operators import Operator
+from brackenladder.simulation.scenario import SECOND, Coverage, Scenario
+from brackenladder.simulation.servers import Server
+from brackenladder.simulation.virtual_loop import VirtualEventLoop
 
-SECOND = MICROSECONDS
-CONTACT_TIME = 4 * SECOND  # without faults after which all machines are in touch
-CONFIG_TIME = 3 * SECOND  # from an acknowledgement until every gateway in touch follows
-DRAIN_TIME = 3 * SECOND
-CATCH_UP_TIME = 10 * SECOND  # of calm after which no control node lacks what was committed before
-ANSWER_ALONE = SECOND // 2  # longest time without a majority after which orders and reads are answered
-WORD_ALONE = 2 * SECOND  # the same for what servers are acknowledged and new gateways are told
 MOST_SEEDS = 3
 WATCH_SECONDS = 0.25  # between two looks at copies and views
 
-
 log = logbook.Logger("faults")
 
 
-@frozen
-class Scenario:
-    """What a run consists of, beside its faults. Times are seconds."""
-
-    site: Site = Site()
-    habits: Habits = Habits()
-    lives: Lives = Lives()
-    operators: int = 2
-    servers: int = 2
-    trouble: float = 40.0  # for which faults come
-    catch_up: float = 4.0  # from the end of a machine's trouble until it counts again
-    calm: float = 0.0  # after the faults, while operators go on
-    settle: float = 30.0  # longest time until all is well again
-
-
-@define
-class Coverage:
-    """What a run has brought about."""
-
-    faults: Counter[str] = field(factory=Counter)
-    meetings: Counter[str] = field(factory=Counter)  # a kind of fault and the role that it met
-    strikes: int = 0
-    terms: set[int] = field(factory=set)
-
-
 class World:
     """Everything of one run; made in its event loop."""
 
@@ -89,8 +54,19 @@
             self.add_machine()
         self.isolation = Isolation(self.network, self.machines)
         addresses = tuple(machine.inner_address for machine in self.machines[:seeds])
-        self.gateways = [
-            gateway_type(self.network, self._branch(), number, addresses, site.megabits, self._view_changed)
+        self.gateways: list[GatewayMachine] = []
+        self._checks = LiveChecks(
+            loop,
+            self.history,
+            self.machines,
+            self.gateways,
+            self.calm_since,
+            int(scenario.catch_up * SECOND),
+        )
+        self.gateways += [
+            gateway_type(
+                self.network, self._branch(), number, addresses, site.megabits, self._checks.view_changed
+            )
             for number in range(site.gateways)
         ]
         self.operators = [
@@ -114,14 +90,11 @@
                 self.history,
                 scenario.lives,
                 self._branch(),
-                self._server_acknowledged,
+                self._checks.server_acknowledged,
             )
             for n in range(scenario.servers)
         ]
-        self._shown: dict[tuple[int, int], int] = {}  # revision by gateway and start
-        self._committed: deque[tuple[int, int]] = deque()  # time and commit index of the leader then
         self._tasks: list[asyncio.Task[None]] = []
-        self._failure: Violation | None = None
         self._decisions: list[asyncio.Future[None]] = []  # who waits for the next one
 
     @property
@@ -184,10 +157,14 @@
         for task in done:
             task.result()
 
+    def fail(self, rule: str, detail: str) -> None:
+        """An actor has found something."""
+        self._checks.fail(rule, detail)
+
     def raise_failure(self) -> None:
         """Raises what a check or an actor has found so far."""
-        if self._failure is not None:
-            raise self._failure
+        if self._checks.failure is not None:
+            raise self._checks.failure
         for task in self._tasks:
             if task.done() and not task.cancelled():
                 error = task.exception()
@@ -212,10 +189,9 @@
 
     def leader(self) -> ControlMachine | None:
         """The running machine that leads in the highest term, if any takes itself for the leader."""
-        leading = [one for one in self.machines if one.runs and one.node is not None and one.node.host.leads]
-        return max(leading, key=_term, default=None)
+        return leading_machine(self.machines)
 
-    # -- checks while it runs
+    # -- what is seen while it runs
 
     def order_decided(self) -> None:
         """A node has acknowledged an order; its answer is about to leave."""
@@ -230,101 +206,15 @@
         self._decisions.append(decision)
         await decision
 
-    def fail(self, rule: str, detail: str) -> None:
-        """Notes the first thing that was found."""
-        if self._failure is None:
-            self._failure = Violation(rule, f"at {self.now / SECOND:.3f} s: {detail}")
-
-    def _view_changed(self, seen: ViewSeen) -> None:
-        self.history.views.append(seen)
-        key = (seen.gateway, seen.start)
-        if seen.revision <= self._shown.get(key, 0):
-            self.fail("gateway-back", f"{seen} after revision {self._shown[key]}")
-        self._shown[key] = max(seen.revision, self._shown.get(key, 0))
-        order = self.history.order(seen.order)
-        if order is not None and order.refused:
-            self.fail("refused-in-force", f"gateway {seen.gateway} shows order {order.number}")
-
-    def _server_acknowledged(self, ack: ServerAck) -> None:
-        if ack.draining:
-            self.loop.call_later(DRAIN_TIME / SECOND, self._check_drained, ack)
-
-    def _check_drained(self, ack: ServerAck) -> None:
-        if not self.calm_since(ack.answered_at):
-            return
-        for gateway in self.gateways:
-            record = gateway.subscriber.view.servers.get(ack.server)
-            if gateway.runs and record is not None and record.state is ServerState.READY:
-                self.fail("drain", f"gateway {gateway.number} sends to {ack.server}")
-
     async def _watch(self) -> None:
         """Gateways in touch follow what was acknowledged."""
         while True:
             await asyncio.sleep(WATCH_SECONDS)
             self._note_terms()
             self.isolation.update(self.now)
-            self._check_current()
-            self._check_caught_up()
-
-    def check_alone(self) -> None:
-        """Nobody has answered, acknowledged or told for long without a majority in reach."""
-        for order in self.history.orders:
-            if order.answered_by:
-                self._check_contact("order-alone", order.answered_by, order.answered_at, ANSWER_ALONE)
-        for read in self.history.reads:
-            self._check_contact("read-alone", read.answered_by, read.answered_at, ANSWER_ALONE)
-        for ack in self.history.acks:
-            self._check_contact("ack-alone", ack.answered_by, ack.answered_at, WORD_ALONE)
-        for view in self.history.views:
-            if view.first:
-                self._check_contact("catalog-alone", self._name_at(view.told_by), view.at, WORD_ALONE)
-
-    def _check_contact(self, rule: str, name: str, moment: int, bound: int) -> None:
-        alone = self.isolation.alone_for(moment, name)
-        if alone > bound:
-            raise Violation(rule, f"{name} at {moment / SECOND:.3f} s, alone for {alone / SECOND:.3f} s")
-
-    def _name_at(self, address: str) -> str:
-        names = [machine.name for machine in self.machines if machine.inner_address == address]
-        return names[0] if names else ""
-
-    def _check_current(self) -> None:
-        due = self.now - CONFIG_TIME
-        if not self.calm_since(due):
-            return
-        acknowledged = [
-            order.version
-            for order in self.history.orders
-            if order.acknowledged and order.ended_at is not None and order.ended_at <= due
-        ]
-        newest = max(acknowledged, default=0)
-        for gateway in self.gateways:
-            configuration = gateway.subscriber.view.configuration
-            version = 0 if configuration is None else configuration.version
-            if gateway.runs and version < newest:
-                self.fail("config-late", f"gateway {gateway.number} has {version}, {newest} is acknowledged")
-
-    def _check_caught_up(self) -> None:
-        """Every control node has applied what was committed `CATCH_UP_TIME` of calm ago."""
-        leader = self.leader()
-        if leader is not None and leader.node is not None:
-            self._committed.append((self.now, leader.node.host.replica.commit_index))
-        due = self.now - max(CATCH_UP_TIME, int(self.scenario.catch_up * SECOND))
-        while len(self._committed) > 1 and self._committed[1][0] <= due:
-            self._committed.popleft()
-        if not self._committed or self._committed[0][0] > due or not self.calm_since(due + CONTACT_TIME):
-            return
-        for machine in self.machines:
-            node = machine.node
-            if machine.runs and node is not None and node.host.applied_index < self._committed[0][1]:
-                detail = f"{machine.name} has applied {node.host.applied_index} of {self._committed[0][1]}"
-                self.fail("behind", detail)
+            self._checks.look()
 
     def _note_terms(self) -> None:
         leader = self.leader()
         if leader is not None and leader.node is not None:
             self.coverage.terms.add(leader.node.host.replica.term)
-
-
-def _term(machine: ControlMachine) -> int:
-    return 0 if machine.node is None else machine.node.host.replica.term
--- a/tests/control_plane/test_contact_first.py
+++ b/tests/control_plane/test_contact_first.py
@@ -13,8 +13,9 @@
 from brackenladder.control_plane.messages import OrderOutcome
 from brackenladder.simulation.machines import ControlMachine
 from brackenladder.simulation.operators import Habits
+from brackenladder.simulation.scenario import Scenario
 from brackenladder.simulation.virtual_loop import VirtualEventLoop
-from brackenladder.simulation.world import Scenario, World
+from brackenladder.simulation.world import World
 
 ZONE = "north-1"
 IDLE = Scenario(habits=Habits(), operators=0, servers=0)
