--- a/brackenladder/simulation/machines.py
+++ b/brackenladder/simulation/machines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from attrs import frozen
@@ -10,12 +10,9 @@
 from brackenladder.consensus.members import genesis_replica_id
 from brackenladder.consensus.timing import Timing
 from brackenladder.consensus.types import Members
-from brackenladder.control_plane.control_node import (
-    ControlNode,
-    ReplicaStart,
-    Surroundings,
-)
+from brackenladder.control_plane.control_node import ControlNode, ReplicaStart
 from brackenladder.control_plane.http_server import Handler
+from brackenladder.control_plane.surroundings import Surroundings
 from brackenladder.control_plane.wire import control_codec, gateway_codec
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
@@ -336,3 +333,13 @@
 
 def _ignore_notices(_notices: PrefixNotices) -> None:
     """Prefix notices are hints about prompts, which no actor sends."""
+
+
+def leading_machine(machines: Iterable[ControlMachine]) -> ControlMachine | None:
+    """The running machine that leads in the highest term, if any takes itself for the leader."""
+    leading = [one for one in machines if one.runs and one.node is not None and one.node.host.leads]
+    return max(leading, key=_term, default=None)
+
+
+def _term(machine: ControlMachine) -> int:
+    return 0 if machine.node is None else machine.node.host.replica.term
