--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -29,7 +29,7 @@
     forwarded_lines,
     header_bytes,
 )
-from brackenladder.gateway.hints import read_deadline_ms, read_traits
+from brackenladder.gateway.hints import is_idempotent, read_deadline_ms, read_traits
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import may_be_passed_on
 from brackenladder.gateway.relay import Relay
@@ -76,6 +76,8 @@
         read = await self._read()
         if isinstance(read, Failure):
             return self._turned_away(read.failure())
+        if self.context.intake_over:
+            return self._turned_away(RequestFault.LEAVING)
         self.prompt_tokens = read.unwrap().prompt_tokens
         pool = self.context.pools.choose(self.route, read.unwrap().parts)
         if pool is None:
@@ -98,20 +100,24 @@
     # ---- reading --------------------------------------------------------------------------------------
 
     async def _read(self) -> Result[CallTraits, RequestFault]:
-        """Check the head, find the route, read the body."""
+        """Check the head, find the route, read the body.
+
+        Failure prevented: a gateway that knows no configuration yet judges a request by usual limits, and
+        turns it away for good though the limits that are in force allow it.
+        """
         request = self.request
         headers = request.headers
+        if not self.target or self.method == "CONNECT":
+            return Failure(RequestFault.MALFORMED)
+        if not self.context.pools.configured:
+            return Failure(RequestFault.NOT_CONFIGURED)
         limits = self.context.pools.limits
         if header_bytes(request.raw_headers, self.target) > limits.max_header_bytes:
             return Failure(RequestFault.HEADER_TOO_LARGE)
-        if not self.target or self.method == "CONNECT":
-            return Failure(RequestFault.MALFORMED)
         ids = headers.getall(REQUEST_ID, ())
         if len(ids) != 1 or not ids[0]:
             return Failure(RequestFault.NO_REQUEST_ID)
         self.request_id = ids[0]
-        if not self.context.pools.configured:
-            return Failure(RequestFault.NOT_CONFIGURED)
         route = self.context.pools.routes.find(headers.get(HOST, ""), self.target)
         if route is None:
             return Failure(RequestFault.NO_ROUTE)
@@ -181,9 +187,26 @@
         traits = evolve(broken.traits, exclude=frozenset(self.servers))
         return GatewayCall(self, broken.pool, traits, left, self.client_deadline, last_event_id)
 
+    def newest_route(self) -> Route | None:
+        """The route that the request would take by now; None: the same one, or none any more.
+
+        Failure prevented: a request is read slowly, turned away, or its stream breaks, a configuration that
+        allows its route fewer regions or servers is in force by then, and the next attempt does not heed it.
+        """
+        newest = self.context.pools.routes.find(self.request.headers.get(HOST, ""), self.target)
+        return None if newest is self.route or newest == self.route else newest
+
+    def _binding_routes(self) -> tuple[Route, ...]:
+        """What bound the request when it was read, and what binds it now."""
+        newest = self.newest_route()
+        return (self.route,) if newest is None else (self.route, newest)
+
     def may_resume(self) -> bool:
-        """Whether the route allows this request's stream to be taken up at one more server."""
-        return self.route.resumable and len(self.servers) < self.route.max_attempts
+        """Whether the routes that bind allow this stream to be taken up at one more server."""
+        return all(route.resumable for route in self._binding_routes()) and self._has_attempts()
+
+    def _has_attempts(self) -> bool:
+        return len(self.servers) < min([route.max_attempts for route in self._binding_routes()])
 
     @property
     def longest_silence(self) -> int:
@@ -194,8 +217,10 @@
         return max(LEAST_SILENCE, aims, gaps)
 
     def may_be_sent_to(self, server_id: str) -> bool:
-        """Whether the route still allows one more server, unless this one may have run it already."""
-        return server_id in self.servers or len(self.servers) < self.route.max_attempts
+        """Whether the routes that bind allow one more server, unless this one may have run it already."""
+        if server_id in self.servers or not self.servers:
+            return True
+        return self._has_attempts() and all(is_idempotent(route) for route in self._binding_routes())
 
     def sent_to(self, server_id: str) -> None:
         """The request was written to a server."""
--- a/brackenladder/gateway/pools.py
+++ b/brackenladder/gateway/pools.py
@@ -15,6 +15,7 @@
 from brackenladder.delivery.view import SystemView, ViewChange
 from brackenladder.gateway.connections import ServerConnections
 from brackenladder.gateway.failures import FailureLog
+from brackenladder.gateway.traffic_split import TrafficSplit
 from brackenladder.gateway.upstream import ServiceUpstream, connection_part
 from brackenladder.placement.pool import ServicePool
 from brackenladder.placement.traits import PromptPart
@@ -66,7 +67,9 @@
         self.limits = Limits()
         self._services: dict[str, Service] = {}
         self._pools: dict[str, ServicePool] = {}
-        self._leaving: list[ServicePool] = []  # of services that are no more, until their calls have ended
+        # Of services that are no more, until their calls and streams have ended; they follow the view too.
+        self._leaving: list[ServicePool] = []
+        self._splits: dict[str, TrafficSplit] = {}  # by route
         self._early = EarlyNotices()
         self._read_configuration()
         self._unsubscribe = view.subscribe(self._changed)
@@ -78,16 +81,14 @@
 
     def choose(self, route: Route, parts: tuple[PromptPart, ...]) -> ServicePool | None:
         """The pool that a request of this route goes to, by the targets' weights."""
-        targets = route.split
-        if len(targets) == 1:
-            return self._pools.get(targets[0].service)
-        total = sum([target.weight for target in targets])
-        at = self._point(route, parts) * total
-        for target in targets:
-            at -= target.weight
-            if at < 0:
-                return self._pools.get(target.service)
-        return self._pools.get(targets[-1].service) if targets else None
+        if not route.split:
+            return None
+        if len(route.split) == 1:
+            return self._pools.get(route.split[0].service)
+        split = self._splits.get(route.name)
+        if split is None or split.targets != route.split:
+            split = self._splits[route.name] = TrafficSplit(route.split)
+        return self._pools.get(split.choose(self._point(route, parts)).service)
 
     def prefixes_told(self, now: int, notices: Sequence[PrefixNotice]) -> None:
         """Each pool takes the notices of its own servers; those of unknown ones wait for a moment."""
@@ -104,6 +105,11 @@
         for pool in self._pools.values():
             pool.prefixes_told(now, notices)
 
+    def give_up(self) -> None:
+        """The gateway ends: calls without an answer are concluded."""
+        for pool in (*self._pools.values(), *self._leaving):
+            pool.give_up()
+
     def close(self) -> None:
         """End all pools."""
         self._unsubscribe()
@@ -119,7 +125,7 @@
     def _changed(self, change: ViewChange) -> None:
         if ViewChange.CATALOG in change:
             self._read_configuration()
-        for pool in self._pools.values():
+        for pool in (*self._pools.values(), *self._leaving):
             pool.refresh()
         if self._early:
             self._tell_early()
@@ -136,16 +142,29 @@
             self._leaving.append(self._pools.pop(name))
         for name in self._services:
             if name not in self._pools:
-                self._pools[name] = self._new_pool(name)
+                self._pools[name] = self._taken_back(name) or self._new_pool(name)
         self.routes = RouteTable(configuration)
+        names = {route.name for route in configuration.routes}
+        self._splits = {name: split for name, split in self._splits.items() if name in names}
         self._close_idle_pools()
 
     def _close_idle_pools(self) -> None:
-        idle = [pool for pool in self._leaving if not pool.host.calls]
-        for pool in idle:
+        for pool in [pool for pool in self._leaving if pool.idle]:
             pool.close()
             self._leaving.remove(pool)
 
+    def _taken_back(self, name: str) -> ServicePool | None:
+        """The pool of a service that is configured again while calls of before go on.
+
+        Failure prevented: two pools of one service each spend the gateway's whole part of the retry budget
+        and of the cold share.
+        """
+        for pool in self._leaving:
+            if pool.service == name:
+                self._leaving.remove(pool)
+                return pool
+        return None
+
     def _new_pool(self, name: str) -> ServicePool:
         limit = partial(self._connection_limit, name)
         upstream = ServiceUpstream(self.view, self.connections, self.now, limit, self.failures)
--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from brackenladder.catalog.configuration import Service
-from brackenladder.core.call import Attempt, Call, Done, Probed, Upstream
+from brackenladder.core.call import Attempt, Call, Done, Failure, Probed, Upstream
 from brackenladder.core.clock import Clock
 from brackenladder.core.host import Host
 from brackenladder.core.roster import number_of, numbered
@@ -50,6 +50,10 @@
         self.traits = traits
         self.number_of_server = 0  # the server of the newest attempt
 
+    def current_traits(self) -> CallTraits:
+        """The traits under the newest configuration; asked for before each attempt."""
+        return self.traits
+
 
 class _PoolUpstream:
     """Notes the server of each attempt in its call."""
@@ -114,16 +118,31 @@
         assert isinstance(module, PromptBalancer)
         return module
 
+    @property
+    def idle(self) -> bool:
+        """Whether no call is open and no stream runs that could be taken up here."""
+        return not self.host.calls and not self.balancer.in_flight.streams
+
     def take(self, call: PoolCall) -> None:
         """A call begins; its conclusion may come before this returns."""
         call.klass = self._class_of(call.traits)
         call.left = min(call.left, call.traits.route.timeout_ms * US_PER_MS)
         self.host.take(call)
 
+    def give_up(self) -> None:
+        """The gateway ends: every open call is failed."""
+        for call in tuple(self.host.calls.values()):
+            self.host.left(call)
+            call.failed(Failure.GIVEN_UP)
+
     def record(self, number: int) -> ServerRecord | None:
         """The server that an attempt names, while it is listed or drains."""
         return self.records.get(number)
 
+    def region(self, record: ServerRecord) -> str:
+        """Where a server stands; empty if that is not known."""
+        return self.platform.region_of(record.zone)
+
     def stream_ended(self, call: PoolCall) -> None:
         """After `served`: the call's place and memory are free again."""
         self.host.post(self.balancer.stream_ended, call.id)
@@ -204,7 +223,7 @@
 
     def _traits_of(self, request: int) -> CallTraits | None:
         call = self.host.calls.get(request)
-        return call.traits if isinstance(call, PoolCall) else None
+        return call.current_traits() if isinstance(call, PoolCall) else None
 
     def _class_of(self, traits: CallTraits) -> int:
         shape = shape_of(traits)
@@ -219,15 +238,16 @@
         return record.state is ServerState.READY and record.zone not in self.view.evacuated
 
     def _place(self, record: ServerRecord) -> ServerPlace:
-        region = self.platform.region_of(record.zone)
+        region = self.region(record)
         return ServerPlace(record.id, record.zone, region, record.slots, self.view.ends_at(record.id))
 
     def _entry(self, number: int, record: ServerRecord) -> ServerEntry:
         zone = numbered(self.zones, record.zone)
-        region = numbered(self.region_numbers, self.platform.region_of(record.zone))
+        region = numbered(self.region_numbers, self.region(record))
         return ServerEntry(number, zone=zone, kind=region)
 
     def _share(self) -> None:
+        self.site.gateways_known = self.view.gateways_known
         gateways = max(1, self.view.gateways)
         if gateways != self.site.gateways:
             self.site.gateways = gateways
--- a/brackenladder/simulation/machines.py
+++ b/brackenladder/simulation/machines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from attrs import frozen
@@ -10,12 +10,9 @@
 from brackenladder.consensus.members import genesis_replica_id
 from brackenladder.consensus.timing import Timing
 from brackenladder.consensus.types import Members
-from brackenladder.control_plane.control_node import (
-    ControlNode,
-    ReplicaStart,
-    Surroundings,
-)
+from brackenladder.control_plane.control_node import ControlNode, ReplicaStart
 from brackenladder.control_plane.http_server import Handler
+from brackenladder.control_plane.surroundings import Surroundings
 from brackenladder.control_plane.wire import control_codec, gateway_codec
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
@@ -25,6 +22,7 @@
 from brackenladder.prefix_cache.relay_choice import RelayChoice
 from brackenladder.registry.gateways import GatewayState
 from brackenladder.registry.recall import HealthAnswer, RememberedServer
+from brackenladder.registry.records import ServerState
 from brackenladder.simulation.disk import Disk, SimulatedRestartFile, SimulatedWriter
 from brackenladder.simulation.documents import order_of
 from brackenladder.simulation.network import SimulatedNetwork
@@ -125,6 +123,14 @@
         """Whether its process is there, if only frozen."""
         return self.node is not None
 
+    def counts_ready(self, server_id: str) -> bool:
+        """Whether the node takes a server for one that may be sent requests."""
+        if self.node is None:
+            return False
+        tell = self.node.soft_state.servers_in
+        alive = (record for region in set(ZONES.values()) for record in tell(region, ZONES))
+        return any(record.id == server_id and record.state is ServerState.READY for record in alive)
+
     def boot(self, genesis: Members | None = None) -> None:
         """Starts the program on what the disk holds."""
         process = Process(f"{self.name}.{self.starts}")
@@ -327,3 +333,13 @@
 
 def _ignore_notices(_notices: PrefixNotices) -> None:
     """Prefix notices are hints about prompts, which no actor sends."""
+
+
+def leading_machine(machines: Iterable[ControlMachine]) -> ControlMachine | None:
+    """The running machine that leads in the highest term, if any takes itself for the leader."""
+    leading = [one for one in machines if one.runs and one.node is not None and one.node.host.leads]
+    return max(leading, key=_term, default=None)
+
+
+def _term(machine: ControlMachine) -> int:
+    return 0 if machine.node is None else machine.node.host.replica.term
