--- a/brackenladder/system/soak_command.py
+++ b/brackenladder/system/soak_command.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from collections import Counter
+from collections.abc import Coroutine
 from pathlib import Path
 from shutil import rmtree
 from typing import Annotated, Any
@@ -48,9 +50,19 @@
     plans = [
         SoakPlan(seed, seconds, size, network or _network(seed), _folder(size, seed)) for seed in numbers
     ]
-    if len(plans) == 1:
-        return asyncio.run(_one(plans[0], as_json))
-    return asyncio.run(_many(plans, jobs, as_json))
+    return asyncio.run(
+        _until_told(_one(plans[0], as_json) if len(plans) == 1 else _many(plans, jobs, as_json))
+    )
+
+
+async def _until_told(work: Coroutine[None, None, int]) -> int:
+    """SIGTERM ends it in order: nothing that was started is left."""
+    task = asyncio.ensure_future(work)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        return ExitCode.NO
 
 
 def _folder(size: Size, seed: int) -> Path:
@@ -127,6 +139,11 @@
     command = (sys.executable, "-m", "brackenladder.system", "soak", *options, *["--json"] * as_json)
     async with places:
         process = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE)
-        out, _ = await process.communicate()
+        try:
+            out, _ = await process.communicate()
+        except asyncio.CancelledError:
+            process.terminate()
+            await process.wait()
+            raise
     say(out.decode().rstrip())
     return process.returncode or 0
