--- a/brackenladder/system/soak_command.py
+++ b/brackenladder/system/soak_command.py
@@ -124,8 +124,9 @@
 async def _many(plans: list[SoakPlan], jobs: int, as_json: bool) -> int:
     """Each seed in a process of its own, some side by side."""
     places = asyncio.Semaphore(jobs)
-    statuses = await asyncio.gather(*(_child(plan, places, as_json) for plan in plans))
-    broken = [plan.seed for plan, status in zip(plans, statuses, strict=True) if status]
+    async with asyncio.TaskGroup() as group:
+        ends = {plan.seed: group.create_task(_child(plan, places, as_json)) for plan in plans}
+    broken = [seed for seed, end in ends.items() if end.result()]
     held = len(plans) - len(broken)
     if as_json:
         print_json({"held": held, "seeds": len(plans), "broken": broken})
