--- /dev/null
+++ b/tests/soak/test_soak_actors.py
@@ -0,0 +1,175 @@
+"""The soak's own parts on sockets: the relay, the client's connection, and a client before a server."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from pathlib import Path
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from brackenladder.rehearsal.nodes import free_port, own_address
+from brackenladder.rehearsal.standins.model_server import ServerSettings
+from brackenladder.soak.clients import Lane, Place
+from brackenladder.soak.configuration import PLAIN_HOST
+from brackenladder.soak.connection import AnswerError, Connection, Ended, call
+from brackenladder.soak.events import Arrived, Event, Handled, Outcome, Resolved, Tried
+from brackenladder.soak.relay import Relay
+from brackenladder.soak.servers import RecordingServer
+from brackenladder.soak.site import ENGINE, SoakLayout
+from brackenladder.system.local.layout import INNER_PORTS, Machine
+
+PATIENCE = 20.0  # seconds; only a failure waits so long
+ROUNDS = 20  # on a link that is not held up, while another one is
+
+
+class Echo(asyncio.Protocol):
+    """Sends back what comes."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(data)
+
+
+class RelayTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        network = own_address(Random()).rpartition(".")[0]
+        self.layout = SoakLayout(network, Path("/nowhere"))
+        self.gateway, self.node = self.layout.gateways[0], self.layout.control[0]
+        self.relay = Relay(self.layout, "", "", lambda _: None)
+        await self.relay.start()
+        self.addAsyncCleanup(self.relay.stop)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(Echo, self.node.ip, INNER_PORTS[0])
+        self.addCleanup(server.close)
+        self.links = [await self.link(source) for source in self.layout.gateways[:2]]
+
+    async def link(self, source: Machine) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """From a gateway to the node."""
+        reader, writer = await asyncio.open_connection(*self.layout.relay_address(source, self.node))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def echo(self, data: bytes, link: int = 0) -> bytes:
+        """What comes back."""
+        reader, writer = self.links[link]
+        writer.write(data)
+        async with asyncio.timeout(PATIENCE):
+            return await reader.readexactly(len(data))
+
+    def order(self, do: str, *pair: str) -> None:
+        self.relay.order({"do": do, "pairs": [pair]})
+
+    async def test_what_is_held_up_comes_late(self) -> None:
+        self.assertEqual(await self.echo(b"one"), b"one")
+        for pair in ((self.gateway.name, self.node.name), (self.node.name, self.gateway.name)):
+            self.order("hold", *pair)
+            self.order("hold", *pair)
+            self.order("release", *pair)
+            echoed = asyncio.create_task(self.echo(b"two"))
+            for number in range(ROUNDS):
+                await self.echo(b"%d" % number, link=1)
+            self.assertFalse(echoed.done())
+            self.order("release", *pair)
+            self.assertEqual(await echoed, b"two")
+
+    async def test_a_reset_ends_the_link(self) -> None:
+        self.assertEqual(await self.echo(b"one"), b"one")
+        self.order("reset", self.gateway.name, self.node.name)
+        with self.assertRaises((asyncio.IncompleteReadError, OSError)):
+            await self.echo(b"two")
+
+
+class ConnectionTest(IsolatedAsyncioTestCase):
+    async def body_of(self, answer: bytes) -> bytes:
+        """What the connection makes of an answer after which the server closes."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        connection = await Connection.open(f"{host}:{port}", PATIENCE)
+        self.addCleanup(connection.close)
+        await connection.send("GET", "/", {"Host": "x"})
+        head = await connection.head()
+        return b"".join([piece async for piece in connection.body(head)])
+
+    async def test_whole_answers(self) -> None:
+        for answer in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+        ):
+            self.assertEqual(await self.body_of(answer), b"ok")
+
+    async def test_answers_that_break_off_show_it(self) -> None:
+        for answer in (
+            b"",
+            b"HTTP/1.1 200 OK\r\nConte",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n0\r\n",
+        ):
+            with self.assertRaises(Ended):
+                await self.body_of(answer)
+
+    async def test_what_is_no_answer(self) -> None:
+        for answer in (
+            b"nonsense\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nno header\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nooo\r\n",
+        ):
+            with self.assertRaises(AnswerError):
+                await self.body_of(answer)
+
+    async def test_no_answer(self) -> None:
+        host = own_address(Random())
+        self.assertIsNone(await call(f"{host}:{free_port(host, socket.SOCK_STREAM)}", "GET", "/"))
+
+
+class LaneTest(IsolatedAsyncioTestCase):
+    async def test_a_client_and_a_server_record_the_same_request(self) -> None:
+        host = own_address(Random())
+        address = f"{host}:{free_port(host, socket.SOCK_STREAM)}"
+        events: list[Event] = []
+        settings = ServerSettings("chat-0.1", "chat", address, "north-a", ENGINE)
+        server = RecordingServer(settings, events.append, 0.0)
+        await server.start()
+        self.addAsyncCleanup(server.crash)
+        directory = await self.directory(address)
+        lane = Lane(Place("north", "north-a", (directory,)), PLAIN_HOST, Random(1), events.append)
+        running = asyncio.create_task(lane.run())
+        async with asyncio.timeout(PATIENCE):
+            while not any(isinstance(event, Tried) and event.path == "/chat/1" for event in events):
+                await asyncio.sleep(0)
+        lane.stopping = True
+        await running
+        tried = next(event for event in events if isinstance(event, Tried) and event.path == "/chat/1")
+        self.assertEqual((tried.outcome, tried.detail), (Outcome.SERVED, "chat-0.1"))
+        self.assertEqual(tried.gateway, address)
+        for kind in (Arrived, Handled):
+            self.assertIn(tried.request, [event.request for event in events if isinstance(event, kind)])
+        self.assertTrue(any(isinstance(event, Resolved) for event in events))
+
+    async def directory(self, address: str) -> str:
+        """Names one address."""
+        body = json.dumps({"Addresses": [address], "TtlS": 1}).encode()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
