--- a/brackenladder/soak/checker.py
+++ b/brackenladder/soak/checker.py
@@ -274,6 +274,7 @@
                 self._verdict.excused[Rule.LOST.value] += tried.outcome == seen.Outcome.CLOSED
                 continue
             self._verdict.checked[Rule.LOST.value] += 1
+            self._verdict.checked[f"calm {tried.outcome}"] += 1
             spent = (tried.ended - tried.began) / 1000 > SPENT_SHARE * tried.deadline_ms
             if tried.outcome != seen.Outcome.CLOSED or spent:
                 continue
