--- a/brackenladder/soak/clients.py
+++ b/brackenladder/soak/clients.py
@@ -94,7 +94,7 @@
 
     async def _once(self, what: Call) -> float:
         """One try; the pause after it."""
-        if self._random.random() < FRESH_SHARE:
+        if self._random.random() < FRESH_SHARE or (self._connection and self._connection.gone):
             self._drop()
         address = self._connection.address if self._connection else await self._choose()
         if not address:
--- a/brackenladder/soak/connection.py
+++ b/brackenladder/soak/connection.py
@@ -52,6 +52,11 @@
             reader, writer = await asyncio.open_connection(host, int(port), limit=LARGEST_LINE)
         return cls(address, reader, writer)
 
+    @property
+    def gone(self) -> bool:
+        """Whether the other end has closed it."""
+        return self._reader.at_eof() or self._reader.exception() is not None
+
     async def send(self, method: str, path: str, headers: dict[str, str], body: bytes = b"") -> None:
         """Sends a request; `Ended` if the connection is gone."""
         self.requests += 1
