Directory: a node that lacks committed entries leads nobody out of its region

Change: Replica.current_at, the newest contact with a leader that had committed an entry of its own term and of which no committed entry is missing here; none while one is known to be. ConsensusHost.catalog_age adds what is not applied yet. Ruled out: the same for the catalog that gateways are told (a node that is one change behind would tell nothing in a long series of changes; a gateway takes newer revisions only). The test of a held SIGHUP sends the signal to its own thread: sent to the process it may reach another thread of the test runner, which ended the runner's process (seen once).

--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -75,6 +75,8 @@
         self._leader_address = ""
         self._heard_at = NEVER  # a leader's word, whatever the leader's own contact
         self._contact_at = NEVER  # a leader in touch with a quorum had this replica's word
+        self._current_at = NEVER  # the same, of a leader whose committed entries are all committed here
+        self._known_commit = 0  # the newest index that a leader has said to be committed
         self._reconfiguration: Reconfiguration | None = None
         if members is not None and self._core.log.last_index == 0:
             self._core.genesis(genesis_snapshot(members))
@@ -150,6 +152,19 @@
             return self._leading.quorum_heard_at(self._now)
         return self._contact_at
 
+    @property
+    def current_at(self) -> int:
+        """A moment up to which all that was committed is known to be committed here too.
+
+        There is none while this replica knows of an entry that is committed and lacks it.
+        It is that of the newest contact with a leader of which no committed entry is missing here. A leader
+        knows what is committed only once an entry of its own term is.
+        """
+        leading = self._leading
+        if leading is None:
+            return self._current_at if self._core.commit_index >= self._known_commit else NEVER
+        return leading.quorum_heard_at(self._now) if leading.established else self._current_at
+
     # -- events
 
     def step(self, now: int, sender: str, message: object) -> None:
@@ -165,6 +180,7 @@
                 if self._follows(now, message.sender, message.term, message.address):
                     self._note_contact(message)
                     following.on_append(self._core, now, message)
+                    self._note_current(message)
                 else:
                     following.refuse_append(self._core, now, message)
             case AppendReply():
@@ -371,6 +387,17 @@
         if message.echo:
             self._contact_at = max(self._contact_at, message.echo - message.contact_age)
 
+    def _note_current(self, message: AppendEntries) -> None:
+        """Count the contact if all that the leader knows to be committed is committed here.
+
+        An entry of its own term tells that it knows of everything that earlier leaders committed.
+        """
+        core = self._core
+        self._known_commit = max(self._known_commit, message.commit)
+        complete = core.commit_index >= message.commit and core.log.term(message.commit) == message.term
+        if message.echo and complete:
+            self._current_at = max(self._current_at, message.echo - message.contact_age)
+
     def _enter_term(self, now: int, term: int) -> None:
         self._step_down(now)
         self._core.set_term(term)
@@ -386,6 +413,8 @@
             return
         core = self._core
         self._heard_at = self._contact_at = leading.quorum_heard_at(now)
+        if leading.established:
+            self._current_at = max(self._current_at, self._contact_at)
         core.pending.reads_failed.extend(leading.reads.abandoned())
         for entry in core.log.between(core.commit_index + 1, core.log.last_index):
             if entry.kind is EntryKind.COMMAND and entry.term == core.term:
--- a/brackenladder/control_plane/consensus_host.py
+++ b/brackenladder/control_plane/consensus_host.py
@@ -103,6 +103,16 @@
             return UNKNOWN_AGE
         return self._clock() - self.replica.heard_leader_at
 
+    def catalog_age(self) -> int:
+        """Microseconds since a moment up to which all that was committed is in the catalog here.
+
+        Failure prevented: this node hears its leader, but entries or a snapshot are still on their way, and
+        what it answers by its catalog has been replaced.
+        """
+        if self._unreadable is not None or self.applied_index < self.replica.commit_index:
+            return UNKNOWN_AGE
+        return self._clock() - self.replica.current_at
+
     @property
     def leadership(self) -> asyncio.Event:
         """Is set, once, when the known leader changes; each change makes a new event."""
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -47,17 +47,20 @@
         self,
         clock: Callable[[], int],
         contact_age: Callable[[], int],
+        catalog_age: Callable[[], int],
         peers: PeerLinks,
         heartbeat: int,
         region: str = "",
     ) -> None:
         """`contact_age` is that with the leader; servers call every `heartbeat`; both in microseconds.
 
+        `catalog_age`: for how long the catalog of this node may have missed something.
         `region` is this node's: gateways of it are told of prefixes before anything else.
         """
         now = clock()
         self._clock = clock
         self._contact_age = contact_age
+        self._catalog_age = catalog_age
         self._peers = peers
         self._region = region
         self._servers = ServerRegistry(SILENT_HEARTBEATS * heartbeat)
@@ -98,7 +101,8 @@
             return NO_OFFER
         for name, node in self._nodes.items():
             self._gateways.linked(node, now - self._subscribers[name].silence)
-        return self._directory.resolve(now, client, current=self._tells_catalog(now))
+        current = self._confirmed(now) or self._catalog_age() <= IN_TOUCH_AGE
+        return self._directory.resolve(now, client, current)
 
     # -- what operators ask
 
@@ -258,8 +262,11 @@
         Failure prevented: a node that is cut off, or has restarted alone, hands an old configuration to
         gateways that have none.
         """
-        confirmed = self._confirmed_at is not None and now - self._confirmed_at <= IN_TOUCH_AGE
-        return confirmed or self._in_touch()
+        return self._confirmed(now) or self._in_touch()
+
+    def _confirmed(self, now: int) -> bool:
+        """Whether a majority has confirmed the remembered catalog a moment ago."""
+        return self._confirmed_at is not None and now - self._confirmed_at <= IN_TOUCH_AGE
 
     def _told_contact_age(self, now: int) -> int:
         return self._contact_age() if self._exchange.settled(now) else UNKNOWN_AGE
--- a/tests/control_plane/test_role_runner.py
+++ b/tests/control_plane/test_role_runner.py
@@ -94,7 +94,7 @@
     async def test_sighup_before_the_role_can_take_it_waits(self) -> None:
         held_signal.hold()
         self.addCleanup(held_signal.release)
-        os.kill(os.getpid(), signal.SIGHUP)
+        signal.raise_signal(signal.SIGHUP)  # to this thread: others that the test runner has don't hold it
         role = RecordingRole()
         running = asyncio.create_task(RoleRunner(role, self.path).run())
         self.assertEqual((await self.reloaded(role)).seeds, ("127.0.0.1:1",))
