--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -9,7 +9,7 @@
 from brackenladder.consensus.members import genesis_replica_id
 from brackenladder.consensus.reads import ReadReady
 from brackenladder.consensus.replica import Outgoing, Output, Replica, Role, Timing
-from brackenladder.consensus.types import DurableState, Entry, Member, Members, Snapshot, Write
+from brackenladder.consensus.types import DurableState, Entry, EntryKind, Member, Members, Snapshot, Write
 from brackenladder.storage.memory_log import MemoryLogStore
 
 TICK = 30_000
@@ -22,6 +22,11 @@
     return tuple(Member(genesis_replica_id(address), address) for address in addresses)
 
 
+def commands(entries: Iterable[Entry]) -> list[bytes]:
+    """The commands among entries of the log."""
+    return [entry.data for entry in entries if entry.kind is EntryKind.COMMAND]
+
+
 class Host:
     """One replica, its store and what it gave out."""
 
--- a/tests/consensus/test_frozen_leader.py
+++ b/tests/consensus/test_frozen_leader.py
@@ -3,18 +3,11 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import Iterable
 
-from consensus.cluster import SECOND, Cluster
+from consensus.cluster import SECOND, Cluster, commands
 
 from brackenladder.consensus.messages import AppendEntries, AppendReply
 from brackenladder.consensus.replica import Role
-from brackenladder.consensus.types import Entry, EntryKind
-
-
-def commands(entries: Iterable[Entry]) -> list[bytes]:
-    """What entries carry for the state machine."""
-    return [entry.data for entry in entries if entry.kind is EntryKind.COMMAND]
 
 
 class FrozenLeaderTest(unittest.TestCase):
