Tests of RPC split by topic

Cause: test_rpc.py (519 lines) held calls, links to servers, clients and the node's process in one file.

--- a/tests/rpc/standins.py
+++ b/tests/rpc/standins.py
@@ -49,6 +49,14 @@
         connection.reply(message[1], None, message[3])
 
 
+def rejects(connection: Connection, message: Any) -> None:
+    connection.reply(message[1], ["rejected", "full"])
+
+
+def resets(connection: Connection, message: Any) -> None:
+    connection.transport.abort()
+
+
 class Server:
     """`handle` gets each message; None: nothing is answered until the test does."""
 
--- /dev/null
+++ b/tests/rpc/test_rpc_clients.py
@@ -0,0 +1,111 @@
+"""Connections of RPC clients: what breaks off, ends early, stalls or asks too much."""
+
+from __future__ import annotations
+
+import asyncio
+
+from loopback import play, until
+from rpc.standins import Bench, Server
+
+
+def test_an_open_msgid_that_is_used_again_is_an_error_and_the_first_call_stands():
+    async def scene():
+        bench = await Bench(server := Server(None)).start()
+        client = await bench.client()
+        client.call("view", 1, msgid=5)
+        client.call("view", 2, msgid=5)
+        assert await client.receive() == [1, 5, ["failed", "this msgid has a call open"], None]
+        await until(lambda: len(server.calls) == 1)
+        connection, message = server.messages[0]
+        connection.reply(message[1], None, "first")
+        assert await client.receive() == [1, 5, None, "first"]
+        client.call("view", 3, msgid=5)  # free again
+        await until(lambda: len(server.calls) == 2)
+
+    play(scene)
+
+
+def test_a_stream_that_breaks_off_ends_after_the_calls_before_it():
+    async def scene():
+        bench = await Bench(server := Server(None)).start()
+        client = await bench.client()
+        client.call("view", 1)
+        client.writer.write(b"\xc1\xc1")
+        await until(lambda: len(server.calls) == 1)
+        connection, message = server.messages[0]
+        connection.reply(message[1], None, "yes")
+        assert await client.receive() == [1, 1, None, "yes"]
+        assert await client.ended()
+
+    play(scene)
+
+
+def test_a_client_that_ends_its_sending_side_gets_its_answers():
+    async def scene():
+        bench = await Bench(server := Server(None)).start()
+        client = await bench.client()
+        client.call("view", 1)
+        client.writer.write_eof()
+        await until(lambda: len(server.calls) == 1)
+        connection, message = server.messages[0]
+        connection.reply(message[1], None, "yes")
+        assert await client.receive() == [1, 1, None, "yes"]
+        assert await client.ended()
+
+    play(scene)
+
+
+def test_a_client_that_reads_no_answers_is_closed(monkeypatch):
+    """Failure prevented: its answers fill the memory."""
+    monkeypatch.setattr("brackenladder.rpc.front.STALLED", 0.3)
+
+    async def scene():
+        bench = await Bench(server := Server(None)).start()
+        client = await bench.client()
+        client.call("view", 1)
+        await until(lambda: len(server.calls) == 1)
+        client.writer.transport.pause_reading()
+        (ours,) = bench.front.clients
+        for _ in range(300):  # more than the system holds for a client
+            ours.send(b"x" * 100_000)
+        await until(lambda: ours.full)
+        assert not ours.transport.is_reading()
+        await until(lambda: not bench.front.clients)
+        connection, message = server.messages[0]
+        connection.reply(message[1], None, "late")
+        await until(lambda: not bench.pool.host.calls)
+
+    play(scene)
+
+
+def test_open_calls_of_one_client_are_bounded():
+    async def scene():
+        bench = (await Bench(server := Server(None), table={"client_calls": 3, "pipeline": 8}).start()).wide()
+        client = await bench.client()
+        for i in range(8):
+            client.call("view", i)
+        await until(lambda: len(server.calls) == 3)
+        await asyncio.sleep(0.05)  # a moment in which a fourth would come
+        assert len(server.calls) == 3
+        for n in range(8):
+            await until(lambda n=n: len(server.calls) > n)
+            connection, message = server.messages[n]
+            connection.reply(message[1], None, n)
+        assert [(await client.receive())[1] for _ in range(8)] == list(range(1, 9))
+
+    play(scene)
+
+
+def test_a_client_that_leaves_is_owed_nothing():
+    async def scene():
+        bench = await Bench(server := Server(None)).start()
+        client = await bench.client()
+        client.call("view", 1)
+        await until(lambda: len(server.calls) == 1)
+        client.writer.transport.abort()
+        await until(lambda: not bench.front.clients)
+        connection, message = server.messages[0]
+        connection.reply(message[1], None, "late")
+        await until(lambda: not bench.pool.host.calls)
+
+    play(scene)
