Control node: freshness and the catalog are told by the age of the state, not of the contact alone

Change: AgreedState, the ages that SoftState rests on, in place of two callables: the directory also stops while a committed entry is known to be missing, the catalog and freshness go by catalog_age.

--- a/brackenladder/consensus/replica.py
+++ b/brackenladder/consensus/replica.py
@@ -156,14 +156,18 @@
     def current_at(self) -> int:
         """A moment up to which all that was committed is known to be committed here too.
 
-        There is none while this replica knows of an entry that is committed and lacks it.
-        It is that of the newest contact with a leader of which no committed entry is missing here. A leader
-        knows what is committed only once an entry of its own term is.
+        Contact alone doesn't tell that: entries, or a snapshot, may still be on their way, and a new leader
+        doesn't know what is committed before an entry of its own term is.
         """
         leading = self._leading
-        if leading is None:
-            return self._current_at if self._core.commit_index >= self._known_commit else NEVER
-        return leading.quorum_heard_at(self._now) if leading.established else self._current_at
+        if leading is not None and leading.established:
+            return leading.quorum_heard_at(self._now)
+        return self._current_at
+
+    @property
+    def lacks_committed(self) -> bool:
+        """Whether a leader has told of a committed entry that is not committed here yet."""
+        return self._core.commit_index < self._known_commit
 
     # -- events
 
--- a/brackenladder/control_plane/consensus_host.py
+++ b/brackenladder/control_plane/consensus_host.py
@@ -107,12 +107,16 @@
         """Microseconds since a moment up to which all that was committed is in the catalog here.
 
         Failure prevented: this node hears its leader, but entries or a snapshot are still on their way, and
-        what it answers by its catalog has been replaced.
+        what it tells by its catalog has been replaced.
         """
-        if self._unreadable is not None or self.applied_index < self.replica.commit_index:
+        if self._unreadable is not None:
             return UNKNOWN_AGE
         return self._clock() - self.replica.current_at
 
+    def lacks_committed(self) -> bool:
+        """Whether something is known to be committed that the catalog here does not hold yet."""
+        return self.replica.lacks_committed or self.applied_index < self.replica.commit_index
+
     @property
     def leadership(self) -> asyncio.Event:
         """Is set, once, when the known leader changes; each change makes a new event."""
--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -80,9 +80,7 @@
         )
         self.orders = OrderService(self.host, self.peers)
         heartbeat = int(platform.heartbeat_ms * MICROSECONDS_PER_MILLISECOND)
-        self.soft_state = SoftState(
-            clock, self.host.contact_age, self.host.catalog_age, self.peers, heartbeat, platform.region
-        )
+        self.soft_state = SoftState(clock, self.host, self.peers, heartbeat, platform.region)
         self.recovery = RestartRecovery(
             surroundings,
             self.host,
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
 import logbook
 
@@ -37,6 +38,19 @@
 log = logbook.Logger("registry")
 
 
+class AgreedState(Protocol):
+    """How new what this node has of the agreed state is. Ages are in microseconds."""
+
+    def contact_age(self) -> int:
+        """Since the last contact with a quorum."""
+
+    def catalog_age(self) -> int:
+        """Since a moment up to which nothing that was committed is missing here."""
+
+    def lacks_committed(self) -> bool:
+        """Whether something that is known to be committed is missing here."""
+
+
 class SoftState:
     """Takes the word of servers, gateways and peers, and hands it on.
 
@@ -46,21 +60,17 @@
     def __init__(
         self,
         clock: Callable[[], int],
-        contact_age: Callable[[], int],
-        catalog_age: Callable[[], int],
+        agreed: AgreedState,
         peers: PeerLinks,
         heartbeat: int,
         region: str = "",
     ) -> None:
-        """`contact_age` is that with the leader; servers call every `heartbeat`; both in microseconds.
-
-        `catalog_age`: for how long the catalog of this node may have missed something.
+        """`agreed` tells how new this node's state is; servers call every `heartbeat` microseconds.
         `region` is this node's: gateways of it are told of prefixes before anything else.
         """
         now = clock()
         self._clock = clock
-        self._contact_age = contact_age
-        self._catalog_age = catalog_age
+        self._agreed = agreed
         self._peers = peers
         self._region = region
         self._servers = ServerRegistry(SILENT_HEARTBEATS * heartbeat)
@@ -101,7 +111,7 @@
             return NO_OFFER
         for name, node in self._nodes.items():
             self._gateways.linked(node, now - self._subscribers[name].silence)
-        current = self._confirmed(now) or self._catalog_age() <= IN_TOUCH_AGE
+        current = self._tells_catalog(now) and not self._agreed.lacks_committed()
         return self._directory.resolve(now, client, current)
 
     # -- what operators ask
@@ -254,22 +264,19 @@
                 subscriber.send(due.message)
 
     def _in_touch(self) -> bool:
-        return self._contact_age() <= IN_TOUCH_AGE
+        return self._agreed.contact_age() <= IN_TOUCH_AGE
 
     def _tells_catalog(self, now: int) -> bool:
         """Whether the catalog here is known to have been the newest a moment ago.
 
-        Failure prevented: a node that is cut off, or has restarted alone, hands an old configuration to
-        gateways that have none.
+        Failure prevented: a node that is cut off, has restarted alone or is still taking in what it missed
+        hands an old configuration to gateways that have none, and leads clients by homes of the past.
         """
-        return self._confirmed(now) or self._in_touch()
-
-    def _confirmed(self, now: int) -> bool:
-        """Whether a majority has confirmed the remembered catalog a moment ago."""
-        return self._confirmed_at is not None and now - self._confirmed_at <= IN_TOUCH_AGE
+        confirmed = self._confirmed_at is not None and now - self._confirmed_at <= IN_TOUCH_AGE
+        return confirmed or self._agreed.catalog_age() <= IN_TOUCH_AGE
 
     def _told_contact_age(self, now: int) -> int:
-        return self._contact_age() if self._exchange.settled(now) else UNKNOWN_AGE
+        return self._agreed.catalog_age() if self._exchange.settled(now) else UNKNOWN_AGE
 
     def _greet(self, link: Link, name: str | None, message: Subscribe) -> None:
         """A gateway's first word: it needs to know what servers keep before it has requests to place.
