--- a/brackenladder/simulation/strikes.py
+++ b/brackenladder/simulation/strikes.py
@@ -160,6 +160,34 @@
     await lose_disk(faults, random, oldest)
 
 
+async def halves(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """The control machines are cut into two halves; everyone else reaches both."""
+    machines = list(faults.world.machines)
+    random.shuffle(machines)
+    half, others = machines[: len(machines) // 2], [one.name for one in machines[len(machines) // 2 :]]
+    seconds = random.uniform(2.0, 8.0)
+    async with asyncio.TaskGroup() as group:
+        for one in half:
+            group.create_task(faults.cut(one, others, seconds, "both"))
+
+
+async def disks_and_power_of_all(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """Right after an order was acknowledged as many disks are lost as may be, and all else loses power."""
+    await faults.world.next_decision()
+    await asyncio.sleep(random.uniform(0.0, 0.004))
+    await _lose_disks_and_power(faults, random)
+
+
+async def losses_in_halves(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """The halves are cut apart; meanwhile a disk is lost, and a moment later power at most machines."""
+    async with asyncio.TaskGroup() as group:
+        group.create_task(halves(faults, random, machine))
+        group.create_task(faults.lose_disk(machine, random.uniform(0.3, 3.0)))
+        await asyncio.sleep(random.uniform(0.0, 3.0))
+        struck = [one for one in faults.world.machines if random.random() < 0.7]
+        group.create_task(faults.kill(struck, random.random() < 0.7, random.uniform(0.2, 3.0)))
+
+
 async def trouble_disk(faults: Faults, random: Random, machine: ControlMachine) -> None:
     """A disk hangs, is full or slow."""
     trouble = random.choice((faults.hang_disk, faults.fill_disk, faults.slow_disk))
@@ -176,6 +204,18 @@
     await faults.kill([machine], random.random() < 0.5, random.uniform(5.0, 12.0))
 
 
+async def _lose_disks_and_power(faults: Faults, random: Random) -> None:
+    machines = list(faults.world.machines)
+    random.shuffle(machines)
+    async with asyncio.TaskGroup() as group:
+        for one in machines:
+            group.create_task(faults.lose_disk(one, random.uniform(0.3, 1.5)))
+        await asyncio.sleep(0)  # they have taken what they may, and the rest loses power
+        group.create_task(faults.kill(machines, True, random.uniform(0.3, 1.5)))
+        for gateway in faults.world.gateways:
+            faults.restart_gateway(gateway)
+
+
 async def _once_allowed(faults: Faults, machine: ControlMachine) -> None:
     for _ in range(100):
         if faults.may_lose_disk(machine):
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -42,6 +42,9 @@
     def test_members(self) -> None:
         self.check("members")
 
+    def test_losses(self) -> None:
+        self.check("losses")
+
     def test_snapshots(self) -> None:
         self.check("snapshots")
 
