A local system asks its directories as its clients do, for a host

Failure, without load: `make local`, the tests of tests/system that start a whole system and whatever else uses LocalSystem end with 'the gateways are not ready after 30 s', each time (in the tree; 5 of 5 beside load as well). Cause: since a directory leads clients by the homes of the host's routes it names nobody to a client that asks for no known host; LocalSystem._ready asked for none. All gateways were ready and all servers known meanwhile, as a trace of the check showed; only /-/resolve refused.

It now asks for the host of its first configuration. Ruled out: load (it failed on a quiet machine), gateways that start late, heartbeats that lapse, an election.

tests/system: before, test_ctrl_c_ends_all_of_it failed in 1 of 1 runs without load; after, 44 passed.

--- a/brackenladder/system/local/local_system.py
+++ b/brackenladder/system/local/local_system.py
@@ -17,7 +17,12 @@
 from brackenladder.rehearsal.standins.heartbeats import Heartbeats
 from brackenladder.rehearsal.standins.model_server import ModelServer, ServerSettings
 from brackenladder.system.control_client import ControlClient
-from brackenladder.system.local.first_configuration import FIRST_VERSION, first_configuration, route_update
+from brackenladder.system.local.first_configuration import (
+    FIRST_VERSION,
+    HOST,
+    first_configuration,
+    route_update,
+)
 from brackenladder.system.local.layout import HEARTBEAT_MS, Layout, Machine
 from brackenladder.system.local.processes import RoleProcess
 
@@ -174,7 +179,8 @@
     async def _ready(self) -> bool:
         """Whether every gateway is ready, every server known, and every directory answers."""
         checks = [f"http://{machine.ready}/-/readyz" for machine in self.layout.gateways]
-        checks += [f"http://{directory}/-/resolve" for directory in self.layout.directories]
+        # As its clients ask: for a host that no route names there is no answer.
+        checks += [f"http://{directory}/-/resolve?Name={HOST}" for directory in self.layout.directories]
         if not all([await self._says_ok(url) for url in checks]):
             return False
         status = await self.status()
