--- a/brackenladder/soak/servers.py
+++ b/brackenladder/soak/servers.py
@@ -19,7 +19,7 @@
 from brackenladder.system.local.layout import HEARTBEAT_MS
 
 COLD_SECONDS = 2.0  # after a start during traffic
-LONGEST_STAY_SECONDS = 2.0  # beyond DrainMs
+LONGEST_STAY_SECONDS = 6.0  # beyond DrainMs
 FINISH_SECONDS = 10.0  # for what still runs at the end
 
 
--- a/brackenladder/system/soak_command.py
+++ b/brackenladder/system/soak_command.py
@@ -26,7 +26,7 @@
 
 DEFAULT_SECONDS = 40.0
 FOUND = Path("found")
-MOST_LINES = 20  # breaches that are printed of one seed
+MOST_LINES = 6  # violations of one rule that are printed of one seed
 LONGEST_RUN_SECONDS = 600.0  # beyond the troubles' own time
 FIRST_NETWORK, LAST_NETWORK = 120, 199  # second number of the loopback addresses
 
@@ -106,12 +106,14 @@
     say(f"  checked: {_counts(verdict.checked)}; excused: {_counts(verdict.excused)}")
     if verdict.held:
         return
-    say(f"  violations: {_counts(Counter(breach.rule.value for breach in verdict.breaches))}")
-    for breach in verdict.breaches[:MOST_LINES]:
-        since = max(0, breach.at - verdict.began) / MICROSECONDS
-        say(f"  {breach.rule.value} at {since:.3f} s: {breach.detail}")
-    if len(verdict.breaches) > MOST_LINES:
-        say(f"  and {len(verdict.breaches) - MOST_LINES} more")
+    violations = Counter(breach.rule.value for breach in verdict.breaches)
+    say(f"  violations: {_counts(violations)}")
+    for rule in violations:
+        for breach in [one for one in verdict.breaches if one.rule.value == rule][:MOST_LINES]:
+            since = max(0, breach.at - verdict.began) / MICROSECONDS
+            say(f"  {rule} at {since:.3f} s: {breach.detail}")
+        if violations[rule] > MOST_LINES:
+            say(f"  {rule}: {violations[rule] - MOST_LINES} more")
     say(f"  settings, logs and events (*.jsonl) are kept in {plan.folder}")
     options = f"--seeds {plan.seed} --seconds {plan.seconds:g} --size {plan.size.value}"
     say(f"  again: python -m brackenladder.system soak {options}")
