--- /dev/null
+++ b/tests/gateway/test_later_attempts.py
@@ -0,0 +1,80 @@
+"""What servers tell, and operators order, while a request is under way holds for its next attempt."""
+
+from __future__ import annotations
+
+from gateway.gateway_loopback import (
+    LAST_CHUNK,
+    RESUMABLE,
+    SAFE,
+    SERVICE,
+    GatewayTest,
+    Received,
+    chunk,
+    event,
+    microseconds,
+    post,
+    serve_ok,
+    stream_head,
+    turn_away,
+)
+
+from brackenladder.registry.records import ServerRecord, ServerState
+
+ZONES = {"s0": "za", "s1": "zb", "s2": "zb"}
+
+
+class LaterAttempts(GatewayTest):
+    servers = 3
+    routes = (SAFE, RESUMABLE)
+
+    def list_servers(self, state: ServerState = ServerState.READY, seq: int = 1) -> None:
+        records = [
+            ServerRecord(s.name, SERVICE, s.address, ZONES[s.name], 16, state, seq) for s in self.stand_ins
+        ]
+        self.view.merge_servers(microseconds(), records)
+
+    def end(self, server: str, state: ServerState) -> None:
+        address = next(one.address for one in self.stand_ins if one.name == server)
+        record = ServerRecord(server, SERVICE, address, ZONES[server], 16, state, 2)
+        self.view.merge_servers(microseconds(), [record])
+
+    def evacuate_the_others(self, server: str) -> None:
+        zones = frozenset(ZONES.values()) - {ZONES[server]}
+        self.view.set_catalog(self.view.revision + 1, self.view.configuration, zones)
+
+    async def test_a_request_that_is_turned_away_goes_to_no_zone_that_is_evacuated_by_now(self) -> None:
+        async def turn_away_and_evacuate(request: Received) -> None:
+            self.evacuate_the_others(request.server)
+            await turn_away(request)
+
+        self.play(turn_away_and_evacuate, serve_ok)
+        await self.ask(post("/safe/x"))
+        zones = {ZONES[request.server] for request in self.script.requests}
+        self.assertEqual(len(zones), 1)
+
+    async def test_a_broken_stream_is_taken_up_in_no_zone_that_is_evacuated_by_now(self) -> None:
+        async def break_and_evacuate(request: Received) -> None:
+            request.write(stream_head(request.id) + chunk(event(1)))
+            await request.passed_on.wait()
+            self.evacuate_the_others(request.server)
+            request.reset()
+
+        async def go_on(request: Received) -> None:
+            request.write(stream_head(request.id, "stamp.2") + chunk(event(2)) + LAST_CHUNK)
+
+        self.play(break_and_evacuate, go_on)
+        await self.ask(post("/resumable/x"))
+        zones = {ZONES[request.server] for request in self.script.requests}
+        self.assertEqual(len(zones), 1)
+
+    async def test_a_server_that_has_run_it_and_is_gone_counts_among_its_attempts(self) -> None:
+        async def break_and_be_gone(request: Received) -> None:
+            request.write(stream_head(request.id) + chunk(event(len(self.script.requests))))
+            await request.passed_on.wait()
+            self.end(request.server, ServerState.GONE)
+            request.reset()
+
+        self.play(break_and_be_gone)
+        answer = await self.ask(post("/resumable/x"))
+        self.assertFalse(answer.whole)
+        self.assertEqual(len(self.script.requests), RESUMABLE.max_attempts)
--- a/tests/placement/test_prompt_balancer.py
+++ b/tests/placement/test_prompt_balancer.py
@@ -399,6 +399,20 @@
         )
         self.assertIsInstance(stage.ask(asked), Refused)
 
+    def test_a_trial_leaves_neither_the_homes_nor_the_cold_share(self) -> None:
+        stage = Stage(NORTH, cold=COLD)
+        aside = next(iter(NORTH))
+        server = stage.module.servers[number_of(aside)]
+        stage.module.eject(stage.now, server, silent=False)
+        stage.now += 20 * SECOND
+        elsewhere = traits(of=route(homes=("isle",), resumable=True), idempotent=True)
+        self.assertIsInstance(stage.ask(elsewhere), Refused)
+        stage.cold_until[aside] = stage.now + 3 * SECOND
+        safe = traits(of=route(resumable=True), idempotent=True)
+        self.assertNotEqual(stage.serve(safe).server, aside)
+        stage.cold_until[aside] = 0
+        self.assertEqual(stage.serve(safe).server, aside)
+
     def test_a_server_set_aside_gets_a_trial_though_all_calls_are_unsafe(self) -> None:
         stage = self.unsafe()
         bad = next(iter(NORTH))
