Test: the benchmarks' folder leaves the module path after its imports

Failure: `pytest tests/system tests/rpc` ended with 4 errors, "No module named 'rpc.standins'; 'rpc' is not a package"; with tests/endings behind tests/system too. A whole run collects tests/rpc before and didn't show it. Cause: tests/system/test_capacity_arithmetic.py left benchmarks/ on sys.path, whose rpc.py stands before the folder tests/rpc, a namespace package, wherever on the path it is.

--- a/tests/system/test_capacity_arithmetic.py
+++ b/tests/system/test_capacity_arithmetic.py
@@ -6,7 +6,9 @@
 import unittest
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).parents[2] / "benchmarks"))
+BENCHMARKS = str(Path(__file__).parents[2] / "benchmarks")
+
+sys.path.insert(0, BENCHMARKS)
 
 from capacity.arithmetic import (  # noqa: E402
     TooFewValues,
@@ -35,6 +37,8 @@
 
 SMALL = Size(gateways=3, servers=40, control_nodes=3, routes=12, zones=3)
 
+sys.path.remove(BENCHMARKS)  # it has a module of the name of the folder tests/rpc
+
 
 class PercentileTest(unittest.TestCase):
     def test_nearest_rank(self) -> None:
