Directory: a machine's address that another has taken over counts for that one alone

Cause: of two records with one front address both were offered until the older one's silence took effect (1.1 s, or 2.5 s where only peers heard it). Where the later machine is in another region, clients were led there by the region of the former, past homes. Shown by a test of the registry that fails on the code before. Change: a gateway is offered only if none was heard at its address since.

--- a/brackenladder/registry/gateways.py
+++ b/brackenladder/registry/gateways.py
@@ -101,8 +101,16 @@
         return any(changes)
 
     def ready(self, now: int) -> tuple[GatewayRecord, ...]:
-        """The gateways that clients may be sent to."""
-        return tuple(known.gateway for known in self._known.values() if known.offered(now))
+        """The gateways that clients may be sent to, each at an address that no other was heard at since."""
+        heard: dict[str, int] = {}  # when somebody was last heard at a front address
+        for known in self._known.values():
+            address = known.gateway.front_address
+            heard[address] = max(heard.get(address, known.heard_at), known.heard_at)
+        return tuple(
+            known.gateway
+            for known in self._known.values()
+            if known.offered(now) and known.heard_at >= heard[known.gateway.front_address]
+        )
 
     def settled(self, now: int) -> bool:
         """Whether this node had time to hear of every gateway: before that its answers may leave some out."""
--- a/tests/registry/test_gateway_registry.py
+++ b/tests/registry/test_gateway_registry.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 from registry.registry_samples import SECOND, gateway
@@ -65,6 +66,16 @@
         self.assertTrue(self.registry.presence(AT, gateway(seq=2, state=GatewayState.LEAVING)))
         self.assertEqual(self.registry.ready(AT), ())
 
+    def test_an_address_that_another_machine_has_now_is_its_alone(self) -> None:
+        """It may be in another region, so the record of the one before would lead clients past homes."""
+        address = "10.0.0.1:8144"
+        self.registry.presence(AT, evolve(gateway("a", region="north"), front_address=address))
+        for seq, state in enumerate((GatewayState.STARTING, GatewayState.READY)):
+            other = evolve(gateway("b", seq, state, region="east"), front_address=address)
+            self.registry.presence(AT + SECOND // 2, other)
+            nodes = [one.node for one in self.registry.ready(AT + SECOND // 2)]
+            self.assertEqual(nodes, ["b"] if state is GatewayState.READY else [])
+
     def test_a_late_message_is_ignored(self) -> None:
         self.registry.presence(AT, gateway(seq=2, state=GatewayState.LEAVING))
         self.assertFalse(self.registry.presence(AT, gateway(seq=1)))
