--- a/brackenladder/catalog/homes.py
+++ b/brackenladder/catalog/homes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import frozen
 
@@ -36,17 +36,25 @@
 UNKNOWN_HOST = HostHomes()
 
 
+ReadConfiguration = Callable[[], Configuration | None]
+
+
+def no_configuration() -> Configuration | None:
+    """There is none yet."""
+    return None
+
+
 class ConfigurationHomes:
-    """The homes by host of one configuration; read from it when they are first asked for."""
+    """The homes by host of one configuration, which is read when they are first asked for."""
 
-    def __init__(self, configuration: Configuration | None = None) -> None:
-        self._configuration = configuration
+    def __init__(self, read: ReadConfiguration = no_configuration) -> None:
+        self._read = read
         self._hosts: Mapping[str, HostHomes] | None = None
 
     def of(self, host: str) -> HostHomes:
         """What binds a host, as a client names it."""
         if self._hosts is None:
-            self._hosts = _by_host(self._configuration)
+            self._hosts = _by_host(self._read())
         return self._hosts.get(normal_host(host), UNKNOWN_HOST)
 
 
--- a/brackenladder/control_plane/directory.py
+++ b/brackenladder/control_plane/directory.py
@@ -10,8 +10,7 @@
 
 import logbook
 
-from brackenladder.catalog.configuration import Configuration
-from brackenladder.catalog.homes import ConfigurationHomes
+from brackenladder.catalog.homes import ConfigurationHomes, ReadConfiguration
 from brackenladder.catalog.hosts import normal_host
 from brackenladder.invariants import VIOLATIONS, Invariant
 from brackenladder.registry.directory import NEAR_REACHES, ClientPlace, Offer, Reach, resolve
@@ -35,12 +34,12 @@
         self._answers: Counter[Reach] = Counter()
         self._reaches: dict[tuple[str, str], Reach] = {}  # the last one by host and the clients' region
 
-    def configured(self, revision: int, configuration: Configuration | None) -> None:
+    def configured(self, revision: int, read: ReadConfiguration) -> None:
         """Take the configuration as of a revision of the catalog; an older one is ignored."""
         if revision <= self._revision:
             return
         self._revision = revision
-        self._homes = ConfigurationHomes(configuration)
+        self._homes = ConfigurationHomes(read)
 
     def resolve(self, now: int, client: ClientPlace, current: bool) -> Offer:
         """The front addresses for a client.
--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -199,14 +199,17 @@
     def catalog_changed(self, catalog: Catalog) -> None:
         """Publishes the newest catalog at once."""
         self._publisher.set_catalog(catalog.revision, catalog.document, catalog.evacuated)
-        self._directory.configured(catalog.revision, catalog.configuration)
+        configuration = catalog.configuration
+        self._directory.configured(catalog.revision, lambda: configuration)
         self.flush()
 
     def catalog_confirmed(self, catalog: RememberedCatalog) -> None:
         """Publishes what was committed before this node's restart; a majority knows of nothing later."""
         self._confirmed_at = self._clock()
         self._publisher.set_catalog(catalog.revision, catalog.document, frozenset(catalog.evacuated))
-        self._directory.configured(catalog.revision, parse_configuration(catalog.document).value_or(None))
+        self._directory.configured(
+            catalog.revision, lambda: parse_configuration(catalog.document).value_or(None)
+        )
         self.flush()
 
     def prefixes_remembered(self, notices: tuple[PrefixNotice, ...]) -> None:
--- a/tests/catalog/test_homes.py
+++ b/tests/catalog/test_homes.py
@@ -14,7 +14,7 @@
 
 
 def homes_of(host: str, *routes: Route) -> HostHomes:
-    return ConfigurationHomes(Configuration(1, routes, ())).of(host)
+    return ConfigurationHomes(lambda: Configuration(1, routes, ())).of(host)
 
 
 class HomesTest(TestCase):
