Tests: a node that catches up tells gateways no catalog of before, as fresh or at all

In virtual time a follower that was cut off while three configurations came is in contact with its leader, with the old catalog, for a while; it tells it to nobody until it has the newest.

--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -121,6 +121,11 @@
         """Whether the word of servers is acknowledged."""
         return self._in_touch()
 
+    @property
+    def tells_catalog(self) -> bool:
+        """Whether gateways are told the catalog: it was the newest a moment ago."""
+        return self._tells_catalog(self._clock())
+
     def servers_in(self, region: str, regions: Mapping[str, str]) -> tuple[ServerRecord, ...]:
         """The living servers of a region; `regions` gives the region by zone."""
         alive = self._servers.alive(self._clock())
--- a/tests/control_plane/test_contact_first.py
+++ b/tests/control_plane/test_contact_first.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from unittest import TestCase
 
 from returns.result import Success
 
-from brackenladder.catalog.orders import BeginEvacuation, FinishEvacuation, encode_order
+from brackenladder.catalog.orders import (
+    BeginEvacuation,
+    FinishEvacuation,
+    ReplaceConfiguration,
+    encode_order,
+)
 from brackenladder.control_plane.membership import max_voters
 from brackenladder.control_plane.messages import OrderOutcome
 from brackenladder.simulation.machines import ControlMachine
@@ -35,6 +41,23 @@
     loop.close()
 
 
+def large_configuration(version: int) -> bytes:
+    """Some hundred kilobytes, which take a while to travel."""
+    routes = [
+        {
+            "Name": f"route-{number}",
+            "Hostname": "host.example",
+            "PathPrefix": f"/{number}/",
+            "Kind": "safe",
+            "TimeoutMs": 1000,
+            "Backend": "service",
+            "Note": "x" * 400,
+        }
+        for number in range(1500)
+    ]
+    return json.dumps({"Version": version, "Routes": routes, "Services": [{"Name": "service"}]}).encode()
+
+
 def cut_off(world: World, machine: ControlMachine) -> None:
     for other in world.machines:
         if other is not machine:
@@ -74,6 +97,30 @@
 
         in_a_world(play)
 
+    def test_a_node_that_catches_up_does_not_tell_what_it_had_before(self) -> None:
+        async def play(world: World) -> None:
+            leader = world.leader()
+            assert leader is not None and leader.node is not None
+            late = next(machine for machine in world.machines if machine is not leader)
+            assert late.node is not None
+            cut_off(world, late)
+            await asyncio.sleep(2)
+            for version in (1, 2, 3):
+                order = encode_order(ReplaceConfiguration(version - 1, large_configuration(version)))
+                self.assertEqual((await leader.node.orders.submit(order)).outcome, OrderOutcome.ACCEPTED)
+            newest = leader.node.catalog.revision
+            world.network.heal_all()
+            old_in_contact = 0
+            while late.node.catalog.revision < newest:
+                self.assertFalse(late.node.soft_state.tells_catalog)
+                old_in_contact += late.node.soft_state.in_touch
+                await asyncio.sleep(0.01)
+            self.assertGreater(old_in_contact, 0)  # else the test shows nothing
+            await asyncio.sleep(1)
+            self.assertTrue(late.node.soft_state.tells_catalog)
+
+        in_a_world(play)
+
     def test_an_evacuation_whose_caller_has_left_is_not_carried_out(self) -> None:
         async def play(world: World) -> None:
             leader = world.leader()
