Operator API: a change and an evacuation are each taken in one place

Cause: Replace and Update, Begin and Finish stood as two pairs of methods that differed in the order's type alone.

--- a/brackenladder/control_plane/operator_api.py
+++ b/brackenladder/control_plane/operator_api.py
@@ -92,30 +92,33 @@
         return json_response(HTTPStatus.OK, {})
 
     async def _replace(self, request: web.BaseRequest, _subject: str) -> web.Response:
-        base = _base_version(request)
-        body = await request.read()
-        if base is None:
-            return _bad_base()
-        return await self._submit(ReplaceConfiguration(base, body))
+        return await self._change(request, ReplaceConfiguration)
 
     async def _update(self, request: web.BaseRequest, _subject: str) -> web.Response:
+        return await self._change(request, UpdateConfiguration)
+
+    async def _change(
+        self, request: web.BaseRequest, order: type[ReplaceConfiguration | UpdateConfiguration]
+    ) -> web.Response:
         base = _base_version(request)
         body = await request.read()
         if base is None:
             return _bad_base()
-        return await self._submit(UpdateConfiguration(base, body))
+        return await self._submit(order(base, body))
 
     async def _begin_evacuation(self, request: web.BaseRequest, zone: str) -> web.Response:
-        await request.read()
-        if zone not in self._zones():
-            return not_found(f"zone {zone}")
-        return _order_response(await self._orders.submit_evacuation(BeginEvacuation(zone)))
+        return await self._evacuate(request, BeginEvacuation(zone))
 
     async def _finish_evacuation(self, request: web.BaseRequest, zone: str) -> web.Response:
+        return await self._evacuate(request, FinishEvacuation(zone))
+
+    async def _evacuate(
+        self, request: web.BaseRequest, order: BeginEvacuation | FinishEvacuation
+    ) -> web.Response:
         await request.read()
-        if zone not in self._zones():
-            return not_found(f"zone {zone}")
-        return _order_response(await self._orders.submit_evacuation(FinishEvacuation(zone)))
+        if order.zone not in self._zones():
+            return not_found(f"zone {order.zone}")
+        return _order_response(await self._orders.submit_evacuation(order))
 
     async def _fetch(self, request: web.BaseRequest, _subject: str) -> web.Response:
         match await self._orders.fetch():
