--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -121,6 +121,11 @@
         """Whether the word of servers is acknowledged."""
         return self._in_touch()
 
+    @property
+    def tells_catalog(self) -> bool:
+        """Whether gateways are told the catalog: it was the newest a moment ago."""
+        return self._tells_catalog(self._clock())
+
     def servers_in(self, region: str, regions: Mapping[str, str]) -> tuple[ServerRecord, ...]:
         """The living servers of a region; `regions` gives the region by zone."""
         alive = self._servers.alive(self._clock())
@@ -199,14 +204,17 @@
     def catalog_changed(self, catalog: Catalog) -> None:
         """Publishes the newest catalog at once."""
         self._publisher.set_catalog(catalog.revision, catalog.document, catalog.evacuated)
-        self._directory.configured(catalog.revision, catalog.configuration)
+        configuration = catalog.configuration
+        self._directory.configured(catalog.revision, lambda: configuration)
         self.flush()
 
     def catalog_confirmed(self, catalog: RememberedCatalog) -> None:
         """Publishes what was committed before this node's restart; a majority knows of nothing later."""
         self._confirmed_at = self._clock()
         self._publisher.set_catalog(catalog.revision, catalog.document, frozenset(catalog.evacuated))
-        self._directory.configured(catalog.revision, parse_configuration(catalog.document).value_or(None))
+        self._directory.configured(
+            catalog.revision, lambda: parse_configuration(catalog.document).value_or(None)
+        )
         self.flush()
 
     def prefixes_remembered(self, notices: tuple[PrefixNotice, ...]) -> None:
