Soak: a process that is to be down while it is being started is ended too

Ruled out: a fault of the product (the process ran and was ready). Change: a step waits until a spawn under way is done, and for the process that it has signalled.

--- a/brackenladder/soak/processes.py
+++ b/brackenladder/soak/processes.py
@@ -115,12 +115,16 @@
     async def end(self) -> None:
         """SIGTERM for good."""
         self._holds += 1
+        async with self._starting:
+            pass  # a process that is being started is there after that
         await self._terminate()
 
     async def down(self, kind: str, away: float, planned: bool) -> None:
         """SIGTERM if that is planned, else SIGKILL, and down for so many seconds after that."""
         began = now()
         self._holds += 1
+        async with self._starting:  # a process that is being started is there after that
+            process = self._process
         try:
             if planned:
                 await self._terminate()
@@ -129,8 +133,8 @@
             await asyncio.sleep(away)
         finally:
             self._holds -= 1
-            if self._process is not None and not self._holds:
-                await self._process.wait()
+            if process is not None:
+                await process.wait()
             await self.start()
             self._tell(Trouble(began, now(), kind, (self.name,), planned))
 
