Tests: what stood twice is in one place

Cause: the handler that holds its answer back stood seven times in tests/node, the answer to a call that came first six times in tests/rpc, connecting to a server in both rogues, and a cluster that has a leader twice. Change: loopback.held_until, Server.answer_first, rogue.connect, FirstElectionTest.led_cluster; every assertion is kept. Looked at and left: pairs that are alike in shape only (constructors, imports, tables, records of different types).

--- a/tests/consensus/test_first_election.py
+++ b/tests/consensus/test_first_election.py
@@ -27,6 +27,14 @@
             cluster.run(TICK)
         self.fail("no leader")
 
+    def led_cluster(self) -> tuple[Cluster, list[str], int]:
+        """A cluster some time after its first election, its leader's name and term."""
+        cluster = Cluster()
+        self.run_until_led(cluster)
+        cluster.run(TIMING.election_max)
+        leader = leaders(cluster)
+        return cluster, leader, cluster.hosts[leader[0]].replica.term
+
     def test_replicas_that_start_together_elect_before_a_usual_wait_ends(self):
         cluster = Cluster()
         self.assertLess(self.run_until_led(cluster), TIMING.first_election_max + MARGIN)
@@ -57,11 +65,7 @@
         self.assertEqual(len(leaders(cluster)), 1)
 
     def test_a_link_that_comes_up_disturbs_no_leader(self):
-        cluster = Cluster()
-        self.run_until_led(cluster)
-        cluster.run(TIMING.election_max)
-        leader = leaders(cluster)
-        term = cluster.hosts[leader[0]].replica.term
+        cluster, leader, term = self.led_cluster()
         for host in cluster.hosts.values():
             for other in cluster.hosts:
                 host.replica.reached(cluster.now, other)
@@ -69,11 +73,7 @@
         self.assertEqual((leaders(cluster), cluster.hosts[leader[0]].replica.term), (leader, term))
 
     def test_one_that_restarts_leaves_the_leader_alone(self):
-        cluster = Cluster()
-        self.run_until_led(cluster)
-        cluster.run(TIMING.election_max)
-        leader = leaders(cluster)
-        term = cluster.hosts[leader[0]].replica.term
+        cluster, leader, term = self.led_cluster()
         follower = next(host for name, host in cluster.hosts.items() if name not in leader)
         cluster.restart(follower)
         cluster.run(3 * TIMING.election_max)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -117,6 +117,16 @@
     return OK
 
 
+def held_until(release: asyncio.Event, answer: bytes = OK) -> Handle:
+    """A handler that answers nothing before the event is set."""
+
+    async def held(request: Request, writer: asyncio.StreamWriter) -> bytes | None:
+        await release.wait()
+        return answer
+
+    return held
+
+
 class Server:
     """A server: `handle` gives the bytes of an answer, or None to say nothing."""
 
--- a/tests/node/test_node_process.py
+++ b/tests/node/test_node_process.py
@@ -6,7 +6,6 @@
 
 import pytest
 from loopback import (
-    OK,
     Bench,
     Client,
     Discovery,
@@ -14,6 +13,7 @@
     call,
     connected,
     free_port,
+    held_until,
     node_table,
     play,
     settings,
@@ -54,12 +54,7 @@
 
     async def scene():
         release = asyncio.Event()
-
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
-        await (server := Server(held)).start()
+        await (server := Server(held_until(release))).start()
         await (discovery := Discovery()).start()
         port = free_port()
         listen = f"127.0.0.1:{port}"
@@ -106,14 +101,9 @@
 
     async def scene():
         release = asyncio.Event()
-
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
         monkeypatch.setattr("brackenladder.http.callers.TAKING", 600.0)  # until the test says so
         monkeypatch.setattr("brackenladder.sockets.listener.TAKING", 600.0)
-        bench = await Bench(server := Server(held)).start()
+        bench = await Bench(server := Server(held_until(release))).start()
         callers = bench.node.front.callers
         callers.handover = 0.0
         idle, early = await bench.client(), await bench.client()
--- a/tests/node/test_node_reload.py
+++ b/tests/node/test_node_reload.py
@@ -9,7 +9,6 @@
 
 from loopback import (
     MOMENT,
-    OK,
     Bench,
     Client,
     Discovery,
@@ -17,6 +16,7 @@
     call,
     connected,
     free_port,
+    held_until,
     node_table,
     play,
     settings,
@@ -36,12 +36,7 @@
 
     async def scene():
         release = asyncio.Event()
-
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
-        bench = await Bench(server := Server(held)).start()
+        bench = await Bench(server := Server(held_until(release))).start()
         await Server.start(second := Server())
         await Server.start(new := Discovery())
         old = bench.discovery
@@ -111,12 +106,7 @@
 
     async def scene():
         tell = asyncio.Event()
-
-        async def late(request, writer):
-            await tell.wait()
-            return FULL
-
-        bench = await Bench(full := Server(late)).start()
+        bench = await Bench(full := Server(held_until(tell, FULL))).start()
         await Server.start(new := Server())
         await Server.start(discovery := Discovery())
         (client := await bench.client()).send(call("invite"))
--- a/tests/node/test_node_requests.py
+++ b/tests/node/test_node_requests.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from loopback import OK, Bench, Server, call, play, until
+from loopback import Bench, Server, call, held_until, play, until
 from node_samples import always
 
 HIDDEN = b"0\r\n\r\n" + call("invite")
@@ -56,12 +56,7 @@
 
     async def scene():
         release = asyncio.Event()
-
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
-        bench = await Bench(server := Server(held)).start()
+        bench = await Bench(server := Server(held_until(release))).start()
         callers = bench.node.front.callers
         assert callers.most_held == 16 << 20  # an eighth of the memory that is given if none is named
         callers.most_held = 150_000
@@ -242,12 +237,7 @@
 
     async def scene():
         release = asyncio.Event()
-
-        async def held(request, writer):
-            await release.wait()
-            return OK
-
-        bench = await Bench(server := Server(held)).start()
+        bench = await Bench(server := Server(held_until(release))).start()
         (first := await bench.client()).send(call("invite", name=b"7f01"))
         await until(lambda: len(server.requests) == 1)
         for extra in (b"", b"X-Again: 1\r\n"):
@@ -267,13 +257,7 @@
 
     async def scene():
         release = asyncio.Event()
-
-        async def held(request, writer):
-            if not release.is_set():
-                await release.wait()
-            return OK
-
-        bench = await Bench(server := Server(held), policy_limits={"cancel": False}).start()
+        bench = await Bench(server := Server(held_until(release)), policy_limits={"cancel": False}).start()
         (first := await bench.client()).send(call("invite", name=b"7f02"))
         await until(lambda: len(server.requests) == 1)
         (caller,) = bench.node.front.callers.callers
--- a/tests/rehearsal/rogue.py
+++ b/tests/rehearsal/rogue.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 SPARE = 0.15  # seconds before the client's time is over in which an answer is given
+CONNECT_SECONDS = 0.25
 REFUSED = "rejected"  # an attempt that cannot have run
 LATE = 2.6  # seconds past the client's time: beyond the tests' slack of 1 s
 Answer = tuple[str, bytes]  # how an attempt ended, and a served one's body
@@ -43,6 +44,15 @@
     return request
 
 
+async def connect(line: dict[str, Any]) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+    """A connection to the server of a line; None if there is none in time."""
+    host, _, port = line["addr"].rpartition(":")
+    try:
+        return await asyncio.wait_for(asyncio.open_connection(host, int(port)), CONNECT_SECONDS)
+    except (OSError, TimeoutError):
+        return None
+
+
 class Rogue(asyncio.DatagramProtocol):
     def __init__(self, mode: str) -> None:
         self.mode = mode
@@ -114,11 +124,10 @@
     # ---- attempts -------------------------------------------------------------------------------------
 
     async def attempt(self, request: Request, line: dict[str, Any], patience: float) -> Answer:
-        host, _, port = line["addr"].rpartition(":")
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 0.25)
-        except (OSError, TimeoutError):
+        streams = await connect(line)
+        if streams is None:
             return REFUSED, b""
+        reader, writer = streams
         try:
             kept = ("x-call-id", "idempotency-key", "content-length")
             lines = [f"{request.method} {request.target} HTTP/1.1", "Host: app"]
--- a/tests/rehearsal/rogue_rpc.py
+++ b/tests/rehearsal/rogue_rpc.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import msgpack
-from rogue import REFUSED, SPARE, Answer, Request, Rogue
+from rogue import REFUSED, SPARE, Answer, Request, Rogue, connect
 
 
 class Call(Request):
@@ -62,11 +62,10 @@
         writer.close()
 
     async def once(self, request: Call, line: dict[str, Any], patience: float) -> Answer:
-        host, _, port = line["addr"].rpartition(":")
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 0.25)
-        except (OSError, TimeoutError):
+        streams = await connect(line)
+        if streams is None:
             return REFUSED, b""
+        reader, writer = streams
         try:
             msgid = next(self.msgids)
             writer.write(msgpack.packb([0, msgid, request.klass, request.params]))
--- a/tests/rpc/standins.py
+++ b/tests/rpc/standins.py
@@ -76,6 +76,11 @@
         """Requests in the order of their coming."""
         return [message for _, message in self.messages if message[0] == 0]
 
+    def answer_first(self, result: Any) -> None:
+        """Answers the call that came first."""
+        connection, message = self.messages[0]
+        connection.reply(message[1], None, result)
+
     def entry(self, name: str, state: str = "ready", **changes: Any) -> dict[str, Any]:
         return entry_of(self.port, name, state, **changes)
 
--- a/tests/rpc/test_rpc_clients.py
+++ b/tests/rpc/test_rpc_clients.py
@@ -16,8 +16,7 @@
         client.call("view", 2, msgid=5)
         assert await client.receive() == [1, 5, ["failed", "this msgid has a call open"], None]
         await until(lambda: len(server.calls) == 1)
-        connection, message = server.messages[0]
-        connection.reply(message[1], None, "first")
+        server.answer_first("first")
         assert await client.receive() == [1, 5, None, "first"]
         client.call("view", 3, msgid=5)  # free again
         await until(lambda: len(server.calls) == 2)
@@ -32,8 +31,7 @@
         client.call("view", 1)
         client.writer.write(b"\xc1\xc1")
         await until(lambda: len(server.calls) == 1)
-        connection, message = server.messages[0]
-        connection.reply(message[1], None, "yes")
+        server.answer_first("yes")
         assert await client.receive() == [1, 1, None, "yes"]
         assert await client.ended()
 
@@ -47,8 +45,7 @@
         client.call("view", 1)
         client.writer.write_eof()
         await until(lambda: len(server.calls) == 1)
-        connection, message = server.messages[0]
-        connection.reply(message[1], None, "yes")
+        server.answer_first("yes")
         assert await client.receive() == [1, 1, None, "yes"]
         assert await client.ended()
 
@@ -71,8 +68,7 @@
         await until(lambda: ours.full)
         assert not ours.transport.is_reading()
         await until(lambda: not bench.front.clients)
-        connection, message = server.messages[0]
-        connection.reply(message[1], None, "late")
+        server.answer_first("late")
         await until(lambda: not bench.pool.host.calls)
 
     play(scene)
@@ -104,8 +100,7 @@
         await until(lambda: len(server.calls) == 1)
         client.writer.transport.abort()
         await until(lambda: not bench.front.clients)
-        connection, message = server.messages[0]
-        connection.reply(message[1], None, "late")
+        server.answer_first("late")
         await until(lambda: not bench.pool.host.calls)
 
     play(scene)
--- a/tests/rpc/test_rpc_node.py
+++ b/tests/rpc/test_rpc_node.py
@@ -62,8 +62,7 @@
         client.call("view", 1)
         await until(lambda: len(server.calls) == 1)
         process.send_signal(signal.SIGTERM)
-        connection, message = server.messages[0]
-        connection.reply(message[1], None, "yes")
+        server.answer_first("yes")
         assert await client.receive() == [1, 1, None, "yes"]
         assert await asyncio.wait_for(process.wait(), PATIENCE) == 0
 
