--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,8 +15,8 @@
 ROOT = Path(__file__).parent.parent
 
 
-# Hypothesis bounds an example's and the generation's time by the wall clock, 200 ms and about a second: beside
-# load that tells of the machine. A hang is still found by the longer bound.
+# Hypothesis bounds an example's and the generation's time by the wall clock, 200 ms and about a second:
+# beside load that tells of the machine. A hang is still found by the longer bound.
 settings.register_profile(
     "suite", deadline=timedelta(seconds=10), suppress_health_check=[HealthCheck.too_slow]
 )
