Links are dialled and closed in the sequence of addresses, so that a simulated seed repeats in any process

Change: sorted. tests/simulation/test_replay.py plays one seed in two processes that hash differently.

--- a/brackenladder/control_plane/peers.py
+++ b/brackenladder/control_plane/peers.py
@@ -59,7 +59,7 @@
         for address in sorted(wanted - self._dialers.keys()):
             if len(self._dialers) < MOST_ADDRESSES:
                 self._dialers[address] = self._transport.dial(address, _DialledLink(self))
-        for address in self._dialers.keys() - wanted:
+        for address in sorted(self._dialers.keys() - wanted):
             self._dialers.pop(address).close()
 
     def connected_addresses(self) -> tuple[str, ...]:
--- a/brackenladder/node/control_links.py
+++ b/brackenladder/node/control_links.py
@@ -123,11 +123,11 @@
             self.announce()
 
     def _choose(self) -> None:
+        """Dials and closes in the sequence of addresses, which is the same in every process."""
         wanted = self._wanted()
-        for address in wanted:
-            if address not in self._dialers:
-                self._dialers[address] = self._transport.dial(address, _ControlLink(self, address))
-        for address in self._dialers.keys() - wanted:
+        for address in sorted(wanted - self._dialers.keys()):
+            self._dialers[address] = self._transport.dial(address, _ControlLink(self, address))
+        for address in sorted(self._dialers.keys() - wanted):
             self._dialers.pop(address).close()
 
     def _wanted(self) -> set[str]:
--- /dev/null
+++ b/tests/simulation/test_replay.py
@@ -0,0 +1,33 @@
+"""A seed decides a run to the byte, whatever process plays it."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+from unittest import TestCase
+
+ROOT = Path(__file__).parents[2]
+COMMAND = (sys.executable, "-m", "brackenladder.system", "simulate", "--profile", "isolation", "--trace")
+PATIENCE = 120.0  # seconds; only a failure waits so long
+
+
+class ReplayTest(TestCase):
+    def play(self, seed: int, hash_seed: int) -> str:
+        """The trace as a process with this seed of its hashes tells it."""
+        told = subprocess.run(
+            [*COMMAND, "--replay", str(seed)],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONHASHSEED": str(hash_seed)},
+            capture_output=True,
+            text=True,
+            timeout=PATIENCE,
+            check=True,
+        )
+        return told.stdout
+
+    def test_processes_that_hash_differently_play_the_same(self) -> None:
+        first = self.play(9, hash_seed=1)
+        self.assertGreater(len(first.splitlines()), 50)
+        self.assertEqual(first, self.play(9, hash_seed=2))
