Test: the order whose write hangs is given while its node leads

Failure: beside load, TimeoutError after 20 s at `until(hanging.is_set)` in test_a_leader_ends_in_time_with_a_hanging_disk_a_call_and_no_successor. Cause: the test ended the two followers first and gave the order then. Where that takes longer than a leader without a quorum goes on, it has stepped down, refuses the order and writes nothing that could hang.

Now the followers take no entries, the order is given while the node leads and its write hangs, and the followers are ended then. Only the leader's disk hangs. The limit on its end is the same.

--- a/tests/control_plane/test_control_restart.py
+++ b/tests/control_plane/test_control_restart.py
@@ -18,8 +18,10 @@
 from attrs import evolve
 from control_cluster import PATIENCE, ControlCluster, configuration
 
+from brackenladder.consensus.messages import AppendEntries
 from brackenladder.consensus.types import Write
 from brackenladder.control_plane import http_server
+from brackenladder.control_plane.consensus_host import ConsensusHost
 from brackenladder.control_plane.control_node import (
     HANDOVER_SECONDS,
     HTTP_GRACE_SECONDS,
@@ -151,6 +153,16 @@
                 self.assertLess(spent, grace + SCHEDULING_SLACK)
 
 
+def take_no_entries(host: ConsensusHost) -> None:
+    """The host hears its leader, and acknowledges nothing that it is sent."""
+    step = host.step
+
+    def step_without_entries(sender: str, message: object) -> None:
+        step(sender, evolve(message, entries=()) if isinstance(message, AppendEntries) else message)
+
+    host.step = step_without_entries  # type: ignore[method-assign]
+
+
 class OrderlyEndTest(IsolatedAsyncioTestCase):
     """The platform's SIGTERM: whatever hangs, the process ends soon."""
 
@@ -167,16 +179,20 @@
         real = SqliteLogStore.apply_batch
 
         def hang(store: SqliteLogStore, writes: tuple[Write, ...]) -> object:
-            hanging.set()
-            released.wait(PATIENCE)
+            if store.path.startswith(cluster.platforms[leader].data_dir):
+                hanging.set()
+                released.wait(PATIENCE)
             return real(store, writes)
 
-        for number in range(3):
-            if number != leader:
-                await cluster.crash(number)
+        others = [number for number in range(3) if number != leader]
+        for number in others:
+            take_no_entries(cluster.node(number).host)
         with patch.object(SqliteLogStore, "apply_batch", hang):
+            # While it leads: alone it would step down after a while, and write nothing.
             order = asyncio.create_task(cluster.post(leader, REPLACE, configuration(1, "r1"), 0))
             await cluster.until(hanging.is_set)
+            for number in others:
+                await cluster.crash(number)
             began = time.monotonic()
             await cluster.stop(leader)
             spent = time.monotonic() - began
