--- a/tests/soak/test_soak_processes.py
+++ b/tests/soak/test_soak_processes.py
@@ -45,5 +45,4 @@
         self.assertEqual(len(started), 2)
         self.assertTrue(role.running)
         self.assertEqual(sum(isinstance(event, Trouble) for event in events), 2)
-        started[-1].kill()
-        await started[-1].wait()
+        await role.end()
