Role processes: SIGTERM waits while a process is loaded, and a start that is nearly done is ended in order

Ruled out: the drain, which never began. Change: SIGTERM is held from the first line on as SIGHUP is; a role that is told to end while it starts has 1 s for the rest of its start, and then ends in order. A gateway that never came to listen has nothing to end. The runner's tests hold that the start is whole before the end.

--- a/brackenladder/node/gateway_role.py
+++ b/brackenladder/node/gateway_role.py
@@ -77,12 +77,13 @@
 
     async def stop(self) -> None:
         """Leaves the directory at once, ends what is in flight, then goes."""
+        if self._timer is None:
+            return  # it never came to listen
         self._gateway.ready = False
         self._presence.set_state(GatewayState.LEAVING)
         self._links.announce()
         await self._gateway.drain(self._platform.bounds.grace_s)
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         await self._gateway.close()
         await self._transport.close()
 
--- a/brackenladder/node/held_signal.py
+++ b/brackenladder/node/held_signal.py
@@ -1,18 +1,19 @@
-"""SIGHUP while a role process is loaded: it waits until the role can take it.
+"""Signals of the platform while a role process is loaded: they wait until the role can take them.
 
-Failure prevented: the settings change while a process starts, and the signal that says so ends the process,
-as it ends every program that has not yet said what it does with it.
+Failure prevented: the settings change, or a planned end comes, while a process starts, and the signal that
+says so ends the process at once, as it ends every program that has not yet said what it does with it. A
+gateway listens by then, and what waits in its queue would be reset.
 """
 
 from __future__ import annotations
 
 import signal
 
-HELD = frozenset({signal.SIGHUP})
+HELD = frozenset({signal.SIGHUP, signal.SIGTERM})
 
 
 def hold() -> None:
-    """From now on SIGHUP waits."""
+    """From now on these signals wait."""
     signal.pthread_sigmask(signal.SIG_BLOCK, HELD)
 
 
--- a/brackenladder/node/role_runner.py
+++ b/brackenladder/node/role_runner.py
@@ -19,6 +19,7 @@
 from brackenladder.node import held_signal
 from brackenladder.platform_settings import Platform, load_platform
 
+START_PATIENCE_SECONDS = 1.0  # for the rest of a start, once the process has been told to end
 EXIT_OK = 0
 EXIT_FAILED = 1
 THREAD_STACK_BYTES = 256 * 1024
@@ -91,10 +92,12 @@
         return EXIT_OK
 
     async def _start(self) -> None:
-        """Starts the role, unless the process has to end before that is done."""
+        """Starts the role. One that has to end meanwhile gets a moment: an orderly end needs its start."""
         starting = asyncio.create_task(self.role.start())
         ending = asyncio.create_task(self._ending.wait())
         await asyncio.wait((starting, ending), return_when=asyncio.FIRST_COMPLETED)
+        if not starting.done():
+            await asyncio.wait((starting,), timeout=START_PATIENCE_SECONDS)
         if not starting.done():
             starting.cancel()
         ending.cancel()
--- a/tests/control_plane/test_role_runner.py
+++ b/tests/control_plane/test_role_runner.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         self.started = asyncio.Event()
         self.reloaded: asyncio.Queue[Platform] = asyncio.Queue()
+        self.whole = False  # its start was done
         self.stopped = False
         self.fault: RoleError | None = None
         self.may_start = asyncio.Event()
@@ -44,6 +45,7 @@
         await self.may_start.wait()
         if self.fault is not None:
             raise self.fault
+        self.whole = True
 
     def reload(self, platform: Platform) -> None:
         self.reloaded.put_nowait(platform)
@@ -79,6 +81,26 @@
         self.assertEqual(await running, EXIT_OK)
         self.assertTrue(role.stopped)
 
+    async def test_a_start_that_is_nearly_done_is_ended_in_order(self) -> None:
+        role = RecordingRole()
+        role.may_start.clear()
+        running = asyncio.create_task(RoleRunner(role, self.path).run())
+        await role.started.wait()
+        os.kill(os.getpid(), signal.SIGTERM)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        role.may_start.set()
+        self.assertEqual(await running, EXIT_OK)
+        self.assertTrue(role.whole and role.stopped)
+
+    async def test_sigterm_before_the_role_can_take_it_waits(self) -> None:
+        held_signal.hold()
+        self.addCleanup(held_signal.release)
+        signal.raise_signal(signal.SIGTERM)
+        role = RecordingRole()
+        self.assertEqual(await RoleRunner(role, self.path).run(), EXIT_OK)
+        self.assertTrue(role.whole and role.stopped)
+
     async def test_changed_settings_are_taken_with_and_without_a_signal(self) -> None:
         role = RecordingRole()
         with patch("brackenladder.node.role_runner.SETTINGS_CHECK_SECONDS", 0.01):
@@ -118,7 +140,7 @@
     def test_sighup_is_held_from_the_first_line_on(self) -> None:
         self.run_with(["nope"], "")
         held = signal.pthread_sigmask(signal.SIG_BLOCK, ())
-        self.assertIn(signal.SIGHUP, held)
+        self.assertLessEqual({signal.SIGHUP, signal.SIGTERM}, held)
 
     def run_with(self, arguments: list[str], settings: str) -> tuple[int, list[str]]:
         """Exit status, and the lines on standard error."""
