Soak no longer reaches up into the command line: local_site and operator_client stand below both

Cause: soak/ imported system/local and system/control_client while system/ imports soak/, the one arrow of the house that ran upward; the floors allowed it, as both stood on the same one. Change: machines, addresses, processes and the first configuration of a local system move to local_site/, the operator's client and its errors to operator_client/; system/ stands one floor above soak/, so tests/test_imports.py now refuses the arrow.

--- /dev/null
+++ b/brackenladder/local_site/__init__.py
@@ -0,0 +1,1 @@
+"""A whole system on one machine: its machines and addresses, its processes, its first configuration."""
--- a/brackenladder/system/local/first_configuration.py
+++ b/brackenladder/local_site/first_configuration.py
@@ -5,8 +5,8 @@
 from random import Random
 from typing import Any
 
+from brackenladder.local_site.layout import ENGINE, MODEL_SERVICE, PLAIN_SERVICE
 from brackenladder.rehearsal.standins.model_clients import RequestSpec
-from brackenladder.system.local.layout import ENGINE, MODEL_SERVICE, PLAIN_SERVICE
 
 HOST = "local.example"
 CHAT_PATH, CARDS_PATH = "/chat/", "/cards/"
--- a/brackenladder/system/local/processes.py
+++ b/brackenladder/local_site/processes.py
@@ -12,7 +12,7 @@
 from attrs import frozen
 
 import brackenladder
-from brackenladder.system.local.layout import GRACE_S, Layout, Machine
+from brackenladder.local_site.layout import GRACE_S, Layout, Machine
 
 RESTART_SECONDS = 1.0  # until a process that has ended is started again
 KILL_MARGIN_SECONDS = 2.0  # after the grace
--- a/brackenladder/system/control_client.py
+++ b/brackenladder/operator_client/control_client.py
@@ -16,7 +16,7 @@
 from brackenladder.catalog.structuring import structure
 from brackenladder.control_plane.operator_api import BASE_VERSION_HEADER
 from brackenladder.control_plane.status import ControlStatus
-from brackenladder.system.errors import ControlError, NoAnswer, Refusal
+from brackenladder.operator_client.errors import ControlError, NoAnswer, Refusal
 
 CALL_SECONDS = 4.0  # for one call; a node may hold an order for 2.5 s before it says that it is unclear
 DEFAULT_PATIENCE_SECONDS = 15.0
--- a/brackenladder/soak/configuration.py
+++ b/brackenladder/soak/configuration.py
@@ -9,9 +9,9 @@
 
 from attrs import frozen
 
+from brackenladder.local_site.first_configuration import first_configuration
 from brackenladder.simulation.documents import MARKER
 from brackenladder.soak.site import CARDS, FORMS, REGIONS
-from brackenladder.system.local.first_configuration import first_configuration
 
 PLAIN_HOST, HOME_HOST, MOVING_HOST = "plain.soak", "home.soak", "moving.soak"
 FIRST_HOMES = {HOME_HOST: ("north",), MOVING_HOST: ("south",)}  # those of the first host never change
--- a/brackenladder/soak/processes.py
+++ b/brackenladder/soak/processes.py
@@ -13,12 +13,12 @@
 from pathlib import Path
 from typing import Any
 
+from brackenladder.local_site.layout import GRACE_S, Machine
+from brackenladder.local_site.processes import PACKAGE_ROOT
 from brackenladder.soak.actors import READY, actor_name
 from brackenladder.soak.events import ProcessEnded, Tell, Trouble, now
 from brackenladder.soak.relayed_role import PORT_VARIABLE
 from brackenladder.soak.site import SoakLayout
-from brackenladder.system.local.layout import GRACE_S, Machine
-from brackenladder.system.local.processes import PACKAGE_ROOT
 
 KILL_MARGIN_SECONDS = 2.0  # after the grace
 ACTOR_SECONDS = 30.0  # for an actor to start, or to end
--- a/brackenladder/soak/relay.py
+++ b/brackenladder/soak/relay.py
@@ -6,9 +6,9 @@
 from collections import Counter
 from contextlib import suppress
 
+from brackenladder.local_site.layout import INNER_PORTS, Machine
 from brackenladder.soak.events import Order, Tell
 from brackenladder.soak.site import SoakLayout
-from brackenladder.system.local.layout import INNER_PORTS, Machine
 
 PIECE = 64 * 1024  # bytes read at a time
 CONNECT_SECONDS = 1.0
--- a/brackenladder/soak/servers.py
+++ b/brackenladder/soak/servers.py
@@ -11,12 +11,12 @@
 
 from attrs import evolve
 
+from brackenladder.local_site.layout import HEARTBEAT_MS
 from brackenladder.platform_settings import DEFAULT_BOUNDS
 from brackenladder.rehearsal.standins.heartbeats import FAREWELL_SECONDS, RETRY_SECONDS, Heartbeats
 from brackenladder.rehearsal.standins.model_server import ModelServer, ServerSettings
 from brackenladder.soak.events import Arrived, Handled, LeaveAcknowledged, Order, Tell, Trouble, now
 from brackenladder.soak.site import SoakLayout
-from brackenladder.system.local.layout import HEARTBEAT_MS
 
 COLD_SECONDS = 2.0  # after a start during traffic
 LONGEST_STAY_SECONDS = 6.0  # beyond DrainMs
--- a/brackenladder/soak/site.py
+++ b/brackenladder/soak/site.py
@@ -6,15 +6,15 @@
 
 from attrs import field, frozen
 
-from brackenladder.rehearsal.standins.model_engine import EngineSettings
-from brackenladder.rehearsal.standins.model_server import ServerSettings
-from brackenladder.system.local.layout import (
+from brackenladder.local_site.layout import (
     FIRST_CONTROL,
     FIRST_GATEWAY,
     SERVER_PORT,
     Layout,
     Machine,
 )
+from brackenladder.rehearsal.standins.model_engine import EngineSettings
+from brackenladder.rehearsal.standins.model_server import ServerSettings
 
 ZONES = {"north-a": "north", "south-a": "south", "east-a": "east", "north-b": "north", "south-b": "south"}
 REGIONS = ("north", "south", "east")
--- a/brackenladder/soak/system.py
+++ b/brackenladder/soak/system.py
@@ -7,13 +7,13 @@
 from http import HTTPStatus
 from random import Random
 
+from brackenladder.operator_client.control_client import ControlClient
 from brackenladder.soak.connection import call
 from brackenladder.soak.events import Tell, Trouble, now
 from brackenladder.soak.operators import Office, Operator
 from brackenladder.soak.processes import ActorProcess, Role
 from brackenladder.soak.schedule import Kind, Step
 from brackenladder.soak.site import REGIONS, SoakLayout
-from brackenladder.system.control_client import ControlClient
 
 START_SECONDS = 60.0  # for the whole system to come up
 POLL_SECONDS = 0.1
--- a/brackenladder/system/app.py
+++ b/brackenladder/system/app.py
@@ -8,8 +8,8 @@
 import typer
 from typer.exceptions import Abort, TyperException
 
+from brackenladder.operator_client.errors import CommandError, ExitCode
 from brackenladder.system.config_commands import config
-from brackenladder.system.errors import CommandError, ExitCode
 from brackenladder.system.evacuate_command import evacuate
 from brackenladder.system.local_command import local
 from brackenladder.system.simulate_command import simulate
--- a/brackenladder/system/config_change.py
+++ b/brackenladder/system/config_change.py
@@ -12,8 +12,8 @@
 from brackenladder.catalog.configuration import parse_document
 from brackenladder.catalog.strict_json import read_object
 from brackenladder.catalog.update import REMOVE, UPSERT, VERSION, empty_document, merge_update
+from brackenladder.operator_client.errors import Unusable
 from brackenladder.system.config_diff import Difference, differences
-from brackenladder.system.errors import Unusable
 
 Document = dict[str, Any]
 LARGEST_FILE = 8 * 1024 * 1024  # bytes; a control node takes no more
--- a/brackenladder/system/config_commands.py
+++ b/brackenladder/system/config_commands.py
@@ -10,9 +10,9 @@
 import typer
 from returns.result import Failure, Result
 
+from brackenladder.operator_client.control_client import DEFAULT_PATIENCE_SECONDS, ControlClient
+from brackenladder.operator_client.errors import CommandError, ControlError, ExitCode, NoAnswer, Unusable
 from brackenladder.system.config_change import ConfigurationFile, PlannedChange, plan_change, read_file
-from brackenladder.system.control_client import DEFAULT_PATIENCE_SECONDS, ControlClient
-from brackenladder.system.errors import CommandError, ControlError, ExitCode, NoAnswer, Unusable
 from brackenladder.system.options import (
     ControlOption,
     JsonOption,
--- a/brackenladder/system/evacuate_command.py
+++ b/brackenladder/system/evacuate_command.py
@@ -8,8 +8,8 @@
 import typer
 from returns.result import Failure, Result
 
-from brackenladder.system.control_client import DEFAULT_PATIENCE_SECONDS, ControlClient
-from brackenladder.system.errors import CommandError, ControlError
+from brackenladder.operator_client.control_client import DEFAULT_PATIENCE_SECONDS, ControlClient
+from brackenladder.operator_client.errors import CommandError, ControlError
 from brackenladder.system.options import ControlOption, JsonOption, PatienceOption, control_client
 from brackenladder.system.output import print_json, say
 
--- a/brackenladder/system/local/faults.py
+++ b/brackenladder/system/local/faults.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-from brackenladder.system.local.layout import MODEL_SERVICE
+from brackenladder.local_site.layout import MODEL_SERVICE
 from brackenladder.system.local.local_system import LocalSystem
 
 ROUTE_OF_FAULT = "after-fault"  # the route that a change adds once the leader is gone
--- a/brackenladder/system/local/local_system.py
+++ b/brackenladder/system/local/local_system.py
@@ -14,17 +14,17 @@
 from returns.result import Failure
 
 from brackenladder.control_plane.status import ControlStatus
-from brackenladder.rehearsal.standins.heartbeats import Heartbeats
-from brackenladder.rehearsal.standins.model_server import ModelServer, ServerSettings
-from brackenladder.system.control_client import ControlClient
-from brackenladder.system.local.first_configuration import (
+from brackenladder.local_site.first_configuration import (
     FIRST_VERSION,
     HOST,
     first_configuration,
     route_update,
 )
-from brackenladder.system.local.layout import HEARTBEAT_MS, Layout, Machine
-from brackenladder.system.local.processes import RoleProcess
+from brackenladder.local_site.layout import HEARTBEAT_MS, Layout, Machine
+from brackenladder.local_site.processes import RoleProcess
+from brackenladder.operator_client.control_client import ControlClient
+from brackenladder.rehearsal.standins.heartbeats import Heartbeats
+from brackenladder.rehearsal.standins.model_server import ModelServer, ServerSettings
 
 START_SECONDS = 30.0  # for the whole system to be ready
 POLL_SECONDS = 0.05
--- a/brackenladder/system/local/run.py
+++ b/brackenladder/system/local/run.py
@@ -13,11 +13,11 @@
 from attrs import define, field, frozen
 
 from brackenladder.control_plane.status import ControlStatus
+from brackenladder.local_site.first_configuration import CHAT_PATH, HOST
+from brackenladder.local_site.layout import Layout
+from brackenladder.local_site.processes import ProcessEnd
 from brackenladder.system.local.faults import Fault, FaultReport, play_fault
-from brackenladder.system.local.first_configuration import CHAT_PATH, HOST
-from brackenladder.system.local.layout import Layout
 from brackenladder.system.local.local_system import LocalSystem
-from brackenladder.system.local.processes import ProcessEnd
 from brackenladder.system.local.traffic import Traffic
 
 FAULT_AFTER_SECONDS = 3.0  # of traffic
--- a/brackenladder/system/local/traffic.py
+++ b/brackenladder/system/local/traffic.py
@@ -9,9 +9,9 @@
 
 from attrs import Factory, define
 
+from brackenladder.local_site.first_configuration import card_request, chat_request
+from brackenladder.local_site.layout import ZONES, Layout
 from brackenladder.rehearsal.standins.model_clients import ModelClient, Outcome, OutcomeKind
-from brackenladder.system.local.first_configuration import card_request, chat_request
-from brackenladder.system.local.layout import ZONES, Layout
 
 CHATS_A_SECOND, CARDS_A_SECOND = 2.0, 4.0  # of each zone's client
 MILLISECONDS = 1000
--- a/brackenladder/system/local_command.py
+++ b/brackenladder/system/local_command.py
@@ -12,9 +12,9 @@
 import typer
 
 from brackenladder.control_plane.status import status_document
-from brackenladder.system.errors import CommandError, ExitCode, Unusable
+from brackenladder.local_site.layout import DEFAULT_NETWORK
+from brackenladder.operator_client.errors import CommandError, ExitCode, Unusable
 from brackenladder.system.local.faults import Fault
-from brackenladder.system.local.layout import DEFAULT_NETWORK
 from brackenladder.system.local.local_system import LocalError
 from brackenladder.system.local.run import LocalPlan, LocalSummary, run_local
 from brackenladder.system.options import JsonOption
--- a/brackenladder/system/options.py
+++ b/brackenladder/system/options.py
@@ -6,8 +6,8 @@
 
 import typer
 
-from brackenladder.system.control_client import ControlClient
-from brackenladder.system.errors import Unusable
+from brackenladder.operator_client.control_client import ControlClient
+from brackenladder.operator_client.errors import Unusable
 from brackenladder.transport.address import parse_address
 from brackenladder.transport.errors import AddressError
 
--- a/brackenladder/system/simulate_command.py
+++ b/brackenladder/system/simulate_command.py
@@ -9,11 +9,11 @@
 
 import typer
 
+from brackenladder.operator_client.errors import ExitCode, Unusable
 from brackenladder.simulation.campaign import Schedule, Summary, campaign, convict_all, schedules, shrink
 from brackenladder.simulation.mutants.known import MUTANTS
 from brackenladder.simulation.profiles import PROFILES
 from brackenladder.simulation.run import RunResult, run
-from brackenladder.system.errors import ExitCode, Unusable
 from brackenladder.system.output import note, say
 
 PROGRESS_EVERY = 50  # schedules
--- a/brackenladder/system/soak_command.py
+++ b/brackenladder/system/soak_command.py
@@ -14,12 +14,12 @@
 import typer
 from cattrs import unstructure
 
+from brackenladder.operator_client.errors import ExitCode, Unusable
 from brackenladder.soak.checker import Verdict
 from brackenladder.soak.events import MICROSECONDS
 from brackenladder.soak.run import SoakPlan, run_soak
 from brackenladder.soak.site import Size
 from brackenladder.soak.system import SoakError
-from brackenladder.system.errors import ExitCode, Unusable
 from brackenladder.system.options import JsonOption
 from brackenladder.system.output import print_json, say
 from brackenladder.system.simulate_command import seed_range
--- a/brackenladder/system/status_command.py
+++ b/brackenladder/system/status_command.py
@@ -7,8 +7,8 @@
 from returns.result import Result
 
 from brackenladder.control_plane.status import ControlStatus, status_document
-from brackenladder.system.control_client import ControlClient
-from brackenladder.system.errors import CommandError, ExitCode
+from brackenladder.operator_client.control_client import ControlClient
+from brackenladder.operator_client.errors import CommandError, ExitCode
 from brackenladder.system.options import ControlOption, JsonOption, control_client
 from brackenladder.system.output import note, print_json, say
 from brackenladder.system.status_text import in_order, status_lines
--- a/brackenladder/system/store_commands.py
+++ b/brackenladder/system/store_commands.py
@@ -8,7 +8,7 @@
 import typer
 from returns.result import Failure
 
-from brackenladder.system.errors import CommandError, ExitCode
+from brackenladder.operator_client.errors import CommandError, ExitCode
 from brackenladder.system.options import JsonOption
 from brackenladder.system.output import note, print_json, say
 from brackenladder.system.store_copy import integrity_faults, opened_copy, source_of, write_backup
--- a/brackenladder/system/store_copy.py
+++ b/brackenladder/system/store_copy.py
@@ -13,10 +13,10 @@
 
 from returns.result import Failure
 
+from brackenladder.operator_client.errors import CommandError, Unusable
 from brackenladder.storage.log_store import StoreInUse
 from brackenladder.storage.sqlite_file import FILE_NAME, WAL_SUFFIX, has_store, sync_to_disk
 from brackenladder.storage.sqlite_log import SqliteLogStore, open_store
-from brackenladder.system.errors import CommandError, Unusable
 
 # The bytes of the file that sqlite3 locks: a reader shares them, a process that has the store open owns them.
 LOCK_START = 0x4000_0002
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -6,12 +6,12 @@
 from io import StringIO
 from unittest import TestCase
 
+from brackenladder.operator_client.errors import ExitCode
 from brackenladder.simulation.campaign import Schedule, convict, shrink
 from brackenladder.simulation.mutants.known import MUTANTS
 from brackenladder.simulation.profiles import PROFILES
 from brackenladder.simulation.run import run
 from brackenladder.system.app import main
-from brackenladder.system.errors import ExitCode
 
 SCHEDULES = 3  # of each profile; `simulate` plays many more
 TRIES = 20  # of each planted fault here; `simulate --convict` plays up to 400
--- a/tests/soak/test_soak_actors.py
+++ b/tests/soak/test_soak_actors.py
@@ -9,6 +9,7 @@
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 
+from brackenladder.local_site.layout import INNER_PORTS, Machine
 from brackenladder.rehearsal.nodes import free_port, own_address
 from brackenladder.rehearsal.standins.model_server import ServerSettings
 from brackenladder.soak.clients import Lane, Place
@@ -18,7 +19,6 @@
 from brackenladder.soak.relay import Relay
 from brackenladder.soak.servers import RecordingServer
 from brackenladder.soak.site import ENGINE, SoakLayout
-from brackenladder.system.local.layout import INNER_PORTS, Machine
 
 PATIENCE = 20.0  # seconds; only a failure waits so long
 ROUNDS = 20  # on a link that is not held up, while another one is
--- a/tests/system/test_system_commands.py
+++ b/tests/system/test_system_commands.py
@@ -17,8 +17,8 @@
 from attrs import frozen
 from control_plane.control_cluster import ControlCluster, configuration
 
+from brackenladder.operator_client.errors import ExitCode
 from brackenladder.system.app import main
-from brackenladder.system.errors import ExitCode
 from brackenladder.system.options import CONTROL_VARIABLE
 
 PAGE = Path(__file__).parents[2] / "docs" / "system-operations.md"
--- a/tests/system/test_system_end_to_end.py
+++ b/tests/system/test_system_end_to_end.py
@@ -13,14 +13,14 @@
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 
-from brackenladder.rehearsal.standins.model_clients import ModelClient, OutcomeKind
-from brackenladder.system.local.first_configuration import (
+from brackenladder.local_site.first_configuration import (
     HOST,
     card_request,
     chat_request,
     first_configuration,
 )
-from brackenladder.system.local.layout import Layout
+from brackenladder.local_site.layout import Layout
+from brackenladder.rehearsal.standins.model_clients import ModelClient, OutcomeKind
 from brackenladder.system.local.local_system import LocalSystem
 
 PATIENCE = 20.0  # seconds; only a failure waits so long
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -19,14 +19,17 @@
     "sockets": 3,
     **dict.fromkeys(["http", "rpc", "discovery", "peers", "storage", "transport"], 4),
     "placement": 4,
+    "local_site": 5,
+    "operator_client": 6,
     **dict.fromkeys(["gateway", "control_plane", "node", "adapter"], 5),
     # The rehearsal meets a node through its sockets and its command line; the model hosts the core.
     "rehearsal": 0,
     "fleet": 2,
     # Control nodes in virtual time, processes under troubles; only the command line imports them.
     **dict.fromkeys(["simulation", "soak"], 6),
-    **dict.fromkeys(["cli", "system"], 6),
-    "__main__": 7,
+    "cli": 6,
+    "system": 7,
+    "__main__": 8,
     "serve": 7,
 }
 BESIDE = {("fleet", "rehearsal")}  # the tools' own order
