A changed configuration comes from a gateway's nearest control node, its presence is told by that one

That a gateway lives is told to peers by its nearest control node alone; changes are told by all. Ruled out: subscribing to one control node only (docs/design-system.md, 'Compared ways'). Tests: publisher, links, registry.

--- a/brackenladder/control_plane/soft_state.py
+++ b/brackenladder/control_plane/soft_state.py
@@ -297,10 +297,14 @@
             link.send(PrefixNotices(kept))
 
     def _subscribed(self, link: Link, name: str, message: Subscribe) -> None:
+        """A gateway's presence. Peers hear it themselves; that it lives is told by its nearest node alone.
+
+        Failure prevented: each of five control nodes tells each other one of every gateway, each second.
+        """
         self._publisher.subscribed(name, message)
         self._relay.serve(name, message.relay)
         self._nodes[name] = message.node
-        self._gateways.presence(self._clock(), message.gateway)
+        self._gateways.presence(self._clock(), message.gateway, tell_peers=message.relay)
         self._count_gateways()
 
     def _name(self, link: Link) -> str:
--- a/brackenladder/delivery/publisher.py
+++ b/brackenladder/delivery/publisher.py
@@ -75,6 +75,9 @@
             self._dirty[subscriber] = None
         else:
             subscription.have_revision = max(subscription.have_revision, message.have_revision)
+            if message.relay and not subscription.nearest:
+                self._dirty[subscriber] = None
+        self._subscriptions[subscriber].nearest = message.relay
 
     def acknowledged(self, subscriber: str, ack: Ack) -> None:
         """Take a subscriber's ack; what changed since is then due."""
@@ -137,7 +140,8 @@
             for subscriber in self._dirty
             for message in self._messages(this_round, self._subscriptions[subscriber])
         )
-        self._dirty.clear()
+        held = [name for name in self._dirty if self._subscriptions[name].document_held_since is not None]
+        self._dirty = dict.fromkeys(held)
         return due
 
     def _mark_changes(self, this_round: _Round) -> None:
@@ -168,8 +172,11 @@
         channel = subscription.channels[UpdateKind.CATALOG]
         if not this_round.tells_catalog or not channel.due(self._catalog.revision):
             return
-        channel.in_flight = self._catalog.revision
         has_document = subscription.have_revision >= self._catalog.document_revision
+        if not has_document and subscription.holds_document(this_round.now):
+            return
+        subscription.document_held_since = None
+        channel.in_flight = self._catalog.revision
         if has_document not in this_round.catalog_updates:
             this_round.catalog_updates[has_document] = self._build_catalog_update(this_round, has_document)
         yield this_round.catalog_updates[has_document]
--- a/brackenladder/node/control_links.py
+++ b/brackenladder/node/control_links.py
@@ -8,6 +8,7 @@
 import logbook
 from attrs import evolve
 
+from brackenladder.delivery.messages import Ack, UpdateKind
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
 from brackenladder.prefix_cache.messages import PrefixNotices
@@ -100,11 +101,24 @@
             self.informed = True
             self._on_notices(message)
             return
+        known = self._subscriber.view.revision
         for answer in self._subscriber.told(self._clock(), address, message):
             link.send(answer)
+        if self._subscriber.view.revision > known:
+            self._tell_revision(address)
         if not self._relay:
             self._choose_relay()
 
+    def _tell_revision(self, source: str) -> None:
+        """Tells the other control nodes that they need not bring the configuration that has just come.
+
+        Failure prevented: each of five control nodes sends each gateway every changed document whole.
+        """
+        message = Ack(UpdateKind.CATALOG, self._subscriber.view.revision)
+        for address, link in self._links.items():
+            if address != source:
+                link.send(message)
+
     def down(self, address: str, link: Link, reason: LinkClosed) -> None:
         """A link has gone."""
         if self._links.get(address) is not link:
--- a/brackenladder/registry/gateways.py
+++ b/brackenladder/registry/gateways.py
@@ -75,16 +75,21 @@
         self._local_changes: dict[str, None] = {}
         self._local_heard: dict[str, None] = {}
 
-    def presence(self, now: int, gateway: GatewayRecord) -> bool:
-        """Take a gateway's own word; True if it changes what clients or peers are told."""
+    def presence(self, now: int, gateway: GatewayRecord, tell_peers: bool = True) -> bool:
+        """Take a gateway's own word; True if it changes what clients or peers are told.
+
+        `tell_peers`: peers are also told of a word that changes nothing, as evidence that the gateway lives.
+        """
         if self._first_heard_at is None:
             self._first_heard_at = now
         changed = self._merge(gateway, now)
         known = self._known[gateway.node]
         # the word of a process that does not hold yet must not keep its predecessor alive
         known.heard_here_at = now if known.gateway.incarnation == gateway.incarnation else None
-        news = self._local_changes if changed else self._local_heard
-        news[gateway.node] = None
+        if changed:
+            self._local_changes[gateway.node] = None
+        elif tell_peers:
+            self._local_heard[gateway.node] = None
         return changed
 
     def linked(self, node: str, heard_at: int) -> None:
--- a/tests/delivery/delivery_samples.py
+++ b/tests/delivery/delivery_samples.py
@@ -21,7 +21,8 @@
     return Failure("unreadable") if document == UNREADABLE else Success(document)
 
 
-def subscribe(have_revision: int = 0, seq: int = 1) -> Subscribe:
+def subscribe(have_revision: int = 0, seq: int = 1, relay: bool = True) -> Subscribe:
+    """A gateway's presence; by default told to its nearest control node."""
     return Subscribe(
         node="front-1",
         incarnation=1,
@@ -31,6 +32,7 @@
         state=GatewayState.STARTING,
         seq=seq,
         have_revision=have_revision,
+        relay=relay,
     )
 
 
--- a/tests/delivery/test_delivery.py
+++ b/tests/delivery/test_delivery.py
@@ -67,7 +67,8 @@
         if not control.linked:
             control.linked = True
             self.subscriber.connected(self.now, name)
-            control.publisher.subscribed("gateway", subscribe(self.subscriber.view.revision))
+            message = subscribe(self.subscriber.view.revision, relay=name == NAMES[0])
+            control.publisher.subscribed("gateway", message)
 
     def unlink(self, name: str) -> None:
         control = self.controls[name]
--- a/tests/delivery/test_publisher.py
+++ b/tests/delivery/test_publisher.py
@@ -20,6 +20,7 @@
     UpdateKind,
 )
 from brackenladder.delivery.publisher import MOST_RECORDS, Publisher
+from brackenladder.delivery.subscriptions import STANDBY_TIME
 from brackenladder.registry.registry import TOMBSTONE_LIFETIME, ServerRegistry
 
 NO_ZONES: frozenset[str] = frozenset()
@@ -45,6 +46,9 @@
 
     def settle(self) -> None:
         self.publisher.subscribed("gateway", subscribe())
+        self.acknowledge_due()
+
+    def acknowledge_due(self) -> None:
         while messages := self.gateway.take():
             self.acknowledge_all(messages)
 
@@ -194,6 +198,58 @@
         self.assertEqual([type(one) for one in self.gateway.take()], [CatalogUpdate, ServersUpdate])
 
 
+class StandbyTest(PublisherTest):
+    """A control node that is not the gateway's nearest leaves a changed document to that one for a moment."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.publisher.lost("gateway")
+        self.publisher.subscribed("gateway", subscribe(have_revision=3, relay=False))
+        self.publisher.set_catalog(3, b"{3}", NO_ZONES)
+        self.acknowledge_due()
+        self.publisher.set_catalog(7, b"{7}", NO_ZONES)
+
+    def catalogs(self, now: int) -> list[CatalogUpdate]:
+        return [one for one in self.gateway.take(now) if isinstance(one, CatalogUpdate)]
+
+    def test_it_is_sent_once_the_nearest_has_not_brought_it(self) -> None:
+        self.assertEqual(self.catalogs(AT), [])
+        self.assertEqual(self.catalogs(AT + STANDBY_TIME - 1), [])
+        (update,) = self.catalogs(AT + STANDBY_TIME)
+        self.assertEqual((update.revision, update.document), (7, b"{7}"))
+
+    def test_it_is_left_out_once_the_gateway_has_it(self) -> None:
+        self.assertEqual(self.catalogs(AT), [])
+        self.gateway.acknowledge(Ack(UpdateKind.CATALOG, 7))
+        (update,) = self.catalogs(AT + 1)
+        self.assertEqual((update.revision, update.document), (7, b""))
+
+    def test_a_further_change_is_not_held_for_longer(self) -> None:
+        self.assertEqual(self.catalogs(AT), [])
+        self.publisher.set_catalog(8, b"{8}", NO_ZONES)
+        (update,) = self.catalogs(AT + STANDBY_TIME)
+        self.assertEqual((update.revision, update.document), (8, b"{8}"))
+
+    def test_who_becomes_the_nearest_is_told_at_once(self) -> None:
+        self.assertEqual(self.catalogs(AT), [])
+        self.publisher.subscribed("gateway", subscribe(have_revision=3, seq=2))
+        (update,) = self.catalogs(AT + 1)
+        self.assertEqual(update.document, b"{7}")
+
+    def test_an_evacuation_is_told_at_once(self) -> None:
+        self.gateway.acknowledge(Ack(UpdateKind.CATALOG, 7))
+        self.acknowledge_due()
+        self.publisher.set_catalog(8, b"{7}", frozenset({"hall-a"}))
+        (update,) = self.catalogs(AT + 2)
+        self.assertEqual((update.document, update.evacuated), (b"", ("hall-a",)))
+
+    def test_a_gateway_without_any_configuration_is_told_at_once(self) -> None:
+        self.publisher.lost("gateway")
+        self.publisher.subscribed("gateway", subscribe(relay=False))
+        (update,) = self.catalogs(AT)
+        self.assertEqual(update.document, b"{7}")
+
+
 class BackPressureTest(PublisherTest):
     """One update of a kind is in flight; what changes meanwhile goes out as one."""
 
--- a/tests/registry/test_gateway_registry.py
+++ b/tests/registry/test_gateway_registry.py
@@ -47,6 +47,21 @@
         self.assertEqual(len(self.registry.ready(AT + SECOND + OWN_SILENCE - 1)), 1)
         self.assertEqual(self.registry.ready(AT + SECOND + OWN_SILENCE), ())
 
+    def test_a_word_that_changes_nothing_goes_to_peers_only_where_that_is_wanted(self) -> None:
+        self.registry.presence(AT, gateway(seq=1), tell_peers=False)
+        self.assertEqual(len(self.registry.take_local_changes(AT)), 1)
+        self.registry.presence(AT, gateway(seq=2), tell_peers=False)
+        self.assertEqual(self.registry.take_local_heard(AT), ())
+        self.registry.presence(AT, gateway(seq=3))
+        (heard,) = self.registry.take_local_heard(AT)
+        self.assertEqual(heard.gateway.seq, 3)
+
+    def test_a_change_goes_to_peers_whoever_is_nearest(self) -> None:
+        self.registry.presence(AT, gateway(seq=1, state=GatewayState.READY), tell_peers=False)
+        self.registry.take_local_changes(AT)
+        self.registry.presence(AT, gateway(seq=2, state=GatewayState.LEAVING), tell_peers=False)
+        self.assertEqual(len(self.registry.take_local_changes(AT)), 1)
+
     def test_a_link_says_nothing_of_one_that_was_not_heard_here(self) -> None:
         self.registry.linked(gateway().node, AT)
         self.assertEqual(self.registry.ready(AT), ())
