Reading again without a time limit counts; placement's figures stand in one checked record

Cause: the new site says again_s 0 and prices every reading again, however long ago the first was; the pool read 0 as 'never', so no gateway went by what others had told of kept prefixes: each region read each subject anew.

--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -126,7 +126,7 @@
         fault = await self._read_body(limits)
         if fault is not None:
             return Failure(fault)
-        return Success(read_traits(headers, route))
+        return Success(read_traits(headers, route, request_bytes=len(self.body)))
 
     def _set_deadlines(self) -> None:
         told = read_deadline_ms(self.request.headers)
--- a/brackenladder/gateway/hints.py
+++ b/brackenladder/gateway/hints.py
@@ -47,7 +47,10 @@
 
 
 def read_traits(
-    headers: CIMultiDictProxy[str], route: Route, exclude: frozenset[str] = frozenset()
+    headers: CIMultiDictProxy[str],
+    route: Route,
+    exclude: frozenset[str] = frozenset(),
+    request_bytes: int = 0,
 ) -> CallTraits:
     """The traits that the choice of a server rests on."""
     usage = _USAGE.fullmatch(headers.get(TOKEN_USAGE, ""))
@@ -58,6 +61,7 @@
         parts=parts,
         prompt_tokens=min(prompt_tokens, MOST_TOKENS),
         output_tokens=int(usage[2]) if usage else 0,
+        request_bytes=request_bytes,
         model=headers.get(MODEL, ""),
         idempotent=is_idempotent(route),
         exclude=exclude,
--- a/brackenladder/placement/balancer.py
+++ b/brackenladder/placement/balancer.py
@@ -28,6 +28,7 @@
 from brackenladder.placement.limit import PlacesController
 from brackenladder.placement.load import PRESSED_TIME
 from brackenladder.placement.regions import RegionTimes
+from brackenladder.placement.silence import MOST_DOUBTED
 from brackenladder.placement.silent_zones import SilentZones
 from brackenladder.placement.site import ServiceSite
 from brackenladder.placement.traits import CallTraits
@@ -110,6 +111,9 @@
             return
         self.jobs[request] = job
         self.intake.asked(now, job)
+        if job.chain:
+            self.chooser.beginnings.add(now, job.chain[0].key, traits.prompt_tokens)
+        self.in_flight.note_silent(now)
         self.places.places = self.free_places(now)
         super().request(now, request, klass, tenant, time_left, repeat)
         self.forget(request)
@@ -211,7 +215,9 @@
         r.sent_at = now
         r.attempts += 1
         job.excluded.add(server.id)
-        self.in_flight.send(now, r.id, job, server.id, choice.unread)
+        own = self.own_time(now, r, server)
+        waiting = self.costs.queue(now, server, job, own)
+        self.in_flight.send(now, r.id, job, server.id, choice.unread, waiting)
         self.actions.send(r.id, server.id, self.time_for(now, r, job, choice))
 
     def may_repeat(self, now: int) -> bool:
@@ -227,9 +233,19 @@
         left = r.useful_until - now
         more = job.ran + 1 < job.traits.route.max_attempts and self.site.size() > 1
         if r.effect == Effect.SAFE and (more or choice.server.aside):
-            return max(self.settings.tick, int(TRY_PART * left))
+            half = max(self.settings.tick, int(TRY_PART * left))
+            overdue_at = self.in_flight.out[r.id].overdue_at
+            if not self.site.parameters.quick_retry or not overdue_at:
+                return half
+            aim = self.settings.classes[r.klass].aim
+            return min(half, max(overdue_at - now, int(TRY_PART * aim)))
         return left
 
+    def own_time(self, now: int, r: Request, server: Server) -> float:
+        """What a call takes by itself, in microseconds, in the server's region."""
+        region = self.site.places[server.id].region
+        return self.controller.target[r.klass] * self.regions.ratio(now, region)
+
     def after_failure(self, now: int, r: Request, srv: Server | None, outcome: Outcome) -> None:
         """A further attempt where class, time, servers and budget allow it; a final answer otherwise.
 
@@ -258,8 +274,7 @@
             return Choice(trial, 0.0, self.costs.unread(now, trial, job, own_server=False))
 
         def base(server: Server) -> float:
-            region = self.site.places[server.id].region
-            return self.controller.target[r.klass] * self.regions.ratio(now, region)
+            return self.own_time(now, r, server)
 
         def may_send(server: Server) -> bool:
             return self.may_take(now, server)
@@ -277,8 +292,25 @@
         if carrier is not None:
             unread = self.costs.unread(now, carrier, job, own_server=False)
             return Choice(carrier, 0.0, unread, adopt=not carrier.member)
+        doubted = self.doubted(now)
+        if doubted:
+
+            def trusted(server: Server) -> bool:
+                return server.id not in doubted and prepared(server)
+
+            choice = self.chooser.choose(now, job, base, trusted)
+            if choice is not None:
+                return choice
         return self.chooser.choose(now, job, base, prepared) or self.chooser.choose(now, job, base, may_send)
 
+    def doubted(self, now: int) -> frozenset[int]:
+        """Servers that had better get nothing for a moment; none where so many are that it tells nothing."""
+        least = self.site.parameters.doubt_weight
+        if not least:
+            return frozenset()
+        doubted = self.in_flight.doubts.doubted(now, least)
+        return doubted if len(doubted) <= MOST_DOUBTED * len(self.site.places) else frozenset()
+
     def due_trial(self, now: int, r: Request, job: Job) -> Server | None:
         """An ejected server whose trial is due.
 
--- a/brackenladder/placement/choice.py
+++ b/brackenladder/placement/choice.py
@@ -8,12 +8,14 @@
 from attrs import frozen
 
 from brackenladder.placement import rendezvous
-from brackenladder.placement.cost import CROSS_REGION, REGION_PRICE, CostModel, Job
+from brackenladder.placement.beginnings import BeginningShares
+from brackenladder.placement.cost import CROSS_REGION, CostModel, Job
 from brackenladder.placement.site import ServiceSite
 from brackenladder.policy.server import Server
 
 RENDEZVOUS_DEPTH = 3  # so many servers in a prompt's order are looked at
 ENDING_MARGIN = 300_000  # microseconds before a server's end by which a call must be over
+LINKS_OF_ONE_SUBJECT = 2  # a prompt of a subject and its own part shares no beginning with other subjects
 MOST_FAR = 48  # servers of other regions that are looked at, beside those that keep the prompt
 
 
@@ -38,11 +40,13 @@
         self.site = site
         self.costs = costs
         self.random = random
+        self.parameters = site.parameters
+        self.beginnings = BeginningShares()
 
     def choose(self, now: int, job: Job, base: Base, may_send: Usable) -> Choice | None:
         """The server that takes the call, None if there is none. Other regions only where that pays."""
         choice = self._draw(now, job, self._pool(job, self.site.local), base, may_send)
-        if choice is not None and choice.cost <= CROSS_REGION + REGION_PRICE:
+        if choice is not None and choice.cost <= CROSS_REGION + self.parameters.region_price:
             return choice
         other = self._draw(now, job, self._pool(job, self._far(now, job)), base, may_send)
         if choice is None or other is not None and other.cost < choice.cost:
@@ -90,6 +94,14 @@
         first = self._keeper(now, job, able, base) if job.key is not None else None
         second = self._any_member(able, first)
         one = None if first is None else self._choice(now, job, first, base, own_server=True)
+        near = self._near(now, job, able, first)
+        if near is not None:
+            near_choice = self._choice(now, job, near, base, own_server=first is not None)
+            one = near_choice if one is None else self._cheaper(one, near_choice)
+        if self._is_scanned(job):
+            others = [server for server in able if server is not first]
+            choices = [self._choice(now, job, server, base, own_server=False) for server in others]
+            return min([*choices, *([one] if one is not None else [])], key=lambda choice: choice.cost)
         if second is None:
             return one
         if one is None:
@@ -106,7 +118,7 @@
         A server whose wait is longer than reading the prompt anew elsewhere is passed over.
         """
         assert job.key is not None
-        order = rendezvous.order(job.key, able, RENDEZVOUS_DEPTH)
+        order = rendezvous.order(job.key, self._of_beginning(now, job, able), RENDEZVOUS_DEPTH)
         own = self._bounded(now, job, order, base)
         loads = self.costs.loads.servers
         kept = {server.id: loads[server.id].kept.kept(job.chain) for server in able if server.id in loads}
@@ -116,6 +128,35 @@
             return self._bounded(now, job, (best, own), base)
         return own
 
+    def _is_scanned(self, job: Job) -> bool:
+        """Whether the prompt takes so long to read that a queue before it makes it late."""
+        least = self.parameters.scanned_tokens
+        return 0 < least <= job.traits.prompt_tokens
+
+    def _of_beginning(self, now: int, job: Job, able: Sequence[Server]) -> Sequence[Server]:
+        """The servers that a new subject may go to: those which its beginning needs anyway.
+
+        Failure prevented: every server reads each common beginning, as each gets some of its subjects.
+        """
+        headroom = self.parameters.beginning_headroom
+        if headroom <= 0 or len(job.chain) <= LINKS_OF_ONE_SUBJECT:
+            return able
+        return self.beginnings.servers(now, job.chain[0].key, able, headroom, RENDEZVOUS_DEPTH)
+
+    def _near(self, now: int, job: Job, able: Sequence[Server], keeper: Server | None) -> Server | None:
+        """The own server in this zone, or any of it without one; None if the keeper stands here."""
+        if self.parameters.zone_byte <= 0:
+            return None
+        places = self.site.places
+        if keeper is not None and places[keeper.id].zone == self.site.zone:
+            return None
+        near = [server for server in able if places[server.id].zone == self.site.zone]
+        if not near:
+            return None
+        if job.key is None:
+            return near[int(self.random.random() * len(near))]
+        return rendezvous.order(job.key, self._of_beginning(now, job, near), 1)[0]
+
     def _bounded(self, now: int, job: Job, order: Sequence[Server], base: Base) -> Server:
         patience = self.costs.rereading(job)
         for server in order:
--- a/brackenladder/placement/cost.py
+++ b/brackenladder/placement/cost.py
@@ -14,12 +14,8 @@
 from brackenladder.policy.server import Server
 
 IN_ZONE, CROSS_ZONE, CROSS_REGION = 400, 2_000, 90_000  # microseconds there and back
-REGION_PRICE = 100_000  # microseconds that leaving the region must gain beside the way: its bytes are priced
-STREAM_COST = 30.0  # microseconds by which a running stream slows each token of the others
-PRESSED_COST = 300_000.0  # of a server that has just turned a call away as full
-MEMORY_COST = 1_000_000.0  # of one whose memory would not hold the call: it would be read again
-SHARED_READ = 0.5  # of the shared parts that other gateways have probably had read at a prompt's own server
-READ_AGAIN = 50.0  # microseconds that a token is worth which need not be read again, beside its reading
+HEAD_BYTES = 600  # of a request's and an answer's head together, measured with the clients' own headers
+OUTPUT_TOKEN_BYTES = 16  # of a stream for each token: an event's 60 to 90 bytes hold 4 or 5 of them
 
 
 @define(eq=False)
@@ -35,6 +31,12 @@
     ran: int = 0  # attempts that may have run
     unsent: int = 0  # attempts that reached no server
 
+    @property
+    def bytes(self) -> int:
+        """What goes to a server and comes back, about."""
+        answer = OUTPUT_TOKEN_BYTES * self.traits.output_tokens
+        return HEAD_BYTES + self.traits.request_bytes + answer
+
     @property
     def prefix(self) -> int | None:
         """The key of its longest shared prefix; None if it shares nothing."""
@@ -57,6 +59,7 @@
 
     def __init__(self, site: ServiceSite) -> None:
         self.site = site
+        self.parameters = site.parameters
         self.loads = Loads()
         self.prefill = PrefillRate()
         self.output = OutputTime()
@@ -76,7 +79,7 @@
         """Tokens that the server is expected to read. `own_server`: all gateways send these parts there."""
         kept: float = self._kept(server, job)
         if own_server and self.site.gateways > 1 and not self.held(now, job):
-            kept = max(kept, SHARED_READ * job.shared)
+            kept = max(kept, self.parameters.shared_read * job.shared)
         return max(0.0, job.traits.prompt_tokens - kept)
 
     def charged(self, now: int, server: Server, job: Job, own_server: bool) -> float:
@@ -94,7 +97,7 @@
         """What it costs, beside the time, that the server reads what others have just read."""
         if not self.held(now, job):
             return 0.0
-        return READ_AGAIN * max(0, job.shared - self._kept(server, job))
+        return self.parameters.read_again * max(0, job.shared - self._kept(server, job))
 
     def _kept(self, server: Server, job: Job) -> int:
         load = self.loads.servers.get(server.id)
@@ -109,14 +112,14 @@
         if load is not None:
             streams, tokens = load.streams, load.tokens
             wait = self.prefill.time(load.unread) + load.others_reading(now)
-            wait += PRESSED_COST * load.pressed(now)
+            wait += self.parameters.pressed_cost * load.pressed(now)
         wait += base * streams / max(1.0, place.slots / self.site.gateways)
         others = (self.site.gateways - 1) / max(1, self.site.size())
         waiting = streams + others * self.loads.streams - place.slots
         if waiting >= 0:
             wait += (waiting + 1) / max(1, place.slots) * self.output.time(job.traits.output_tokens)
         if 0 < self.site.kv_tokens < tokens + others * self.loads.tokens + job.tokens:
-            wait += MEMORY_COST
+            wait += self.parameters.memory_cost
         return wait
 
     def cost(self, now: int, server: Server, job: Job, base: float, own_server: bool) -> float:
@@ -130,8 +133,11 @@
         streams = load.streams if load is not None else 0
         price = self.reading_again(now, server, job)
         if place.region != self.site.region:
-            price += REGION_PRICE
-        return work * slowness + self.way(place) + price + STREAM_COST * streams * job.traits.output_tokens
+            price += self.parameters.region_price
+        elif place.zone != self.site.zone:
+            price += self.parameters.zone_byte * job.bytes
+        crowd = self.parameters.stream_cost * streams * job.traits.output_tokens
+        return work * slowness + self.way(place) + price + crowd
 
     def rereading(self, job: Job) -> float:
         """Microseconds that a server which keeps nothing needs for the prompt."""
--- a/brackenladder/placement/holders.py
+++ b/brackenladder/placement/holders.py
@@ -31,11 +31,11 @@
         for holders in self._by_key.values():
             holders.pop(server, None)
 
-    def recent(self, now: int, key: int | None, within: int) -> tuple[int, ...]:
-        """The servers that were sent the prefix no longer ago than `within` microseconds."""
+    def recent(self, now: int, key: int | None, within: int | None) -> tuple[int, ...]:
+        """The servers that were sent the prefix no longer ago than `within` microseconds; None: ever."""
         if key is None:
             return ()
         holders = self._by_key.get(key)
         if not holders:
             return ()
-        return tuple(server for server, at in holders.items() if now - at <= within)
+        return tuple(server for server, at in holders.items() if within is None or now - at <= within)
--- a/brackenladder/placement/in_flight.py
+++ b/brackenladder/placement/in_flight.py
@@ -9,7 +9,14 @@
 from brackenladder.placement.cost import CostModel, Job
 from brackenladder.placement.load import Placed
 from brackenladder.placement.prefixes import ChainLink
-from brackenladder.placement.silent_zones import SilentZones
+from brackenladder.placement.silence import (
+    LATE_WEIGHT,
+    SILENT_TIMES,
+    UNANSWERED_WEIGHT,
+    DoubtedServers,
+    FirstEventTime,
+)
+from brackenladder.placement.silent_zones import UNANSWERED_CONNECT, SilentZones
 from brackenladder.placement.site import ServiceSite
 from brackenladder.prefix_cache.announcer import PrefixAnnouncer
 from brackenladder.prefix_cache.messages import PrefixNotice
@@ -29,11 +36,13 @@
         self._costs = costs
         self._zones = zones
         self._announcer = announcer
+        self.first_event = FirstEventTime()
+        self.doubts = DoubtedServers()
         self.out: dict[int, Placed] = {}  # attempts without a first event, by request
         self.streams: dict[int, Placed] = {}  # those that answer
 
-    def send(self, now: int, request: int, job: Job, server: int, unread: float) -> None:
-        """A call goes to a server that has to read so many tokens for it."""
+    def send(self, now: int, request: int, job: Job, server: int, unread: float, waiting: float) -> None:
+        """A call goes to a server that has to read so many tokens for it, after a wait of microseconds."""
         place = self._site.places[server]
         placed = Placed(
             request=request,
@@ -45,10 +54,28 @@
             streams=job.traits.route.kind is RouteKind.STREAMING,
             known_cost=self._costs.prefill.time(unread) + self._costs.way(place),
         )
+        if self.first_event.known:
+            patience = int(placed.known_cost + waiting + self.first_event.longest)
+            placed.overdue_at = now + patience
+            placed.silent_at = now + SILENT_TIMES * patience
         self.out[request] = placed
         self._costs.loads.place(placed)
         self._announce(now, job, placed)
 
+    def note_silent(self, now: int) -> None:
+        """Has other gateways told of the servers at which calls are unanswered."""
+        for placed in self.out.values():
+            if 0 < placed.silent_at <= now:
+                self._report(now, placed, UNANSWERED_WEIGHT)
+
+    def _report(self, now: int, placed: Placed, weight: int) -> None:
+        """A call is late, or unanswered; told once."""
+        if placed.silent:
+            return
+        placed.silent = True
+        self.doubts.reported(now, placed.server, weight)
+        self._announcer.silent(placed.server, weight)
+
     def over(self, request: int, placed: Placed) -> None:
         """The attempt has ended, or answers; another one may be out for the request by now."""
         if self.out.get(request) is placed:
@@ -72,13 +99,19 @@
         place = self._site.places.get(placed.server)
         if place is not None and outcome == Outcome.CONNECT_FAILED:
             self._zones.connect_failed(now, place.zone, placed.server, latency)
+            if latency >= UNANSWERED_CONNECT:
+                self._report(now, placed, UNANSWERED_WEIGHT)
         elif place is not None and outcome not in NO_ANSWER:
             self._zones.answered(place.zone)
+        if outcome == Outcome.TIMEOUT and 0 < placed.overdue_at <= now:
+            self._report(now, placed, LATE_WEIGHT)
         if outcome == Outcome.REJECTED:
             load.rejected_at = now
         if outcome == Outcome.OK:
             if placed.chain and place is not None:
                 self._costs.prefill.add(placed.unread, latency - self._costs.way(place))
+            if placed.streams:
+                self.first_event.add(latency - placed.known_cost)
             loads.first_event(placed, now, self._site.kv_tokens)
             if placed.streams and not placed.over:
                 self.streams[placed.request] = placed
@@ -89,6 +122,9 @@
         """Other gateways have sent prompts to servers of this service."""
         for notice in notices:
             sent_at = now - notice.age
+            if notice.silent:
+                self.doubts.reported(sent_at, notice.server, notice.silent)
+                continue
             load = self._costs.loads.of(notice.server)
             load.read_for_others(now, sent_at, self._costs.prefill.time(notice.unread))
             if notice.keys:
--- a/brackenladder/placement/load.py
+++ b/brackenladder/placement/load.py
@@ -47,6 +47,9 @@
     output_tokens: int
     streams: bool  # it goes on after its first event
     known_cost: float  # microseconds of the first event's time that are no load: prefill, and the way
+    overdue_at: int = 0  # when its first event is late; 0: not known
+    silent_at: int = 0  # when it counts as unanswered
+    silent: bool = False  # that was told
     begun_at: int = 0  # the first event
     over: bool = False  # its stream has ended
 
--- a/brackenladder/placement/pool.py
+++ b/brackenladder/placement/pool.py
@@ -266,7 +266,8 @@
         service = self._configured()
         if service is None:
             return
-        self.site.again = int(self.platform.bounds.again_s * US_PER_S)
+        again = int(self.platform.bounds.again_s * US_PER_S)
+        self.site.again = again or None  # 0: there is no such time, every reading again is priced
         self.site.kv_tokens = service.engine.kv_tokens if service.engine is not None else 0
         bounds = self.platform.bounds
         bound = None
--- a/brackenladder/placement/site.py
+++ b/brackenladder/placement/site.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field, frozen
 
+from brackenladder.placement.parameters import DEFAULT_PARAMETERS, PlacementParameters
 from brackenladder.policy.server import Server
 
 
@@ -32,7 +33,9 @@
     zone: str
     region: str
     kv_tokens: int = 0  # a server's memory; 0: it has none that is told
-    again: int = 10_000_000  # microseconds after a prefix's last use within which reading it again is priced
+    # Microseconds after a prefix's last use in which reading it again is priced; None: always.
+    again: int | None = 10_000_000
+    parameters: PlacementParameters = DEFAULT_PARAMETERS
     gateways: int = 1  # the living ones, this one included
     gateways_known: bool = False  # without that there is no telling this gateway's part of a bound for all
     gateway_names: tuple[str, ...] = ()  # theirs, where they are known
--- a/brackenladder/placement/traits.py
+++ b/brackenladder/placement/traits.py
@@ -25,6 +25,7 @@
     ] = ()  # in the prompt's order; the last one is the request's own or its session's
     prompt_tokens: int = 0
     output_tokens: int = 0  # the most that the request may get
+    request_bytes: int = 0  # of its body
     model: str = ""
     idempotent: bool = False  # it may run any number of times: a safe route, or a stream that may be resumed
     exclude: frozenset[str] = frozenset()  # ids of servers that must not take it, as those of a broken stream
--- a/brackenladder/prefix_cache/announcer.py
+++ b/brackenladder/prefix_cache/announcer.py
@@ -33,8 +33,15 @@
         told = (tuple(keys), tuple(tokens)) if shares else ((), ())
         if shares:
             self._remember(now, server, keys[-1])
+        self._add(PrefixNotice(server, *told, unread=unread))
+
+    def silent(self, server: int, weight: int) -> None:
+        """A call of this gateway was late at a server, or left unanswered."""
+        self._add(PrefixNotice(server, silent=weight))
+
+    def _add(self, notice: PrefixNotice) -> None:
         first = not self._pending
-        self._pending.append(PrefixNotice(server, *told, unread=unread))
+        self._pending.append(notice)
         if first:
             self._on_pending()
 
--- a/brackenladder/prefix_cache/messages.py
+++ b/brackenladder/prefix_cache/messages.py
@@ -7,6 +7,8 @@
 
 from attrs import frozen
 
+SILENCE_WEIGHT = 1_000_000  # a server that does not answer is told of before any prefix
+
 
 @frozen
 class PrefixNotice:
@@ -17,6 +19,7 @@
     tokens: tuple[int, ...] = ()  # by which each prefix is longer than the one before it
     unread: int = 0  # prompt tokens that the server had to read when it was sent
     age: int = 0  # microseconds since it was sent, as of when it is told
+    silent: int = 0  # the weight of a call there that was late or unanswered; 0: none was
 
     @property
     def shared(self) -> int:
@@ -26,7 +29,7 @@
     @property
     def weight(self) -> int:
         """What it is worth to know, in tokens."""
-        return self.shared + self.unread
+        return SILENCE_WEIGHT if self.silent else self.shared + self.unread
 
 
 @frozen
--- a/tests/placement/placement_stage.py
+++ b/tests/placement/placement_stage.py
@@ -12,6 +12,7 @@
 from brackenladder.interface import ListKind, Outcome, ServerEntry, Settings
 from brackenladder.placement.balancer import PromptBalancer
 from brackenladder.placement.classes import CallShape, add_class, shape_of
+from brackenladder.placement.parameters import DEFAULT_PARAMETERS, PlacementParameters
 from brackenladder.placement.site import ServerPlace, ServiceSite
 from brackenladder.placement.traits import CallTraits, PromptPart
 from brackenladder.platform_settings import Platform, PortRange
@@ -127,6 +128,7 @@
         slots: int = 64,
         cold: ColdBound | None = None,
         budget: BudgetBound = BUDGET,
+        parameters: PlacementParameters = DEFAULT_PARAMETERS,
     ) -> None:
         self.now = 10 * SECOND
         self.slots = slots
@@ -134,7 +136,12 @@
         self.open: dict[int, CallTraits] = {}
         self.cold_until: dict[str, int] = {}
         self.site = ServiceSite(
-            zone, ZONES[zone], kv_tokens=kv_tokens, gateways=gateways, gateways_known=True
+            zone,
+            ZONES[zone],
+            kv_tokens=kv_tokens,
+            gateways=gateways,
+            gateways_known=True,
+            parameters=parameters,
         )
         self.site.cold_until = lambda server: self.cold_until.get(server, 0)
         settings = Settings(
@@ -234,6 +241,10 @@
         self.module.stream_ended(self.now, sent.request)
         return sent
 
+    def numbers(self) -> list[int]:
+        """The servers' numbers."""
+        return list(self.site.places)
+
     def counts(self) -> dict[str, int]:
         """How many requests went to each server."""
         found: dict[str, int] = {}
--- a/tests/placement/test_prefix_notices.py
+++ b/tests/placement/test_prefix_notices.py
@@ -47,6 +47,13 @@
         stage.module.prefixes_told(stage.now, [notice(stage, "s", server, age=stage.site.again + 1)])
         self.assertIn(stage.send(traits("s")).server, NORTH)
 
+    def test_where_every_reading_again_is_priced_it_never_rests_for_too_long(self) -> None:
+        server = next(iter(SOUTH))
+        stage = Stage(NORTH | SOUTH, gateways=3)
+        stage.site.again = None
+        stage.module.prefixes_told(stage.now, [notice(stage, "s", server, age=600 * SECOND)])
+        self.assertEqual(stage.send(traits("s")).server, server)
+
     def test_nor_beside_a_server_of_the_region_that_keeps_it_too(self) -> None:
         stage = Stage(NORTH | SOUTH, gateways=3)
         near, far = next(iter(NORTH)), next(iter(SOUTH))
