Gateways count what late first events are late for, told as text at /-/metrics

Change: a few sums a service and latency target (DecisionCounters), at the address of the readiness check.

--- /dev/null
+++ b/brackenladder/gateway/metrics.py
@@ -0,0 +1,35 @@
+"""A gateway's own figures as text, in the exposition format of Prometheus."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from brackenladder.placement.decision_counters import DecisionCounters, DecisionSums
+
+METRICS_PATH = "/-/metrics"
+MICROSECONDS_PER_MILLISECOND = 1000
+MICROSECONDS_PER_SECOND = 1e6
+
+
+def metrics_text(by_service: Iterator[tuple[str, DecisionCounters]]) -> str:
+    """The figures of all services; times in seconds."""
+    lines: list[str] = []
+    for service, counters in by_service:
+        for target, sums in counters.items():
+            labels = f'service="{service}",target_ms="{target // MICROSECONDS_PER_MILLISECOND}"'
+            lines += _lines(labels, sums)
+    return "\n".join([*lines, ""])
+
+
+def _lines(labels: str, sums: DecisionSums) -> Iterator[str]:
+    yield f"placement_calls_total{{{labels}}} {sums.calls}"
+    times = {
+        "reading": sums.reading,
+        "expected_queue": sums.expected_queue,
+        "way": float(sums.way),
+        "first_event": float(sums.first_event),
+    }
+    for part, time in times.items():
+        yield f'placement_seconds_total{{{labels},part="{part}"}} {time / MICROSECONDS_PER_SECOND:.3f}'
+    for cause, count in sums.late.items():
+        yield f'placement_late_total{{{labels},cause="{cause.value}"}} {count}'
--- a/brackenladder/gateway/pools.py
+++ b/brackenladder/gateway/pools.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from functools import partial
 from random import Random
 from typing import Protocol
@@ -17,6 +17,7 @@
 from brackenladder.gateway.failures import FailureLog
 from brackenladder.gateway.traffic_split import TrafficSplit
 from brackenladder.gateway.upstream import ServiceUpstream, connection_part
+from brackenladder.placement.decision_counters import DecisionCounters
 from brackenladder.placement.pool import ServicePool
 from brackenladder.placement.traits import PromptPart
 from brackenladder.platform_settings import Platform
@@ -105,6 +106,11 @@
         for pool in self._pools.values():
             pool.prefixes_told(now, notices)
 
+    def counters(self) -> Iterator[tuple[str, DecisionCounters]]:
+        """What placements came to, by service."""
+        for name, pool in self._pools.items():
+            yield name, pool.balancer.in_flight.counters
+
     def give_up(self) -> None:
         """The gateway ends: calls without an answer are concluded."""
         for pool in (*self._pools.values(), *self._leaving):
--- a/brackenladder/gateway/server.py
+++ b/brackenladder/gateway/server.py
@@ -17,6 +17,7 @@
 from brackenladder.gateway.context import GatewayContext
 from brackenladder.gateway.exchange import Exchange
 from brackenladder.gateway.failures import FailureLog
+from brackenladder.gateway.metrics import METRICS_PATH, metrics_text
 from brackenladder.gateway.pools import PoolFactory, ServicePools, pool_factory
 from brackenladder.gateway.start_gate import StartGate
 from brackenladder.platform_settings import Platform
@@ -175,6 +176,8 @@
             request.transport.abort()
 
     async def _tell_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == METRICS_PATH:
+            return web.Response(text=metrics_text(self._context.pools.counters()))
         if request.path != READY_PATH:
             return own_answer(Status.NOT_FOUND)
         return web.Response(status=200) if self.ready else own_answer(Status.UNAVAILABLE)
--- a/brackenladder/placement/in_flight.py
+++ b/brackenladder/placement/in_flight.py
@@ -7,6 +7,7 @@
 from brackenladder.catalog.configuration import RouteKind
 from brackenladder.interface import Outcome
 from brackenladder.placement.cost import CostModel, Job
+from brackenladder.placement.decision_counters import DecisionCounters
 from brackenladder.placement.load import Placed
 from brackenladder.placement.prefixes import ChainLink
 from brackenladder.placement.silence import (
@@ -21,6 +22,7 @@
 from brackenladder.prefix_cache.announcer import PrefixAnnouncer
 from brackenladder.prefix_cache.messages import PrefixNotice
 
+MICROSECONDS_PER_MILLISECOND = 1_000
 STREAM_MOST = 600_000_000  # microseconds after which a stream whose end was not told is forgotten
 
 NO_ANSWER = (Outcome.CANCELLED, Outcome.NOT_SENT, Outcome.TIMEOUT)  # these ends are no word of the server
@@ -38,6 +40,7 @@
         self._announcer = announcer
         self.first_event = FirstEventTime()
         self.doubts = DoubtedServers()
+        self.counters = DecisionCounters()
         self.out: dict[int, Placed] = {}  # attempts without a first event, by request
         self.streams: dict[int, Placed] = {}  # those that answer
 
@@ -52,7 +55,10 @@
             tokens=job.tokens,
             output_tokens=job.traits.output_tokens,
             streams=job.traits.route.kind is RouteKind.STREAMING,
-            known_cost=self._costs.prefill.time(unread) + self._costs.way(place),
+            reading_time=self._costs.prefill.time(unread),
+            way=self._costs.way(place),
+            target=job.traits.route.target_latency_ms * MICROSECONDS_PER_MILLISECOND,
+            expected_queue=waiting,
         )
         if self.first_event.known:
             patience = int(placed.known_cost + waiting + self.first_event.longest)
@@ -110,12 +116,15 @@
         if outcome == Outcome.OK:
             if placed.chain and place is not None:
                 self._costs.prefill.add(placed.unread, latency - self._costs.way(place))
+            self.counters.answered(placed, latency)
             if placed.streams:
                 self.first_event.add(latency - placed.known_cost)
             loads.first_event(placed, now, self._site.kv_tokens)
             if placed.streams and not placed.over:
                 self.streams[placed.request] = placed
                 return
+        else:
+            self.counters.unanswered(placed)
         loads.end(placed)
 
     def told(self, now: int, notices: Iterable[PrefixNotice]) -> None:
--- a/brackenladder/placement/load.py
+++ b/brackenladder/placement/load.py
@@ -46,13 +46,21 @@
     tokens: int  # of prompt and answer
     output_tokens: int
     streams: bool  # it goes on after its first event
-    known_cost: float  # microseconds of the first event's time that are no load: prefill, and the way
+    reading_time: float  # microseconds that reading the unread tokens takes
+    way: int  # microseconds there and back
+    target: int  # microseconds within which its first event is due
+    expected_queue: float  # microseconds that it was expected to wait
     overdue_at: int = 0  # when its first event is late; 0: not known
     silent_at: int = 0  # when it counts as unanswered
     silent: bool = False  # that was told
     begun_at: int = 0  # the first event
     over: bool = False  # its stream has ended
 
+    @property
+    def known_cost(self) -> float:
+        """Microseconds of the first event's time that are no load: reading, and the way."""
+        return self.reading_time + self.way
+
 
 class Loads:
     """All servers of a service."""
--- a/tests/gateway/test_gateway_clients.py
+++ b/tests/gateway/test_gateway_clients.py
@@ -115,6 +115,12 @@
         self.gateway.ready = True
         self.assertEqual(await self.check_ready(), 200)
 
+    async def test_its_figures_are_told_at_the_address_of_the_check(self) -> None:
+        client = await RawClient.connect(self.check, self.script)
+        self.clients.append(client)
+        got = await asyncio.wait_for(client.ask(b"GET /-/metrics HTTP/1.1\r\nHost: x\r\n\r\n"), PATIENCE)
+        self.assertEqual(got.status, 200)
+
     async def test_drain_lets_open_requests_end(self) -> None:
         go = asyncio.Event()
 
