--- a/brackenladder/placement/balancer.py
+++ b/brackenladder/placement/balancer.py
@@ -111,8 +111,6 @@
             return
         self.jobs[request] = job
         self.intake.asked(now, job)
-        if job.chain:
-            self.chooser.beginnings.add(now, job.chain[0].key, traits.prompt_tokens)
         self.in_flight.note_silent(now)
         self.places.places = self.free_places(now)
         super().request(now, request, klass, tenant, time_left, repeat)
--- a/brackenladder/placement/choice.py
+++ b/brackenladder/placement/choice.py
@@ -8,14 +8,12 @@
 from attrs import frozen
 
 from brackenladder.placement import rendezvous
-from brackenladder.placement.beginnings import BeginningShares
 from brackenladder.placement.cost import CROSS_REGION, CostModel, Job
 from brackenladder.placement.site import ServiceSite
 from brackenladder.policy.server import Server
 
 RENDEZVOUS_DEPTH = 3  # so many servers in a prompt's order are looked at
 ENDING_MARGIN = 300_000  # microseconds before a server's end by which a call must be over
-LINKS_OF_ONE_SUBJECT = 2  # a prompt of a subject and its own part shares no beginning with other subjects
 MOST_FAR = 48  # servers of other regions that are looked at, beside those that keep the prompt
 
 
@@ -41,7 +39,6 @@
         self.costs = costs
         self.random = random
         self.parameters = site.parameters
-        self.beginnings = BeginningShares()
 
     def choose(self, now: int, job: Job, base: Base, may_send: Usable) -> Choice | None:
         """The server that takes the call, None if there is none. Other regions only where that pays."""
@@ -91,26 +88,21 @@
         able = [server for server in pool if self._in_time(now, server, job) and may_send(server)]
         if not able:
             return None
-        first = self._keeper(now, job, able, base) if job.key is not None else None
-        second = self._any_member(able, first)
-        one = None if first is None else self._choice(now, job, first, base, own_server=True)
-        near = self._near(now, job, able, first)
+        keeper = self._keeper(now, job, able, base) if job.key is not None else None
+        choices = [] if keeper is None else [self._choice(now, job, keeper, base, own_server=True)]
+        near = self._near(job, able, keeper)
         if near is not None:
-            near_choice = self._choice(now, job, near, base, own_server=first is not None)
-            one = near_choice if one is None else self._cheaper(one, near_choice)
-        if self._is_scanned(job):
-            others = [server for server in able if server is not first]
-            choices = [self._choice(now, job, server, base, own_server=False) for server in others]
-            return min([*choices, *([one] if one is not None else [])], key=lambda choice: choice.cost)
-        if second is None:
-            return one
-        if one is None:
-            third = self._any_member(able, second)
-            first_choice = self._choice(now, job, second, base, own_server=False)
-            if third is None:
-                return first_choice
-            return self._cheaper(first_choice, self._choice(now, job, third, base, own_server=False))
-        return self._cheaper(one, self._choice(now, job, second, base, own_server=False))
+            choices.append(self._choice(now, job, near, base, own_server=job.key is not None))
+        drawn = able if self._is_scanned(job) else self._members(able, keeper)
+        others = [server for server in drawn if server is not keeper and server is not near]
+        choices += [self._choice(now, job, server, base, own_server=False) for server in others]
+        return min(choices, key=_cost_of)
+
+    def _members(self, able: Sequence[Server], keeper: Server | None) -> list[Server]:
+        """A random member beside the keeper, two without one."""
+        first = self._any_member(able, keeper)
+        second = self._any_member(able, first) if keeper is None and first is not None else None
+        return [server for server in (first, second) if server is not None]
 
     def _keeper(self, now: int, job: Job, able: Sequence[Server], base: Base) -> Server:
         """The server that keeps most of the prompt, the prompt's own one where they are alike.
@@ -118,7 +110,7 @@
         A server whose wait is longer than reading the prompt anew elsewhere is passed over.
         """
         assert job.key is not None
-        order = rendezvous.order(job.key, self._of_beginning(now, job, able), RENDEZVOUS_DEPTH)
+        order = rendezvous.order(job.key, able, RENDEZVOUS_DEPTH)
         own = self._bounded(now, job, order, base)
         loads = self.costs.loads.servers
         kept = {server.id: loads[server.id].kept.kept(job.chain) for server in able if server.id in loads}
@@ -133,29 +125,22 @@
         least = self.parameters.scanned_tokens
         return 0 < least <= job.traits.prompt_tokens
 
-    def _of_beginning(self, now: int, job: Job, able: Sequence[Server]) -> Sequence[Server]:
-        """The servers that a new subject may go to: those which its beginning needs anyway.
+    def _near(self, job: Job, able: Sequence[Server], keeper: Server | None) -> Server | None:
+        """The own server in this zone, or any of it without one.
 
-        Failure prevented: every server reads each common beginning, as each gets some of its subjects.
+        None if the keeper stands here, or if no server stands elsewhere: draws find those of the zone anyway.
         """
-        headroom = self.parameters.beginning_headroom
-        if headroom <= 0 or len(job.chain) <= LINKS_OF_ONE_SUBJECT:
-            return able
-        return self.beginnings.servers(now, job.chain[0].key, able, headroom, RENDEZVOUS_DEPTH)
-
-    def _near(self, now: int, job: Job, able: Sequence[Server], keeper: Server | None) -> Server | None:
-        """The own server in this zone, or any of it without one; None if the keeper stands here."""
         if self.parameters.zone_byte <= 0:
             return None
         places = self.site.places
         if keeper is not None and places[keeper.id].zone == self.site.zone:
             return None
         near = [server for server in able if places[server.id].zone == self.site.zone]
-        if not near:
+        if not near or len(near) == len(able):
             return None
         if job.key is None:
             return near[int(self.random.random() * len(near))]
-        return rendezvous.order(job.key, self._of_beginning(now, job, near), 1)[0]
+        return rendezvous.order(job.key, near, 1)[0]
 
     def _bounded(self, now: int, job: Job, order: Sequence[Server], base: Base) -> Server:
         patience = self.costs.rereading(job)
@@ -174,9 +159,6 @@
         unread = self.costs.unread(now, server, job, own_server)
         return Choice(server, cost, unread, adopt=not server.member)
 
-    def _cheaper(self, one: Choice, other: Choice) -> Choice:
-        return other if other.cost < one.cost else one
-
     def _in_time(self, now: int, server: Server, job: Job) -> bool:
         """Whether the call can be over before a server that is taken away is gone."""
         ends_at = self.site.places[server.id].ends_at
@@ -184,3 +166,7 @@
             return True
         duration = self.costs.rereading(job) + self.costs.output.time(job.traits.output_tokens)
         return now + duration + ENDING_MARGIN < ends_at
+
+
+def _cost_of(choice: Choice) -> float:
+    return choice.cost
