--- a/benchmarks/decision_rows.py
+++ b/benchmarks/decision_rows.py
@@ -28,11 +28,11 @@
 
 # The rounds of docs/decisions.md, each as the program was before it.
 AGAIN_OFF = Replacement("placement/pool.py", "self.site.again = again or None", "self.site.again = again")
-ZONE_BYTES_OFF = parameter("zone_byte", "float", "1.2", "0.0")
+ZONE_BYTES_OFF = parameter("zone_byte", "float", "3.6", "0.0")
 DOUBTS_OFF = parameter("doubt_weight", "int", "3", "0")
 QUICK_OFF = parameter("quick_retry", "bool", "True", "False")
-NOTICES = Replacement("prefix_cache/announcer.py", "    1_000  # tokens", "    300  # tokens")
-SCAN = parameter("scanned_tokens", "int", "0", "4_000")
+NOTICES_OFF = Replacement("prefix_cache/announcer.py", "LEAST_SHARED = 300", "LEAST_SHARED = 1_000")
+SCAN_OFF = parameter("scanned_tokens", "int", "4_000", "0")
 
 # The ablation: each mechanism by itself off, or a figure of it halved or doubled.
 BALANCER, CHOICE, COST = "placement/balancer.py", "placement/choice.py", "placement/cost.py"
@@ -92,15 +92,17 @@
     "stream-cost-x2": (parameter("stream_cost", "float", "30.0", "60.0"),),
     "shared-read": (parameter("shared_read", "float", "0.5", "0.0"),),
     "shared-read-x2": (parameter("shared_read", "float", "0.5", "1.0"),),
-    "read-again": (parameter("read_again", "float", "50.0", "0.0"),),
-    "read-again-half": (parameter("read_again", "float", "50.0", "25.0"),),
-    "read-again-x2": (parameter("read_again", "float", "50.0", "100.0"),),
+    "read-again": (parameter("read_again", "float", "150.0", "0.0"),),
+    "read-again-half": (parameter("read_again", "float", "150.0", "75.0"),),
+    "read-again-x2": (parameter("read_again", "float", "150.0", "300.0"),),
     "region-price": (parameter("region_price", "float", "100_000.0", "0.0"),),
     "region-price-half": (parameter("region_price", "float", "100_000.0", "50_000.0"),),
     "region-price-x2": (parameter("region_price", "float", "100_000.0", "200_000.0"),),
+    "scan": (SCAN_OFF,),
+    "notices-of-short": (NOTICES_OFF,),
     "zone-bytes": (ZONE_BYTES_OFF,),
-    "zone-bytes-half": (parameter("zone_byte", "float", "1.2", "0.6"),),
-    "zone-bytes-x2": (parameter("zone_byte", "float", "1.2", "2.4"),),
+    "zone-bytes-half": (parameter("zone_byte", "float", "3.6", "1.8"),),
+    "zone-bytes-x2": (parameter("zone_byte", "float", "3.6", "7.2"),),
     "doubts": (DOUBTS_OFF,),
     "quick-retry": (QUICK_OFF,),
     "standby-documents": (
@@ -114,11 +116,6 @@
 ROWS: dict[str, tuple[Replacement, ...]] = {
     **ABLATION,
     "service": (),
-    "before-rounds": (AGAIN_OFF, ZONE_BYTES_OFF, DOUBTS_OFF, QUICK_OFF),
-    "again-off": (AGAIN_OFF,),
-    "zone-bytes-off": (ZONE_BYTES_OFF,),
-    "doubts-off": (DOUBTS_OFF, QUICK_OFF),
-    "quick-off": (QUICK_OFF,),
-    "notices-scan": (NOTICES, SCAN),
-    "scan": (SCAN,),
+    "before-rounds": (AGAIN_OFF, ZONE_BYTES_OFF, DOUBTS_OFF, QUICK_OFF, NOTICES_OFF, SCAN_OFF),
+    "again": (AGAIN_OFF,),
 }
--- a/brackenladder/placement/parameters.py
+++ b/brackenladder/placement/parameters.py
@@ -15,9 +15,9 @@
     """
 
     # A token that is read again, beside the time of its reading.
-    read_again: float = field(default=50.0, validator=_COST)
+    read_again: float = field(default=150.0, validator=_COST)
     # A byte that goes to another zone of the region; 0: zones are told apart by their ways only.
-    zone_byte: float = field(default=1.2, validator=_COST)
+    zone_byte: float = field(default=3.6, validator=_COST)
     # A call that goes to another region, beside its way.
     region_price: float = field(default=100_000.0, validator=_COST)
     # A stream that a server runs, for each token of the answer to come.
@@ -29,7 +29,7 @@
     # The part of the shared tokens that has probably been read at a prompt's own server.
     shared_read: float = field(default=0.5, validator=_COST)
     # Tokens from which on a prompt is compared at all servers of the region, not at two draws; 0: none is.
-    scanned_tokens: int = field(default=0, validator=validators.ge(0))
+    scanned_tokens: int = field(default=4_000, validator=validators.ge(0))
     # The weight of late and unanswered calls that makes a server doubted; 0: none is.
     doubt_weight: int = field(default=3, validator=validators.ge(0))
     # A try that may be repeated gets what its first event may take, not half of the time that is left.
--- a/brackenladder/prefix_cache/announcer.py
+++ b/brackenladder/prefix_cache/announcer.py
@@ -7,9 +7,9 @@
 
 from brackenladder.prefix_cache.messages import PrefixNotice, PrefixNotices, heaviest
 
-LEAST_SHARED = (
-    1_000  # tokens of a prefix that is worth a notice: reading fewer takes hardly longer than the way
-)
+# Tokens of a prefix that is worth a notice: reading 300 again costs 45 ms (placement/parameters.py), a notice
+# of 45 bytes that goes to some sixty gateways 10 ms.
+LEAST_SHARED = 300
 LEAST_UNREAD = 4_000  # tokens of a prompt whose reading keeps others waiting, whatever it shares
 REPEAT_AFTER = 3_000_000  # microseconds after which a prefix that is still used is told again
 MOST_REMEMBERED = 2_048  # prefixes at servers, of which it is known when they were told
