--- a/brackenladder/control_plane/consensus_host.py
+++ b/brackenladder/control_plane/consensus_host.py
@@ -123,9 +123,14 @@
         return self._leadership
 
     async def leadership_changed(self, timeout: float) -> None:
-        """Waits until another leader is known, at most `timeout` seconds."""
+        """Waits until another leader is known, at most `timeout` seconds.
+
+        Failure prevented: `asyncio.wait_for` (before Python 3.12) drops a cancellation that comes in the turn
+        in which the leader changes; a caller's own time limit has then passed unseen, and it waits for ever.
+        """
         with suppress(TimeoutError):
-            await asyncio.wait_for(self._leadership.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await self._leadership.wait()
 
     def step(self, sender: str, message: object) -> None:
         """A message of another replica has arrived."""
--- a/tests/control_plane/test_consensus_host.py
+++ b/tests/control_plane/test_consensus_host.py
@@ -129,6 +129,19 @@
         async with asyncio.timeout(PATIENCE):
             await waiting
 
+    async def test_a_wait_for_another_leader_that_is_given_up_ends_whenever_that_comes(self) -> None:
+        """A caller's time limit may pass in the turn in which the leader changes, or in one of the next."""
+        for turns in range(5):
+            waiting = asyncio.create_task(self.host.leadership_changed(PATIENCE))
+            await asyncio.sleep(0)
+            self.host.leadership.set()
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            given_up = waiting.cancel()
+            await asyncio.wait([waiting])
+            self.assertEqual(waiting.cancelled(), given_up, turns)
+            self.host.leadership.clear()
+
     async def test_closing_ends_all_waits(self) -> None:
         self.store.answers.clear()
         last_index = self.host.replica.last_index
