The end of a transport does not wait for a connection that was dropped as its listener closed

Found by the worker's traceback and its sockets; which test it was is not known. Change: after the grace, links without any connection are given up. Test: fails (no end in 20 s) without it. tests/transport: 131 passed.

--- a/brackenladder/transport/tcp.py
+++ b/brackenladder/transport/tcp.py
@@ -134,6 +134,10 @@
             dialer.abort()
         for link in tuple(self._incoming):
             link.abort(LinkClosed.LOCAL)
+            if not link.connected:
+                # Failure prevented: a connection was taken in the turn in which the listener closed, asyncio
+                # drops it without a word to its protocol, and the end of this transport never comes.
+                self._incoming.discard(link)
 
 
 def _bound_socket(address: Address) -> socket.socket:
--- a/brackenladder/transport/tcp_link.py
+++ b/brackenladder/transport/tcp_link.py
@@ -91,6 +91,11 @@
         waiting = 0 if self._transport is None else self._transport.get_write_buffer_size()
         return waiting + self._batch_bytes
 
+    @property
+    def connected(self) -> bool:
+        """Whether there is, or was, a connection."""
+        return self._transport is not None
+
     # what the keepalive timer calls
 
     def ping(self, now: float) -> None:
--- a/tests/transport/test_transport_tcp.py
+++ b/tests/transport/test_transport_tcp.py
@@ -278,3 +278,13 @@
     async def test_an_address_of_another_machine_is_an_error_at_once(self):
         with self.assertRaises(ListenError):
             await at_most(self.make("far", LinkTiming()).listen("192.0.2.1:0", Recorder()))
+
+
+class ConnectionDroppedByListenerTest(TcpCase):
+    """A connection is taken in the turn in which the listener closes: asyncio makes its protocol and drops it."""
+
+    async def test_the_end_does_not_wait_for_it(self):
+        transport = self.make("one", LinkTiming(close_grace=1_000))
+        await transport.listen(ANY_PORT, Recorder())
+        transport._accept(Recorder())  # the protocol alone: `connection_made` never comes
+        await at_most(transport.close())
