--- a/tests/transport/test_transport_tcp.py
+++ b/tests/transport/test_transport_tcp.py
@@ -281,7 +281,7 @@
 
 
 class ConnectionDroppedByListenerTest(TcpCase):
-    """A connection is taken in the turn in which the listener closes: asyncio makes its protocol and drops it."""
+    """A connection is taken as the listener closes: asyncio makes its protocol and drops it."""
 
     async def test_the_end_does_not_wait_for_it(self):
         transport = self.make("one", LinkTiming(close_grace=1_000))
