--- a/brackenladder/simulation/faults.py
+++ b/brackenladder/simulation/faults.py
@@ -6,10 +6,14 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from brackenladder.simulation.disk import SYNC_TIME
 from brackenladder.simulation.machines import ControlMachine, GatewayMachine
 from brackenladder.simulation.scenario import SECOND
+from brackenladder.simulation.virtual_loop import Process, ProcessState
 from brackenladder.simulation.world import World
 
+SLOW_FACTOR = 30  # by which a slow disk takes longer to sync
+
 
 class Faults:
     """Strikes a world. Only as many disks are lost at a time as the members can bear."""
@@ -102,7 +106,7 @@
         process.freeze()
         self.world.isolation.update(self.world.now)
         await asyncio.sleep(seconds)
-        process.thaw()
+        await _thaw(process)
         self._end("freeze", machine)
 
     def restart_gateway(self, gateway: GatewayMachine) -> None:
@@ -163,13 +167,12 @@
         await self._trouble_disk(machine, seconds, "disk-full")
 
     async def slow_disk(self, machine: ControlMachine, seconds: float) -> None:
-        """A disk takes thirty times as long for a while."""
+        """A disk takes `SLOW_FACTOR` times as long for a while."""
         disk = machine.disk
         self._begin("disk-slow", machine)
-        usual = disk.sync_time
-        disk.sync_time = 30 * usual
+        disk.sync_time = SLOW_FACTOR * SYNC_TIME
         await asyncio.sleep(seconds)
-        disk.sync_time = usual
+        disk.sync_time = SYNC_TIME
         self._end("disk-slow", machine)
 
     async def _trouble_disk(self, machine: ControlMachine, seconds: float, kind: str) -> None:
@@ -182,15 +185,16 @@
 
     # -- the end
 
-    def heal(self) -> None:
+    async def heal(self) -> None:
         """Ends all faults at once."""
         world = self.world
         world.network.heal_all()
         for machine in world.machines:
             machine.disk.hangs = machine.disk.full = False
+            machine.disk.sync_time = SYNC_TIME
             machine.place.megabits = world.scenario.site.megabits
             if machine.process is not None:
-                machine.process.thaw()
+                await _thaw(machine.process)
             if not machine.up:
                 self._boot(machine)
         world.disturbed("heal")
@@ -214,3 +218,10 @@
         if not machine.up and machine in self.world.machines:
             machine.boot()
             self.world.isolation.update(self.world.now)
+
+
+async def _thaw(process: Process) -> None:
+    """Returns once the process has its processor again, or has ended."""
+    process.thaw()
+    while process.state is ProcessState.FROZEN:
+        await asyncio.sleep(0)
--- /dev/null
+++ b/brackenladder/simulation/mutants/waits.py
@@ -0,0 +1,28 @@
+"""Planted faults in waits: ends that nobody is told of, cancellations that are dropped."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from brackenladder.control_plane.consensus_host import ConsensusHost
+from brackenladder.simulation.mutants.mutant import Fault, Mutant, replaced
+
+
+def _cancellation_dropped() -> Fault:
+    async def leadership_changed(self: ConsensusHost, timeout: float) -> None:
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._leadership.wait(), timeout)
+
+    return replaced(ConsensusHost, leadership_changed=leadership_changed)
+
+
+WAITS_MUTANTS = (
+    Mutant(
+        name="cancellation-dropped",
+        about="a wait for another leader drops the cancellation that comes in the turn of its end",
+        profile="turns",
+        rules=frozenset({"call-held"}),
+        plant=_cancellation_dropped,
+    ),
+)
--- a/brackenladder/simulation/network.py
+++ b/brackenladder/simulation/network.py
@@ -61,6 +61,7 @@
         self.places: dict[str, Place] = {}
         self.bytes_sent = 0
         self.delivered = 0
+        self.call_held: Callable[[str], None] = _not_watched  # is told of a call that does not end
         self._arrivals: dict[tuple[str, str], int] = {}  # the latest one by direction
         self._held_up: dict[tuple[str, str], deque[Event]] = {}
         loop.call_later(SWEEP_SECONDS, self._sweep)
@@ -176,6 +177,10 @@
         return super().connect(dialer)
 
 
+def _not_watched(_detail: str) -> None:
+    """Nobody wants to know."""
+
+
 class SimulatedTransport(MemoryTransport):
     """A `MemoryTransport` on a `SimulatedNetwork`."""
 
--- a/brackenladder/simulation/profiles.py
+++ b/brackenladder/simulation/profiles.py
@@ -239,6 +239,28 @@
             calm=(0.05, 1.0),
             at_once=3,
         ),
+        Profile(
+            "turns",
+            "busy turns: much comes due at once, in any order, while leaders change and callers give up",
+            Scenario(
+                habits=Habits(pause=0.08, in_flight=6, evacuations=0.3, reads=0.2, answers_lost=0.05),
+                lives=Lives(shortest=1.0, longest=4.0),
+                servers=6,
+                trouble=25.0,
+                late_turns=0.3,
+            ),
+            (
+                (3.0, kill_one),
+                (2.0, partial_cut),
+                (2.0, long_cut_from_peers),
+                (2.0, reset_links),
+                (1.0, freeze_one),
+                (1.0, kill_all),
+                (1.0, restart_gateway),
+            ),
+            calm=(0.1, 2.0),
+            at_once=2,
+        ),
         Profile(
             "mixed",
             "all kinds of faults",
--- a/brackenladder/simulation/run.py
+++ b/brackenladder/simulation/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import warnings
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -18,11 +19,13 @@
 from brackenladder.simulation.profiles import Profile, trouble
 from brackenladder.simulation.scenario import SECOND
 from brackenladder.simulation.trace import TraceHandler
+from brackenladder.simulation.turn_order import TurnOrder
 from brackenladder.simulation.virtual_loop import VirtualEventLoop
 from brackenladder.simulation.world import World
 
 START_SECONDS = 3.0  # from the first boot until operators begin
 LOOK_SECONDS = 0.2
+LONGEST_TURN_DELAY = 20_000  # microseconds; of a process that shares its core with many others
 CLEAN_UP_TIME = 1_000  # microseconds after a run in which tasks take note of their cancellation
 
 
@@ -52,14 +55,23 @@
     skipped: frozenset[int] = frozenset(),
 ) -> RunResult:
     """Plays one schedule; `trace` takes what is logged, line by line; `skipped` faults do not come."""
-    loop = VirtualEventLoop()
-    try:
-        handler = logbook.NullHandler() if trace is None else TraceHandler(loop, trace)
-        with handler.applicationbound():
+    loop = VirtualEventLoop(_turn_order(profile, seed))
+    handler = logbook.NullHandler() if trace is None else TraceHandler(loop, trace)
+    with handler.applicationbound(), warnings.catch_warnings():
+        # a process may end between the making of a task and its first step
+        warnings.filterwarnings("ignore", "coroutine .* was never awaited", RuntimeWarning)
+        try:
             return _run_in(loop, profile, seed, machine_type, gateway_type, skipped)
-    finally:
-        gc.collect()  # ends what waits for ever, while the loop still takes its last calls
-        loop.close()
+        finally:
+            gc.collect()  # ends what waits for ever, while the loop still takes its last calls
+            loop.close()
+
+
+def _turn_order(profile: Profile, seed: int) -> TurnOrder | None:
+    share = profile.scenario.late_turns
+    if not share:
+        return None
+    return TurnOrder(Random(f"turns {profile.name} {seed}"), share, LONGEST_TURN_DELAY)
 
 
 def _run_in(
@@ -90,7 +102,7 @@
     await asyncio.sleep(START_SECONDS)
     world.begin()
     world.coverage.strikes = await _watched(world, trouble(profile, faults, random, skipped))
-    faults.heal()
+    await faults.heal()
     await _watched(world, asyncio.sleep(profile.scenario.calm, 0))
     await world.end_actors()
     world.raise_failure()
--- a/brackenladder/simulation/scenario.py
+++ b/brackenladder/simulation/scenario.py
@@ -27,6 +27,7 @@
     catch_up: float = 4.0  # from the end of a machine's trouble until it counts again
     calm: float = 0.0  # after the faults, while operators go on
     settle: float = 30.0  # longest time until all is well again
+    late_turns: float = 0.0  # share of the event loop's turns that begin late, with more in them
 
 
 @define
--- a/brackenladder/simulation/virtual_loop.py
+++ b/brackenladder/simulation/virtual_loop.py
@@ -7,12 +7,15 @@
 
 import asyncio
 from asyncio import Handle, TimerHandle
+from collections import deque
 from collections.abc import Callable
 from contextvars import Context, ContextVar, copy_context
 from enum import Enum, auto
+from heapq import heappop
 from typing import Any, TypeVar, TypeVarTuple, Unpack
 
 from brackenladder.simulation.errors import SimulationStalled
+from brackenladder.simulation.turn_order import ReadyCallback, TurnOrder
 
 MICROSECONDS = 1_000_000
 CLOCK_RESOLUTION = 1e-7  # seconds; timers due within it run in one turn
@@ -39,6 +42,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.state = ProcessState.RUNNING
+        self.freezes = 0  # how often the processor was taken away
         self._held: list[Callable[[], None]] = []
         self._context = copy_context()
         self._context.run(_current.set, self)
@@ -63,10 +67,20 @@
         """Takes the processor away."""
         if self.state is ProcessState.RUNNING:
             self.state = ProcessState.FROZEN
+            self.freezes += 1
 
     def thaw(self) -> None:
-        """Gives the processor back; what has waited runs first, in its order."""
-        if self.state is not ProcessState.FROZEN:
+        """Gives the processor back in the loop's next turn; what has waited runs first, in its order.
+
+        Failure prevented: the caller's own task is being run, no other task can be entered from there, and
+        all that has waited is lost.
+        """
+        if self.state is ProcessState.FROZEN:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._resume, self.freezes, context=Context())
+
+    def _resume(self, freeze: int) -> None:
+        if self.state is not ProcessState.FROZEN or self.freezes != freeze:
             return
         self.state = ProcessState.RUNNING
         held, self._held = self._held, []
@@ -90,9 +104,15 @@
 class VirtualEventLoop(asyncio.BaseEventLoop):
     """An event loop without input and output; waiting for a timer takes no time."""
 
-    def __init__(self) -> None:
+    _ready: deque[Handle]  # these three are the base class's
+    _scheduled: list[TimerHandle]
+    _timer_cancelled_count: int
+
+    def __init__(self, turn_order: TurnOrder | None = None) -> None:
+        """`turn_order`: turns begin late and run what is ready in a drawn order; None: they do not."""
         super().__init__()
         self.microseconds = 0  # the time
+        self.turn_order = turn_order
         self.turns = 0  # passes over what is ready
         self._clock_resolution = CLOCK_RESOLUTION
         self._selector = _VirtualSelector(self)
@@ -150,6 +170,30 @@
         self.call_later(duration / MICROSECONDS, self.stop)
         self.run_forever()
 
+    def begin_turn(self, timeout: float) -> None:
+        """Passes the time until the next turn, and arranges what is ready in it."""
+        order = self.turn_order
+        if timeout > 0:
+            self.microseconds += max(1, round(timeout * MICROSECONDS))
+        if order is None:
+            return
+        self.microseconds += order.delay()
+        self._take_due_timers()
+        arranged = order.arrange([_ready_callback(handle) for handle in self._ready])
+        self._ready.clear()
+        self._ready.extend(arranged)
+
+    def _take_due_timers(self) -> None:
+        """As `BaseEventLoop` does after the wait: timers that are due are ready."""
+        end = self.time() + self._clock_resolution
+        while self._scheduled and (self._scheduled[0].cancelled() or self._scheduled[0].when() < end):
+            handle = heappop(self._scheduled)
+            handle._scheduled = False  # type: ignore[attr-defined]  # what the base class keeps
+            if handle.cancelled():
+                self._timer_cancelled_count -= 1
+            else:
+                self._ready.append(handle)
+
     def _process_events(self, event_list: object) -> None:
         """There are none."""
 
@@ -192,14 +236,23 @@
         self._loop.turns += 1
         if timeout is None:
             raise SimulationStalled("nothing is left to happen")
-        if timeout > 0:
-            self._loop.microseconds += max(1, round(timeout * MICROSECONDS))
+        self._loop.begin_turn(timeout)
         return []
 
     def close(self) -> None:
         """Nothing is open."""
 
 
+def _ready_callback(handle: Handle) -> ReadyCallback:
+    callback = handle._callback  # type: ignore[attr-defined]  # asyncio shows it to nobody
+    arguments = tuple(handle._args)
+    is_timer = isinstance(handle, TimerHandle)
+    gate = getattr(callback, "__self__", None)
+    if isinstance(gate, _Gate):
+        return ReadyCallback(handle, gate.process, gate.callback, gate.arguments, is_timer)
+    return ReadyCallback(handle, None, callback, arguments, is_timer)
+
+
 def _ignore_ended(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """Tasks of ended processes are dropped while they wait; any other fault fails the run."""
     error = context.get("exception")
--- a/brackenladder/simulation/world.py
+++ b/brackenladder/simulation/world.py
@@ -64,6 +64,7 @@
             self.calm_since,
             int(scenario.catch_up * SECOND),
         )
+        self.network.call_held = lambda detail: self.fail("call-held", detail)
         self.gateways += [
             gateway_type(
                 self.network, self._branch(), number, addresses, site.megabits, self._checks.view_changed
--- a/brackenladder/transport/memory_link.py
+++ b/brackenladder/transport/memory_link.py
@@ -20,6 +20,11 @@
     sender: str  # name of the node from which it comes
     receiver: str  # name of the node at which it happens
 
+    @property
+    def direction(self) -> tuple[str, str]:
+        """Sender and receiver: events of one direction happen in their order."""
+        return self.sender, self.receiver
+
     def happen(self) -> None:
         """Delivers it."""
         raise NotImplementedError
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -54,6 +54,9 @@
     def test_answers(self) -> None:
         self.check("answers")
 
+    def test_turns(self) -> None:
+        self.check("turns")
+
     def test_mixed(self) -> None:
         self.check("mixed")
 
