Waits: held calls are counted, bodies and unread answers have an end, wait_for is gone

Found and mended: a control node waited for ever for a body that stopped half-way (30 s, 408); a gateway waited for a body until its client's deadline though the route's TimeoutMs had passed (408 then); a client that never reads held its answer for ever (30 s); four wait_for (one dropped the cancellation of the settings' watch in the turn of a SIGHUP); rpc/: a host that cannot be named left a connection that was coming for ever.

--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -78,7 +78,7 @@
         self.host = ConsensusHost(
             replica, writer, self.catalog, clock, self._send_consensus, self._catalog_changed
         )
-        self.orders = OrderService(self.host, self.peers)
+        self.orders = OrderService(self.host, self.peers, clock)
         heartbeat = int(platform.heartbeat_ms * MICROSECONDS_PER_MILLISECOND)
         self.soft_state = SoftState(clock, self.host, self.peers, heartbeat, platform.region)
         self.recovery = RestartRecovery(
@@ -97,6 +97,7 @@
         self._control_listener = surroundings.listener(operator_api.handle)
         directory_api = DirectoryApi(self.soft_state.resolve, platform.bounds)
         self._directory_listener = surroundings.listener(directory_api.handle)
+        self._clock = clock
         self._writer = writer
         self._transport = transport
         self._timer: asyncio.TimerHandle | None = None
@@ -198,6 +199,7 @@
         self._membership.tick()
         self.soft_state.tick()
         self.recovery.tick()
+        self.orders.held_calls.look(self._clock())
 
     async def _close_listeners(self, grace_seconds: float) -> None:
         await asyncio.gather(
--- a/brackenladder/control_plane/http_server.py
+++ b/brackenladder/control_plane/http_server.py
@@ -20,7 +20,7 @@
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 BACKLOG = 512
-KEEPALIVE_SECONDS = 30.0
+KEEPALIVE_SECONDS = 30.0  # between requests, until the first one, and for a body to come whole
 RETRY_AFTER_SECONDS = "0.2"
 LISTEN_PATIENCE_SECONDS = 10.0  # how long an address is tried that a killed predecessor still holds
 LISTEN_RETRY_SECONDS = 0.1  # pause between these tries
@@ -49,6 +49,25 @@
     return json_response(HTTPStatus.NOT_FOUND, {"Error": f"unknown: {what}"})
 
 
+async def _body_arrives(request: web.BaseRequest) -> bool:
+    """Reads the body, which the request keeps; False if it does not come whole in time.
+
+    Failure prevented: a caller that stops in the middle of its body is waited for as long as it stays.
+    """
+    try:
+        async with asyncio.timeout(KEEPALIVE_SECONDS):
+            await request.read()
+    except TimeoutError:
+        return False
+    return True
+
+
+def _too_slow() -> web.Response:
+    response = json_response(HTTPStatus.REQUEST_TIMEOUT, {"Error": "the body did not come in time"})
+    response.force_close()
+    return response
+
+
 class Listener(Protocol):
     """Serves one address with a handler."""
 
@@ -102,6 +121,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
+            if not await _body_arrives(request):
+                return _too_slow()
             return await self._handler(request)
         except web.HTTPRequestEntityTooLarge:
             return json_response(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"Error": "body too large"})
--- a/brackenladder/control_plane/node_status.py
+++ b/brackenladder/control_plane/node_status.py
@@ -6,7 +6,13 @@
 from brackenladder.control_plane.consensus_host import ConsensusHost
 from brackenladder.control_plane.peers import PeerLinks
 from brackenladder.control_plane.soft_state import SoftState
-from brackenladder.control_plane.status import ControlStatus, age_ms, member_statuses
+from brackenladder.control_plane.status import (
+    ControlStatus,
+    age_ms,
+    member_statuses,
+    violation_statuses,
+)
+from brackenladder.invariants import VIOLATIONS
 
 
 def node_status(
@@ -34,4 +40,5 @@
         evacuated_zones=tuple(sorted(catalog.evacuated)),
         services=soft_state.services(),
         gateways=soft_state.gateways(),
+        violations=violation_statuses(VIOLATIONS.violations()),
     )
--- a/brackenladder/control_plane/orders.py
+++ b/brackenladder/control_plane/orders.py
@@ -35,6 +35,7 @@
 )
 from brackenladder.control_plane.order_parts import PART_BYTES, OrderReceiver, OrderSender
 from brackenladder.control_plane.peers import PeerLinks
+from brackenladder.held_calls import HeldCalls
 from brackenladder.transport.link import Link
 
 CALL_SECONDS = 2.5  # longest that a caller is held without a clear answer
@@ -42,6 +43,7 @@
 RETRY_SECONDS = 0.1
 LEAVING_SECONDS = 0.7  # for the quorum that a server's drain or end waits for; the server waits a second
 SLOWEST_BYTES_PER_SECOND = 500_000  # at which a large order is expected to travel
+MICROSECONDS_PER_SECOND = 1_000_000
 NO_CLEAR_ANSWER = OrderReply(0, OrderOutcome.UNAVAILABLE)
 
 Clear = TypeVar("Clear")
@@ -64,9 +66,11 @@
     taken and changes nothing, so that asking again is always safe.
     """
 
-    def __init__(self, host: ConsensusHost, peers: PeerLinks) -> None:
+    def __init__(self, host: ConsensusHost, peers: PeerLinks, clock: Callable[[], int]) -> None:
+        self.held_calls = HeldCalls()
         self._host = host
         self._peers = peers
+        self._clock = clock
         self._replies = ReplyTable()
         self._sending: dict[int, OrderSender] = {}  # by request
         self._arriving: dict[Link, OrderReceiver] = {}
@@ -124,15 +128,17 @@
     ) -> Result[Clear, Unavailable]:
         """Repeats an attempt until it has a clear answer or the time is up."""
         result: Result[Clear, Unavailable] = Failure(Unavailable.TIMEOUT)
-        try:
-            async with asyncio.timeout(seconds):
-                while True:
-                    result = await attempt()
-                    if isinstance(result, Success):
-                        return result
-                    await self._host.leadership_changed(RETRY_SECONDS)
-        except TimeoutError:
-            return result
+        limit = self._clock() + int(seconds * MICROSECONDS_PER_SECOND)
+        with self.held_calls.until(f"a call with {seconds:.1f} s", limit):
+            try:
+                async with asyncio.timeout(seconds):
+                    while True:
+                        result = await attempt()
+                        if isinstance(result, Success):
+                            return result
+                        await self._host.leadership_changed(RETRY_SECONDS)
+            except TimeoutError:
+                return result
 
     async def _submit_seen(self, order: EvacuationOrder) -> Result[OrderReply, Unavailable]:
         seen = await self._newest_revision()
--- a/brackenladder/control_plane/status.py
+++ b/brackenladder/control_plane/status.py
@@ -11,6 +11,7 @@
 
 from brackenladder.catalog.structuring import DOCUMENT_NAME, named
 from brackenladder.consensus.types import Member
+from brackenladder.invariants import Invariant
 from brackenladder.registry.gateways import HeardGateway
 from brackenladder.registry.records import ServerRecord, ServerState
 
@@ -51,6 +52,14 @@
     revision: int | None = named("Revision")  # acknowledged to this node; None: not connected to it
 
 
+@frozen
+class ViolationStatus:
+    """How often the node has found an invariant broken since its process started."""
+
+    invariant: str = named("Invariant")
+    count: int = named("Count")
+
+
 @frozen
 class ControlStatus:
     """One control node's view. All of it is its own: another node's may differ for a moment."""
@@ -72,6 +81,7 @@
     evacuated_zones: tuple[str, ...] = named("EvacuatedZones")
     services: tuple[ServiceStatus, ...] = named("Services")
     gateways: tuple[GatewayStatus, ...] = named("Gateways")
+    violations: tuple[ViolationStatus, ...] = named("Violations", ())  # empty: none, or an older program
 
 
 def member_statuses(
@@ -119,6 +129,12 @@
     )
 
 
+def violation_statuses(counts: Mapping[Invariant, int]) -> tuple[ViolationStatus, ...]:
+    """The invariants that were broken, in the order of their names."""
+    told = [ViolationStatus(invariant.value, count) for invariant, count in counts.items()]
+    return tuple(sorted(told, key=lambda one: one.invariant))
+
+
 def age_ms(age: int) -> int | None:
     """Microseconds as milliseconds; None for an age that was never measured."""
     return max(0, age) // MICROSECONDS_PER_MILLISECOND if age < LONGEST_AGE else None
--- a/brackenladder/gateway/clients.py
+++ b/brackenladder/gateway/clients.py
@@ -17,6 +17,7 @@
 LONGEST_HEAD_FIELD = 65_536  # bytes; the configured bound on the whole head is lower
 MOST_HEADERS = 256
 LINGER_SECONDS = 1.0  # how long the rest of a body that is not wanted is read
+UNREAD_SECONDS = 30.0  # for so long a client may take no byte of an answer; as the node's door has it
 MS_PER_S = 1000.0
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -29,7 +30,7 @@
 class ClientProtocol(RequestHandler):
     """One client connection."""
 
-    __slots__ = ("_head_seconds", "_head_timer")
+    __slots__ = ("_head_seconds", "_head_timer", "_unread_timer")
 
     def __init__(self, manager: ClientServer, limits: Limits, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(
@@ -47,6 +48,7 @@
         )
         self._head_seconds = limits.header_timeout_ms / MS_PER_S
         self._head_timer: asyncio.TimerHandle | None = None
+        self._unread_timer: asyncio.TimerHandle | None = None
 
     @property
     def idle(self) -> bool:
@@ -65,8 +67,23 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Free the connection."""
         self._stop_timer()
+        self._stop_unread_timer()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """The client takes nothing of what is written to it.
+
+        Failure prevented: it stays connected and never reads, and its answer is held for ever.
+        """
+        super().pause_writing()
+        self._stop_unread_timer()
+        self._unread_timer = self._loop.call_later(UNREAD_SECONDS, self._never_read)
+
+    def resume_writing(self) -> None:
+        """It reads again."""
+        self._stop_unread_timer()
+        super().resume_writing()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being served or read."""
         if self.idle:
@@ -100,6 +117,16 @@
         if self._waits:
             self.force_close()
 
+    def _never_read(self) -> None:
+        self._unread_timer = None
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _stop_unread_timer(self) -> None:
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
     def _stop_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
--- a/brackenladder/gateway/context.py
+++ b/brackenladder/gateway/context.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 
 from brackenladder.gateway.failures import FailureLog
 from brackenladder.gateway.pools import ServicePools
 from brackenladder.gateway.start_gate import StartGate
+from brackenladder.held_calls import HeldCalls
 
 
 @define
@@ -19,5 +20,6 @@
     pools: ServicePools
     failures: FailureLog
     start_gate: StartGate
+    held_calls: HeldCalls = field(factory=HeldCalls)
     draining: bool = False
     intake_over: bool = False  # what is read from now on can't be served to its end
--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -32,7 +32,9 @@
 from brackenladder.gateway.hints import is_idempotent, read_deadline_ms, read_traits
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import may_be_passed_on
-from brackenladder.gateway.relay import Relay
+from brackenladder.gateway.relay import DEADLINE_MARGIN, Relay
+from brackenladder.gateway.start_gate import HOLD_MOST
+from brackenladder.held_calls import HeldCall
 from brackenladder.placement.traits import CallTraits
 from brackenladder.placement.urgency import urgency_of
 
@@ -69,9 +71,15 @@
         self.client_deadline = 0  # by the gateway's clock, as are all times here
         self.servers: set[str] = set()  # that may have run the request
         self._lines: bytes | None = None
+        self._held: HeldCall
 
     async def handle(self) -> web.StreamResponse:
         """Serve the request; what is returned was or will be sent by the caller."""
+        with self.context.held_calls.until(f"a request of {self.target}", self.began + HOLD_MOST) as held:
+            self._held = held
+            return await self._serve()
+
+    async def _serve(self) -> web.StreamResponse:
         await self._until_started()
         read = await self._read()
         if isinstance(read, Failure):
@@ -88,6 +96,7 @@
             call.end_stream()
             return self._whole(conclusion)
         if isinstance(conclusion, OpenAnswer):
+            self._held.limit = self.client_deadline + DEADLINE_MARGIN
             return await Relay(self, call, conclusion, self.successor_call).run()
         return self._unserved(call, conclusion)
 
@@ -132,6 +141,7 @@
         told = read_deadline_ms(self.request.headers)
         wait_ms = self.route.timeout_ms if told is None else told
         self.client_deadline = self.began + wait_ms * US_PER_MS
+        self._held.limit = min(self.client_deadline, self.began + self.route.timeout_ms * US_PER_MS)
 
     async def _read_body(self, limits: Limits) -> RequestFault | None:
         content = self.request.content
@@ -144,7 +154,7 @@
             self.body = content.read_nowait(-1)
             return RequestFault.BODY_TOO_LARGE if len(self.body) > limits.max_body_bytes else None
         try:
-            async with asyncio.timeout((self.client_deadline - self.context.now()) / US_PER_S):
+            async with asyncio.timeout((self._held.limit - self.context.now()) / US_PER_S):
                 return await self._read_slow_body(limits.max_body_bytes)
         except TimeoutError:
             return RequestFault.BODY_TOO_SLOW
--- a/brackenladder/gateway/metrics.py
+++ b/brackenladder/gateway/metrics.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
+from brackenladder.invariants import Invariant
 from brackenladder.placement.decision_counters import DecisionCounters, DecisionSums
 
 METRICS_PATH = "/-/metrics"
@@ -11,13 +12,18 @@
 MICROSECONDS_PER_SECOND = 1e6
 
 
-def metrics_text(by_service: Iterator[tuple[str, DecisionCounters]]) -> str:
-    """The figures of all services; times in seconds."""
+def metrics_text(
+    by_service: Iterator[tuple[str, DecisionCounters]], violations: Mapping[Invariant, int]
+) -> str:
+    """The figures of all services, times in seconds; then how often each invariant was broken."""
     lines: list[str] = []
     for service, counters in by_service:
         for target, sums in counters.items():
             labels = f'service="{service}",target_ms="{target // MICROSECONDS_PER_MILLISECOND}"'
             lines += _lines(labels, sums)
+    for invariant in Invariant:
+        count = violations.get(invariant, 0)
+        lines.append(f'invariant_violations_total{{invariant="{invariant.value}"}} {count}')
     return "\n".join([*lines, ""])
 
 
--- a/brackenladder/gateway/server.py
+++ b/brackenladder/gateway/server.py
@@ -20,6 +20,7 @@
 from brackenladder.gateway.metrics import METRICS_PATH, metrics_text
 from brackenladder.gateway.pools import PoolFactory, ServicePools, pool_factory
 from brackenladder.gateway.start_gate import StartGate
+from brackenladder.invariants import VIOLATIONS
 from brackenladder.platform_settings import Platform
 from brackenladder.prefix_cache.announcer import PrefixAnnouncer
 from brackenladder.prefix_cache.messages import PrefixNotices
@@ -122,6 +123,10 @@
         self._context.pools.close()
         await self._connections.close()
 
+    def look_at_calls(self) -> None:
+        """To be called again and again: counts the calls that are held past their limits."""
+        self._context.held_calls.look(self._clock())
+
     @property
     def ready(self) -> bool:
         """What the platform's check is told."""
@@ -177,7 +182,7 @@
 
     async def _tell_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == METRICS_PATH:
-            return web.Response(text=metrics_text(self._context.pools.counters()))
+            return web.Response(text=metrics_text(self._context.pools.counters(), VIOLATIONS.violations()))
         if request.path != READY_PATH:
             return own_answer(Status.NOT_FOUND)
         return web.Response(status=200) if self.ready else own_answer(Status.UNAVAILABLE)
--- a/brackenladder/invariants.py
+++ b/brackenladder/invariants.py
@@ -27,6 +27,7 @@
     DIRECTORY_KEEPS_HOMES = "directory-keeps-homes"  # no client is led past the homes of its host's routes
     SERVER_KEEPS_HOMES = "server-keeps-homes"  # no request with homes goes to a server elsewhere
     SERVER_TAKES_REQUESTS = "server-takes-requests"  # none goes to one told to drain, to be gone or evacuated
+    CALL_ENDS_IN_TIME = "call-ends-in-time"  # no call is held for over a second past its time limit
 
 
 class InvariantChecks:
--- a/brackenladder/node/control.py
+++ b/brackenladder/node/control.py
@@ -72,7 +72,8 @@
         try:
             data = await self.reply(reader, writer)
             writer.write(data + b"\n")
-            await asyncio.wait_for(writer.drain(), PATIENCE)
+            async with asyncio.timeout(PATIENCE):
+                await writer.drain()
         except (TimeoutError, ConnectionError):
             pass  # a client that says nothing, or went away
         finally:
@@ -88,7 +89,8 @@
         if self.open > CLIENTS:
             return refusal("too many connections")
         try:
-            line = await asyncio.wait_for(reader.readline(), PATIENCE)
+            async with asyncio.timeout(PATIENCE):
+                line = await reader.readline()
         except ValueError:
             return refusal(f"over {LARGEST_LINE} bytes")
         return self.answer(line, user)
--- a/brackenladder/node/gateway_role.py
+++ b/brackenladder/node/gateway_role.py
@@ -93,6 +93,7 @@
         now = monotonic_microseconds()
         self._subscriber.tick(now)
         self._links.tick()
+        self._gateway.look_at_calls()
         if starting and self._subscriber.ready_by_timeout(now) and self._informed(now):
             self._become_ready()
 
--- a/brackenladder/node/role_runner.py
+++ b/brackenladder/node/role_runner.py
@@ -108,7 +108,8 @@
         """Reads the settings again after SIGHUP, or once the file looks different."""
         while True:
             try:
-                await asyncio.wait_for(self._settings_changed.wait(), SETTINGS_CHECK_SECONDS)
+                async with asyncio.timeout(SETTINGS_CHECK_SECONDS):
+                    await self._settings_changed.wait()
             except TimeoutError:
                 if self._file_stamp() == self._stamp:
                     continue
--- a/brackenladder/rpc/upstream.py
+++ b/brackenladder/rpc/upstream.py
@@ -90,7 +90,7 @@
         limit = loop.call_later(self.upstream.limits.connect_timeout, self.not_up)
         try:
             await loop.create_connection(lambda: self, self.endpoint.host, self.endpoint.port)
-        except OSError:
+        except (OSError, UnicodeError):  # the latter for a name that cannot be one of a host
             self.gone(Outcome.CONNECT_FAILED)
         finally:
             limit.cancel()
--- a/brackenladder/system/local/run.py
+++ b/brackenladder/system/local/run.py
@@ -111,7 +111,8 @@
 
 async def _wait(interrupted: asyncio.Event, seconds: float | None) -> None:
     with suppress(TimeoutError):
-        await asyncio.wait_for(interrupted.wait(), seconds)
+        async with asyncio.timeout(seconds):
+            await interrupted.wait()
 
 
 def welcome(system: LocalSystem, seconds: float | None) -> str:
--- a/brackenladder/system/status_text.py
+++ b/brackenladder/system/status_text.py
@@ -30,6 +30,7 @@
         for one in status.services
     ] or ["servers       none"]
     lines += [_gateway(one, status.revision) for one in status.gateways] or ["gateways      none"]
+    lines += [f"VIOLATED      {one.invariant}: {one.count} times" for one in status.violations]
     if not in_order(status):
         lines.append("NO QUORUM     changes are not acknowledged here; traffic goes on with what is known")
     return lines
--- a/tests/control_plane/test_status.py
+++ b/tests/control_plane/test_status.py
@@ -11,15 +11,23 @@
 
 from brackenladder.catalog.structuring import structure
 from brackenladder.control_plane.control_node import ControlNode
-from brackenladder.control_plane.status import ControlStatus, age_ms, service_statuses, status_document
+from brackenladder.control_plane.status import (
+    ControlStatus,
+    ViolationStatus,
+    age_ms,
+    service_statuses,
+    status_document,
+)
 from brackenladder.control_plane.wire import gateway_codec
 from brackenladder.delivery.presence import Presence
 from brackenladder.delivery.subscriber import Subscriber
+from brackenladder.invariants import VIOLATIONS, Invariant
 from brackenladder.node.control_links import ControlLinks
 from brackenladder.node.role_runner import monotonic_microseconds
 from brackenladder.prefix_cache.relay_choice import RelayChoice
 from brackenladder.registry.gateways import GatewayState
 from brackenladder.registry.records import ServerRecord, ServerState
+from brackenladder.system.status_text import status_lines
 from brackenladder.transport.link import LinkTiming
 from brackenladder.transport.tcp import TcpTransport
 
@@ -83,6 +91,20 @@
         self.assertFalse(status.in_touch)
         self.assertGreater(status.contact_age_ms or 0, 1000)
 
+    async def test_broken_invariants_are_told(self) -> None:
+        self.assertEqual((await self.status(0)).violations, ())
+        with VIOLATIONS.apart():
+            for _ in range(2):
+                VIOLATIONS.check(Invariant.CALL_ENDS_IN_TIME, False, "of this test")
+            status = await self.status(0)
+        self.assertEqual(status.violations, (ViolationStatus("call-ends-in-time", 2),))
+        self.assertIn("VIOLATED      call-ends-in-time: 2 times", status_lines(status))
+
+    async def test_an_older_node_tells_no_invariants(self) -> None:
+        document = status_document(await self.status(0))
+        del document["Violations"]
+        self.assertEqual(structure(ControlStatus, document).unwrap().violations, ())
+
     async def leading(self) -> tuple[ControlNode, ControlStatus]:
         """The node that says that it leads, and its status. Beside load the leader may change."""
         while True:
--- a/tests/gateway/test_gateway_clients.py
+++ b/tests/gateway/test_gateway_clients.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from unittest.mock import AsyncMock, Mock
 
 from attrs import evolve
 from gateway_loopback import (
@@ -21,7 +24,9 @@
 )
 
 from brackenladder.catalog.configuration import Limits
+from brackenladder.gateway.clients import UNREAD_SECONDS, ClientProtocol, ClientServer
 from brackenladder.gateway.server import intake_seconds, last_seconds
+from brackenladder.simulation.virtual_loop import VirtualEventLoop
 
 
 class Malformed(GatewayTest):
@@ -97,12 +102,72 @@
         self.assertEqual((await asyncio.wait_for(client.read(), PATIENCE)).status, 408)
         self.assertEqual(self.script.requests, [])
 
+    async def test_a_body_is_waited_for_until_the_route_ends_it_whatever_the_client_allows(self) -> None:
+        quick = evolve(PLAIN, name="quick", prefix="/quick/", timeout_ms=40)
+        self.configure((quick,))
+        client = await self.client()
+        client.send(post("/quick/x", body=b"", extra=["Content-Length: 5"], deadline_ms=60_000))
+        self.assertEqual((await asyncio.wait_for(client.read(), PATIENCE)).status, 408)
+        self.assertEqual(self.script.requests, [])
+
     async def test_an_idle_connection_is_closed(self) -> None:
         client = await self.client()
         await asyncio.wait_for(client.ask(post("/plain/x")), PATIENCE)
         self.assertTrue(await asyncio.wait_for(client.at_end(), PATIENCE))
 
 
+class UnreadAnswers(unittest.TestCase):
+    """A client that stays connected and reads nothing of its answer."""
+
+    def setUp(self) -> None:
+        self.loop = VirtualEventLoop()
+        self.addCleanup(self.loop.close)
+        self.transport = Mock(spec=asyncio.Transport)
+        self.transport.get_extra_info.return_value = None
+        self.transport.is_closing.return_value = False
+
+    def play(self, work: Callable[[ClientProtocol], Awaitable[None]]) -> None:
+        async def main() -> None:
+            server = ClientServer(AsyncMock(), lambda: Limits(idle_timeout_ms=1e9))
+            protocol = server()
+            assert isinstance(protocol, ClientProtocol)
+            protocol.connection_made(self.transport)
+            await work(protocol)
+            protocol.connection_lost(None)
+            await asyncio.sleep(0)
+
+        self.loop.run_until_complete(main())
+
+    def test_is_broken_off_after_a_while(self) -> None:
+        async def stays(protocol: ClientProtocol) -> None:
+            protocol.pause_writing()
+            await asyncio.sleep(UNREAD_SECONDS - 0.1)
+            self.transport.abort.assert_not_called()
+            await asyncio.sleep(0.2)
+            self.transport.abort.assert_called_once()
+
+        self.play(stays)
+
+    def test_goes_on_if_it_reads_now_and_then(self) -> None:
+        async def reads(protocol: ClientProtocol) -> None:
+            for _ in range(4):
+                protocol.pause_writing()
+                await asyncio.sleep(UNREAD_SECONDS - 0.1)
+                protocol.resume_writing()
+            await asyncio.sleep(2 * UNREAD_SECONDS)
+            self.transport.abort.assert_not_called()
+
+        self.play(reads)
+
+    def test_its_end_leaves_no_timer(self) -> None:
+        async def leaves(protocol: ClientProtocol) -> None:
+            protocol.pause_writing()
+
+        self.play(leaves)
+        self.loop.run_for(int(2e6 * UNREAD_SECONDS))
+        self.transport.abort.assert_not_called()
+
+
 class Readiness(GatewayTest):
     async def check_ready(self) -> int:
         client = await RawClient.connect(self.check, self.script)
--- a/tests/placement/test_decision_counters.py
+++ b/tests/placement/test_decision_counters.py
@@ -8,6 +8,7 @@
 
 from brackenladder.gateway.metrics import metrics_text
 from brackenladder.interface import Outcome
+from brackenladder.invariants import Invariant
 from brackenladder.placement.decision_counters import (
     MOST_TARGETS,
     DecisionCounters,
@@ -77,8 +78,10 @@
 
     def test_the_figures_as_text(self) -> None:
         self.counters.answered(placed(reading=700 * MS, way=2 * MS), 900 * MS)
-        text = metrics_text(iter([("llm", self.counters)]))
+        text = metrics_text(iter([("llm", self.counters)]), {Invariant.SERVER_KEEPS_HOMES: 2})
         self.assertIn('placement_calls_total{service="llm",target_ms="800"} 1\n', text)
         self.assertIn('placement_seconds_total{service="llm",target_ms="800",part="reading"} 0.700\n', text)
         self.assertIn('placement_late_total{service="llm",target_ms="800",cause="reading"} 1\n', text)
+        self.assertIn('invariant_violations_total{invariant="server-keeps-homes"} 2\n', text)
+        self.assertIn('invariant_violations_total{invariant="call-ends-in-time"} 0\n', text)
         self.assertTrue(text.endswith("\n"))
--- a/tests/rpc/test_rpc_links.py
+++ b/tests/rpc/test_rpc_links.py
@@ -168,3 +168,18 @@
         assert server.messages[1][0] is not connection
 
     play(scene)
+
+
+def test_a_host_that_cannot_be_named_leaves_no_connection_that_is_coming_for_ever():
+    """Failure prevented: it counts as coming, no other is made, and its calls end by their time only."""
+
+    async def scene():
+        bench = await Bench(Server()).start()
+        (endpoint,) = bench.pool.upstream.endpoints.values()
+        endpoint.host = "a" * 70 + ".\udcff"  # no name of a host
+        client = await bench.client()
+        error, _ = await client.ask("view", 1)
+        assert error is not None
+        assert endpoint.links == [] and bench.pool.upstream.open == 0
+
+    play(scene)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -9,7 +9,7 @@
 
 ROOT = Path(__file__).parents[1] / "brackenladder"
 FLOORS = {
-    **dict.fromkeys(["interface", "settings", "invariants"], 0),
+    **dict.fromkeys(["interface", "settings", "invariants", "held_calls"], 0),
     **dict.fromkeys(["policy", "membership", "operations", "routing", "control", "cluster", "recovery"], 1),
     # The whole system's pure packages: what is agreed, what is known of servers, what gateways are told.
     **dict.fromkeys(["consensus", "catalog", "prefix_cache"], 1),
