http/servers.py is split: a connection, an exchange, the pool of connections

Change: moved, nothing else; the pool is known to the two others by a protocol, so that no module imports another in a circle. tests/http, node, endings, rules, fuzz, core: 492 passed.

--- /dev/null
+++ b/brackenladder/http/server_exchange.py
@@ -0,0 +1,154 @@
+"""One request to one server on a connection of a pool: an attempt or a probe, which ends exactly once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from time import monotonic
+
+from brackenladder.http.server_connection import Answer, Connection, ConnectionPool, Endpoint
+from brackenladder.interface import Outcome
+from brackenladder.membership.stall import FIRST
+
+Compose = Callable[[], Sequence[bytes] | None]
+Done = Callable[[Outcome, Answer | None, Sequence[float]], None]  # outcome, answer, load report
+Report = Callable[[Answer], Sequence[float]]  # what an answer says of its server's load
+
+
+class Exchange:
+    """One request to one server, which ends exactly once by calling `done`.
+
+    `compose` is asked for the bytes just before they are written; None says that nothing may be written.
+    `report`: how an answer's load report is read, if it is wanted. `relays`: a large answer ends it as well.
+    """
+
+    __slots__ = (
+        "pool",
+        "endpoint",
+        "compose",
+        "done",
+        "report",
+        "relays",
+        "over",
+        "connection",
+        "connecting",
+        "timer",
+    )
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        endpoint: Endpoint,
+        compose: Compose,
+        done: Done,
+        report: Report | None = None,
+        relays: bool = False,
+    ) -> None:
+        self.pool = pool
+        self.endpoint = endpoint
+        self.compose = compose
+        self.done = done
+        self.report = report
+        self.relays = relays
+        self.over = False
+        self.connection: Connection | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        endpoint.busy += 1
+
+    def start(self, timeout: float) -> None:
+        """Takes an idle connection or opens one; the whole exchange may take `timeout` seconds."""
+        self.timer = self.pool.loop.call_later(timeout, self.expire)
+        self.choose()
+
+    def choose(self) -> None:
+        """Takes the connection that the request goes out on."""
+        connection = self.pool.take(self.endpoint)
+        if connection is not None:
+            self.use(connection)
+        elif self.pool.has_room():
+            self.connecting = self.pool.loop.create_task(self.connect())
+        else:
+            self.end(Outcome.CONNECT_FAILED, None)
+
+    async def connect(self) -> None:
+        """Opens a connection within the connect time-out."""
+        pool = self.pool
+        connection = Connection(pool, self.endpoint)
+        pool.opened(connection)
+        limit = pool.loop.call_later(pool.connect_timeout, self.not_up, connection)
+        try:
+            await pool.loop.create_connection(lambda: connection, self.endpoint.host, self.endpoint.port)
+        except (OSError, UnicodeError):  # the latter for a name that cannot be one of a host
+            pool.lost(connection)
+            self.end(Outcome.CONNECT_FAILED, None)
+            return
+        except asyncio.CancelledError:
+            pool.lost(connection)
+            if connection.transport is not None:
+                connection.close()
+            raise
+        finally:
+            limit.cancel()
+        self.connecting = None
+        self.use(connection)
+
+    def not_up(self, connection: Connection) -> None:
+        """The connect time-out; one that is up by then is used, however late the loop comes to it."""
+        if connection.transport is None:
+            self.stop(Outcome.CONNECT_FAILED)
+
+    def use(self, connection: Connection) -> None:
+        """Writes the request, once news of the list that may be waiting has been read."""
+        if self.pool.stall.wary(monotonic()):
+            self.pool.loop.call_later(FIRST, self.look, connection)
+        else:
+            self.write(connection)
+
+    def look(self, connection: Connection) -> None:
+        """After that wait: the connection may have ended during it, and is then another's turn.
+
+        Failure prevented: what is lost with it counts against its server, and fails the request.
+        """
+        if not self.over and self.endpoint.ready and connection.spoken_to():
+            connection.close()
+            self.choose()
+        else:
+            self.write(connection)
+
+    def write(self, connection: Connection) -> None:
+        """Writes the request, if it may still be written: the connection may have taken its time."""
+        data = None if self.over or not self.endpoint.ready else self.compose()
+        if data is None:
+            if self.endpoint.ready:
+                self.pool.keep(connection)
+            else:
+                connection.close()
+            self.end(Outcome.NOT_SENT, None)
+        else:
+            self.connection = connection
+            connection.begin(self, data)
+
+    def expire(self) -> None:
+        """The time is up. A connection that never came up has carried nothing."""
+        self.stop(Outcome.CONNECT_FAILED if self.connection is None else Outcome.TIMEOUT)
+
+    def stop(self, outcome: Outcome) -> None:
+        """Gives the exchange up; its connection is closed, so that no late answer meets another request."""
+        if self.over:
+            return
+        if self.connection is not None:
+            self.connection.exchange = None
+            self.connection.close()
+        elif self.connecting is not None:
+            self.connecting.cancel()
+        self.end(outcome, None)
+
+    def end(self, outcome: Outcome, answer: Answer | None) -> None:
+        if self.over:
+            return
+        self.over = True
+        self.endpoint.busy -= 1
+        if self.timer is not None:
+            self.timer.cancel()
+        self.done(outcome, answer, self.report(answer) if self.report and answer is not None else ())
--- a/brackenladder/http/upstream.py
+++ b/brackenladder/http/upstream.py
@@ -10,7 +10,9 @@
 from brackenladder.core.call import Attempt, Call, Done, Probed
 from brackenladder.http.bulk import LARGE
 from brackenladder.http.callers import Message
-from brackenladder.http.servers import Answer, Endpoint, Exchange, Pool
+from brackenladder.http.server_connection import Answer, Endpoint
+from brackenladder.http.server_exchange import Exchange
+from brackenladder.http.servers import Pool
 from brackenladder.interface import ListKind, Outcome, State
 from brackenladder.membership.listing import Line
 
--- a/tests/endings/test_client_ends.py
+++ b/tests/endings/test_client_ends.py
@@ -15,7 +15,7 @@
 from brackenladder.core.call import Failure
 from brackenladder.http.callers import Message
 from brackenladder.http.front import HttpCall
-from brackenladder.http.servers import Answer
+from brackenladder.http.server_connection import Answer
 
 DEPARTURES = 200
 REJECTED = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
--- a/tests/fuzz/targets.py
+++ b/tests/fuzz/targets.py
@@ -22,7 +22,9 @@
 from brackenladder.core.host import Host
 from brackenladder.http.callers import Caller, Callers
 from brackenladder.http.front import HttpFront
-from brackenladder.http.servers import Answer, Connection, Endpoint, Exchange, Pool
+from brackenladder.http.server_connection import Answer, Connection, Endpoint
+from brackenladder.http.server_exchange import Exchange
+from brackenladder.http.servers import Pool
 from brackenladder.interface import ListKind, Outcome, ServerEntry
 from brackenladder.node.config import read
 from brackenladder.rpc.call import Reply, RpcCall
--- a/tests/node/test_node_attempts.py
+++ b/tests/node/test_node_attempts.py
@@ -9,7 +9,8 @@
 from loopback import MOMENT, OK, Bench, Server, call, cut_off, play, until
 from node_samples import BROKEN, BUSY, FULL, always
 
-from brackenladder.http.servers import Connection, Exchange
+from brackenladder.http.server_connection import Connection
+from brackenladder.http.server_exchange import Exchange
 from brackenladder.interface import Outcome
 
 
--- a/tests/rules/test_rules.py
+++ b/tests/rules/test_rules.py
@@ -25,7 +25,7 @@
 )
 
 from brackenladder.core.ending import HANDOVER, TAKING
-from brackenladder.http.servers import Connection as HttpConnection
+from brackenladder.http.server_connection import Connection as HttpConnection
 from brackenladder.policy.limit import GradientController
 from brackenladder.rpc.upstream import Link
 
