--- a/brackenladder/storage/sqlite_log.py
+++ b/brackenladder/storage/sqlite_log.py
@@ -20,11 +20,13 @@
 from brackenladder.storage.log_store import (
     LogSpan,
     StoreClosed,
+    StoreCorrupt,
     StoreError,
     StoreIdentity,
     span_of,
 )
 from brackenladder.storage.sqlite_errors import CorruptRow, store_error
+from brackenladder.storage.wal_check import lost_commits
 
 
 class SqliteLogStore:
@@ -108,6 +110,8 @@
                 return Failure(refused.failure())
         if not found:
             sqlite_file.make_store(path, new_replica_id())
+        elif lost_commits(path, path + sqlite_file.WAL_SUFFIX, sqlite_file.PAGE_BYTES):
+            return Failure(StoreCorrupt(f"{path}: its WAL is damaged before commits that were acknowledged"))
         return _open(path, created=not found)
     except (sqlite3.Error, OSError) as error:
         return Failure(store_error(error, path))
