An answer without a length ends with its connection; one that is reset is not whole

Cause: an open row of docs/control-safety.md: the page lets such answers end with their connections, the gateway took them for broken (502, or another server for safe requests). aiohttp takes any end of the connection for such an answer's, a reset too: the gateway tells them apart by the server's own end of its side.

--- a/brackenladder/gateway/framing.py
+++ b/brackenladder/gateway/framing.py
@@ -35,6 +35,11 @@
         self._without_body = without_body  # the request was a HEAD
         self.restart()
 
+    @property
+    def untold(self) -> bool:
+        """Whether the body that comes has no length: the end of its connection is its own."""
+        return self._part is _Part.UNTOLD
+
     def restart(self) -> None:
         """The next bytes are the beginning of a head."""
         self._part = _Part.HEAD
--- a/brackenladder/gateway/server_protocol.py
+++ b/brackenladder/gateway/server_protocol.py
@@ -39,6 +39,7 @@
         self._framing = AnswerFraming(False)
         self._accepted = False  # the head of the request's own answer came
         self._answered = False  # and its last byte
+        self._ended_in_order = False  # the server has closed its side
         self._surplus = False  # something came that is no part of it
         self._lost_waiter: asyncio.Future[None] | None = None
 
@@ -119,13 +120,24 @@
         self._fail_body(self._payload, exc)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """End the answer, if it is not whole."""
+        """End the answer, if it is not whole.
+
+        Failure prevented: an answer without a length is reset on its way, and what has come of it passes for
+        all of it, as aiohttp takes any end of the connection for the answer's.
+        """
         payload = self._payload
+        if self._accepted and self._framing.untold and not self._ended_in_order:
+            self._fail_body(payload, AnswerBroken("reset before its end"))
         super().connection_lost(exc)
         self._fail_body(payload, AnswerBroken("connection lost"))
         if self._lost_waiter is not None:
             _wake(self._lost_waiter)
 
+    def eof_received(self) -> None:
+        """The server writes no more, which ends an answer without a length."""
+        self._ended_in_order = True
+        super().eof_received()
+
     def is_connected(self) -> bool:
         """Whether the connection may carry the next request."""
         if self._surplus or self._idle_too_long():
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -17,8 +17,7 @@
 from brackenladder.gateway.connections import ConnectFailed, ServerConnections, TooManyConnections
 from brackenladder.gateway.contracts import AttemptEnd
 from brackenladder.gateway.events import EventTooLarge
-from brackenladder.gateway.framing import NO_BODY_STATUSES
-from brackenladder.gateway.headers import CONTENT_LENGTH, CONTENT_TYPE, answer_headers
+from brackenladder.gateway.headers import CONTENT_TYPE, answer_headers
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import outcome_of
 from brackenladder.gateway.server_connection import ServerConnection
@@ -259,8 +258,6 @@
     ) -> AttemptEnd:
         headers = message.headers
         outcome = outcome_of(message.code, headers)
-        if not self._length_is_told(message):
-            raise AnswerBroken("no length")
         streaming = message.code == 200 and is_event_stream(headers)
         answer = OpenAnswer(self.record.id, connection, message, payload, streaming)
         if streaming:
@@ -273,11 +270,6 @@
         whole = WholeAnswer(self.record.id, message.code, message.reason, answer_headers(headers), body)
         return AttemptEnd(outcome, whole)
 
-    def _length_is_told(self, message: RawResponseMessage) -> bool:
-        if message.chunked or message.code in NO_BODY_STATUSES or self.call.exchange.method == "HEAD":
-            return True
-        return CONTENT_LENGTH in message.headers
-
     # ---- the end --------------------------------------------------------------------------------------
 
     def _finish(self, end: AttemptEnd) -> None:
--- a/brackenladder/simulation/exchange/checks.py
+++ b/brackenladder/simulation/exchange/checks.py
@@ -92,6 +92,8 @@
         return
     if request.route.streaming:
         _check_stream(request, run, runs)
+    elif run.unframed and run.crashed and run.answer.startswith(request.answer):
+        return  # the end of its connection is all that tells its end
     elif request.answer != run.answer or run.cut:
         raise Violation(
             "mixed", f"{request.id} gets {len(request.answer)} of {len(run.answer)} bytes as whole"
--- a/brackenladder/simulation/exchange/history.py
+++ b/brackenladder/simulation/exchange/history.py
@@ -73,6 +73,8 @@
     answer: bytes = b""  # the body as the server made it
     whole: bool = False  # the server has sent all of it
     cut: bool = False  # the server has broken off
+    crashed: bool = False  # its server has ended under it
+    unframed: bool = False  # its answer has no length
     ended_at: int = 0
 
     @property
--- a/brackenladder/simulation/exchange/servers.py
+++ b/brackenladder/simulation/exchange/servers.py
@@ -76,7 +76,7 @@
         process.end()
         for run in self.history.runs:
             if run.server == self.id and not run.ended_at:
-                run.cut = True
+                run.cut = run.crashed = True
                 run.ended_at = self.streams.loop.microseconds
         self.connections.clear()
         self.streams.process_ends(process)
@@ -177,6 +177,7 @@
         else:
             pieces = int(header_of(head, "x-pieces") or "0")
             manner = draw_manner(random, server.trouble, bool(pieces))
+            run.unframed = manner in (Manner.UNFRAMED, Manner.UNFRAMED_RESET)
             answer = make_answer(run, manner, random, pieces, self._last_answer)
         self._write(run, answer, 0)
 
