--- a/brackenladder/control_plane/order_parts.py
+++ b/brackenladder/control_plane/order_parts.py
@@ -13,6 +13,7 @@
 WINDOW_BYTES = 192 * 1024
 LARGEST_ORDER = 9 * 1024 * 1024
 MOST_ARRIVING = 16  # orders at a time, over one link
+MOST_ARRIVING_BYTES = 2 * LARGEST_ORDER  # of them together; a control node has 128 MB
 
 
 class OrderSender:
@@ -58,10 +59,20 @@
             return None
         arriving.data += part.data
         if len(arriving.data) < arriving.total:
+            self._make_room(part.request)
             return OrderPartTaken(part.request, len(arriving.data))
         del self._arriving[part.request]
         return bytes(arriving.data)
 
+    def _make_room(self, newest: int) -> None:
+        """Drops the oldest orders while there are too many bytes; their senders ask again.
+
+        Failure prevented: orders that their senders gave up half-way fill the leader's memory.
+        """
+        while sum(len(one.data) for one in self._arriving.values()) > MOST_ARRIVING_BYTES:
+            oldest = next(request for request in self._arriving if request != newest)
+            del self._arriving[oldest]
+
     def _begin(self, part: OrderPart) -> _Arriving | None:
         if part.total > LARGEST_ORDER:
             return None
--- a/brackenladder/control_plane/restart_recovery.py
+++ b/brackenladder/control_plane/restart_recovery.py
@@ -31,6 +31,7 @@
         local_servers: Callable[[], tuple[ServerRecord, ...]],
     ) -> None:
         """`newest_order` is that of this node's log; `local_servers` are the living ones of its region."""
+        self._clock = clock
         self._host = host
         self._soft_state = soft_state
         self._replica_id = replica_id
@@ -57,7 +58,7 @@
 
     def peer_told(self, replica_id: str, newest_order: int) -> None:
         """A peer's log holds orders up to this index."""
-        self._gate.told(replica_id, newest_order)
+        self._gate.told(self._clock(), replica_id, newest_order)
         self._publish_if_confirmed()
 
     def write(self) -> None:
@@ -74,7 +75,6 @@
     def catalog_remembered(self, catalog: RememberedCatalog) -> None:
         """See `restart_cache.RestartListener`."""
         self._remembered = catalog
-        self._gate.told(self._replica_id, self._newest_order())
         self._publish_if_confirmed()
 
     def prefixes_remembered(self, notices: tuple[PrefixNotice, ...]) -> None:
@@ -90,7 +90,9 @@
         remembered = self._remembered
         if remembered is None:
             return
-        if not self._gate.confirms(self._host.replica.members, remembered.revision):
+        now = self._clock()
+        self._gate.told(now, self._replica_id, self._newest_order())
+        if not self._gate.confirms(now, self._host.replica.members, remembered.revision):
             return
         self._remembered = None
         log.info("catalog {} of before the restart is confirmed", remembered.revision)
--- a/brackenladder/node/gateway_role.py
+++ b/brackenladder/node/gateway_role.py
@@ -79,6 +79,7 @@
             open_socket=surroundings.open_socket,
         )
         self._timer: asyncio.TimerHandle | None = None
+        self._unreadable_told = 0  # the newest revision whose document could not be read, as logged
         self._complete_at: int | None = None  # when the view was first complete
         self._loop: asyncio.AbstractEventLoop
         self._transport: Transport
@@ -126,11 +127,21 @@
         self._timer = self._loop.call_later(STARTING_TICK_SECONDS if starting else TICK_SECONDS, self._tick)
         now = self._surroundings.clock()
         self._subscriber.tick(now)
+        self._tell_unreadable()
         self._links.tick()
         self._gateway.look_at_calls()
         if starting and self._subscriber.ready_by_timeout(now) and self._informed(now):
             self._become_ready()
 
+    def _tell_unreadable(self) -> None:
+        """Failure prevented: a configuration of a later program leaves the older one in force, unseen."""
+        revision = self._subscriber.unreadable_revision
+        if revision != self._unreadable_told:
+            self._unreadable_told = revision
+            log.error(
+                "configuration of revision {} can't be read by this program; it is not in force", revision
+            )
+
     def _informed(self, now: int) -> bool:
         """Whether the neighbours' knowledge of prefixes is here, or has been waited for."""
         if self._complete_at is None:
--- a/brackenladder/simulation/mutants/contact.py
+++ b/brackenladder/simulation/mutants/contact.py
@@ -25,7 +25,7 @@
 
 
 def _remembered_told_alone() -> Fault:
-    return replaced(RestartGate, confirms=lambda self, members, revision: True)
+    return replaced(RestartGate, confirms=lambda self, now, members, revision: True)
 
 
 def _contact_when_read() -> Fault:
--- a/tests/control_plane/test_contact_first.py
+++ b/tests/control_plane/test_contact_first.py
@@ -91,6 +91,7 @@
             await asyncio.sleep(20)
             machine.process.when_running(lambda: ages.append(node.host.contact_age()))
             machine.process.thaw()
+            await asyncio.sleep(0)
             self.assertGreater(ages[0], 15_000_000)
             await asyncio.sleep(2)
             self.assertTrue(node.soft_state.in_touch)
--- a/tests/control_plane/test_order_parts.py
+++ b/tests/control_plane/test_order_parts.py
@@ -13,6 +13,7 @@
 from brackenladder.control_plane.order_parts import (
     LARGEST_ORDER,
     MOST_ARRIVING,
+    MOST_ARRIVING_BYTES,
     PART_BYTES,
     WINDOW_BYTES,
     OrderReceiver,
@@ -60,6 +61,22 @@
             self.receiver.take(OrderPart(request, 0, 100, b"x"))
         self.assertEqual(len(self.receiver._arriving), MOST_ARRIVING)
 
+    def test_their_bytes_are_bounded_too_and_the_newest_goes_on(self) -> None:
+        size = LARGEST_ORDER // 4
+        for request in range(MOST_ARRIVING):
+            for offset in range(0, size, PART_BYTES):
+                self.receiver.take(OrderPart(request, offset, LARGEST_ORDER, bytes(PART_BYTES)))
+        held = {request: len(one.data) for request, one in self.receiver._arriving.items()}
+        self.assertLessEqual(sum(held.values()), MOST_ARRIVING_BYTES)
+        self.assertIn(MOST_ARRIVING - 1, held)
+        self.assertNotIn(0, held)
+
+    def test_an_order_that_was_dropped_is_not_finished(self) -> None:
+        first, second, *_ = OrderSender(1, ORDER).due()
+        self.receiver.take(first)
+        self.receiver._arriving.clear()
+        self.assertIsNone(self.receiver.take(second))
+
 
 class ReplyTableTest(unittest.IsolatedAsyncioTestCase):
     """Links are told apart by identity; any object stands for one."""
--- /dev/null
+++ b/tests/node/test_gateway_role.py
@@ -0,0 +1,36 @@
+"""The gateway role by itself: what its operator is told."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import TestCase
+
+import logbook
+
+from brackenladder.delivery.messages import CatalogUpdate
+from brackenladder.simulation.exchange.world import World
+from brackenladder.simulation.stream_loop import StreamEventLoop
+
+
+class UnreadableConfigurationTest(TestCase):
+    def test_it_is_told_once_and_the_older_one_stays(self) -> None:
+        loop = StreamEventLoop()
+        with logbook.TestHandler() as handler:
+            loop.run_until_complete(self.play(loop))
+        told = [record.message for record in handler.records if "can't be read" in record.message]
+        self.assertEqual(len(told), 1)
+        self.assertIn("revision 99", told[0])
+        loop.close()
+
+    async def play(self, loop: StreamEventLoop) -> None:
+        world = World(loop, 1)
+        await world.boot()
+        await asyncio.sleep(2)
+        role = world.gateways[0]._role
+        assert role is not None
+        subscriber = role._subscriber
+        before = subscriber.view.configuration
+        assert before is not None
+        subscriber.told(loop.microseconds, "10.0.0.9:7660", CatalogUpdate(99, 99, b'{"Version": "later"}'))
+        await asyncio.sleep(2)
+        self.assertIs(subscriber.view.configuration, before)
