--- a/brackenladder/simulation/exchange/faults.py
+++ b/brackenladder/simulation/exchange/faults.py
@@ -12,6 +12,7 @@
 from brackenladder.simulation.exchange.world import World
 
 Strike = Callable[[World, Random], Awaitable[None]]
+QUOTA_SECONDS = 0.1  # the period of a quota of a core, as systems have it
 REUSE_SECONDS = 0.5  # after which an ended server's address is used again
 
 
@@ -163,6 +164,23 @@
     gateway.disturbances.end(world.now)
 
 
+async def throttle(world: World, random: Random) -> None:
+    """A gateway's or a server's share of a core is a quota: a part of each period, and then nothing."""
+    machine = random.choice((_gateway(world, random), _running(world, random)))
+    if machine is None or machine.process is None:
+        return
+    world.disturbed("throttle")
+    process = machine.process
+    share = random.uniform(0.1, 0.7)
+    machine.disturbances.begin(world.now)
+    for _ in range(random.randint(5, 30)):
+        process.freeze()
+        await asyncio.sleep((1 - share) * QUOTA_SECONDS)
+        process.thaw()
+        await asyncio.sleep(share * QUOTA_SECONDS)
+    machine.disturbances.end(world.now)
+
+
 async def kill_gateway(world: World, random: Random) -> None:
     """A gateway is killed and starts anew."""
     gateway = _gateway(world, random)
@@ -206,6 +224,7 @@
     (2.0, forget_idle),
     (2.0, reset_some),
     (2.0, freeze_gateway),
+    (1.0, throttle),
     (0.5, kill_gateway),
     (1.0, terminate_gateway),
     (1.0, hang_up_gateway),
--- a/brackenladder/simulation/faults.py
+++ b/brackenladder/simulation/faults.py
@@ -12,6 +12,7 @@
 from brackenladder.simulation.virtual_loop import Process, ProcessState
 from brackenladder.simulation.world import World
 
+QUOTA_SECONDS = 0.1  # the period of a quota of a core, as systems have it
 SLOW_FACTOR = 30  # by which a slow disk takes longer to sync
 
 
@@ -109,6 +110,22 @@
         await _thaw(process)
         self._end("freeze", machine)
 
+    async def throttle(self, machine: ControlMachine, share: float, seconds: float) -> None:
+        """Gives a machine a share of a core as a quota: its part of each period, then nothing."""
+        process = machine.process
+        if process is None or not process.runs:
+            return
+        self._begin("throttle", machine)
+        until = self.world.now + int(seconds * SECOND)
+        while self.world.now < until and process.runs:
+            process.freeze()
+            self.world.isolation.update(self.world.now)
+            await asyncio.sleep((1 - share) * QUOTA_SECONDS)
+            await _thaw(process)
+            self.world.isolation.update(self.world.now)
+            await asyncio.sleep(share * QUOTA_SECONDS)
+        self._end("throttle", machine)
+
     def restart_gateway(self, gateway: GatewayMachine) -> None:
         """A gateway's process ends and comes back with an empty view."""
         gateway.kill()
--- a/brackenladder/simulation/profiles.py
+++ b/brackenladder/simulation/profiles.py
@@ -38,6 +38,8 @@
     restart_alone,
     restart_gateway,
     squeeze,
+    strike_between_chunks,
+    throttle_one,
     trouble_disk,
 )
 
@@ -196,6 +198,7 @@
             ),
             (
                 (3.0, absent),
+                (2.0, strike_between_chunks),
                 (2.0, lose_disk),
                 (1.0, squeeze),
                 (1.0, kill_one),
@@ -257,6 +260,7 @@
                 (1.0, freeze_one),
                 (1.0, kill_all),
                 (1.0, restart_gateway),
+                (2.0, throttle_one),
             ),
             calm=(0.1, 2.0),
             at_once=2,
--- a/brackenladder/simulation/strikes.py
+++ b/brackenladder/simulation/strikes.py
@@ -14,6 +14,9 @@
 
 Strike = Callable[[Faults, Random, ControlMachine], Awaitable[None]]
 
+LOOK_SECONDS = 0.005  # between two looks for the moment of a strike
+MOST_LOOKS = 2_000
+
 
 async def long_cut(faults: Faults, random: Random, machine: ControlMachine) -> None:
     """A machine is cut off from everyone for some twenty seconds."""
@@ -188,6 +191,37 @@
         group.create_task(faults.kill(struck, random.random() < 0.7, random.uniform(0.2, 3.0)))
 
 
+async def throttle_one(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine's share of a core is a quota: a part of each tenth of a second, and then nothing."""
+    await faults.throttle(machine, random.uniform(0.1, 0.7), random.uniform(2.0, 6.0))
+
+
+async def strike_between_chunks(faults: Faults, random: Random, machine: ControlMachine) -> None:
+    """A machine is down for long; as chunks of a snapshot reach it, it, the leader or a link is struck."""
+    await absent(faults, random, machine)
+    for _ in range(MOST_LOOKS):
+        await asyncio.sleep(LOOK_SECONDS)
+        if _has_chunks(machine):
+            break
+    await asyncio.sleep(random.uniform(0.0, 0.02))
+    leader = faults.world.leader() or machine
+    draw = random.random()
+    if draw < 0.4:
+        struck = random.choice(([machine], [leader], [machine, leader]))
+        await faults.kill(struck, random.random() < 0.5, random.uniform(0.2, 1.0))
+    elif draw < 0.7:
+        faults.reset_links(machine)
+    else:
+        others = [one.name for one in faults.world.machines if one is not machine]
+        await faults.cut(machine, others, random.uniform(0.3, 3.0), random.choice(("both", "in", "out")))
+
+
+def _has_chunks(machine: ControlMachine) -> bool:
+    """Whether a part of a snapshot has arrived, and not all of it."""
+    node = machine.node
+    return node is not None and bool(node.host.replica._core.arriving._data)
+
+
 async def trouble_disk(faults: Faults, random: Random, machine: ControlMachine) -> None:
     """A disk hangs, is full or slow."""
     trouble = random.choice((faults.hang_disk, faults.fill_disk, faults.slow_disk))
