--- a/tests/simulation/test_exchange.py
+++ b/tests/simulation/test_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from unittest import TestCase
 
 from brackenladder.simulation.campaign import convict
@@ -10,6 +11,7 @@
 from brackenladder.simulation.exchange.history import AFTERMATH, Disturbances
 from brackenladder.simulation.exchange.run import NAME, play
 from brackenladder.simulation.mutants.exchange import EXCHANGE_MUTANTS
+from brackenladder.simulation.mutants.mutant import Mutant
 from brackenladder.simulation.schedules import ABOUT
 
 SCHEDULES = 4
@@ -42,14 +44,21 @@
 
 
 class MutantTest(TestCase):
-    def test_planted_faults_are_found(self) -> None:
+    def test_there_are_enough(self) -> None:
         self.assertGreaterEqual(len(EXCHANGE_MUTANTS), LEAST_MUTANTS)
-        for mutant in EXCHANGE_MUTANTS:
-            if mutant.name in RARE:
-                continue
-            with self.subTest(mutant=mutant.name):
-                conviction = convict(mutant, TRIES)
-                self.assertIn(conviction.rule, mutant.rules, conviction)
+
+    def check_found(self, mutant: Mutant) -> None:
+        conviction = convict(mutant, TRIES)
+        self.assertIn(conviction.rule, mutant.rules, conviction)
+
+
+def _test_of(mutant: Mutant) -> Callable[[MutantTest], None]:
+    return lambda self: self.check_found(mutant)
+
+
+for _mutant in EXCHANGE_MUTANTS:  # a test for each, so that they are played side by side
+    if _mutant.name not in RARE:
+        setattr(MutantTest, f"test_{_mutant.name.replace('-', '_')}_is_found", _test_of(_mutant))
 
 
 class AnswerReaderTest(TestCase):
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from contextlib import redirect_stdout
 from io import StringIO
 from unittest import TestCase
@@ -85,12 +86,9 @@
 
 
 class MutantTest(TestCase):
-    def test_common_planted_faults_are_found(self) -> None:
-        exchange = {mutant.name for mutant in EXCHANGE_MUTANTS}  # in `test_exchange.py`
-        for name in sorted(MUTANTS.keys() - RARE - exchange):
-            with self.subTest(mutant=name):
-                conviction = convict(MUTANTS[name], TRIES)
-                self.assertIn(conviction.rule, MUTANTS[name].rules, conviction)
+    def check_found(self, name: str) -> None:
+        conviction = convict(MUTANTS[name], TRIES)
+        self.assertIn(conviction.rule, MUTANTS[name].rules, conviction)
 
     def test_a_mutant_leaves_nothing_behind(self) -> None:
         before = run(PROFILES["orders"], 1)
@@ -105,6 +103,15 @@
         self.assertTrue(skipped)
 
 
+def _test_of(name: str) -> Callable[[MutantTest], None]:
+    return lambda self: self.check_found(name)
+
+
+# A test for each, so that they are played side by side; those of the exchange are in `test_exchange.py`.
+for _name in sorted(MUTANTS.keys() - RARE - {mutant.name for mutant in EXCHANGE_MUTANTS}):
+    setattr(MutantTest, f"test_{_name.replace('-', '_')}_is_found", _test_of(_name))
+
+
 class CommandTest(TestCase):
     def call(self, *arguments: str) -> tuple[int, str]:
         output = StringIO()
