--- a/review/common/case.py
+++ b/review/common/case.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -58,6 +59,8 @@
                     return await play(record, Path(temporary))
         except (TimeoutError, asyncio.CancelledError):
             record.say("not played to its end")
-            return NOT_RUN
+        except Exception:  # a fault of the script says nothing about the rule
+            record.say(traceback.format_exc())
+        return NOT_RUN
 
     sys.exit(asyncio.run(limited()))
