--- a/review/common/server.py
+++ b/review/common/server.py
@@ -1,7 +1,9 @@
 """A stand-in server: one process, `server.py SETTINGS` with the settings as JSON. It records what it runs.
 
 Options: `framing` of streams ("chunked", or "close": no length, the answer ends with its connection),
-`token_ms` between two tokens of a stream, `event_tokens` of each event, `work_ms` of other requests.
+`token_ms` between two tokens of a stream, `event_tokens` of each event, `work_ms` of other requests. On SIGUSR1 it
+goes cold for `cold_s`, and says so in a heartbeat at once. While it is cold, it falls over (its process ends, as in a
+crash) when it is given more than `cold_limit` requests within a second.
 """
 
 from __future__ import annotations
@@ -9,8 +11,10 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import time
+from contextlib import suppress
 from typing import Any
 
 from wire import EXPECTED, ID, SIGNATURE, Head, Incomplete, call, read_head
@@ -26,6 +30,9 @@
         self.settings = settings
         self.id: str = settings["id"]
         self._file = os.open(settings["record"], os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+        self._cold_until = 0.0
+        self._beat_now = asyncio.Event()
+        self._cold_runs: list[float] = []  # when it was given requests while it was cold
 
     def record(self, what: str, **fields: Any) -> None:
         """Writes one line; it is in the file when this returns."""
@@ -36,13 +43,34 @@
         """Serves until the process is ended."""
         host, _, port = self.settings["address"].rpartition(":")
         await asyncio.start_server(self._connection, host, int(port), limit=READ_LIMIT)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, self._turn_cold)
         await self._beat()
 
+    @property
+    def cold_ms(self) -> int:
+        """How long it remains cold."""
+        return max(0, int((self._cold_until - time.monotonic()) * 1000))
+
+    def _turn_cold(self) -> None:
+        self._cold_until = time.monotonic() + self.settings["cold_s"]
+        self._cold_runs.clear()
+        self.record("goes cold", seconds=self.settings["cold_s"])
+        self._beat_now.set()
+
+    def _bear(self) -> None:
+        """Falls over if it is given too much while it is cold."""
+        now = time.monotonic()
+        self._cold_runs = [at for at in self._cold_runs if now - at < 1] + [now]
+        if len(self._cold_runs) > self.settings.get("cold_limit", float("inf")):
+            self.record("falls over", within_a_second=len(self._cold_runs))
+            os._exit(1)
+
     async def _beat(self) -> None:
         control = self.settings["control"]
         seq = turn = 0
         while True:
             seq += 1
+            cold_ms = self.cold_ms
             beat = {
                 "Backend": self.settings["service"],
                 "Address": self.settings["address"],
@@ -50,7 +78,7 @@
                 "Version": "v1",
                 "Slots": 64,
                 "State": "ready",
-                "ColdRemainingMs": 0,
+                "ColdRemainingMs": cold_ms,
                 "Seq": seq,
             }
             path = f"/-/Instances.Heartbeat/{self.id}"
@@ -59,9 +87,12 @@
                 turn = (turn + 1) % len(control)
                 await asyncio.sleep(0.1)
                 continue
-            if seq == 1 or seq % 10 == 0:
-                self.record("heartbeat acknowledged", seq=seq)
-            await asyncio.sleep(self.settings["heartbeat_ms"] / 1000)
+            if seq == 1 or seq % 10 == 0 or cold_ms:
+                self.record("heartbeat acknowledged", seq=seq, cold_ms=cold_ms)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self.settings["heartbeat_ms"] / 1000):
+                    await self._beat_now.wait()
+            self._beat_now.clear()
 
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -80,14 +111,18 @@
         """Serves one request; whether the connection stays open."""
         request = head.headers.get(ID, "")
         if head.line[1] == "/healthz":
-            await self._answer(writer, 200, {"X-Brackenladder-Instance-Id": self.id}, b"")
+            cold = {"X-Brackenladder-Cold-Remaining-Ms": str(self.cold_ms)}
+            await self._answer(writer, 200, cold | {"X-Brackenladder-Instance-Id": self.id}, b"")
             return True
         if head.headers.get(EXPECTED, self.id) != self.id or not request:
             status = 421 if request else 400
             headers = {ID: request, "X-Brackenladder-Not-Executed": "1"}
             await self._answer(writer, status, headers, b"")
             return True
-        self.record("runs", request=request, method=head.line[0], target=head.line[1], size=size)
+        cold = {"cold_ms": self.cold_ms} if self.cold_ms else {}
+        self.record("runs", request=request, method=head.line[0], target=head.line[1], size=size, **cold)
+        if cold:
+            self._bear()
         signed = {
             ID: request,
             SIGNATURE: f"{self.id}~{request}",
