--- a/review/common/server.py
+++ b/review/common/server.py
@@ -1,8 +1,9 @@
 """A stand-in server: one process, `server.py SETTINGS` with the settings as JSON. It records what it runs.
 
 Options: `framing` of streams ("chunked", or "close": no length, the answer ends with its connection),
-`token_ms` between two tokens of a stream, `event_tokens` of each event, `work_ms` of other requests. On SIGUSR1 it
-goes cold for `cold_s`, and says so in a heartbeat at once. While it is cold, it falls over (its process ends, as in a
+`token_ms` between two tokens of a stream, `event_tokens` of each event, `work_ms` of other requests. On
+SIGUSR1 it goes cold for `cold_s` and says so in a heartbeat at once; on SIGUSR2 it goes cold just after its
+next heartbeat, and says so in the one after that. While it is cold, it falls over (its process ends, as in a
 crash) when it is given more than `cold_limit` requests within a second.
 """
 
@@ -32,6 +33,7 @@
         self._file = os.open(settings["record"], os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         self._cold_until = 0.0
         self._beat_now = asyncio.Event()
+        self._cold_after_beat = asyncio.Event()
         self._cold_runs: list[float] = []  # when it was given requests while it was cold
 
     def record(self, what: str, **fields: Any) -> None:
@@ -43,7 +45,9 @@
         """Serves until the process is ended."""
         host, _, port = self.settings["address"].rpartition(":")
         await asyncio.start_server(self._connection, host, int(port), limit=READ_LIMIT)
-        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, self._turn_cold)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, self._turn_cold_and_say)
+        loop.add_signal_handler(signal.SIGUSR2, self._cold_after_beat.set)
         await self._beat()
 
     @property
@@ -55,6 +59,9 @@
         self._cold_until = time.monotonic() + self.settings["cold_s"]
         self._cold_runs.clear()
         self.record("goes cold", seconds=self.settings["cold_s"])
+
+    def _turn_cold_and_say(self) -> None:
+        self._turn_cold()
         self._beat_now.set()
 
     def _bear(self) -> None:
@@ -89,6 +96,9 @@
                 continue
             if seq == 1 or seq % 10 == 0 or cold_ms:
                 self.record("heartbeat acknowledged", seq=seq, cold_ms=cold_ms)
+            if self._cold_after_beat.is_set():
+                self._cold_after_beat.clear()
+                self._turn_cold()
             with suppress(TimeoutError):
                 async with asyncio.timeout(self.settings["heartbeat_ms"] / 1000):
                     await self._beat_now.wait()
