Review: one restart of a control node takes away the tolerance of a zone's loss

With five control machines and Tolerate 1, a control node that is down for 3.5 s is replaced as a voter by a standby of a zone that has a voter already.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -76,8 +76,17 @@
         self.gateways = [
             Machine(f"front-{z}-1", "gateway", f"{self.network}.{11 + n}", z) for n, z in enumerate(zones)
         ]
+        self.seeds = tuple(self.control)  # all receive the same three, also where there are more
         self.servers: list[ServerPlace] = []
 
+    def add_control(self, zone: str) -> Machine:
+        """Adds a control node to a zone; it is no seed."""
+        number = len(self.control)
+        count = sum(one.zone == zone for one in self.control) + 1
+        machine = Machine(f"core-{zone}-{count}", "control", f"{self.network}.{1 + number}", zone)
+        self.control.append(machine)
+        return machine
+
     # ---- machines -------------------------------------------------------------------------------------
 
     def start(self, machine: Machine) -> None:
@@ -239,7 +248,7 @@
                 f"Zone = {quoted(machine.zone)}",
                 f"Region = {quoted(ZONES[machine.zone])}",
                 "PortRange = [7660,7675]",
-                f"Seeds = {quoted([one.address(CONTROL) for one in self.control])}",
+                f"Seeds = {quoted([one.address(CONTROL) for one in self.seeds])}",
                 f"Bootstrap = {quoted(first)}",
                 f"CountsForQuorum = {quoted(control)}",
                 f"DataDir = {quoted(str(data) if control else '')}",
