--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,4 @@
-"""A burst of uploads within `MaxBodyBytes`: do the gateways stay within their memory?
-
-The script plays the platform: it reads the memory of each gateway and kills a process over `MemoryMb`.
-"""
+"""An operator evacuates a zone again, after a copy of the order that took it back was held up by a cut."""
 
 from __future__ import annotations
 
@@ -10,141 +7,194 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 from case import BROKEN, HELD, NOT_RUN, TROUBLE, Record, run_case
-from deployment import HOST, MEMORY_MB, ZONES, Deployment, Machine, configuration, route
-from wire import ID, Incomplete, read_answer, request_bytes
-
-SECONDS_BEFORE, BURST_SECONDS, SECONDS_AFTER = 8.0, 10.0, 8.0
-REQUESTS_PER_SECOND = 10.2  # 23.7 a second of the sheet for 7 gateways, for 3
-BURST = 2.5
-BODY_BYTES = 4_194_304  # MaxBodyBytes
-WORK_MS = 3500
-DEADLINE_MS = 5000
-SAMPLE_SECONDS = 0.02
-RESTART_SECONDS = 1.0
-# The rule counts three ends of processes in a day, on two machines at least.
-ENDS, MACHINES = 3, 2
-
-
-class Platform:
-    """Kills the processes over their memory limit, and starts them again."""
+from deployment import BOUNDS, CONTROL, HOST, ZONES, Deployment, configuration, route
+from path import Path as NetworkPath
+from wire import ID, SIGNATURE, Incomplete, call, read_answer, request_bytes
+
+ZONE = "ptos-hall"
+SERVICE = "match-llm"
+ONE_WAY_SECONDS = 0.035  # between regions
+SILENCE_SECONDS = 1.0  # after which the operator turns to another node
+CUT_SECONDS = 5.9
+EVACUATED_SECONDS = 3.0
+TAKEN_BACK_SECONDS = 2.0
+EVACUATE_SECONDS = BOUNDS["EvacuateMs"] / 1000
+WATCHED_SECONDS = 5.0
+RATE = 8.0  # requests a second of each zone's clients
+DEADLINE_MS = 3000
+
+
+class Operator:
+    """An operator in another region, with a kept connection to each control node."""
 
     def __init__(self, site: Deployment, record: Record) -> None:
-        self.site = site
         self.record = record
-        self.peak: dict[str, float] = {}
-        self.killed: list[str] = []
-
-    async def watch(self) -> None:
-        """Watches all gateways until it is cancelled."""
-        await asyncio.gather(*(self._watch(machine) for machine in self.site.gateways))
-
-    def peak_text(self) -> str:
-        """The highest memory of each gateway so far."""
-        return ", ".join(f"{name} {used:.0f} MB" for name, used in self.peak.items())
-
-    async def _watch(self, machine: Machine) -> None:
+        self.paths = [
+            NetworkPath(f"{site.network}.{101 + n}", machine.ip, CONTROL, ONE_WAY_SECONDS, record)
+            for n, machine in enumerate(site.control)
+        ]
+        self._kept: dict[int, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
+
+    async def connect(self) -> None:
+        """Opens the kept connections."""
+        for number, path in enumerate(self.paths):
+            await path.listen()
+            host, _, port = path.address.rpartition(":")
+            self._kept[number] = await asyncio.open_connection(host, int(port))
+
+    async def order(self, name: str, number: int) -> float:
+        """Gives an order, first to the node `number`, until it is acknowledged; returns when it was."""
         while True:
-            used = self.site.memory(machine)
-            self.peak[machine.name] = max(used, self.peak.get(machine.name, 0.0))
-            if used > MEMORY_MB:
-                self.killed.append(machine.name)
-                self.record.say(f"{machine.name} uses {used:.0f} MB of {MEMORY_MB} MB and is killed")
-                self.site.kill(machine)
-                await asyncio.sleep(RESTART_SECONDS)
-                self.site.start(machine)
-            await asyncio.sleep(SAMPLE_SECONDS)
+            status = await self._ask(name, number)
+            if status is not None and 200 <= status < 300:
+                return time.monotonic()
+            number = (number + 1) % len(self.paths)
+
+    async def _ask(self, name: str, number: int) -> int | None:
+        path = self.paths[number]
+        kept = self._kept.pop(number, None)
+        try:
+            async with asyncio.timeout(SILENCE_SECONDS):
+                if kept is None:
+                    host, _, port = path.address.rpartition(":")
+                    kept = await asyncio.open_connection(host, int(port))
+                reader, writer = kept
+                writer.write(request_bytes("POST", f"/-/Evacuations.{name}/{ZONE}", {"Host": path.address}))
+                self.record("order sent", order=name, node=path.address)
+                answer = await read_answer(reader)
+        except (TimeoutError, Incomplete, OSError):
+            if kept is not None:
+                kept[1].close()  # it turns to another node, and is not there any more for this one
+            self.record("no answer", order=name, node=path.address)
+            return None
+        self.record("order answered", order=name, node=path.address, status=answer.status)
+        self._kept[number] = kept
+        return answer.status
+
+    def close(self) -> None:
+        """Ends the paths."""
+        for path in self.paths:
+            path.close()
 
 
 class Clients:
-    """Clients that send requests at a rate, and what they saw."""
+    """Clients of all zones that send unsafe requests at a rate."""
 
     def __init__(self, site: Deployment, record: Record) -> None:
         self.site = site
         self.record = record
         self.ends: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._count = 0
-
-    async def send(self, seconds: float, per_second: float) -> None:
-        """Sends requests, evenly spaced."""
-        until = time.monotonic() + seconds
-        due = time.monotonic()
-        while due < until:
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            due += 1 / per_second
-            self._count += 1
-            task = asyncio.create_task(self._request(random.choice(list(ZONES)), f"q-{self._count}"))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def finish(self) -> None:
-        """Waits for the last answers."""
-        await asyncio.gather(*self._tasks)
-
-    async def _request(self, zone: str, request: str) -> None:
-        addresses = await self.site.resolve(zone)
-        if not addresses:
-            self._end(request, "no gateway")
-            return
-        gateway = random.choice(addresses)
+
+    async def run(self) -> None:
+        """Sends until it is cancelled."""
+        count = 0
+        addresses: dict[str, list[str]] = {}
+        while True:
+            for zone in ZONES:
+                if count % 8 == 0 or not addresses.get(zone):
+                    addresses[zone] = await self.site.resolve(zone) or addresses.get(zone, [])
+                if addresses[zone]:
+                    task = asyncio.create_task(
+                        self._request(f"{zone}-{count}", random.choice(addresses[zone]))
+                    )
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+            count += 1
+            await asyncio.sleep(1 / RATE)
+
+    async def _request(self, request: str, gateway: str) -> None:
         headers = {"Host": HOST, ID: request, "X-Brackenladder-Request-Deadline-Ms": str(DEADLINE_MS)}
-        self.record("sent", request=request, gateway=gateway, bytes=BODY_BYTES)
-        host, _, port = gateway.rpartition(":")
-        sent = False
-        try:
-            async with asyncio.timeout(DEADLINE_MS / 1000):
-                reader, writer = await asyncio.open_connection(host, int(port))
-                try:
-                    writer.write(request_bytes("POST", "/upload/1", headers, b"x" * BODY_BYTES))
-                    await writer.drain()
-                    sent = True
-                    answer = await read_answer(reader)
-                finally:
-                    writer.close()
-        except TimeoutError:
-            self._end(request, "deadline")
-        except (Incomplete, OSError):
-            self._end(request, "cut after it was sent" if sent else "not sent")
-        else:
-            self._end(request, str(answer.status))
-
-    def _end(self, request: str, how: str) -> None:
+        answer = await call(gateway, "POST", "/cards/1", b"x" * 600, headers, DEADLINE_MS / 1000)
+        how = "none" if answer is None else str(answer.status)
+        if answer is not None and answer.status == 200 and SIGNATURE not in answer.headers:
+            how = "unsigned"
         self.ends[how] = self.ends.get(how, 0) + 1
-        self.record("ended", request=request, how=how)
+        self.record("request", request=request, gateway=gateway, end=how)
+
+
+async def _evacuate_twice(site: Deployment, record: Record, operator: Operator) -> float:
+    """Evacuates the zone, takes it back and evacuates it again; returns when that was acknowledged.
+
+    The order that takes the zone back goes to node 0 first, whose path is cut with the trouble.
+    """
+    await operator.order("Begin", 0)
+    await asyncio.sleep(EVACUATED_SECONDS)
+    cut_at = time.monotonic()
+    if TROUBLE:
+        operator.paths[0].cut()
+    await operator.order("Finish", 0)
+    await asyncio.sleep(TAKEN_BACK_SECONDS)
+    acknowledged = await operator.order("Begin", 1)
+    await asyncio.sleep(max(0.0, cut_at + CUT_SECONDS - time.monotonic()))
+    if TROUBLE:
+        operator.paths[0].heal()
+    return acknowledged
+
+
+def _judge(
+    lines: list[dict[str, Any]], zone_ids: set[str], since: float, clients: Clients, record: Record
+) -> int:
+    bound = since + EVACUATE_SECONDS
+    runs = [line for line in lines if line["what"] == "runs"]
+    before = [line for line in runs if line["server"] in zone_ids and line["at"] < since]
+    late = [line for line in runs if line["server"] in zone_ids and line["at"] > bound]
+    all_late = [line for line in runs if line["at"] > bound]
+    record.say(
+        f"after the bound of {EVACUATE_SECONDS} s: {len(late)} requests reached the evacuated zone's server,"
+        f" of {len(all_late)} that reached servers; ends of all requests: {clients.ends}"
+    )
+    for line in late[:3]:
+        record.say(
+            f"EVAC broken: {line['request']} reached {line['server']}, {line['at'] - since:.2f} s after"
+        )
+    if not before or not all_late:
+        record.say("the case was not reached")
+        return NOT_RUN
+    return BROKEN if late else HELD
+
+
+async def _status(site: Deployment, record: Record) -> None:
+    """Records what each control node says is evacuated."""
+    for machine in site.control:
+        answer = await call(machine.address(CONTROL), "GET", "/-/Status")
+        record("status", node=machine.name, body=answer.body.decode()[:400] if answer else None)
 
 
 async def play(record: Record, folder: Path) -> int:
     """Plays the case."""
     site = Deployment(folder, record)
-    site.add_servers("match-llm", 2, work_ms=WORK_MS)
-    routes = [route("upload", "unsafe", "match-llm", DEADLINE_MS, 1)]
-    platform = Platform(site, record)
+    site.add_servers(SERVICE, 1)
+    operator = Operator(site, record)
     clients = Clients(site, record)
+    first = configuration(1, [route("cards", "unsafe", SERVICE, DEADLINE_MS, 1)], [SERVICE])
+    sending: asyncio.Task[None] | None = None
     try:
-        if not await site.begin(configuration(1, routes, ["match-llm"])):
+        if not await site.begin(first):
             record.say("the system did not get ready")
             return NOT_RUN
-        watch = asyncio.create_task(platform.watch())
-        await clients.send(SECONDS_BEFORE, REQUESTS_PER_SECOND)
-        record.say(f"before the burst: {platform.peak_text()}")
-        await clients.send(BURST_SECONDS, REQUESTS_PER_SECOND * (BURST if TROUBLE else 1.0))
-        await clients.send(SECONDS_AFTER, REQUESTS_PER_SECOND)
-        await clients.finish()
-        watch.cancel()
-        for line in site.server_records():
-            record.line(line.pop("at"), line.pop("what"), **line)
+        zone_ids = {place.id for place in site.servers if place.zone == ZONE}
+        sending = asyncio.create_task(clients.run())
+        await operator.connect()
+        await asyncio.sleep(2.0)
+        acknowledged = await _evacuate_twice(site, record, operator)
+        await asyncio.sleep(max(0.0, acknowledged + EVACUATE_SECONDS + WATCHED_SECONDS - time.monotonic()))
+        await _status(site, record)
+        lines = site.server_records()
     finally:
+        if sending is not None:
+            sending.cancel()
+        operator.close()
         site.end()
-    record.say(f"peaks: {platform.peak_text()}; killed over their memory: {platform.killed}")
-    record.say(f"ends of requests: {clients.ends}")
-    if not clients.ends.get("200"):
-        return NOT_RUN
-    broken = len(platform.killed) >= ENDS and len(set(platform.killed)) >= MACHINES
-    return BROKEN if broken else HELD
+    verdict = _judge(lines, zone_ids, acknowledged, clients, record)
+    for line in lines:
+        record.line(line.pop("at"), line.pop("what"), **line)
+    return verdict
 
 
 if __name__ == "__main__":
