Gateway: record what each promise rests on, in metrics and in a log line per rejection

Cause: neither logs nor metrics told the hypotheses of REFUSED apart: which evidence a 503 rested on, whether a rejection carried Not-Executed, whether its connection had carried the id before. No decision changes.

--- a/brackenladder/gateway/calls.py
+++ b/brackenladder/gateway/calls.py
@@ -10,6 +10,7 @@
 from brackenladder.gateway.answers import Failed, Refused, WholeAnswer
 from brackenladder.gateway.contracts import AttemptEnd, ClientExchange, RunnableAttempt
 from brackenladder.gateway.open_answer import OpenAnswer
+from brackenladder.gateway.promises import AttemptRecord
 from brackenladder.interface import NEVER_RAN, Outcome
 from brackenladder.placement.pool import PoolCall, ServicePool
 from brackenladder.placement.traits import CallTraits
@@ -38,6 +39,7 @@
         self.last_event_id = last_event_id
         self.may_have_run = False
         self.timed_out = False  # whether the last attempt timed out
+        self.ended_attempts: list[AttemptRecord] = []
         # A server's unsuccessful response, returned to the client if no other attempt succeeds.
         self.failure: WholeAnswer | None = None
         self._stream_over = False  # the pool was told that the response has ended
@@ -90,6 +92,9 @@
         socket. The call is then concluded without that response, but the request must still count as one that
         may have run.
         """
+        ended = attempt.ended_as(end.outcome)
+        self.ended_attempts.append(ended)
+        self.exchange.context.promises.attempt_ended(ended)
         if end.outcome == Outcome.REJECTED:
             self.exchange.rejected_by(attempt.record.id)
         elif attempt.written and end.outcome not in NEVER_RAN:
--- a/brackenladder/gateway/context.py
+++ b/brackenladder/gateway/context.py
@@ -8,6 +8,7 @@
 
 from brackenladder.gateway.failures import FailureLog
 from brackenladder.gateway.pools import ServicePools
+from brackenladder.gateway.promises import PromiseLog
 from brackenladder.gateway.start_gate import StartGate
 from brackenladder.held_calls import HeldCalls
 
@@ -20,6 +21,7 @@
     pools: ServicePools
     failures: FailureLog
     start_gate: StartGate
+    promises: PromiseLog
     held_calls: HeldCalls = field(factory=HeldCalls)
     draining: bool = False
     # If True, requests read from now on are refused: there is no time left to serve them.
--- a/brackenladder/gateway/contracts.py
+++ b/brackenladder/gateway/contracts.py
@@ -12,6 +12,7 @@
 from brackenladder.gateway.answers import WholeAnswer
 from brackenladder.gateway.failures import FailureLog
 from brackenladder.gateway.open_answer import OpenAnswer
+from brackenladder.gateway.promises import AttemptRecord, PromiseLog
 from brackenladder.interface import Outcome
 from brackenladder.registry.records import ServerRecord
 
@@ -37,6 +38,9 @@
     def written(self) -> bool:
         """Whether any byte of the request was sent."""
 
+    def ended_as(self, outcome: Outcome) -> AttemptRecord:
+        """The attempt as a record, once it has ended with this outcome."""
+
     async def run(self) -> None:
         """Run the attempt; returns after its end has been reported."""
 
@@ -58,6 +62,10 @@
     def failures(self) -> FailureLog:
         """Counts and logs failures."""
 
+    @property
+    def promises(self) -> PromiseLog:
+        """Records what promises to clients rest on."""
+
 
 class ClientExchange(Protocol):
     """The interface of a client's request for its calls, its attempts and the relay of its response."""
--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, TypeVar
 
 from aiohttp import web
@@ -12,6 +13,7 @@
 from brackenladder.catalog.configuration import Limits, Route, RouteKind
 from brackenladder.gateway.answers import (
     FAULT_STATUS,
+    NOT_RUN_STATUSES,
     Failed,
     Refused,
     RequestFault,
@@ -33,6 +35,7 @@
 from brackenladder.gateway.hints import is_idempotent, read_deadline_ms, read_traits
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import may_be_passed_on
+from brackenladder.gateway.promises import AttemptRecord
 from brackenladder.gateway.relay import DEADLINE_MARGIN, Relay
 from brackenladder.gateway.start_gate import MAX_HOLD
 from brackenladder.held_calls import HeldCall
@@ -279,6 +282,7 @@
 
     def _reject(self, fault: RequestFault) -> web.Response:
         response = own_answer(FAULT_STATUS[fault])
+        self._record_promise(response, ())
         if fault in (RequestFault.MALFORMED, RequestFault.BODY_TOO_SLOW):
             response.force_close()
         return self.finished(response)
@@ -293,7 +297,14 @@
         failure = call.failure
         if failure is not None and may_be_passed_on(failure.status):
             return self._whole_response(failure)
-        return self.finished(unserved_answer(ending, call.may_have_run, call.timed_out))
+        response = unserved_answer(ending, call.may_have_run, call.timed_out)
+        self._record_promise(response, call.ended_attempts)
+        return self.finished(response)
+
+    def _record_promise(self, response: web.Response, attempts: Sequence[AttemptRecord]) -> None:
+        """Note what the response rests on if its status promises that the request has not run."""
+        if response.status in NOT_RUN_STATUSES:
+            self.context.promises.promised(self.request_id, response.status, attempts, self.context.draining)
 
     def finished(self, response: Response) -> Response:
         """The response, with `Connection: close` if the gateway is draining."""
--- a/brackenladder/gateway/metrics.py
+++ b/brackenladder/gateway/metrics.py
@@ -13,14 +13,17 @@
 
 
 def metrics_text(
-    by_service: Iterator[tuple[str, DecisionCounters]], violations: Mapping[Invariant, int]
+    by_service: Iterator[tuple[str, DecisionCounters]],
+    promises: Iterator[str],
+    violations: Mapping[Invariant, int],
 ) -> str:
-    """The placement metrics of all services, then the number of violations of each invariant."""
+    """The placement metrics of all services, the lines about promises, the violations of each invariant."""
     lines: list[str] = []
     for service, counters in by_service:
         for target, sums in counters.items():
             labels = f'service="{service}",target_ms="{target // MICROSECONDS_PER_MILLISECOND}"'
             lines += _lines(labels, sums)
+    lines += promises
     for invariant in Invariant:
         count = violations.get(invariant, 0)
         lines.append(f'invariant_violations_total{{invariant="{invariant.value}"}} {count}')
--- a/brackenladder/gateway/server.py
+++ b/brackenladder/gateway/server.py
@@ -19,6 +19,7 @@
 from brackenladder.gateway.failures import FailureLog
 from brackenladder.gateway.metrics import METRICS_PATH, metrics_text
 from brackenladder.gateway.pools import PoolFactory, ServicePools, pool_factory
+from brackenladder.gateway.promises import PromiseLog
 from brackenladder.gateway.start_gate import StartGate
 from brackenladder.invariants import VIOLATIONS
 from brackenladder.platform_settings import Platform
@@ -92,7 +93,8 @@
             self._view, self._connections, self._clock, self._random, self._failures, make_pool
         )
         self._start_gate = StartGate(self._view)
-        self._context = GatewayContext(self._clock, pools, self._failures, self._start_gate)
+        promises = PromiseLog(self._clock)
+        self._context = GatewayContext(self._clock, pools, self._failures, self._start_gate, promises)
         self._clients = ClientServer(self._handle, lambda: pools.limits)
         readiness = web.Server(self._serve_check, access_log=None)
         listen = self._platform.listen
@@ -191,7 +193,8 @@
 
     async def _serve_check(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == METRICS_PATH:
-            return web.Response(text=metrics_text(self._context.pools.counters(), VIOLATIONS.violations()))
+            counters, violations = self._context.pools.counters(), VIOLATIONS.violations()
+            return web.Response(text=metrics_text(counters, self._context.promises.lines(), violations))
         if request.path != READY_PATH:
             return own_answer(Status.NOT_FOUND)
         return web.Response(status=200) if self.ready else own_answer(Status.UNAVAILABLE)
--- a/brackenladder/gateway/server_connection.py
+++ b/brackenladder/gateway/server_connection.py
@@ -26,6 +26,11 @@
         """Seconds since the last response on this connection ended; 0 for a new connection."""
         return self.protocol.idle_for
 
+    @property
+    def id_repeated(self) -> bool:
+        """Whether an earlier request on this connection had the current request's id."""
+        return self.protocol.id_repeated
+
     async def send_head_start(self, start: bytes, wait: float) -> bool:
         """Write the start of a request's head; False if the connection is lost within `wait` seconds.
 
--- a/brackenladder/gateway/server_protocol.py
+++ b/brackenladder/gateway/server_protocol.py
@@ -9,6 +9,7 @@
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from brackenladder.gateway.carried_ids import CarriedIds
 from brackenladder.gateway.framing import AnswerFraming
 from brackenladder.gateway.headers import KEEP_ALIVE, REQUEST_ID
 
@@ -39,6 +40,8 @@
         # Until when the connection may be reused, by the event loop's clock; 0: no response has ended yet.
         self.reusable_until = 0.0
         self.idle_since = 0.0  # when the last response ended, by the event loop's clock; 0: there was none
+        self.id_repeated = False  # an earlier request on this connection had the current request's id
+        self._carried = CarriedIds()
         self._framing = AnswerFraming(False)
         self._accepted = False  # the head of the current request's response was received
         self._answered = False  # the current request's response was received to its end
@@ -65,6 +68,8 @@
     def begin(self, request_id: str, without_body: bool) -> None:
         """Prepare for the response to a request that is written next."""
         self.request_id = request_id
+        self.id_repeated = request_id in self._carried
+        self._carried.add(request_id)
         self._framing = AnswerFraming(without_body)
         self._accepted = self._answered = False
         self.set_response_params(
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -17,9 +17,10 @@
 from brackenladder.gateway.connections import ConnectFailed, ServerConnections, TooManyConnections
 from brackenladder.gateway.contracts import AttemptEnd
 from brackenladder.gateway.events import EventTooLarge
-from brackenladder.gateway.headers import CONTENT_TYPE, answer_headers
+from brackenladder.gateway.headers import CONTENT_TYPE, NOT_EXECUTED, answer_headers
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import outcome_of
+from brackenladder.gateway.promises import AttemptRecord
 from brackenladder.gateway.server_connection import ServerConnection
 from brackenladder.gateway.server_protocol import AnswerBroken
 from brackenladder.interface import Outcome
@@ -153,6 +154,9 @@
         self._stopped: Outcome | None = None
         self._scope: asyncio.Timeout | None = None
         self._connection: ServerConnection | None = None
+        self._status = 0  # of the server's response; 0: none was read
+        self._not_executed = False  # the response says that the request has not run
+        self._id_repeated = False  # the connection had carried a request with the same id
 
     def start(self, timeout: float) -> None:
         """Hand the attempt to its request's task; it may take `timeout` seconds."""
@@ -183,6 +187,12 @@
         if not self.ended:
             self._finish(AttemptEnd(Outcome.NOT_SENT))
 
+    def ended_as(self, outcome: Outcome) -> AttemptRecord:
+        """The attempt as a record, once it has ended with this outcome."""
+        return AttemptRecord(
+            self.record.id, outcome, self.written, self._status, self._not_executed, self._id_repeated
+        )
+
     # ---- running the attempt --------------------------------------------------------------------------
 
     async def _make(self) -> AttemptEnd:
@@ -236,6 +246,7 @@
         if not connection.send(data[started:], exchange.request_id, exchange.method == "HEAD"):
             return AttemptEnd(Outcome.NOT_SENT)
         self.written = True
+        self._id_repeated = connection.id_repeated
         exchange.sent_to(self.record.id)
         message, payload = await connection.read_head()
         return await self._read(connection, message, payload)
@@ -265,6 +276,7 @@
         self, connection: ServerConnection, message: RawResponseMessage, payload: StreamReader
     ) -> AttemptEnd:
         headers = message.headers
+        self._status, self._not_executed = message.code, NOT_EXECUTED in headers
         outcome = outcome_of(message.code, headers)
         streaming = message.code == 200 and is_event_stream(headers)
         answer = OpenAnswer(self.record.id, connection, message, payload, streaming)
--- a/tests/gateway/test_gateway_doubt.py
+++ b/tests/gateway/test_gateway_doubt.py
@@ -17,6 +17,7 @@
 from brackenladder.gateway.answers import Failed, Status, WholeAnswer, unserved_answer
 from brackenladder.gateway.calls import GatewayCall
 from brackenladder.gateway.contracts import AttemptEnd
+from brackenladder.gateway.promises import AttemptRecord, PromiseLog
 from brackenladder.interface import Outcome
 from brackenladder.placement.traits import CallTraits
 
@@ -26,6 +27,8 @@
 class Exchange:
     """A stand-in for the exchange that a call reports rejections to."""
 
+    context = SimpleNamespace(promises=PromiseLog(lambda: 0))
+
     def rejected_by(self, server_id: str) -> None:
         """Ignored here."""
 
@@ -38,6 +41,7 @@
         """The status that the client gets if a call expires and its attempt then ends with this outcome."""
         attempt = cast(Any, SimpleNamespace(record=SimpleNamespace(id="i-1"), written=written))
         attempt.stop = lambda _: None
+        attempt.ended_as = lambda outcome: AttemptRecord("i-1", outcome, written)
         ending = Failed(Failure.EXPIRED)
         self.call.failed(ending.why)
         self.call.attempt_ended(attempt, AttemptEnd(outcome, answer))
--- a/tests/placement/test_decision_counters.py
+++ b/tests/placement/test_decision_counters.py
@@ -78,7 +78,7 @@
 
     def test_the_counters_are_exported_as_metrics(self) -> None:
         self.counters.answered(placed(reading=700 * MS, round_trip=2 * MS), 900 * MS)
-        text = metrics_text(iter([("llm", self.counters)]), {Invariant.SERVER_KEEPS_HOMES: 2})
+        text = metrics_text(iter([("llm", self.counters)]), iter(()), {Invariant.SERVER_KEEPS_HOMES: 2})
         self.assertIn('placement_calls_total{service="llm",target_ms="800"} 1\n', text)
         self.assertIn('placement_seconds_total{service="llm",target_ms="800",part="reading"} 0.700\n', text)
         self.assertIn('placement_late_total{service="llm",target_ms="800",cause="reading"} 1\n', text)
