Tests that fail: a promise for a request that ran, by two orders of events (known red)

On the code as it is both get 503 for a request that ran: a rejection that a server sends twice, its id having come back on the connection; and a 421 without Not-Executed.

--- /dev/null
+++ b/tests/gateway/test_promise_evidence.py
@@ -0,0 +1,68 @@
+"""Incident REFUSED: evidence that a request has not run must come from the try that it is used for.
+
+A server's answer proves that the request has not run only if it says so (`X-Brackenladder-Not-Executed`) and
+answers this try, not an earlier try with the same id on the same connection.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from gateway_loopback import GatewayTest, Received, answer, post
+
+NOT_EXECUTED = "X-Brackenladder-Not-Executed: true"
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+def rejection(request_id: str, status: str = "503 Service Unavailable") -> bytes:
+    """A server's answer that says that the request has not run."""
+    return answer(request_id, b"", status, [NOT_EXECUTED])
+
+
+class RecordingScript:
+    """Servers that count the runs of each request, and repeat a rejection before the next answer."""
+
+    def __init__(self) -> None:
+        self.runs: Counter[str] = Counter()
+        self._rejected: dict[tuple[str, int], bytes] = {}  # by server and connection: the answer to repeat
+
+    async def reject(self, request: Received) -> None:
+        """Rejects the request; the connection stays open."""
+        self._rejected[request.server, request.connection] = rejection(request.id)
+        request.write(rejection(request.id))
+
+    async def run(self, request: Received) -> None:
+        """Runs the request. A rejection on the same connection is repeated just before the answer."""
+        self.runs[request.id] += 1
+        late_copy = self._rejected.pop((request.server, request.connection), b"")
+        request.write(late_copy + answer(request.id, b"ran"))
+
+    async def run_and_send_421(self, request: Received) -> None:
+        """Runs the request and answers 421 without saying that it has not run."""
+        self.runs[request.id] += 1
+        request.write(answer(request.id, b"", "421 Misdirected Request"))
+
+
+class RepeatedRejection(GatewayTest):
+    servers = 1
+
+    async def test_a_rejection_of_an_earlier_try_is_not_taken_for_a_later_one_with_the_same_id(self) -> None:
+        # Incident REFUSED: a late copy of a rejection was taken as the answer to a try that the server ran.
+        for number in range(5):
+            script, request_id = RecordingScript(), f"r{number}"
+            self.play(script.reject, script.run)
+            first = await self.ask(post("/plain/x", request_id))
+            self.assertEqual(first.status, 503)
+            second = await self.ask(post("/plain/x", request_id))
+            self.assertEqual(script.runs[request_id], 1)
+            self.assertEqual((second.status, second.body), (200, b"ran"))
+
+
+class MisdirectedRequest(GatewayTest):
+    async def test_a_421_without_not_executed_promises_nothing(self) -> None:
+        # Incident REFUSED: any 421 was taken for a rejection, so a request that ran was sent on or refused.
+        script = RecordingScript()
+        self.play(script.run_and_send_421)
+        got = await self.ask(post("/plain/x"))
+        self.assertNotIn(got.status, NOT_RUN_STATUSES)
+        self.assertEqual(script.runs["r1"], 1)
