Gateway: the joined heads of two server answers are no answer (REFUSED)

Seen by callers: 503, a promise, for a request that ran. Cause: a server in trouble sends the start of a surplus answer, late, just before the next answer. If the cut lies inside a header's value, both heads parse as one: the status and Not-Executed of the rejection with the id of the answer that follows. The gateway took it for a rejection of the present request. After: all pass, 502 or 200. Change: a head that holds a second status line is broken off, and the request stays in doubt. A server's head has one status line, so whatever the two parts are, the seam shows.

--- a/brackenladder/gateway/framing.py
+++ b/brackenladder/gateway/framing.py
@@ -25,14 +25,16 @@
 class AnswerFraming:
     """Finds the ends of heads and bodies in the bytes of a connection.
 
+    `joined` says that a head holds a second status line: the start of one response and the head of another.
     `ended` says after each `take` whether the end of a body was reached. For a chunked body this is a guess
     (`guessed`), since a chunk may contain the bytes of the last chunk; the parser decides.
     """
 
-    __slots__ = ("_without_body", "_part", "_head", "_left", "_last", "ended", "guessed")
+    __slots__ = ("_without_body", "_part", "_head", "_left", "_last", "ended", "guessed", "joined")
 
     def __init__(self, without_body: bool) -> None:
         self._without_body = without_body  # the request was a HEAD, so the response has no body
+        self.joined = False
         self.restart()
 
     @property
@@ -74,6 +76,7 @@
 
     def _read_head(self, head: bytes) -> None:
         status = _STATUS.match(head)
+        self.joined = _STATUS.search(head, 1) is not None
         number = int(status[1]) if status else 0
         length = _LENGTH.search(head)
         if self._without_body or number in NO_BODY_STATUSES or 100 <= number < 200:
--- a/brackenladder/gateway/server_protocol.py
+++ b/brackenladder/gateway/server_protocol.py
@@ -31,7 +31,8 @@
     """Reads the responses on one server connection.
 
     A response with the id of another request is skipped. Bytes that follow the response, or arrive while no
-    request is open, make the connection unusable.
+    request is open, make the connection unusable. A response that was cut short within its head may be
+    followed by another one; together they can look like one response, whose status and headers prove nothing.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -103,6 +104,10 @@
         begin = 0
         while begin < len(data) and not self._answered and self._exception is None:
             end = self._framing.take(data, begin)
+            if self._framing.joined:
+                self._surplus = True
+                self.set_exception(AnswerBroken("the heads of two responses are joined"))
+                return
             super().data_received(data[begin:end])
             begin = end
             if self._framing.ended:
--- a/tests/gateway/test_promise_evidence.py
+++ b/tests/gateway/test_promise_evidence.py
@@ -12,6 +12,11 @@
 
 NOT_EXECUTED = "X-Brackenladder-Not-Executed: true"
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# A rejection whose request id does not come before the header that says that the request has not run.
+LATE_ID_REJECTION = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Brackenladder-Not-Executed: true\r\nKeep-Alive: timeout=5\r\n"
+    b"X-Brackenladder-Request-Id: earlier\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 def rejection(request_id: str, status: str = "503 Service Unavailable") -> bytes:
@@ -66,3 +71,25 @@
         got = await self.ask(post("/plain/x"))
         self.assertNotIn(got.status, NOT_RUN_STATUSES)
         self.assertEqual(script.runs["r1"], 1)
+
+
+class CutSurplus(GatewayTest):
+    servers = 1
+
+    async def test_a_surplus_rejection_cut_anywhere_proves_nothing_about_the_next_request(self) -> None:
+        # Incident REFUSED: the start of a surplus rejection and the next answer were read as one rejection.
+        surplus = LATE_ID_REJECTION
+        for cut in range(1, len(surplus)):
+            request_id = f"r{cut}"
+
+            async def run(request: Received, start: bytes = surplus[:cut]) -> None:
+                request.write(start + answer(request.id, b"ran"))
+                await request.writer.drain()
+                request.writer.close()
+
+            with self.subTest(cut=cut, start=surplus[:cut][-30:]):
+                self.play(run)
+                got = await self.ask(post("/plain/x", request_id))
+                self.assertNotIn(got.status, NOT_RUN_STATUSES)
+                if got.status == 200:
+                    self.assertEqual(got.body, b"ran")
