Gateway: a server connection carries each request id once (REFUSED)

Seen by callers: 503, a promise, for a try that the server ran; with a client that goes on trying, two runs. Cause: the id was all that tied an answer to its request on a kept connection. A refused client tries again with its id; where the gateway wrote that on the connection of the first try, a late copy of the first rejection fitted and was taken as the answer to the try that the server ran. Change: a connection remembers the ids that it has carried (hashes), is not used for one of them again, and is closed after 1,000 requests, which bounds that memory. Whatever comes late on it, copies of any answer, names another request. An invariant counts a second use.

--- a/brackenladder/gateway/connections.py
+++ b/brackenladder/gateway/connections.py
@@ -82,13 +82,20 @@
         self._stale_check.found_stale(self._loop.time())
         self.close_idle(address)
 
-    async def open(self, address: str, max_connections: int) -> ServerConnection:
-        """Take an idle connection or open one; raises `ConnectFailed` or `TooManyConnections`."""
+    async def open(self, address: str, max_connections: int, request_id: str) -> ServerConnection:
+        """Take an idle connection or open one; raises `ConnectFailed` or `TooManyConnections`.
+
+        The connection has not carried a request with this id. Otherwise a late copy of the answer to that
+        request could be taken as the answer to this one.
+        """
         if self._in_use[address] >= max_connections:
             raise TooManyConnections
         self._in_use[address] += 1
         try:
             connection = await self._connect(address)
+            while not _may_carry(connection, request_id):
+                connection.close()
+                connection = await self._connect(address)
         except BaseException:
             self._ended(address)
             raise
@@ -136,3 +143,8 @@
             url = URL(f"http://{address}/")
             request = self._requests[address] = ClientRequest("GET", url, loop=self._loop)
         return request
+
+
+def _may_carry(connection: Connection, request_id: str) -> bool:
+    protocol = connection.protocol
+    return not isinstance(protocol, ServerProtocol) or protocol.may_carry(request_id)
--- a/brackenladder/gateway/server_protocol.py
+++ b/brackenladder/gateway/server_protocol.py
@@ -12,6 +12,7 @@
 from brackenladder.gateway.carried_ids import CarriedIds
 from brackenladder.gateway.framing import AnswerFraming
 from brackenladder.gateway.headers import KEEP_ALIVE, REQUEST_ID
+from brackenladder.invariants import VIOLATIONS, Invariant
 
 # For servers that announce no idle timeout: they close a connection within its first idle second.
 DEFAULT_IDLE_SECONDS = 0.3
@@ -20,6 +21,7 @@
 LEAST_IDLE_FRACTION = 0.3  # fraction of a short idle timeout that is used if the margin would leave less
 MAX_HEAD_FIELD = 65_536  # bytes of a response's status line, or of one header field
 MAX_HEADERS = 256
+MAX_REQUESTS = 1000  # requests that a connection carries; bounds the memory for their ids
 READ_BUFFER = 65_536  # bytes; aiohttp's buffer limit for a response's body
 
 
@@ -66,10 +68,15 @@
         """Seconds since the last response ended; 0 for a new connection."""
         return self._loop.time() - self.idle_since if self.idle_since else 0.0
 
+    def may_carry(self, request_id: str) -> bool:
+        """Whether no request with this id was sent on this connection, so that the id names one answer."""
+        return request_id not in self._carried
+
     def begin(self, request_id: str, without_body: bool) -> None:
         """Prepare for the response to a request that is written next."""
         self.request_id = request_id
         self.id_repeated = request_id in self._carried
+        VIOLATIONS.check(Invariant.CONNECTION_CARRIES_ID_ONCE, not self.id_repeated, request_id)
         self._carried.add(request_id)
         self._framing = AnswerFraming(without_body)
         self._accepted = self._answered = False
@@ -86,7 +93,8 @@
     def finish(self, message: RawResponseMessage) -> None:
         """Mark the connection as idle after a complete response, or as unusable if surplus bytes arrived."""
         self.request_id = None
-        if self._surplus or not (self._answered or self._framing.ended):
+        whole = self._answered or self._framing.ended
+        if self._surplus or not whole or len(self._carried) >= MAX_REQUESTS:
             self.force_close()
         self.idle_since = self._loop.time()
         self.reusable_until = self.idle_since + idle_limit_seconds(message.headers.get(KEEP_ALIVE))
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -253,7 +253,9 @@
 
     async def _open(self) -> ServerConnection:
         limit = self.upstream.connection_limit()
-        self._connection = await self.upstream.connections.open(self.record.address, limit)
+        self._connection = await self.upstream.connections.open(
+            self.record.address, limit, self.call.exchange.request_id
+        )
         return self._connection
 
     async def _open_another(self, lost: ServerConnection) -> ServerConnection:
--- a/brackenladder/invariants.py
+++ b/brackenladder/invariants.py
@@ -27,6 +27,7 @@
     DIRECTORY_KEEPS_HOMES = "directory-keeps-homes"  # clients are only directed to their host's home regions
     SERVER_KEEPS_HOMES = "server-keeps-homes"  # requests only go to servers in the route's home regions
     SERVER_TAKES_REQUESTS = "server-takes-requests"  # no request to a draining, removed or evacuated server
+    CONNECTION_CARRIES_ID_ONCE = "connection-carries-id-once"  # so that a request id names one answer on it
     CALL_ENDS_IN_TIME = "call-ends-in-time"  # no call lasts more than a second past its time limit
 
 
--- a/tests/gateway/test_gateway_surplus.py
+++ b/tests/gateway/test_gateway_surplus.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from unittest.mock import patch
 
 from gateway_loopback import (
     LAST_CHUNK,
@@ -17,6 +18,8 @@
     stream_head,
 )
 
+from brackenladder.gateway import server_protocol
+
 
 class SurplusBytes(GatewayTest):
     servers = 1
@@ -100,6 +103,23 @@
         self.assertEqual([r.connection for r in self.script.requests], [1, 2])
 
 
+class KeptConnections(GatewayTest):
+    servers = 1
+
+    async def connections_of(self, *request_ids: str) -> list[int]:
+        """The numbers of the connections on which a server gets these requests."""
+        for request_id in request_ids:
+            self.assertEqual((await self.ask(post("/plain/x", request_id))).status, 200)
+        return [request.connection for request in self.script.requests]
+
+    async def test_an_id_that_comes_back_gets_another_connection(self) -> None:
+        self.assertEqual(await self.connections_of("r1", "r2", "r1", "r2", "r3"), [1, 1, 2, 2, 2])
+
+    async def test_a_connection_carries_a_limited_number_of_requests(self) -> None:
+        with patch.object(server_protocol, "MAX_REQUESTS", 2):
+            self.assertEqual(await self.connections_of("r1", "r2", "r3", "r4", "r5"), [1, 1, 2, 2, 3])
+
+
 class ConnectionLimit(GatewayTest):
     servers = 1
     max_connections = 5  # this gateway's share of them is four
