Simulation: callbacks that finalizers add while a turn is arranged are kept

Cause: the turn's callbacks were read while objects were allocated, so the garbage collector may run finalizers, which call the loop. Change: they are taken out first; what is added comes last. The test fails on the code before (the callback is lost).

--- a/brackenladder/simulation/virtual_loop.py
+++ b/brackenladder/simulation/virtual_loop.py
@@ -193,11 +193,11 @@
             return
         self.microseconds += order.delay()
         self._take_due_timers()
-        arranged = order.arrange(
-            [_ready_callback(handle) for handle in self._ready if not handle.cancelled()]
-        )
+        handles = list(self._ready)
         self._ready.clear()
-        self._ready.extend(arranged)
+        arranged = order.arrange([_ready_callback(handle) for handle in handles if not handle.cancelled()])
+        # Finalizers that the garbage collector ran meanwhile may have added callbacks; these come last.
+        self._ready.extendleft(reversed(arranged))
 
     def _take_due_timers(self) -> None:
         """Moves due timers to the ready queue, as `BaseEventLoop` does after its select call."""
--- a/tests/simulation/test_turn_order.py
+++ b/tests/simulation/test_turn_order.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from asyncio import Handle
+from collections.abc import Iterable
 from random import Random
 from unittest import TestCase
 
 from brackenladder.simulation.profiles import PROFILES
 from brackenladder.simulation.run import run
-from brackenladder.simulation.turn_order import TurnOrder
+from brackenladder.simulation.turn_order import ReadyCallback, TurnOrder
 from brackenladder.simulation.virtual_loop import Process, ProcessState, VirtualEventLoop
 
 DELAY = 20_000  # microseconds
@@ -133,3 +135,23 @@
 
     def test_answer_in_the_turn_of_a_thaw(self) -> None:
         self.assertEqual(run(PROFILES["answers"], 2).rule, "")
+
+
+class FinalizerTest(TestCase):
+    def test_a_callback_added_while_a_turn_is_arranged_is_not_lost(self) -> None:
+        # The garbage collector may run finalizers then, and these add callbacks to the loop.
+        ran: list[str] = []
+
+        class AddingOrder(TurnOrder):
+            """Adds a callback while the first turn is arranged, as a finalizer would."""
+
+            def arrange(self, ready: Iterable[ReadyCallback]) -> list[Handle]:
+                if not ran:
+                    ran.append("added")
+                    loop.call_soon(ran.append, "ran")
+                return super().arrange(ready)
+
+        loop = VirtualEventLoop(AddingOrder(Random(1), 0.0, DELAY))
+        loop.run_until_complete(asyncio.sleep(0.1))
+        loop.close()
+        self.assertEqual(ran, ["added", "ran"])
