Single node: the joined heads of two responses are no response (REFUSED)

Seen by callers: 503 for a call that ran. Cause: as in the gateway: a rejection that is cut inside a header's value, followed by the next response, parses as one rejection. The test failed (503, one run) and passes. Change: a header whose value holds the beginning of a status line makes the response unusable.

--- a/brackenladder/http/server_connection.py
+++ b/brackenladder/http/server_connection.py
@@ -70,6 +70,9 @@
         """Counts a connection's end; does nothing if it is called for the same connection again."""
 
 
+STATUS_LINE = b"HTTP/1."  # the beginning of a status line
+
+
 class UnusableAnswer(Exception):
     """A response that can't be used, whatever follows."""
 
@@ -212,6 +215,8 @@
             raise UnusableAnswer
         if self.head_complete:  # a trailer
             return
+        if STATUS_LINE in value:
+            raise UnusableAnswer  # a head that was cut short, followed by the head of another response
         key = name.lower()
         if key == b"content-type":
             self.content_type = value
