Simulation: profile exchange plays tries, late copies and spoilt rejections, and judges each try

Cause: the judge that missed REFUSED: no id came back, no server sent an answer again late or cut it within its head, and only 503 was sent without Not-Executed. Change: services whose servers are full (reject most requests, send answers again late, whole or cut at any byte, before the next answer to the same id or any); all four statuses with and without the header; clients that try a refused request again with its id; each refused try is judged by the runs before the next one.

--- a/brackenladder/simulation/exchange/behaviour.py
+++ b/brackenladder/simulation/exchange/behaviour.py
@@ -10,6 +10,7 @@
 from brackenladder.simulation.exchange.history import Run
 
 LONG_BODY = 150_000  # bytes of a long response body
+NOT_RUN_STATUSES = (503, 421, 429, 408)
 OPEN_BODY = 1_200_000  # bytes; large enough that gateways relay it while they receive it
 KEEP_ALIVE = "Keep-Alive: timeout=2"
 
@@ -23,7 +24,9 @@
     LAST = auto()  # the connection is closed after the response
     REJECTED = auto()  # the server states that it has not executed the request
     FAILED = auto()  # status 500
-    PROMISED = auto()  # status 503, without the header that says the request was not executed
+    PROMISED = (
+        auto()
+    )  # runs, and has a status for requests that have not run, without the header that says so
     CUT = auto()  # the connection is closed in the middle of the response
     RESET = auto()  # the connection is reset in the middle of the response
     DROPPED = auto()  # the connection is reset before the first byte
@@ -147,11 +150,11 @@
 
 def _bytes(run: Run, answer_kind: AnswerKind, random: Random, last_answer: bytes) -> bytes:
     if answer_kind is AnswerKind.REJECTED:
-        run.executed, run.status = False, 503
-        extra = ("X-Brackenladder-Not-Executed: true", "Content-Length: 0")
-        return _head(run, "503 Service Unavailable", extra)
+        run.executed, run.status = False, random.choice(NOT_RUN_STATUSES)
+        extra = ("X-Brackenladder-Not-Executed: true",)
+        return _head(run, f"{run.status} Rejected", extra, last=("Content-Length: 0",))
     if answer_kind in (AnswerKind.FAILED, AnswerKind.PROMISED):
-        run.status = 500 if answer_kind is AnswerKind.FAILED else 503
+        run.status = 500 if answer_kind is AnswerKind.FAILED else random.choice(NOT_RUN_STATUSES)
         return _head(run, f"{run.status} Trouble", ("Content-Length: 0",))
     if answer_kind is AnswerKind.GARBLED:
         return random.choice((b"\x16\x03\x01\x00\x00", b"HTTP/1.1 banana\r\n\r\n", b"SSH-2.0-x\r\n"))
@@ -183,10 +186,13 @@
     return head + body
 
 
-def _head(run: Run, status: str, extra: tuple[str, ...], named: bool = True) -> bytes:
-    lines = [f"HTTP/1.1 {status}", f"X-Brackenladder-Response-Signature: {run.signature}", KEEP_ALIVE, *extra]
+def _head(
+    run: Run, status: str, extra: tuple[str, ...], named: bool = True, last: tuple[str, ...] = ()
+) -> bytes:
+    lines = [f"HTTP/1.1 {status}", *extra, f"X-Brackenladder-Response-Signature: {run.signature}", KEEP_ALIVE]
     if named:
         lines.append(f"X-Brackenladder-Request-Id: {run.request_id}")
+    lines += last
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
--- a/brackenladder/simulation/exchange/checks.py
+++ b/brackenladder/simulation/exchange/checks.py
@@ -37,7 +37,9 @@
     for request in history.requests.values():
         own = runs[request.id]
         _check_runs(history, request, own, undisturbed)
-        _check_end(request, own, undisturbed)
+        _check_refusals(request, own)
+        latest = [run for run in own if run.arrived_at >= request.started_at]  # those of its latest try
+        _check_end(request, latest, undisturbed)
         if request.outcome is RequestOutcome.ANSWERED:
             _check_answer(request, own, by_signature)
 
@@ -77,6 +79,17 @@
             raise Violation("attempts", f"{request.id} runs at {sorted(servers)}, {most} are allowed")
 
 
+def _check_refusals(request: Request, runs: list[Run]) -> None:
+    """A try that was refused must not have run before its client sent the request again."""
+    if request.route.idempotent:
+        return
+    for refusal in request.refusals:
+        for run in runs:
+            if run.executed and run.arrived_at < refusal.retried_at:
+                detail = f"{request.id} got {refusal.status} for a try that ran at {run.server}"
+                raise Violation("refused", detail)
+
+
 def _check_answer(request: Request, runs: list[Run], by_signature: dict[str, Run]) -> None:
     executed = [run for run in runs if run.executed]
     if request.status in NOT_EXECUTED_STATUSES and executed and not request.route.idempotent:
--- a/brackenladder/simulation/exchange/clients.py
+++ b/brackenladder/simulation/exchange/clients.py
@@ -21,6 +21,11 @@
 MOST_IDLE_SECONDS = 3.0  # maximum idle time of a connection that is reused
 DEADLINES_MS = (300, 800, 2_000, 4_000)
 BODY_BYTES = (0, 5, 400, 20_000)
+RETRY_SHARE = 0.9  # fraction of the refused requests that are sent again with the same id
+SAME_GATEWAY_SHARE = 0.8  # fraction of these that go to the gateway that refused them
+MOST_RETRIES = 3
+RETRY_PAUSES = (0.0, 0.005, 0.05, 0.3)  # seconds
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 LONGEST_BODY_PAUSE = 40_000  # microseconds between two portions of a request
 
 Fail = Callable[[str, str], None]
@@ -68,6 +73,14 @@
         asyncio.get_running_loop().create_task(self._connect(request, gateway))
         return request
 
+    def retry(self, request: Request) -> None:
+        """Sends a refused request again, with the same id and on a new connection."""
+        gateway = self.gateways[request.gateway]
+        if self.random.random() >= SAME_GATEWAY_SHARE:
+            gateway = self.random.choice(self.gateways)
+        request.begin_again(self.streams.loop.microseconds, gateway.number)
+        asyncio.get_running_loop().create_task(self._connect(request, gateway))
+
     def next_pipelined(self, gateway: GatewayMachine) -> Request:
         """Creates a request to be pipelined after another one."""
         return self._request(gateway)
@@ -220,6 +233,7 @@
         closes = reader.headers.get("connection", "").lower() == "close"
         reader.next()
         self._end(request, RequestOutcome.ANSWERED)
+        self._retry_if_refused(request)
         if self._requests:
             reader.feed(b"")
         elif closes or not request.sent_at or self._random.random() >= KEPT_SHARE:
@@ -228,6 +242,14 @@
             self.idle_since = self._loop.time()
             self.clients.idle.append(self)
 
+    def _retry_if_refused(self, request: Request) -> None:
+        clients = self.clients
+        if request.status not in NOT_RUN_STATUSES or not request.sent_at or not clients.active:
+            return
+        if len(request.refusals) < MOST_RETRIES and self._random.random() < RETRY_SHARE:
+            clients.open += 1
+            self._loop.call_later(self._random.choice(RETRY_PAUSES), clients.retry, request)
+
     def _give_up(self, request: Request) -> None:
         if request.outcome is RequestOutcome.OPEN and request in self._requests:
             self._end(request, RequestOutcome.GIVEN_UP)
--- a/brackenladder/simulation/exchange/faults.py
+++ b/brackenladder/simulation/exchange/faults.py
@@ -106,6 +106,20 @@
         server.misbehaves = False
 
 
+async def fill_servers(world: World, random: Random) -> None:
+    """Makes the servers of a service reject many requests, and send some answers a second time."""
+    service = random.choice(("api", "other"))
+    affected = [server for server in world.servers if server.service == service]
+    world.count_fault("full")
+    for server in affected:
+        server.rejects_share = random.uniform(0.5, 0.9)
+        server.repeats_answers = True
+    await asyncio.sleep(random.uniform(0.5, 2.0))
+    for server in affected:
+        server.rejects_share = 0.0
+        server.repeats_answers = False
+
+
 async def freeze_server(world: World, random: Random) -> None:
     """Freezes the process of a running server for 0.1 to 2.5 seconds."""
     server = _running(world, random)
@@ -219,6 +233,7 @@
     (2.0, evacuate),
     (3.0, configure),
     (5.0, make_servers_misbehave),
+    (2.0, fill_servers),
     (2.0, freeze_server),
     (1.0, make_server_unreachable),
     (2.0, forget_idle),
--- a/brackenladder/simulation/exchange/history.py
+++ b/brackenladder/simulation/exchange/history.py
@@ -4,7 +4,7 @@
 
 from enum import Enum, auto
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from brackenladder.simulation.exchange.site import Configuration, RouteTemplate
 
@@ -23,9 +23,21 @@
     UNANSWERED = auto()  # the client gave up long after the deadline
 
 
+@frozen
+class Refusal:
+    """The end of an earlier try of a request, whose status promised that the request had not run."""
+
+    status: int
+    ended_at: int
+    retried_at: int  # when the client sent the request again, with the same id
+
+
 @define(eq=False)
 class Request:
-    """One request of a client. Times are microseconds since the start of the run; 0 if not reached."""
+    """One request of a client. Times are microseconds since the start of the run; 0 if not reached.
+
+    A client may send a refused request again with the same id. The fields then describe the latest try.
+    """
 
     id: str
     route: RouteTemplate
@@ -47,6 +59,15 @@
     # The pipelined request before this one on the connection, if still unanswered when this one was sent.
     queued_behind: Request | None = None
     excused: bool = False  # a fault hit its connection, so that a late answer or none is allowed
+    refusals: list[Refusal] = field(factory=list)  # of its earlier tries
+
+    def begin_again(self, now: int, gateway: int) -> None:
+        """Begins another try of a refused request, at a gateway."""
+        self.refusals.append(Refusal(self.status, self.ended_at, now))
+        self.gateway, self.started_at = gateway, now
+        self.sent_at = self.first_byte_at = self.ended_at = self.status = 0
+        self.outcome = RequestOutcome.OPEN
+        self.signature, self.answer, self.queued_behind = "", b"", None
 
 
 @define(eq=False)
--- a/brackenladder/simulation/exchange/servers.py
+++ b/brackenladder/simulation/exchange/servers.py
@@ -21,6 +21,12 @@
 
 HEAD_END = b"\r\n\r\n"
 SLOTS = 16
+COPY_KINDS = (AnswerKind.REJECTED, AnswerKind.WHOLE, AnswerKind.CHUNKED, AnswerKind.PROMISED)
+COPY_SHARE = 0.7  # fraction of the answers of `COPY_KINDS` that a repeating server sends a second time
+CUT_SHARE = 0.4  # fraction of these that are cut short
+ANY_COPY_SHARE = 0.3  # fraction of the requests before whose answer the copy of another one is sent
+HELD_SHARE = 0.8  # fraction of these that are sent just before the next answer
+LATEST_COPY_SECONDS = 0.3  # a copy that is not held until the next request is sent within this time
 SEND_BUFFER_TIME = SECOND  # microseconds for which an answer may remain in the server's send buffer
 EARLY_SHARE = 0.2  # fraction of the requests with an incomplete body that a server begins early
 IDLE_SECONDS = 2.0  # idle time after which a server closes a connection, as its `Keep-Alive` header states
@@ -47,6 +53,8 @@
         self.process: Process | None = None
         self.incarnation = 0
         self.misbehaves = False  # whether the server answers in faulty ways
+        self.rejects_share = 0.0  # fraction of the requests that it rejects because it is full
+        self.repeats_answers = False  # whether it sends some answers a second time, late
         self.draining_since = 0
         self.disturbances = Disturbances()
         self.connections: list[ServerConnection] = []
@@ -143,6 +151,8 @@
         self.end: StreamEnd
         self._read = b""
         self._last_answer = b""
+        # Answers that are sent again just before another one, by the id of their request.
+        self._held_copies: dict[str, bytes] = {}
         self._latest_run: Run | None = None  # the run that began last
         self._missing_body_bytes = 0  # bytes of the request's body that have not been received
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -204,10 +214,37 @@
         else:
             event_count = int(header_of(head, "x-pieces") or "0")
             answer_kind = draw_answer_kind(random, server.misbehaves, bool(event_count))
+            if random.random() < server.rejects_share:
+                answer_kind = AnswerKind.REJECTED
             run.unframed = answer_kind in (AnswerKind.UNFRAMED, AnswerKind.UNFRAMED_RESET)
             answer = make_answer(run, answer_kind, random, event_count, self._last_answer)
+        copy = self._take_held_copy(run.request_id)
+        if copy:
+            self.end.write(copy)
         self._write(run, answer, 0)
 
+    def _take_held_copy(self, request_id: str) -> bytes:
+        """The answer to send again before that to this request: one to its own id, or now and then any."""
+        held = self._held_copies
+        if held and request_id not in held and self.server.random.random() < ANY_COPY_SHARE:
+            return held.popitem()[1]
+        return held.pop(request_id, b"")
+
+    def _repeat_late(self, request_id: str, copy: bytes) -> None:
+        """Sends an answer again, later: before the answer to the next request, or while none is open."""
+        random = self.server.random
+        if random.random() < CUT_SHARE:
+            longest = random.choice((copy.index(HEAD_END) + 1, len(copy)))
+            copy = copy[: random.randrange(1, longest)]
+        if random.random() < HELD_SHARE:
+            self._held_copies[request_id] = copy
+        else:
+            self._loop.call_later(random.uniform(0.0, LATEST_COPY_SECONDS), self._send_copy, copy)
+
+    def _send_copy(self, copy: bytes) -> None:
+        if not self.end.is_closing() and self.run is None:
+            self.end.write(copy)
+
     def _new_run(self, head: bytes, body: bytes) -> Run:
         method, target, _ = head.split(b"\r\n", 1)[0].decode().split(" ")
         last_event = header_of(head, "last-event-id")
@@ -256,6 +293,9 @@
         run.complete = not run.cut
         self._last_answer = b"".join(step.data for step in answer.steps)
         self._end_run()
+        server = self.server
+        if server.repeats_answers and answer_kind in COPY_KINDS and server.random.random() < COPY_SHARE:
+            self._repeat_late(run.request_id, self._last_answer)
         if answer_kind in (AnswerKind.RESET, AnswerKind.DROPPED, AnswerKind.UNFRAMED_RESET):
             self.end.reset_by_network()
         elif answer_kind in (AnswerKind.CUT, AnswerKind.LAST, AnswerKind.UNFRAMED, AnswerKind.GARBLED):
@@ -283,6 +323,7 @@
     lines = (
         "HTTP/1.1 421 Misdirected Request",
         f"X-Brackenladder-Request-Id: {run.request_id}",
+        "X-Brackenladder-Not-Executed: true",
         "Keep-Alive: timeout=2",
         "Content-Length: 0",
     )
--- a/brackenladder/simulation/mutants/exchange.py
+++ b/brackenladder/simulation/mutants/exchange.py
@@ -11,9 +11,13 @@
 from brackenladder.gateway import answers as answers_module
 from brackenladder.gateway import exchange as exchange_module
 from brackenladder.gateway import hints as hints_module
+from brackenladder.gateway import upstream as upstream_module
+from brackenladder.gateway.carried_ids import CarriedIds
 from brackenladder.gateway.clients import ClientProtocol
 from brackenladder.gateway.events import split_events
 from brackenladder.gateway.exchange import Exchange
+from brackenladder.gateway.framing import AnswerFraming
+from brackenladder.gateway.outcomes import outcome_of
 from brackenladder.gateway.relay import Relay
 from brackenladder.gateway.resume import EventOrder
 from brackenladder.gateway.server import Gateway
@@ -23,6 +27,8 @@
 from brackenladder.placement.traits import CallTraits
 from brackenladder.simulation.mutants.mutant import Fault, Mutant, replaced
 
+MISDIRECTED = 421
+
 
 def _any_answer_taken() -> Fault:
     """Neither the answer's request id nor data after the answer is checked."""
@@ -195,6 +201,31 @@
     return Mutant(name=name, description=description, profile="exchange", rules=frozenset(rules), plant=plant)
 
 
+def _id_comes_back() -> Fault:
+    """A connection forgets the request ids that it has carried."""
+    return replaced(CarriedIds, __contains__=lambda self, _request_id: False)
+
+
+def _status_believed() -> Fault:
+    """A 421 counts as a rejection without the header that says that the request has not run."""
+
+    def outcome_by_status(status: int, headers: Any) -> Outcome:
+        return Outcome.REJECTED if status == MISDIRECTED else outcome_of(status, headers)
+
+    return replaced(upstream_module, outcome_of=outcome_by_status)
+
+
+def _heads_joined() -> Fault:
+    """The start of one response and the head of another are taken as one response."""
+    read_head = AnswerFraming._read_head
+
+    def read_any_head(self: Any, head: bytes) -> None:
+        read_head(self, head)
+        self.joined = False
+
+    return replaced(AnswerFraming, _read_head=read_any_head)
+
+
 EXCHANGE_MUTANTS = (
     _mutant(
         "any-answer-taken",
@@ -236,4 +267,22 @@
         _turn_counts_as_arrival,
     ),
     _mutant("cut-at-sigterm", "SIGTERM aborts open requests", {"lost"}, _cut_at_sigterm),
+    _mutant(
+        "id-comes-back",
+        "a connection carries a request id twice",
+        {"refused", "twice"},
+        _id_comes_back,
+    ),
+    _mutant(
+        "status-believed",
+        "a 421 is a rejection without the header that says so",
+        {"refused", "twice"},
+        _status_believed,
+    ),
+    _mutant(
+        "heads-joined",
+        "the start of a response joined with another one is taken as an answer",
+        {"refused", "twice", "mixed"},
+        _heads_joined,
+    ),
 )
--- a/tests/simulation/test_exchange.py
+++ b/tests/simulation/test_exchange.py
@@ -6,10 +6,21 @@
 from unittest import TestCase
 
 from brackenladder.simulation.campaign import detect_mutant
+from brackenladder.simulation.errors import Violation
 from brackenladder.simulation.exchange.answer_reader import AnswerReader, NoAnswer
 from brackenladder.simulation.exchange.behaviour import AnswerKind
-from brackenladder.simulation.exchange.history import RECOVERY_TIME, Disturbances
+from brackenladder.simulation.exchange.checks import check_history
+from brackenladder.simulation.exchange.history import (
+    RECOVERY_TIME,
+    ConfigurationEvent,
+    Disturbances,
+    History,
+    Request,
+    RequestOutcome,
+    Run,
+)
 from brackenladder.simulation.exchange.run import NAME, run_schedule
+from brackenladder.simulation.exchange.site import ROUTES, Configuration
 from brackenladder.simulation.mutants.exchange import EXCHANGE_MUTANTS
 from brackenladder.simulation.mutants.mutant import Mutant
 from brackenladder.simulation.schedules import DESCRIPTIONS
@@ -43,6 +54,46 @@
         self.assertEqual(run_schedule(6).rule, "")
 
 
+class RefusalTest(TestCase):
+    """Refused tries of a request and their runs, as the checks of a run see them."""
+
+    def rule_of(self, *arrived_at: int, executed: bool = True, status: int = 200) -> str:
+        """The broken rule if a request is refused at 2 s, tried again at 3 s, and runs at these times."""
+        unsafe = next(route for route in ROUTES if not route.idempotent and not route.streaming)
+        request = Request("q1", unsafe, "POST", "/x", b"", 0, 4_000, 0, started_at=1_000_000)
+        request.outcome, request.status, request.ended_at = RequestOutcome.ANSWERED, 503, 2_000_000
+        request.begin_again(3_000_000, 0)
+        request.outcome, request.status, request.ended_at = RequestOutcome.ANSWERED, status, 3_500_000
+        history = History(requests={"q1": request})
+        history.configurations.append(ConfigurationEvent(0, Configuration(1)))
+        for number, at in enumerate(arrived_at, start=1):
+            run = Run(
+                number, "q1", f"s{number}.1", unsafe.service, "north", "north-1", at, "POST", "/x", b"", 0, 0
+            )
+            run.executed, run.status = executed, 200
+            history.runs.append(run)
+            request.signature = run.signature if status == 200 else ""
+        try:
+            check_history(history, lambda *_: False)
+        except Violation as violation:
+            return violation.rule
+        return ""
+
+    def test_the_run_of_the_latest_try(self) -> None:
+        self.assertEqual(self.rule_of(3_100_000), "")
+
+    def test_a_refused_try_that_ran(self) -> None:
+        self.assertEqual(self.rule_of(1_500_000, status=503), "refused")
+        self.assertEqual(self.rule_of(2_500_000, status=502), "refused")
+        self.assertEqual(self.rule_of(3_100_000, status=503), "refused")
+
+    def test_a_refused_try_that_runs_later(self) -> None:
+        self.assertEqual(self.rule_of(3_100_000, 3_200_000), "twice")
+
+    def test_a_rejected_arrival_is_no_run(self) -> None:
+        self.assertEqual(self.rule_of(1_500_000, 3_100_000, executed=False, status=503), "")
+
+
 class MutantTest(TestCase):
     def test_number_of_mutants(self) -> None:
         self.assertGreaterEqual(len(EXCHANGE_MUTANTS), LEAST_MUTANTS)
