Soak: full servers, late copies of answers, tries with one id; each try is judged

Cause: the judge that missed REFUSED: its servers never rejected much, never sent an answer again, and no id came back. Change: a new kind of step, all servers of a region full, in planned work and storms: rejections, copies of answers before the next one on the connection (some cut within their head), statuses without Not-Executed after a run; clients try a refused request again with its id; a refused try is judged by the runs before the next one, an arrival by the try that had begun.

--- a/brackenladder/soak/checker.py
+++ b/brackenladder/soak/checker.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from enum import Enum
 from http import HTTPStatus
+from itertools import zip_longest
 from typing import TypeVar
 
 from attrs import define, field, frozen
@@ -92,11 +93,17 @@
         self._servers = layout.servers()
         self._gateways = {machine.front: machine for machine in layout.gateways}
         self._directories = {machine.directory: machine.name for machine in layout.control}
-        self._tries = {one.request: one for one in self._events_of(seen.Tried)}
+        self._tries = sorted(self._events_of(seen.Tried), key=lambda one: one.began)
+        self._tries_by_request: defaultdict[str, list[seen.Tried]] = defaultdict(list)
+        for tried in self._tries:
+            self._tries_by_request[tried.request].append(tried)
         self._arrivals_by_request: defaultdict[str, list[seen.Arrived]] = defaultdict(list)
         for arrival in self._events_of(seen.Arrived):
             self._arrivals_by_request[arrival.request].append(arrival)
-        self._run_counts = Counter(one.request for one in self._events_of(seen.Handled) if not one.refusal)
+        self._runs: defaultdict[str, list[seen.Handled]] = defaultdict(list)
+        for handled in self._events_of(seen.Handled):
+            if not handled.refusal:
+                self._runs[handled.request].append(handled)
         self._refusals = {(one.request, one.server): one.refusal for one in self._events_of(seen.Handled)}
         self._troubles = FaultTimeline(events, [machine.name for machine in layout.control])
         self._versions = Versions(self._events_of(seen.Ordered))
@@ -105,8 +112,8 @@
     def verdict(self) -> Verdict:
         """Runs all checks."""
         found = self._verdict
-        found.outcomes.update(one.outcome for one in self._tries.values())
-        found.began = min((one.began for one in self._tries.values()), default=0)
+        found.outcomes.update(one.outcome for one in self._tries)
+        found.began = self._tries[0].began if self._tries else 0
         for check in (
             self._check_arrivals,
             self._check_directory,
@@ -126,9 +133,15 @@
     def _events_of(self, kind: type[T]) -> Iterable[T]:
         return (event for event in self._events if isinstance(event, kind))
 
-    def _gateway(self, request: str) -> str:
-        """Name of the gateway that a request was sent to."""
-        tried = self._tries.get(request)
+    def _try_of(self, arrival: seen.Arrived) -> seen.Tried | None:
+        """The try that an arrival belongs to: the latest one that had begun; None if no client sent it."""
+        tries = self._tries_by_request.get(arrival.request, [])
+        begun = [tried for tried in tries if tried.began <= arrival.at]
+        return begun[-1] if begun else next(iter(tries), None)
+
+    def _gateway(self, arrival: seen.Arrived) -> str:
+        """Name of the gateway that a request which arrived at a server was sent to."""
+        tried = self._try_of(arrival)
         machine = self._gateways.get(tried.gateway) if tried else None
         return machine.name if machine else ""
 
@@ -138,7 +151,7 @@
         """HOME, CONFIG and UNASKED: each request at a server was sent by a client and is allowed there."""
         for arrivals in self._arrivals_by_request.values():
             for arrival in arrivals:
-                tried = self._tries.get(arrival.request)
+                tried = self._try_of(arrival)
                 if tried is None or tried.path != arrival.path:
                     detail = f"unknown request {arrival.request} {arrival.path} reached {arrival.server}"
                     self._verdict.add(Rule.UNASKED, arrival.at, detail)
@@ -146,7 +159,7 @@
                 self._check_arrival(arrival, tried)
 
     def _check_arrival(self, arrival: seen.Arrived, tried: seen.Tried) -> None:
-        in_contact = self._troubles.in_contact(self._gateway(arrival.request), arrival.at)
+        in_contact = self._troubles.in_contact(self._gateway(arrival), arrival.at)
         route = (tried.host, tried.path)
         rules = self._versions.rules(route, tried.began, arrival.at, in_contact)
         self._verdict.checked[Rule.CONFIG.value] += in_contact
@@ -181,29 +194,40 @@
                 self._verdict.add(Rule.HOME, answer.at, detail)
 
     def _check_runs(self) -> None:
-        """TWICE and REFUSED: a non-idempotent request runs at most once, and not at all if it was refused."""
-        for tried in self._tries.values():
-            if IDEMPOTENT[tried.host, tried.path]:
+        """TWICE and REFUSED: a non-idempotent request runs at most once, and no try runs that was refused.
+
+        Tries of a request share its id. A run counts against the last refused try before it, unless a later
+        try had begun by then; a refused try that runs even later shows in the number of runs.
+        """
+        for tries in tuple(self._tries_by_request.values()):
+            if IDEMPOTENT[tries[0].host, tries[0].path]:
                 continue
             self._verdict.checked[Rule.TWICE.value] += 1
-            runs = self._run_counts[tried.request]
-            if runs > 1:
-                self._verdict.add(Rule.TWICE, tried.ended, f"{_name(tried)} ran {runs} times")
-            if tried.outcome == seen.Outcome.REFUSED:
-                self._verdict.checked[Rule.REFUSED.value] += 1
-                if runs:
-                    detail = f"{_name(tried)} got {tried.status} from {tried.gateway} but ran"
-                    self._verdict.add(Rule.REFUSED, tried.ended, detail)
+            runs = self._runs[tries[0].request]
+            if len(runs) > 1:
+                self._verdict.add(Rule.TWICE, tries[-1].ended, f"{_name(tries[-1])} ran {len(runs)} times")
+            for tried, following in zip_longest(tries, tries[1:]):
+                self._check_refusal(tried, following, runs)
+
+    def _check_refusal(
+        self, tried: seen.Tried, following: seen.Tried | None, runs: list[seen.Handled]
+    ) -> None:
+        if tried.outcome != seen.Outcome.REFUSED:
+            return
+        self._verdict.checked[Rule.REFUSED.value] += 1
+        if any(following is None or run.at < following.began for run in runs):
+            detail = f"{_name(tried)} got {tried.status} from {tried.gateway} but ran"
+            self._verdict.add(Rule.REFUSED, tried.ended, detail)
 
     def _check_answers(self) -> None:
         """MIXED: an answer belongs to its request. DENIED: no valid request gets a non-retryable error."""
-        for tried in self._tries.values():
+        for tried in self._tries:
             if tried.outcome == seen.Outcome.MIXED:
                 self._verdict.add(Rule.MIXED, tried.ended, f"{_name(tried)}: {tried.detail}")
             elif tried.outcome == seen.Outcome.SERVED:
                 self._verdict.checked[Rule.MIXED.value] += 1
                 servers = {arrival.server for arrival in self._arrivals_by_request[tried.request]}
-                if not self._run_counts[tried.request] or tried.detail not in servers:
+                if not self._runs[tried.request] or tried.detail not in servers:
                     detail = f"{_name(tried)} was answered by {tried.detail}, which did not run it"
                     self._verdict.add(Rule.MIXED, tried.ended, detail)
             elif tried.outcome == seen.Outcome.FAILED and tried.detail:
@@ -246,7 +270,7 @@
         """
         if self._refusals.get((arrival.request, arrival.server)) == HTTPStatus.MISDIRECTED_REQUEST:
             return
-        gateway = self._gateway(arrival.request)
+        gateway = self._gateway(arrival)
         actor = f"servers-{self._regions[arrival.zone]}"
         if not self._troubles.in_contact(gateway, arrival.at) or self._troubles.delayed(actor, arrival.at):
             self._verdict.excused[rule.value] += 1
@@ -275,7 +299,7 @@
 
     def _check_losses(self) -> None:
         """LOST: a fully sent request gets a complete answer unless an unplanned fault is active or recent."""
-        for tried in self._tries.values():
+        for tried in self._tries:
             if not tried.read:
                 continue
             if not self._troubles.undisturbed(tried.began, tried.ended):
@@ -286,7 +310,8 @@
             deadline_used = (tried.ended - tried.began) / 1000 > USED_DEADLINE_SHARE * tried.deadline_ms
             if tried.outcome != seen.Outcome.CLOSED or deadline_used:
                 continue
-            forwarded = bool(self._arrivals_by_request[tried.request])
+            arrivals = self._arrivals_by_request[tried.request]
+            forwarded = any(arrival.at >= tried.began for arrival in arrivals)
             late = tried.ended - tried.read > LOSS_SLACK
             if forwarded or (late and not self._troubles.lagged(f"clients-{tried.region}", *_span(tried))):
                 detail = f"{_name(tried)} to {tried.gateway}: closed after status {tried.status}"
@@ -333,7 +358,7 @@
             for host in HOSTS:
                 tries = [
                     one
-                    for one in self._tries.values()
+                    for one in self._tries
                     if one.region == region
                     and one.host == host
                     and since <= one.began <= since + SERVED_WINDOW
--- a/brackenladder/soak/clients.py
+++ b/brackenladder/soak/clients.py
@@ -26,6 +26,9 @@
 LONG_CACHE_SHARE = 0.3  # share of clients that keep directory answers that long
 THINK_SECONDS = 0.25  # mean pause between two requests of a client
 RETRY_SECONDS = 0.1
+MOST_RETRIES = 3  # tries of a refused request after the first one, with the same id
+RETRY_SHARE = 0.8  # share of the refused requests that are tried again
+SAME_GATEWAY_SHARE = 0.5  # share of these tries that go to the gateway that refused the request
 MAX_PAUSE_SHARE = 1 / 3  # longest pause after Retry-After, as a share of the deadline
 FRESH_SHARE = 0.1  # share of requests sent on a new connection although the old one works
 TOKENS_OUT = (8, 120)  # tokens of a streamed answer: minimum and maximum
@@ -93,13 +96,25 @@
         self._close_connection()
 
     async def _send_request(self, call_kind: Call) -> float:
-        """Sends one request; returns the pause before the next one."""
+        """Sends a request, again with its id while it is refused; returns the pause before the next one."""
         if self._random.random() < FRESH_SHARE or (self._connection and self._connection.closed_by_peer):
             self._close_connection()
         address = self._connection.address if self._connection else await self._choose_gateway()
         if not address:
             return RETRY_SECONDS
         request = f"{self._random.getrandbits(64):016x}"
+        tried, pause = await self._try(call_kind, request, address)
+        for _ in range(MOST_RETRIES):
+            if tried.outcome != Outcome.REFUSED or self.stopping or self._random.random() >= RETRY_SHARE:
+                break
+            await asyncio.sleep(pause)
+            if self._random.random() >= SAME_GATEWAY_SHARE:
+                address = await self._choose_gateway() or address
+            tried, pause = await self._try(call_kind, request, address)
+        return pause
+
+    async def _try(self, call_kind: Call, request: str, address: str) -> tuple[Tried, float]:
+        """Sends a request once; returns what happened, and the pause before the next try or request."""
         tried = Tried(
             now(),
             request,
@@ -115,7 +130,7 @@
         if tried.outcome != Outcome.SERVED:
             self._close_connection()
         self._record(tried)
-        return pause
+        return tried, pause
 
     async def _choose_gateway(self) -> str:
         before = self._directory_cache.addresses
--- a/brackenladder/soak/events.py
+++ b/brackenladder/soak/events.py
@@ -50,7 +50,7 @@
 
 @define
 class Tried(Event):
-    """One request of a client, recorded when it ends; each has a unique id."""
+    """One try of a client's request, recorded when it ends. A refused request is tried again with its id."""
 
     began: int
     request: str
--- a/brackenladder/soak/schedule.py
+++ b/brackenladder/soak/schedule.py
@@ -35,6 +35,7 @@
     SERVER = "server"
     SERVERS_PAUSE = "servers-pause"
     LOSE_ACKNOWLEDGEMENTS = "lose-acknowledgements"
+    SERVERS_FULL = "servers-full"  # servers reject requests, repeat answers and send unproven rejections
     EVACUATE = "evacuate"
 
 
@@ -48,11 +49,21 @@
     Kind.SERVER: (2.0, 6.0),
     Kind.SERVERS_PAUSE: (0.5, 3.0),
     Kind.LOSE_ACKNOWLEDGEMENTS: (0.5, 3.0),
+    Kind.SERVERS_FULL: (1.0, 5.0),
     Kind.EVACUATE: (6.0, 10.0),
     **dict.fromkeys(LINKS, (0.3, 6.0)),
 }
 PLANNED_LEAVES = (Leave.DRAIN, Leave.DRAIN, Leave.DEREGISTER_FIRST)
-PLANNED_KINDS = (Kind.ROLL, Kind.ROLL, Kind.RELOAD, Kind.REMOVE, Kind.EVACUATE, Kind.SERVER, Kind.SERVER)
+PLANNED_KINDS = (
+    Kind.ROLL,
+    Kind.ROLL,
+    Kind.RELOAD,
+    Kind.REMOVE,
+    Kind.EVACUATE,
+    Kind.SERVER,
+    Kind.SERVER,
+    Kind.SERVERS_FULL,
+)
 STORM_KINDS = (*Kind, Kind.KILL, Kind.PAUSE, Kind.REMOVE)
 
 
@@ -127,7 +138,7 @@
                 return (random.choice(self._servers),)
             case Kind.EVACUATE:
                 return (random.choice(tuple(ZONES)),)
-            case Kind.SERVERS_PAUSE | Kind.LOSE_ACKNOWLEDGEMENTS:
+            case Kind.SERVERS_PAUSE | Kind.LOSE_ACKNOWLEDGEMENTS | Kind.SERVERS_FULL:
                 return (f"servers-{region}",)
             case Kind.REMOVE if random.random() < WHOLE_REGION_SHARE:
                 return tuple(one.name for one in self._gateways if one.region == region)
--- a/brackenladder/soak/servers.py
+++ b/brackenladder/soak/servers.py
@@ -6,15 +6,24 @@
 from collections.abc import Awaitable
 from contextlib import suppress
 from enum import Enum
+from http import HTTPStatus
 from random import Random
 from time import monotonic
+from typing import Any
+from weakref import WeakKeyDictionary
 
-from attrs import evolve
+from aiohttp import web
+from attrs import evolve, frozen
 
 from brackenladder.local_site.layout import HEARTBEAT_MS
 from brackenladder.platform_settings import DEFAULT_BOUNDS
 from brackenladder.rehearsal.standins.heartbeats import FAREWELL_SECONDS, RETRY_SECONDS, Heartbeats
-from brackenladder.rehearsal.standins.model_server import ModelServer, ServerSettings
+from brackenladder.rehearsal.standins.model_server import (
+    NOT_EXECUTED,
+    REQUEST_ID,
+    ModelServer,
+    ServerSettings,
+)
 from brackenladder.soak.events import Arrived, Handled, LeaveAcknowledged, Order, Record, Trouble, now
 from brackenladder.soak.site import SoakLayout
 
@@ -23,6 +32,28 @@
 FINISH_SECONDS = 10.0  # time limit for running requests when a server stops
 
 
+@frozen
+class AnswerFaults:
+    """How servers treat requests while they are full: shares of all requests, from 0 to 1."""
+
+    rejected: float = 0.0  # rejected, with the header that says that they have not run
+    unproven: float = 0.0  # run, and answered with a status of a rejection, but without that header
+    repeated: float = 0.0  # answered a second time, just before the next answer on the connection
+    cut: float = 0.0  # share of the repeated answers that end within their head
+
+
+HEAD_END = b"\r\n\r\n"
+NO_FAULTS = AnswerFaults()
+FULL = AnswerFaults(rejected=0.6, unproven=0.05, repeated=0.5, cut=0.3)
+REJECTION_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+UNPROVEN_STATUSES = (
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
+
+
 class Leave(Enum):
     """How a server leaves."""
 
@@ -38,6 +69,41 @@
         super().__init__(settings)
         self._record = record
         self._cold_until = cold_until
+        self.faults = NO_FAULTS
+        self._random = Random(settings.id)
+        self._held_copies: WeakKeyDictionary[Any, bytes] = WeakKeyDictionary()  # by connection
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        transport = request.transport
+        if transport is None:
+            return await super()._serve(request)
+        copy = self._held_copies.pop(transport, b"")
+        response = await self._answer_or_reject(request)
+        if copy:
+            transport.write(copy)
+        if isinstance(response, web.Response) and self._random.random() < self.faults.repeated:
+            self._held_copies[transport] = self._copy(response)
+        return response
+
+    def _copy(self, response: web.Response) -> bytes:
+        """The bytes of a response that is sent again, whole or cut short within its head."""
+        copy = encode_response(response)
+        if self._random.random() >= self.faults.cut:
+            return copy
+        return copy[: self._random.randrange(1, copy.index(HEAD_END))]
+
+    async def _answer_or_reject(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self._random.random() < self.faults.rejected:
+            request_id = request.headers.get(REQUEST_ID, "")
+            return self._refused(request_id, self._random.choice(REJECTION_STATUSES))
+        return await super()._serve(request)
+
+    async def _answer(self, request_id: str) -> web.Response:
+        response = await super()._answer(request_id)
+        if self._random.random() < self.faults.unproven:
+            status = self._random.choice(UNPROVEN_STATUSES)
+            return web.Response(status=status, headers=self._headers(request_id))
+        return response
 
     def arrived(self, request_id: str, path: str) -> None:
         """Records a request before its body is read."""
@@ -91,6 +157,7 @@
         self._heartbeats: dict[str, LossyHeartbeats] = {}
         self._leaving: set[str] = set()
         self._lost_share = 0.0
+        self._faults = NO_FAULTS
 
     async def start(self) -> None:
         """Starts all servers, warm."""
@@ -98,9 +165,14 @@
             await self._begin(place, cold=False)
 
     def order(self, order: Order) -> Awaitable[None] | None:
-        """Executes `leave` (one server) or `lose` (drop a share of heartbeat acknowledgements)."""
+        """Executes `leave` (one server), `full` (all) or `lose` (a share of heartbeat acknowledgements)."""
         if order["do"] == "leave":
             return self.leave(order["place"], Leave(order["how"]), order["away"])
+        if order["do"] == "full":
+            self._faults = FULL if order["on"] else NO_FAULTS
+            for server in self._servers.values():
+                server.faults = self._faults
+            return None
         self._lost_share = order["share"]
         for heartbeats in self._heartbeats.values():
             heartbeats.lost_share = self._lost_share
@@ -134,6 +206,7 @@
     async def _begin(self, place: str, cold: bool) -> None:
         settings = self._settings[place]
         server = RecordingServer(settings, self._record, monotonic() + COLD_SECONDS if cold else 0.0)
+        server.faults = self._faults
         await server.start()
         heartbeats = LossyHeartbeats(server, self._control, HEARTBEAT_MS / 1000)
         heartbeats.lost_share, heartbeats.random = self._lost_share, self._random
@@ -169,3 +242,14 @@
             return acknowledged
         await server.crash()
         return False
+
+
+def encode_response(response: web.Response) -> bytes:
+    """The bytes of a response with its body, as they are sent on a connection; the request id comes late."""
+    body = response.body if isinstance(response.body, bytes) else b""
+    headers = dict(response.headers)
+    headers.pop("Content-Length", None)
+    names = sorted(headers, key=lambda name: (name != NOT_EXECUTED, name == REQUEST_ID))
+    lines = [f"HTTP/1.1 {response.status} {response.reason}"]
+    lines += [f"{name}: {headers[name]}" for name in names]
+    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body
--- a/brackenladder/soak/system.py
+++ b/brackenladder/soak/system.py
@@ -91,6 +91,10 @@
                 self.actors[step.targets[0]].order("lose", share=LOST_SHARE)
                 await asyncio.sleep(step.seconds)
                 self.actors[step.targets[0]].order("lose", share=0.0)
+            case Kind.SERVERS_FULL:
+                self.actors[step.targets[0]].order("full", on=True)
+                await asyncio.sleep(step.seconds)
+                self.actors[step.targets[0]].order("full", on=False)
             case Kind.EVACUATE:
                 await self._evacuate(step.targets[0], step.seconds)
             case Kind.HOLD | Kind.HOLD_ONE_WAY | Kind.RESET:
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -154,6 +154,29 @@
     def test_refused_though_it_ran(self) -> None:
         self.assertEqual(self.broken_by(outcome=Outcome.REFUSED, status=503), {Rule.REFUSED})
 
+    def test_tries_with_one_id_are_judged_separately(self) -> None:
+        refused = evolve(tried("t"), began=BEGAN - SECOND, ended=BEGAN - SECOND // 2)
+        refused.outcome, refused.status = Outcome.REFUSED, 503
+        served = [tried("t"), arrived("t"), ran("t")]
+        self.assertEqual(self.broken(refused, *served), set())
+        earlier = evolve(ran("t"), at=BEGAN - SECOND // 4)
+        self.assertEqual(self.broken(refused, *served[:2], earlier), {Rule.REFUSED})
+        self.assertEqual(self.broken(refused, *served, earlier), {Rule.REFUSED, Rule.TWICE})
+        refused_later = evolve(served[0], outcome=Outcome.REFUSED, status=503)
+        self.assertEqual(self.broken(refused, refused_later, *served[1:]), {Rule.REFUSED})
+
+    def test_an_arrival_belongs_to_the_try_that_had_begun(self) -> None:
+        north, south = LAYOUT.gateways[0].front, LAYOUT.gateways[1].front
+        refused = evolve(tried("t"), began=BEGAN - SECOND, ended=BEGAN - SECOND // 2, gateway=south)
+        refused.outcome, refused.status = Outcome.REFUSED, 503
+        left = LeaveAcknowledged(BEGAN - 4 * SECOND, "cards-6.1")
+        late = evolve(arrived("t"), server="cards-6.1")
+        run = evolve(ran("t"), server="cards-6.1")
+        events = [refused, evolve(tried("t"), gateway=north, detail="cards-6.1"), late, run, left]
+        self.assertEqual(self.broken(*events), {Rule.DRAIN})
+        self.assertEqual(self.broken(*events, trouble("pause", LAYOUT.gateways[1].name)), {Rule.DRAIN})
+        self.assertEqual(self.broken(*events, trouble("pause", LAYOUT.gateways[0].name)), set())
+
     def test_unasked(self) -> None:
         self.assertEqual(self.broken(arrived("x"), ran("x")), {Rule.UNASKED})
         self.assertIn(Rule.UNASKED, self.broken(arrived("r", path="/cards/1")))
--- /dev/null
+++ b/tests/soak/test_soak_servers.py
@@ -0,0 +1,90 @@
+"""Stand-in servers of the soak that are full: rejections, repeated answers, statuses that prove nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from brackenladder.rehearsal.nodes import free_port, unused_loopback_host
+from brackenladder.rehearsal.standins.model_server import NOT_EXECUTED, REQUEST_ID, ServerSettings
+from brackenladder.soak.connection import Connection, Head
+from brackenladder.soak.events import Event, Handled
+from brackenladder.soak.servers import (
+    HEAD_END,
+    NO_FAULTS,
+    UNPROVEN_STATUSES,
+    AnswerFaults,
+    RecordingServer,
+    encode_response,
+)
+
+TIMEOUT = 20.0  # seconds; reached only on failure
+
+
+class FullServerTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        host = unused_loopback_host(Random())
+        self.address = f"{host}:{free_port(host, socket.SOCK_STREAM)}"
+        self.events: list[Event] = []
+        settings = ServerSettings("cards-1.1", "cards", self.address, "north-a")
+        self.server = RecordingServer(settings, self.events.append, 0.0)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.crash)
+        self.connection = await Connection.open(self.address, TIMEOUT)
+        self.addCleanup(self.connection.close)
+
+    async def ask(self, request_id: str) -> None:
+        """Sends a request on the test's connection."""
+        await self.connection.send("POST", "/pay/1", {"Host": "h", REQUEST_ID: request_id}, b"{}")
+
+    async def answer(self) -> Head:
+        """The next answer on the connection."""
+        async with asyncio.timeout(TIMEOUT):
+            head = await self.connection.head()
+            async for _ in self.connection.body(head):
+                pass
+        return head
+
+    def refusals(self) -> list[int]:
+        """The status of each handled request; 0: it ran."""
+        return [event.refusal for event in self.events if isinstance(event, Handled)]
+
+    async def test_a_rejected_request_does_not_run(self) -> None:
+        self.server.faults = AnswerFaults(rejected=1.0)
+        await self.ask("r1")
+        head = await self.answer()
+        self.assertIn(NOT_EXECUTED.lower(), head.headers)
+        self.assertEqual(self.refusals(), [head.status])
+
+    async def test_an_unproven_status_is_sent_for_a_request_that_ran(self) -> None:
+        self.server.faults = AnswerFaults(unproven=1.0)
+        await self.ask("r1")
+        head = await self.answer()
+        self.assertIn(head.status, UNPROVEN_STATUSES)
+        self.assertNotIn(NOT_EXECUTED.lower(), head.headers)
+        self.assertEqual(self.refusals(), [0])
+
+    async def test_an_answer_is_repeated_just_before_the_next_one(self) -> None:
+        self.server.faults = AnswerFaults(rejected=1.0, repeated=1.0)
+        await self.ask("r1")
+        first = await self.answer()
+        self.server.faults = NO_FAULTS
+        await self.ask("r1")
+        copy, second = await self.answer(), await self.answer()
+        self.assertEqual((copy.status, copy.headers[REQUEST_ID.lower()]), (first.status, "r1"))
+        self.assertIn(NOT_EXECUTED.lower(), copy.headers)
+        self.assertEqual(second.status, 200)
+        self.assertEqual(self.refusals(), [first.status, 0])
+
+    async def test_a_repeated_answer_may_end_within_its_head(self) -> None:
+        self.server.faults = AnswerFaults(cut=1.0)
+        response = self.server._refused("r1", 503)
+        whole = encode_response(response)
+        self.assertLess(whole.index(NOT_EXECUTED.encode()), whole.index(REQUEST_ID.encode()))
+        copies = {self.server._copy(response) for _ in range(20)}
+        self.assertGreater(len(copies), 1)
+        for copy in copies:
+            self.assertTrue(whole.startswith(copy))
+            self.assertNotIn(HEAD_END, copy)
