Soak: requests by id and verdicts in modules of their own; one list of statuses in the exchange

checker.py had grown to 383 lines (284 now): the index of tries, arrivals and runs with TWICE and REFUSED is requests.py, rules and verdicts are verdict.py. The four statuses stood three times in the simulated exchange. No check changes.

--- a/brackenladder/simulation/exchange/behaviour.py
+++ b/brackenladder/simulation/exchange/behaviour.py
@@ -8,9 +8,9 @@
 from attrs import frozen
 
 from brackenladder.simulation.exchange.history import Run
+from brackenladder.simulation.exchange.site import NOT_RUN_STATUSES
 
 LONG_BODY = 150_000  # bytes of a long response body
-NOT_RUN_STATUSES = (503, 421, 429, 408)
 OPEN_BODY = 1_200_000  # bytes; large enough that gateways relay it while they receive it
 KEEP_ALIVE = "Keep-Alive: timeout=2"
 
--- a/brackenladder/simulation/exchange/checks.py
+++ b/brackenladder/simulation/exchange/checks.py
@@ -9,9 +9,8 @@
 from brackenladder.simulation.errors import Violation
 from brackenladder.simulation.exchange.behaviour import encode_event
 from brackenladder.simulation.exchange.history import History, Request, RequestOutcome, Run
-from brackenladder.simulation.exchange.site import HOMED, ZONES
+from brackenladder.simulation.exchange.site import HOMED, NOT_RUN_STATUSES, ZONES
 
-NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 SLACK = 500_000  # microseconds past a limit that the deployment's rules allow
 STREAM_SLACK = 800_000  # SLACK for streams, which may go on for 0.25 s after the client's deadline
 DEADLINE_SLACK_MS = 500
@@ -92,7 +91,7 @@
 
 def _check_answer(request: Request, runs: list[Run], by_signature: dict[str, Run]) -> None:
     executed = [run for run in runs if run.executed]
-    if request.status in NOT_EXECUTED_STATUSES and executed and not request.route.idempotent:
+    if request.status in NOT_RUN_STATUSES and executed and not request.route.idempotent:
         raise Violation("refused", f"{request.id} gets {request.status}, and ran at {executed[0].server}")
     if not request.signature:
         if 200 <= request.status < 300:
--- a/brackenladder/simulation/exchange/clients.py
+++ b/brackenladder/simulation/exchange/clients.py
@@ -9,7 +9,7 @@
 from brackenladder.simulation.exchange.answer_reader import AnswerReader, NoAnswer
 from brackenladder.simulation.exchange.gateways import GatewayMachine
 from brackenladder.simulation.exchange.history import History, Request, RequestOutcome
-from brackenladder.simulation.exchange.site import FRONT_PORT, HOST, ROUTES, SECOND
+from brackenladder.simulation.exchange.site import FRONT_PORT, HOST, NOT_RUN_STATUSES, ROUTES, SECOND
 from brackenladder.simulation.streams import StreamEnd, StreamHost, StreamNetwork
 
 CONNECT_SECONDS = 1.0
@@ -25,7 +25,6 @@
 SAME_GATEWAY_SHARE = 0.8  # fraction of these that go to the gateway that refused them
 MOST_RETRIES = 3
 RETRY_PAUSES = (0.0, 0.005, 0.05, 0.3)  # seconds
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 LONGEST_BODY_PAUSE = 40_000  # microseconds between two portions of a request
 
 Fail = Callable[[str, str], None]
--- a/brackenladder/soak/checker.py
+++ b/brackenladder/soak/checker.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Iterable
-from enum import Enum
 from http import HTTPStatus
-from itertools import zip_longest
 from typing import TypeVar
 
-from attrs import define, field, frozen
-
 from brackenladder.platform_settings import DEFAULT_BOUNDS
 from brackenladder.soak import events as seen
-from brackenladder.soak.configuration import CALLS, HOSTS, IDEMPOTENT
+from brackenladder.soak.configuration import CALLS, HOSTS
 from brackenladder.soak.contact import FaultTimeline
+from brackenladder.soak.requests import RequestIndex, check_runs, describe
 from brackenladder.soak.site import SoakLayout
+from brackenladder.soak.verdict import Rule, Verdict
 from brackenladder.soak.versions import Versions, first_order_violation
 
 DRAIN = round(DEFAULT_BOUNDS.drain_ms * 1000)  # microseconds
@@ -29,56 +27,6 @@
 T = TypeVar("T")
 
 
-class Rule(Enum):
-    """Rules that the events of a soak must satisfy."""
-
-    HOME = "HOME"
-    TWICE = "TWICE"
-    REFUSED = "REFUSED"
-    UNASKED = "UNASKED"
-    MIXED = "MIXED"
-    DRAIN = "DRAIN"
-    EVAC = "EVAC"
-    CONFIG = "CONFIG"
-    DENIED = "DENIED"
-    LOST = "LOST"
-    ENDED = "ENDED"
-    LOG = "LOG"
-    RECOVER = "RECOVER"
-
-
-@frozen
-class Breach:
-    """A violation of a rule: which rule, when, and what was observed."""
-
-    rule: Rule
-    at: int  # microseconds of the monotonic clock; 0 if it has no time
-    detail: str
-
-
-@define
-class Verdict:
-    """Result of the check.
-
-    `checked` counts the cases checked for each rule, `excused` those that an injected fault explains.
-    """
-
-    breaches: list[Breach] = field(factory=list)
-    checked: Counter[str] = field(factory=Counter)
-    excused: Counter[str] = field(factory=Counter)
-    outcomes: Counter[str] = field(factory=Counter)
-    began: int = 0
-
-    @property
-    def held(self) -> bool:
-        """Whether all rules held."""
-        return not self.breaches
-
-    def add(self, rule: Rule, at: int, detail: str) -> None:
-        """Adds a violation."""
-        self.breaches.append(Breach(rule, at, detail))
-
-
 def judge(events: list[seen.Event], layout: SoakLayout) -> Verdict:
     """Checks every rule against the events."""
     return _Checker(events, layout).verdict()
@@ -93,18 +41,7 @@
         self._servers = layout.servers()
         self._gateways = {machine.front: machine for machine in layout.gateways}
         self._directories = {machine.directory: machine.name for machine in layout.control}
-        self._tries = sorted(self._events_of(seen.Tried), key=lambda one: one.began)
-        self._tries_by_request: defaultdict[str, list[seen.Tried]] = defaultdict(list)
-        for tried in self._tries:
-            self._tries_by_request[tried.request].append(tried)
-        self._arrivals_by_request: defaultdict[str, list[seen.Arrived]] = defaultdict(list)
-        for arrival in self._events_of(seen.Arrived):
-            self._arrivals_by_request[arrival.request].append(arrival)
-        self._runs: defaultdict[str, list[seen.Handled]] = defaultdict(list)
-        for handled in self._events_of(seen.Handled):
-            if not handled.refusal:
-                self._runs[handled.request].append(handled)
-        self._refusals = {(one.request, one.server): one.refusal for one in self._events_of(seen.Handled)}
+        self._requests = RequestIndex(events)
         self._troubles = FaultTimeline(events, [machine.name for machine in layout.control])
         self._versions = Versions(self._events_of(seen.Ordered))
         self._verdict = Verdict()
@@ -112,12 +49,12 @@
     def verdict(self) -> Verdict:
         """Runs all checks."""
         found = self._verdict
-        found.outcomes.update(one.outcome for one in self._tries)
-        found.began = self._tries[0].began if self._tries else 0
+        found.outcomes.update(one.outcome for one in self._requests.tries)
+        found.began = self._requests.tries[0].began if self._requests.tries else 0
+        check_runs(self._requests, found)
         for check in (
             self._check_arrivals,
             self._check_directory,
-            self._check_runs,
             self._check_answers,
             self._check_leaves,
             self._check_evacuations,
@@ -133,15 +70,9 @@
     def _events_of(self, kind: type[T]) -> Iterable[T]:
         return (event for event in self._events if isinstance(event, kind))
 
-    def _try_of(self, arrival: seen.Arrived) -> seen.Tried | None:
-        """The try that an arrival belongs to: the latest one that had begun; None if no client sent it."""
-        tries = self._tries_by_request.get(arrival.request, [])
-        begun = [tried for tried in tries if tried.began <= arrival.at]
-        return begun[-1] if begun else next(iter(tries), None)
-
     def _gateway(self, arrival: seen.Arrived) -> str:
         """Name of the gateway that a request which arrived at a server was sent to."""
-        tried = self._try_of(arrival)
+        tried = self._requests.try_of(arrival)
         machine = self._gateways.get(tried.gateway) if tried else None
         return machine.name if machine else ""
 
@@ -149,9 +80,9 @@
 
     def _check_arrivals(self) -> None:
         """HOME, CONFIG and UNASKED: each request at a server was sent by a client and is allowed there."""
-        for arrivals in self._arrivals_by_request.values():
+        for arrivals in self._requests.arrivals.values():
             for arrival in arrivals:
-                tried = self._try_of(arrival)
+                tried = self._requests.try_of(arrival)
                 if tried is None or tried.path != arrival.path:
                     detail = f"unknown request {arrival.request} {arrival.path} reached {arrival.server}"
                     self._verdict.add(Rule.UNASKED, arrival.at, detail)
@@ -164,13 +95,13 @@
         rules = self._versions.rules(route, tried.began, arrival.at, in_contact)
         self._verdict.checked[Rule.CONFIG.value] += in_contact
         if not any(arrival.service in rule.services for rule in rules):
-            detail = f"{_name(tried)} ran at {arrival.server} of {arrival.service} through {tried.gateway}"
+            detail = f"{describe(tried)} ran at {arrival.server} of {arrival.service} through {tried.gateway}"
             self._verdict.add(Rule.CONFIG, arrival.at, detail)
         region = self._regions[arrival.zone]
         self._verdict.checked[Rule.HOME.value] += any(rule.homes for rule in rules)
         if not any(not rule.homes or region in rule.homes for rule in rules):
             homes = sorted(set().union(*(rule.homes for rule in rules)))
-            detail = f"{_name(tried)} with homes {homes} reached {arrival.server} in {region}"
+            detail = f"{describe(tried)} with homes {homes} reached {arrival.server} in {region}"
             self._verdict.add(Rule.HOME, arrival.at, f"{detail} through {tried.gateway}")
 
     def _check_directory(self) -> None:
@@ -193,45 +124,19 @@
                 detail += f" (homes {sorted(allowed - {answer.region})}) to {sorted(regions - allowed)}"
                 self._verdict.add(Rule.HOME, answer.at, detail)
 
-    def _check_runs(self) -> None:
-        """TWICE and REFUSED: a non-idempotent request runs at most once, and no try runs that was refused.
-
-        Tries of a request share its id. A run counts against the last refused try before it, unless a later
-        try had begun by then; a refused try that runs even later shows in the number of runs.
-        """
-        for tries in tuple(self._tries_by_request.values()):
-            if IDEMPOTENT[tries[0].host, tries[0].path]:
-                continue
-            self._verdict.checked[Rule.TWICE.value] += 1
-            runs = self._runs[tries[0].request]
-            if len(runs) > 1:
-                self._verdict.add(Rule.TWICE, tries[-1].ended, f"{_name(tries[-1])} ran {len(runs)} times")
-            for tried, following in zip_longest(tries, tries[1:]):
-                self._check_refusal(tried, following, runs)
-
-    def _check_refusal(
-        self, tried: seen.Tried, following: seen.Tried | None, runs: list[seen.Handled]
-    ) -> None:
-        if tried.outcome != seen.Outcome.REFUSED:
-            return
-        self._verdict.checked[Rule.REFUSED.value] += 1
-        if any(following is None or run.at < following.began for run in runs):
-            detail = f"{_name(tried)} got {tried.status} from {tried.gateway} but ran"
-            self._verdict.add(Rule.REFUSED, tried.ended, detail)
-
     def _check_answers(self) -> None:
         """MIXED: an answer belongs to its request. DENIED: no valid request gets a non-retryable error."""
-        for tried in self._tries:
+        for tried in self._requests.tries:
             if tried.outcome == seen.Outcome.MIXED:
-                self._verdict.add(Rule.MIXED, tried.ended, f"{_name(tried)}: {tried.detail}")
+                self._verdict.add(Rule.MIXED, tried.ended, f"{describe(tried)}: {tried.detail}")
             elif tried.outcome == seen.Outcome.SERVED:
                 self._verdict.checked[Rule.MIXED.value] += 1
-                servers = {arrival.server for arrival in self._arrivals_by_request[tried.request]}
-                if not self._runs[tried.request] or tried.detail not in servers:
-                    detail = f"{_name(tried)} was answered by {tried.detail}, which did not run it"
+                servers = {arrival.server for arrival in self._requests.arrivals[tried.request]}
+                if not self._requests.runs[tried.request] or tried.detail not in servers:
+                    detail = f"{describe(tried)} was answered by {tried.detail}, which did not run it"
                     self._verdict.add(Rule.MIXED, tried.ended, detail)
             elif tried.outcome == seen.Outcome.FAILED and tried.detail:
-                detail = f"{_name(tried)} got {tried.status} from {tried.gateway}"
+                detail = f"{describe(tried)} got {tried.status} from {tried.gateway}"
                 self._verdict.add(Rule.DENIED, tried.ended, detail)
 
     # -- servers that leave
@@ -268,7 +173,7 @@
         Excused if the gateway was out of contact with the control plane, or if the server's actor may have
         recorded the arrival too late.
         """
-        if self._refusals.get((arrival.request, arrival.server)) == HTTPStatus.MISDIRECTED_REQUEST:
+        if self._requests.refusals.get((arrival.request, arrival.server)) == HTTPStatus.MISDIRECTED_REQUEST:
             return
         gateway = self._gateway(arrival)
         actor = f"servers-{self._regions[arrival.zone]}"
@@ -299,7 +204,7 @@
 
     def _check_losses(self) -> None:
         """LOST: a fully sent request gets a complete answer unless an unplanned fault is active or recent."""
-        for tried in self._tries:
+        for tried in self._requests.tries:
             if not tried.read:
                 continue
             if not self._troubles.undisturbed(tried.began, tried.ended):
@@ -310,11 +215,11 @@
             deadline_used = (tried.ended - tried.began) / 1000 > USED_DEADLINE_SHARE * tried.deadline_ms
             if tried.outcome != seen.Outcome.CLOSED or deadline_used:
                 continue
-            arrivals = self._arrivals_by_request[tried.request]
+            arrivals = self._requests.arrivals[tried.request]
             forwarded = any(arrival.at >= tried.began for arrival in arrivals)
             late = tried.ended - tried.read > LOSS_SLACK
             if forwarded or (late and not self._troubles.lagged(f"clients-{tried.region}", *_span(tried))):
-                detail = f"{_name(tried)} to {tried.gateway}: closed after status {tried.status}"
+                detail = f"{describe(tried)} to {tried.gateway}: closed after status {tried.status}"
                 detail += f" {(tried.ended - tried.read) / 1000:.0f} ms after it was sent"
                 detail += ", forwarded" if forwarded else ", not forwarded"
                 detail += ", first on its connection" if tried.fresh else ", on a reused connection"
@@ -358,7 +263,7 @@
             for host in HOSTS:
                 tries = [
                     one
-                    for one in self._tries
+                    for one in self._requests.tries
                     if one.region == region
                     and one.host == host
                     and since <= one.began <= since + SERVED_WINDOW
@@ -375,9 +280,5 @@
                     self._verdict.add(Rule.RECOVER, since, f"{detail} after the recovery")
 
 
-def _name(tried: seen.Tried) -> str:
-    return f"{tried.kind} request {tried.request} on {tried.host}{tried.path} from region {tried.region}"
-
-
 def _span(tried: seen.Tried) -> tuple[int, int]:
     return tried.began, tried.ended
--- a/brackenladder/soak/run.py
+++ b/brackenladder/soak/run.py
@@ -7,11 +7,12 @@
 
 from attrs import frozen
 
-from brackenladder.soak.checker import Verdict, judge
+from brackenladder.soak.checker import judge
 from brackenladder.soak.events import MICROSECONDS, Journal, LogFault, Recovery, now, read_journals
 from brackenladder.soak.schedule import CALM_SECONDS, Phase, make_schedule
 from brackenladder.soak.site import Size, SoakLayout
 from brackenladder.soak.system import SoakError, SoakSystem
+from brackenladder.soak.verdict import Verdict
 
 RECOVERY_SECONDS = 20.0  # limit after the last fault: RecoveryS and the time to start processes
 STEP_SECONDS = 90.0  # limit for the last step to end after its phase
--- a/brackenladder/system/soak_command.py
+++ b/brackenladder/system/soak_command.py
@@ -15,11 +15,11 @@
 from cattrs import unstructure
 
 from brackenladder.operator_client.errors import ExitCode, UsageError
-from brackenladder.soak.checker import Verdict
 from brackenladder.soak.events import MICROSECONDS
 from brackenladder.soak.run import SoakPlan, run_soak
 from brackenladder.soak.site import Size
 from brackenladder.soak.system import SoakError
+from brackenladder.soak.verdict import Verdict
 from brackenladder.system.options import JsonOption
 from brackenladder.system.output import print_json, print_line
 from brackenladder.system.simulate_command import parse_seed_range
--- a/tests/soak/test_soak_checker.py
+++ b/tests/soak/test_soak_checker.py
@@ -9,7 +9,7 @@
 
 from attrs import evolve
 
-from brackenladder.soak.checker import Rule, judge
+from brackenladder.soak.checker import judge
 from brackenladder.soak.configuration import HOME_HOST, MOVING_HOST, PLAIN_HOST, changed, initial
 from brackenladder.soak.contact import CONTACT
 from brackenladder.soak.events import (
@@ -32,6 +32,7 @@
     encode,
 )
 from brackenladder.soak.site import SoakLayout
+from brackenladder.soak.verdict import Rule
 
 SECOND = 1_000_000
 LAYOUT = SoakLayout("127.99.1", Path("/nowhere"))
