--- a/brackenladder/soak/requests.py
+++ b/brackenladder/soak/requests.py
@@ -57,7 +57,7 @@
 
 
 def describe(tried: Tried) -> str:
-    """A try in the words of a violation."""
+    """Describes a try, for the text of a violation."""
     return f"{tried.kind} request {tried.request} on {tried.host}{tried.path} from region {tried.region}"
 
 
