Simulation: a server that drains does not report ready again when its crash is noticed

Trace: the machine crashed and started again unannounced, another fault drained it (4.759 s), then the first fault let it report ready (4.979 s), and the gateway sent to it.

--- a/brackenladder/simulation/exchange/faults.py
+++ b/brackenladder/simulation/exchange/faults.py
@@ -45,7 +45,8 @@
     world.checks.server_closed(server_id)
     server.report_gone(server_id, service)
     if downtime < detection_delay:
-        server.announce()
+        if not server.draining_since:  # else another fault drains it, and it must not report ready again
+            server.announce()
         return
     await asyncio.sleep(downtime - detection_delay)
     server.start(_next_service(random))
