--- a/brackenladder/http/server_connection.py
+++ b/brackenladder/http/server_connection.py
@@ -137,6 +137,7 @@
         self.body = b""
         self.content_type = b""
         self.rejected = False
+        self.joined = False  # the head may be the start of one response and the head of another
         self.report = b""
         self.complete = self.unexpected_input = self.keep = False
         self.head_complete = False  # the head of the final response is complete
@@ -192,7 +193,8 @@
         if self.complete:
             # A complete response is used even if surplus bytes follow it: otherwise a request that has run
             # would fail. After surplus bytes the connection is not reused.
-            answer = Answer(self.status, self.body, self.content_type, self.rejected, self.report)
+            rejected = self.rejected and not self.joined
+            answer = Answer(self.status, self.body, self.content_type, rejected, self.report)
             self.finish(
                 OK if self.status == 200 else outcome_of(answer),
                 answer,
@@ -205,7 +207,7 @@
         self.unexpected_input = self.complete
         if not self.complete:  # headers of an interim response do not belong to the final one
             self.content_type = self.report = b""
-            self.rejected = False
+            self.rejected = self.joined = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.complete:
@@ -216,7 +218,7 @@
         if self.head_complete:  # a trailer
             return
         if STATUS_LINE in value:
-            raise UnusableAnswer  # a head that was cut short, followed by the head of another response
+            self.joined = True
         key = name.lower()
         if key == b"content-type":
             self.content_type = value
