--- a/brackenladder/gateway/events.py
+++ b/brackenladder/gateway/events.py
@@ -9,6 +9,7 @@
 LARGEST_EVENT = 4 * 1024 * 1024  # bytes in one event
 
 _END = re.compile(rb"\n\r?\n")  # the blank line that ends an event
+_LINE_ENDS = b"\r\n"
 _END_LENGTH = 3  # bytes in the longest match of `_END`
 _ID = re.compile(rb"(?:^|\n)id: ?([0-9]{1,18})\r?\n")
 
@@ -48,6 +49,16 @@
         self._keep(data[last:])
         return data[:last]
 
+    @property
+    def holds_partial_event(self) -> bool:
+        """Whether the bytes so far end within an event; line ends alone are no event."""
+        return bool(self.rest.strip(_LINE_ENDS))
+
+    def take_rest(self) -> bytes:
+        """What follows the last complete event, at the end of the body."""
+        rest, self.rest = self.rest, b""
+        return rest
+
     def feed(self, data: bytes) -> list[Event]:
         """Take more of the body; return the events that are now complete, one by one."""
         return split_events(self.feed_whole(data))
--- a/brackenladder/gateway/open_answer.py
+++ b/brackenladder/gateway/open_answer.py
@@ -73,14 +73,11 @@
             self._connection.discard()
 
     async def _read_events(self) -> bytes:
-        while True:
-            data = await self._read_some()
-            if not data:
-                rest, self._parser.rest = self._parser.rest, b""
-                return rest
+        while data := await self._read_some():
             events = self._parser.feed_whole(data)
             if events:
                 return events
+        return self._parser.take_rest()
 
     async def _read_some(self) -> bytes:
         """The next bytes of the body; empty at its regular end."""
@@ -92,5 +89,15 @@
         except Exception as error:
             raise AnswerBroken(repr(error)) from error
         if not data:
+            self._check_end()
             self.whole = True
         return data
+
+    def _check_end(self) -> None:
+        """Raise `AnswerBroken` if the end of a body without a length cannot be the end of its response.
+
+        Such a body ends with its connection, and the connections of a server that crashes are closed in the
+        same way as those of a server that has sent everything.
+        """
+        if self._connection.ends_body and self._parser.holds_partial_event:
+            raise AnswerBroken("the connection ended within an event")
--- a/brackenladder/gateway/server_connection.py
+++ b/brackenladder/gateway/server_connection.py
@@ -31,6 +31,11 @@
         """Whether an earlier request on this connection had the current request's id."""
         return self.protocol.id_repeated
 
+    @property
+    def ends_body(self) -> bool:
+        """Whether the current response's body has no length, so that only the connection's end ends it."""
+        return self.protocol.ends_body
+
     async def send_head_start(self, start: bytes, wait: float) -> bool:
         """Write the start of a request's head; False if the connection is lost within `wait` seconds.
 
--- a/brackenladder/gateway/server_protocol.py
+++ b/brackenladder/gateway/server_protocol.py
@@ -68,6 +68,11 @@
         """Seconds since the last response ended; 0 for a new connection."""
         return self._loop.time() - self.idle_since if self.idle_since else 0.0
 
+    @property
+    def ends_body(self) -> bool:
+        """Whether the current response's body has no length and ends when the connection closes."""
+        return self._framing.until_close
+
     def may_carry(self, request_id: str) -> bool:
         """Whether no request with this id was sent on this connection, so that the id names one answer."""
         return request_id not in self._carried
@@ -147,7 +152,7 @@
         short by a reset would pass as complete.
         """
         payload = self._payload
-        if self._accepted and self._framing.until_close and not self._ended_in_order:
+        if self._accepted and self.ends_body and not self._ended_in_order:
             self._fail_body(payload, AnswerBroken("reset before the end of the response"))
         super().connection_lost(exc)
         self._fail_body(payload, AnswerBroken("connection lost"))
