--- a/brackenladder/gateway/connections.py
+++ b/brackenladder/gateway/connections.py
@@ -67,6 +67,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, open_socket: OpenSocket = server_socket) -> None:
         """`open_socket` creates the unconnected socket for a server's address."""
         self._loop = loop
+        self._open_socket = open_socket
         self._connector = ServerConnector(loop, open_socket)
         self._timeout = ClientTimeout(sock_connect=CONNECT_TIMEOUT_SECONDS)
         self._requests: dict[str, ClientRequest] = {}
@@ -103,6 +104,25 @@
         assert isinstance(protocol, ServerProtocol)
         return ServerConnection(connection, protocol, partial(self._ended, address))
 
+    async def refuses(self, address: str) -> bool:
+        """Whether the host refuses a new connection to this address, as it does if no process listens there.
+
+        A host that does not answer proves nothing about its process.
+        """
+        host, _, port = address.rpartition(":")
+        probe = self._open_socket((socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP))
+        probe.setblocking(False)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                await self._loop.sock_connect(probe, (host, int(port)))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            probe.close()
+        return False
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a server."""
         request = self._requests.pop(address, None)
--- a/brackenladder/gateway/open_answer.py
+++ b/brackenladder/gateway/open_answer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 from multidict import CIMultiDict
@@ -22,7 +24,9 @@
         message: RawResponseMessage,
         payload: StreamReader,
         streaming: bool,
+        server_crashed: Callable[[], Awaitable[bool]],
     ) -> None:
+        """`server_crashed` is asked at the end of a body without a length, before the end is believed."""
         self.server_id = server_id
         self.status = message.code
         self.reason = message.reason
@@ -31,6 +35,7 @@
         self._connection = connection
         self._message = message
         self._payload = payload
+        self._server_crashed = server_crashed
         self._parser = EventParser()
         self._ahead = b""  # bytes that were read and not yet returned
 
@@ -89,15 +94,19 @@
         except Exception as error:
             raise AnswerBroken(repr(error)) from error
         if not data:
-            self._check_end()
+            await self._check_end()
             self.whole = True
         return data
 
-    def _check_end(self) -> None:
-        """Raise `AnswerBroken` if the end of a body without a length cannot be the end of its response.
+    async def _check_end(self) -> None:
+        """Raise `AnswerBroken` if a body without a length seems to have been cut short by a crash.
 
         Such a body ends with its connection, and the connections of a server that crashes are closed in the
         same way as those of a server that has sent everything.
         """
-        if self._connection.ends_body and self._parser.holds_partial_event:
+        if not self._connection.ends_body:
+            return
+        if self._parser.holds_partial_event:
             raise AnswerBroken("the connection ended within an event")
+        if await self._server_crashed():
+            raise AnswerBroken("the server crashed at the end of a body without a length")
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from aiohttp.http_parser import RawResponseMessage
@@ -91,6 +92,19 @@
         """Servers are not probed: a probe would take up one of a server's slots and tell little in return."""
         done(False, ())
 
+    async def seems_crashed(self, server_id: str, address: str) -> bool:
+        """Whether a server that has just closed a connection seems to have crashed.
+
+        The connections and listening sockets of a process that dies are closed together. A server that drains
+        may have closed its listening socket on purpose, unless it will be terminated at an announced time,
+        whatever it is running.
+        """
+        known = self.view.servers.get(server_id)
+        leaves = known is None or known.state is not ServerState.READY
+        if leaves and not self.view.ends_at(server_id):
+            return False
+        return await self.connections.refuses(address)
+
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
         record = self.record(server)
@@ -283,7 +297,8 @@
             self.upstream.log("status without Not-Executed", f"{message.code} from {self.record.address}")
         outcome = outcome_of(message.code, headers)
         streaming = message.code == 200 and is_event_stream(headers)
-        answer = OpenAnswer(self.record.id, connection, message, payload, streaming)
+        server_crashed = partial(self.upstream.seems_crashed, self.record.id, self.record.address)
+        answer = OpenAnswer(self.record.id, connection, message, payload, streaming, server_crashed)
         if streaming:
             await answer.read_first_event()
             return AttemptEnd(outcome, answer)
--- a/tests/gateway/test_gateway_unstated_ends.py
+++ b/tests/gateway/test_gateway_unstated_ends.py
@@ -3,16 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
+from attrs import evolve
 from gateway_loopback import (
     PATIENCE,
+    SERVICE,
+    Behaviour,
     GatewayTest,
     Received,
+    answer,
     event,
+    microseconds,
     post,
+    serve_ok,
     stream_head,
 )
 
+from brackenladder.gateway.upstream import MAX_BUFFERED_BODY
+from brackenladder.registry.records import ServerRecord, ServerState
+
 CHUNKED = b"Transfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n"
 
 
@@ -83,3 +93,109 @@
                 self.play(send_unframed(body))
                 got = await asyncio.wait_for(self.ask(post("/stream/x")), PATIENCE)
                 self.assertEqual((got.status, got.body, got.whole), (200, body, True))
+
+
+class CrashesAtWholeEvents(GatewayTest):
+    """ORDER, MIXED: a body without a length that ends because its server's process died is not complete."""
+
+    servers = 3
+
+    def crash_after(self, body: bytes, head: Behaviour, awaits_client: bool = False) -> Behaviour:
+        """A server whose process dies after this body: its listening socket and connections are closed."""
+
+        async def behaviour(request: Received) -> None:
+            await head(request)
+            request.write(body)
+            await request.writer.drain()
+            if awaits_client:
+                await request.client_read.wait()
+            self.close_listener(request)
+            request.writer.write_eof()
+            await request.client_closed()
+
+        return behaviour
+
+    def close_listener(self, request: Received) -> None:
+        """Close the listening socket of the server that received the request."""
+        stand_in = next(one for one in self.stand_ins if one.name == request.server)
+        stand_in.stop_listening()
+
+    def announce(self, names: Iterable[str], remaining: int = -1) -> None:
+        """Report these servers as draining; they end after `remaining` microseconds, if it is not -1."""
+        records = [
+            ServerRecord(one.name, SERVICE, one.address, "za", 16, ServerState.DRAINING, 2)
+            for one in self.stand_ins
+            if one.name in names
+        ]
+        self.view.merge_servers(microseconds(), [evolve(one, remaining=remaining) for one in records])
+
+    async def test_a_stream_cut_between_events_is_broken_off(self) -> None:
+        """Guards against a stream cut between two events by a crash, and that ended as complete (ORDER)."""
+        self.play(self.crash_after(event(1) + event(2), stream_start, awaits_client=True))
+        got = await self.ask(post("/stream/x"))
+        self.assertEqual((got.status, got.whole), (200, False))
+
+    async def test_a_resumable_stream_cut_between_events_is_resumed(self) -> None:
+        self.play(
+            self.crash_after(event(1), stream_start, awaits_client=True), send_unframed(event(2) + event(3))
+        )
+        got = await self.ask(post("/resumable/x"))
+        self.assertEqual((got.body, got.whole), (event(1) + event(2) + event(3), True))
+
+    async def test_another_body_cut_by_a_crash_is_no_success(self) -> None:
+        """Guards against a body without a length that a crash cut, and that looked complete (MIXED)."""
+        for size in (0, 10, 100_000):
+            with self.subTest(size=size):
+                self.play(self.crash_after(b"x" * size, body_start), serve_ok)
+                got = await self.ask(post("/plain/x"))
+                self.assertEqual((got.status, got.whole), (502, True))
+                self.assertNotIn("x-brackenladder-response-signature", got.headers)
+
+    async def test_a_safe_request_goes_to_another_server(self) -> None:
+        self.play(self.crash_after(b"half", body_start), serve_ok)
+        got = await self.ask(post("/safe/x"))
+        self.assertEqual((got.status, got.body), (200, b"ok"))
+
+    async def test_a_large_body_cut_by_a_crash_is_broken_off(self) -> None:
+        self.play(self.crash_after(b"x" * (MAX_BUFFERED_BODY + 10), body_start))
+        got = await self.ask(post("/plain/x"))
+        self.assertEqual((got.status, got.whole), (200, False))
+
+    async def test_a_server_that_drains_may_have_closed_its_listener(self) -> None:
+        async def start_and_drain(request: Received) -> None:
+            await stream_start(request)
+            self.announce([request.server])
+
+        self.play(self.crash_after(event(1), start_and_drain))
+        got = await self.ask(post("/stream/x"))
+        self.assertEqual((got.status, got.body, got.whole), (200, event(1), True))
+
+    async def test_a_server_that_is_terminated_is_not_expected_to_finish(self) -> None:
+        async def start_and_announce(request: Received) -> None:
+            await stream_start(request)
+            self.announce([request.server], remaining=2_000_000)
+
+        self.play(self.crash_after(event(1), start_and_announce, awaits_client=True))
+        got = await self.ask(post("/stream/x"))
+        self.assertEqual((got.status, got.whole), (200, False))
+
+    async def test_a_server_that_cannot_be_reached_is_believed(self) -> None:
+        async def behaviour(request: Received) -> None:
+            next(one for one in self.stand_ins if one.name == request.server).hang_connects()
+            request.write(unframed_stream_head(request.id) + event(1))
+            request.writer.write_eof()
+            await request.client_closed()
+
+        self.play(behaviour)
+        got = await self.ask(post("/stream/x"))
+        self.assertEqual((got.status, got.body, got.whole), (200, event(1), True))
+
+
+async def stream_start(request: Received) -> None:
+    """Send the head of a stream without a length."""
+    request.write(unframed_stream_head(request.id))
+
+
+async def body_start(request: Received) -> None:
+    """Send the head of a response without a length that is no stream."""
+    request.write(answer(request.id, b"").replace(b"Content-Length: 0\r\n", b"Connection: close\r\n"))
