--- a/brackenladder/catalog/catalog.py
+++ b/brackenladder/catalog/catalog.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgpack
 from attrs import evolve, frozen
 from returns.result import Failure
@@ -33,7 +35,7 @@
 from brackenladder.catalog.update import VERSION, Document, empty_document, merge_update
 
 NO_VERSION = 0
-UNFENCED_SNAPSHOT_FORMAT = 1  # written by earlier program versions; has no `zone_revisions`
+UNFENCED_SNAPSHOT_FORMAT = 1  # written by earlier program versions; has no `zone_indexes`
 SNAPSHOT_FORMAT = 2
 
 
@@ -60,7 +62,8 @@
     content: Document | None = None  # `document` in decoded form; never modified in place
     document: bytes = b""
     evacuated: frozenset[str] = frozenset()
-    zone_revisions: tuple[tuple[str, int], ...] = ()  # log index of each zone's last change; sorted
+    # Log index of each zone's last change; sorted.
+    zone_indexes: tuple[tuple[str, int], ...] = ()
 
     @property
     def version(self) -> int:
@@ -95,6 +98,16 @@
         """The zones whose servers get no requests."""
         return self._state.evacuated
 
+    @property
+    def zone_indexes(self) -> Mapping[str, int]:
+        """The log index of the last accepted evacuation order for each zone that had one."""
+        return dict(self._state.zone_indexes)
+
+    @property
+    def evacuation_index(self) -> int:
+        """The log index of the last accepted evacuation order (0: none)."""
+        return max(self.zone_indexes.values(), default=0)
+
     def check(self, order: Order) -> Outcome:
         """The outcome that `apply` would have for the order now; changes nothing."""
         if isinstance(order, BeginEvacuation | FinishEvacuation):
@@ -119,20 +132,21 @@
         if self._is_outdated(order):
             return Outdated()
         zones = self._evacuated_by(order)
-        if zones != self._state.evacuated:
-            revisions = {**dict(self._state.zone_revisions), order.zone: index}
+        changed = zones != self._state.evacuated
+        if changed:
+            indexes = {**self.zone_indexes, order.zone: index}
             self._state = evolve(
                 self._state,
                 revision=index,
                 evacuated=zones,
-                zone_revisions=tuple(sorted(revisions.items())),
+                zone_indexes=tuple(sorted(indexes.items())),
             )
         return Accepted(self._state.version)
 
     def _is_outdated(self, order: EvacuationOrder) -> bool:
-        """Whether the order would change a zone that has changed after the order's `seen_revision`."""
-        changed_at = dict(self._state.zone_revisions).get(order.zone, 0)
-        return changed_at > order.seen_revision and self._evacuated_by(order) != self._state.evacuated
+        """Whether the order would undo a change of its zone that was made after the order's `seen_index`."""
+        accepted_at = self.zone_indexes.get(order.zone, 0)
+        return accepted_at > order.seen_index and self._evacuated_by(order) != self._state.evacuated
 
     def _evacuated_by(self, order: EvacuationOrder) -> frozenset[str]:
         zones = self._state.evacuated
@@ -146,7 +160,7 @@
             content=change.content,
             document=change.document,
             evacuated=self._state.evacuated,
-            zone_revisions=self._state.zone_revisions,
+            zone_indexes=self._state.zone_indexes,
         )
         return Accepted(change.configuration.version)
 
@@ -192,7 +206,7 @@
             state.document,
             zones,
             self._accepted.pack(),
-            state.zone_revisions,
+            state.zone_indexes,
         )
         return msgpack.packb(fields)  # type: ignore[no-any-return]
 
@@ -206,8 +220,8 @@
             case [version, int(revision), bytes(document), list(zones), bytes(accepted)] if (
                 version == UNFENCED_SNAPSHOT_FORMAT
             ):
-                zone_revisions: object = []
-            case [version, int(revision), bytes(document), list(zones), bytes(accepted), zone_revisions] if (
+                zone_indexes: object = []
+            case [version, int(revision), bytes(document), list(zones), bytes(accepted), zone_indexes] if (
                 version == SNAPSHOT_FORMAT
             ):
                 pass
@@ -216,7 +230,7 @@
         state = _State(
             revision=revision,
             evacuated=frozenset(zones),
-            zone_revisions=_read_zone_revisions(zone_revisions),
+            zone_indexes=_read_zone_indexes(zone_indexes),
         )
         self._state = self._with_document(state, document)
         self._accepted = AcceptedOrders(accepted)
@@ -234,15 +248,15 @@
         return evolve(state, configuration=parsed.unwrap(), content=content.unwrap(), document=document)
 
 
-def _read_zone_revisions(fields: object) -> tuple[tuple[str, int], ...]:
+def _read_zone_indexes(fields: object) -> tuple[tuple[str, int], ...]:
     match fields:
         case list(pairs) if all(isinstance(pair, list) for pair in pairs):
-            return tuple(sorted(_zone_revision(pair) for pair in pairs))
-    raise SnapshotError("the zone revisions are not a list of lists")
+            return tuple(sorted(_zone_index(pair) for pair in pairs))
+    raise SnapshotError("the zone indexes are not a list of lists")
 
 
-def _zone_revision(pair: list[object]) -> tuple[str, int]:
+def _zone_index(pair: list[object]) -> tuple[str, int]:
     match pair:
-        case [str(zone), int(revision)]:
-            return (zone, revision)
-    raise SnapshotError("a zone revision is not a zone name and a number")
+        case [str(zone), int(index)]:
+            return (zone, index)
+    raise SnapshotError("a zone index is not a zone name and a number")
--- a/brackenladder/catalog/orders.py
+++ b/brackenladder/catalog/orders.py
@@ -11,7 +11,7 @@
 from brackenladder.catalog.faults import Faults
 
 MAX_BASE_VERSION = 2**63 - 1
-UNFENCED = 2**62  # a `seen_revision` above every log index, with which an order always takes effect
+UNFENCED = 2**62  # a `seen_index` above every log index, with which an order always takes effect
 
 
 class OrderDecodeError(ValueError):
@@ -52,20 +52,20 @@
 class BeginEvacuation:
     """Stops all requests to the servers of a zone.
 
-    It takes effect only if the zone's evacuation has not changed after `seen_revision`, the newest revision
-    at some time while the operator's call was still open.
+    It takes effect only if no order for the zone was accepted after the log index `seen_index`, which was
+    committed before the operator wrote the order.
     """
 
     zone: str
-    seen_revision: int = UNFENCED
+    seen_index: int = UNFENCED
 
 
 @frozen
 class FinishEvacuation:
-    """Allows requests to the servers of a zone again; `seen_revision` as in `BeginEvacuation`."""
+    """Allows requests to the servers of a zone again; `seen_index` as in `BeginEvacuation`."""
 
     zone: str
-    seen_revision: int = UNFENCED
+    seen_index: int = UNFENCED
 
 
 ConfigurationOrder = ReplaceConfiguration | UpdateConfiguration
@@ -99,7 +99,7 @@
 
 @frozen
 class Outdated:
-    """The order is rejected: the zone's evacuation was changed after the order's `seen_revision`.
+    """The order is rejected: one that it would undo was accepted after the order's `seen_index`.
 
     Otherwise, if an order is delayed, and the operator repeats it, has it acknowledged and then gives the
     opposite order, the delayed copy arrives last and undoes the opposite order.
@@ -121,14 +121,14 @@
             return (_Tag.REPLACE.value, base, body)
         case UpdateConfiguration(base, body):
             return (_Tag.UPDATE.value, base, body)
-        case BeginEvacuation(zone, seen_revision) if seen_revision == UNFENCED:
+        case BeginEvacuation(zone, seen_index) if seen_index == UNFENCED:
             return (_Tag.BEGIN_EVACUATION.value, zone)
-        case FinishEvacuation(zone, seen_revision) if seen_revision == UNFENCED:
+        case FinishEvacuation(zone, seen_index) if seen_index == UNFENCED:
             return (_Tag.FINISH_EVACUATION.value, zone)
-        case BeginEvacuation(zone, seen_revision):
-            return (_Tag.BEGIN_EVACUATION_FENCED.value, zone, seen_revision)
-        case FinishEvacuation(zone, seen_revision):
-            return (_Tag.FINISH_EVACUATION_FENCED.value, zone, seen_revision)
+        case BeginEvacuation(zone, seen_index):
+            return (_Tag.BEGIN_EVACUATION_FENCED.value, zone, seen_index)
+        case FinishEvacuation(zone, seen_index):
+            return (_Tag.FINISH_EVACUATION_FENCED.value, zone, seen_index)
 
 
 def decode_order(data: bytes) -> Order:
@@ -150,8 +150,8 @@
             return BeginEvacuation(zone)
         case (_Tag.FINISH_EVACUATION, str(zone)):
             return FinishEvacuation(zone)
-        case (_Tag.BEGIN_EVACUATION_FENCED, str(zone), int(seen_revision)):
-            return BeginEvacuation(zone, seen_revision)
-        case (_Tag.FINISH_EVACUATION_FENCED, str(zone), int(seen_revision)):
-            return FinishEvacuation(zone, seen_revision)
+        case (_Tag.BEGIN_EVACUATION_FENCED, str(zone), int(seen_index)):
+            return BeginEvacuation(zone, seen_index)
+        case (_Tag.FINISH_EVACUATION_FENCED, str(zone), int(seen_index)):
+            return FinishEvacuation(zone, seen_index)
     raise OrderDecodeError("unknown kind of order")
--- a/brackenladder/control_plane/consensus_host.py
+++ b/brackenladder/control_plane/consensus_host.py
@@ -52,7 +52,9 @@
         clock: Callable[[], int],
         send: Callable[[str, object], None],
         on_catalog_changed: Callable[[], None],
+        on_applied: Callable[[], None] = lambda: None,
     ) -> None:
+        """`on_applied` is called after log entries or a snapshot have been applied."""
         self.replica = replica
         self.catalog = catalog
         self.applied_index = 0
@@ -60,6 +62,7 @@
         self._clock = clock
         self._send = send
         self._on_catalog_changed = on_catalog_changed
+        self._on_applied = on_applied
         self._loop = asyncio.get_running_loop()
         self._proposals: dict[int, PendingProposal] = {}
         self._reads: dict[int, asyncio.Future[ReadResult]] = {}
@@ -249,6 +252,8 @@
             self._revision_changed.set()
             self._revision_changed = asyncio.Event()
             self._on_catalog_changed()
+        if output.restore is not None or output.committed:
+            self._on_applied()
 
     def _restore(self, snapshot: Snapshot) -> None:
         """Restores the catalog from a snapshot.
--- a/brackenladder/control_plane/control_node.py
+++ b/brackenladder/control_plane/control_node.py
@@ -41,6 +41,10 @@
 LINK_GRACE = 300_000
 STORE_GRACE_SECONDS = 0.2  # longest wait for the last write to the store; a disk may hang
 
+# Seconds after an evacuation order in which a call may be on its way on an idle connection. It is answered
+# with a redirect; later, the connection is closed.
+IN_FLIGHT_SECONDS = 0.2
+
 log = logbook.Logger("control")
 
 
@@ -77,9 +81,15 @@
         timing = evolve(timing or Timing(), max_voters=max_voters(platform.tolerate.machines))
         replica = Replica(self.member, start.state, timing, random, created_at, start.genesis)
         self.host = ConsensusHost(
-            replica, writer, self.catalog, clock, self._send_consensus, self._catalog_changed
+            replica,
+            writer,
+            self.catalog,
+            clock,
+            self._send_consensus,
+            self._catalog_changed,
+            self._log_applied,
         )
-        self.orders = OrderService(self.host, self.peers, clock)
+        self.orders = OrderService(self.host, self.peers, clock, self._newest_index_risen)
         heartbeat = int(platform.heartbeat_ms * MICROSECONDS_PER_MILLISECOND)
         self.soft_state = SoftState(clock, self.host, self.peers, heartbeat, platform.region)
         self.recovery = RestartRecovery(
@@ -95,13 +105,14 @@
         self._membership = Membership(self.member, self.host, self.peers, self.soft_state, clock, seeds)
         self.server_calls = ServerCalls(self.soft_state, self.orders)
         operator_api = OperatorApi(self.orders, self.server_calls, self._zones, self.status)
-        self._control_listener = environment.listener(operator_api.handle)
+        self._control_listener = environment.listener(operator_api.handle, self.orders.newest_index)
         directory_api = DirectoryApi(self.soft_state.resolve, platform.bounds)
-        self._directory_listener = environment.listener(directory_api.handle)
+        self._directory_listener = environment.listener(directory_api.handle, self.orders.newest_index)
         self._clock = clock
         self._writer = writer
         self._transport = transport
         self._timer: asyncio.TimerHandle | None = None
+        self._evacuation_index = 0  # of the last evacuation order after which idle connections were closed
         self._loop = asyncio.get_running_loop()
 
     async def start(self) -> None:
@@ -203,8 +214,19 @@
     def _catalog_changed(self) -> None:
         self.soft_state.catalog_changed(self.catalog)
 
+    def _log_applied(self) -> None:
+        self._newest_index_risen()
+        index = self.catalog.evacuation_index
+        if index != self._evacuation_index:
+            self._evacuation_index = index
+            self._loop.call_later(IN_FLIGHT_SECONDS, self._control_listener.close_outdated, index)
+
+    def _newest_index_risen(self) -> None:
+        self._control_listener.newest_index_risen()
+
     def _tick(self) -> None:
         self._timer = self._loop.call_later(TICK_SECONDS, self._tick)
+        self._newest_index_risen()
         self._membership.tick()
         self.soft_state.tick()
         self.recovery.tick()
--- a/brackenladder/control_plane/environment.py
+++ b/brackenladder/control_plane/environment.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from brackenladder.control_plane.fences import NewestIndex
 from brackenladder.control_plane.health_checks import HealthChecks, HttpHealthChecks
 from brackenladder.control_plane.http_server import Handler, HttpListener, Listener
 from brackenladder.control_plane.restart_file import DiskRestartFile, RestartFile
@@ -19,7 +20,7 @@
     `restart_file` is None if no state is kept across restarts.
     """
 
-    listener: Callable[[Handler], Listener]
+    listener: Callable[[Handler, NewestIndex], Listener]
     restart_file: RestartFile | None
     health_checks: Callable[[], HealthChecks]
 
--- a/brackenladder/control_plane/http_server.py
+++ b/brackenladder/control_plane/http_server.py
@@ -12,6 +12,10 @@
 import logbook
 from aiohttp import web
 
+from brackenladder.control_plane.accept_queue import AcceptQueue
+from brackenladder.control_plane.connection import CallerConnection, FencedRequest
+from brackenladder.control_plane.fences import NewestIndex
+
 if TYPE_CHECKING:
     from aiohttp.abc import AbstractStreamWriter
     from aiohttp.http_parser import RawRequestMessage
@@ -46,6 +50,13 @@
     return response
 
 
+def written_again(request: web.BaseRequest) -> web.Response:
+    """A 307 response that asks the caller to send the same request to this node once more."""
+    response = web.Response(status=HTTPStatus.TEMPORARY_REDIRECT)
+    response.headers["Location"] = f"http://{request.host}{request.raw_path}"
+    return response
+
+
 def not_found(what: str) -> web.Response:
     """A 404 response: the call does not exist, or names something unknown."""
     return json_response(HTTPStatus.NOT_FOUND, {"Error": f"unknown: {what}"})
@@ -80,25 +91,47 @@
     async def close(self, grace_seconds: float) -> None:
         """Accepts no more connections; open requests have `grace_seconds` to finish."""
 
+    def newest_index_risen(self) -> None:
+        """Notes that the newest index that this node knows has risen."""
+
+    def close_outdated(self, index: int) -> None:
+        """Closes idle connections whose next request would have a fence below `index`.
+
+        Otherwise an operator who keeps a connection to each node would have its next order on each of them
+        turned away once.
+        """
+
 
 class HttpListener:
-    """An HTTP server at one address, which passes its requests to a handler."""
+    """An HTTP server at one address, which passes its requests to a handler.
+
+    `newest_index` is the highest log index that this node knows to be committed, for the requests' fences.
+    """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, newest_index: NewestIndex = lambda: 0) -> None:
         self._handler = handler
-        self._protocols: web.Server | None = None
+        self._newest_index = newest_index
+        self._queue: AcceptQueue | None = None
+        self._protocols: _CallerServer | None = None
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
         """Binds the address and accepts connections; retries for `BIND_TIMEOUT_SECONDS` if it is in use."""
-        self._protocols = web.Server(
-            self._handle,
-            request_factory=self._make_request,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_SECONDS,
-        )
-        self._server = await self._bind(address, self._protocols)
+        self._queue = await self._bind(address)
+        self._protocols = _CallerServer(self._handle, self._make_request, self._make_connection)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._protocols, sock=self._queue, backlog=BACKLOG)
+
+    def newest_index_risen(self) -> None:
+        """See `Listener`."""
+        if self._queue is not None and self._queue.fileno() >= 0:
+            self._queue.check_empty()
+
+    def close_outdated(self, index: int) -> None:
+        """See `Listener`."""
+        for connection in self._protocols.connections if self._protocols is not None else ():
+            if isinstance(connection, CallerConnection):
+                connection.close_if_outdated(index)
 
     async def close(self, grace_seconds: float) -> None:
         """Accepts no more connections; open requests have `grace_seconds` to finish, then are cancelled."""
@@ -108,20 +141,21 @@
             self._protocols.pre_shutdown()
             await self._protocols.shutdown(max(grace_seconds, MIN_GRACE_SECONDS) / SHUTDOWN_STEPS)
 
-    async def _bind(self, address: str, protocols: web.Server) -> asyncio.Server:
-        host, _, port = address.rpartition(":")
+    async def _bind(self, address: str) -> AcceptQueue:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + BIND_TIMEOUT_SECONDS
         while True:
             try:
-                return await loop.create_server(
-                    protocols, host, int(port), reuse_address=True, backlog=BACKLOG
-                )
+                return AcceptQueue(address, self._newest_index)
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or loop.time() >= deadline:
                     raise
             await asyncio.sleep(BIND_RETRY_SECONDS)
 
+    def _make_connection(self, server: web.Server) -> CallerConnection:
+        assert self._queue is not None
+        return CallerConnection(server, self._queue.take_fence, self._newest_index, KEEPALIVE_SECONDS)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             if not await _read_body(request):
@@ -139,4 +173,21 @@
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
         loop = asyncio.get_running_loop()
-        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES)
+        return FencedRequest(message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES)
+
+
+class _CallerServer(web.Server):
+    """Creates the connections; a request's handler is cancelled when its caller disconnects."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        request_factory: Callable[..., web.BaseRequest],
+        make_connection: Callable[[web.Server], CallerConnection],
+    ) -> None:
+        super().__init__(handler, request_factory=request_factory, handler_cancellation=True)
+        self._make_connection = make_connection
+
+    def __call__(self) -> RequestHandler:
+        """A new connection."""
+        return self._make_connection(self)
--- a/brackenladder/control_plane/messages.py
+++ b/brackenladder/control_plane/messages.py
@@ -46,6 +46,9 @@
     outcome: OrderOutcome
     version: int = 0  # ACCEPTED: the resulting version; CONFLICT: the current one
     faults: tuple[str, ...] = ()
+    # UNAVAILABLE: the order was overtaken by a later one or its fence is too low, so it never takes effect.
+    outdated: bool = False
+    applied_index: int = 0  # log index up to which the leader had applied the log; 0: not reported
 
 
 @frozen
--- a/brackenladder/control_plane/operator_api.py
+++ b/brackenladder/control_plane/operator_api.py
@@ -18,7 +18,8 @@
     UpdateConfiguration,
     encode_order,
 )
-from brackenladder.control_plane.http_server import json_response, not_found, unavailable
+from brackenladder.control_plane.connection import FencedRequest, fence_of
+from brackenladder.control_plane.http_server import json_response, not_found, unavailable, written_again
 from brackenladder.control_plane.instances import parse_heartbeat
 from brackenladder.control_plane.messages import OrderOutcome, OrderReply
 from brackenladder.control_plane.orders import OrderService
@@ -79,6 +80,8 @@
         return await call(request, unquote(subject))
 
     async def _heartbeat(self, request: web.BaseRequest, server_id: str) -> web.Response:
+        if isinstance(request, FencedRequest):
+            request.is_report()
         match parse_heartbeat(server_id, await request.read()):
             case Success(record) if server_id:
                 acknowledged = await self._servers.heartbeat(record)
@@ -121,7 +124,10 @@
         await request.read()
         if order.zone not in self._zones():
             return not_found(f"zone {order.zone}")
-        return _order_response(await self._orders.submit_evacuation(order))
+        reply = await self._orders.submit_evacuation(order, fence_of(request))
+        if reply.outdated:
+            return written_again(request)
+        return _order_response(reply)
 
     async def _fetch(self, request: web.BaseRequest, _subject: str) -> web.Response:
         match await self._orders.fetch():
--- a/brackenladder/control_plane/orders.py
+++ b/brackenladder/control_plane/orders.py
@@ -67,8 +67,17 @@
     without changing anything, so it is always safe to repeat one.
     """
 
-    def __init__(self, host: ConsensusHost, peers: PeerLinks, clock: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        host: ConsensusHost,
+        peers: PeerLinks,
+        clock: Callable[[], int],
+        newest_index_risen: Callable[[], None],
+    ) -> None:
+        """`newest_index_risen` is called when the leader reports an index that this node has not applied."""
         self.held_calls = HeldCalls()
+        self._newest_index_risen = newest_index_risen
+        self._reported_index = 0  # the highest index that leaders have reported as applied
         self._host = host
         self._peers = peers
         self._clock = clock
@@ -86,15 +95,21 @@
         result = await self._retry(lambda: self._submit_once(order), seconds)
         return result.value_or(NO_DEFINITE_REPLY)
 
-    async def submit_evacuation(self, order: EvacuationOrder) -> OrderReply:
+    async def submit_evacuation(self, order: EvacuationOrder, fence: int) -> OrderReply:
         """Submits an evacuation order. It has no base version by which the catalog could reject a late copy.
 
-        Instead, each attempt first reads the newest revision, and the order takes effect only if the zone has
-        not changed after that revision. The call must be cancelled when the operator disconnects.
+        Instead, the order takes effect only if no order for its zone was accepted after the log index
+        `fence`, which this node knew to be committed before the operator wrote the order. Every attempt has
+        the fence of the order's arrival.
         """
-        result = await self._retry(lambda: self._submit_fenced(order))
+        encoded = encode_order(evolve(order, seen_index=fence))
+        result = await self._retry(lambda: self._submit_once(encoded))
         return result.value_or(NO_DEFINITE_REPLY)
 
+    def newest_index(self) -> int:
+        """The highest log index that this node knows to be committed."""
+        return max(self._host.applied_index, self._reported_index)
+
     async def fetch(self) -> Result[Document, Unavailable]:
         """The newest configuration; a quorum confirms that no newer one is committed."""
         return await self._retry(self._fetch_once)
@@ -142,12 +157,6 @@
             except TimeoutError:
                 return result
 
-    async def _submit_fenced(self, order: EvacuationOrder) -> Result[OrderReply, Unavailable]:
-        revision = await self._newest_revision()
-        if isinstance(revision, Failure):
-            return revision
-        return await self._submit_once(encode_order(evolve(order, seen_revision=revision.unwrap())))
-
     async def _newest_revision(self) -> Result[int, Unavailable]:
         if self._host.leads:
             confirmed = await self._host.confirm_read()
@@ -158,7 +167,9 @@
     async def _submit_once(self, order: bytes) -> Result[OrderReply, Unavailable]:
         if self._host.leads:
             answer = await self._decide(order)
-            return answer.map(lambda decided: _reply(0, decided))
+            return answer.map(lambda decided: _reply(0, decided, self._host.applied_index)).bind(
+                _definite_only
+            )
         leader = self._leader_link()
         if leader is None:
             return Failure(Unavailable.NO_LEADER)
@@ -174,7 +185,14 @@
             reply = await self._replies.wait(request, OrderReply, self._host.leader_changed, timeout)
         finally:
             self._senders.pop(request, None)
-        return reply.bind(_definite_only)
+        return reply.map(self._learn_index).bind(_definite_only)
+
+    def _learn_index(self, reply: OrderReply) -> OrderReply:
+        """Notes up to which index the leader has applied the log; this node may not know of that yet."""
+        if reply.applied_index > self.newest_index():
+            self._reported_index = reply.applied_index
+            self._newest_index_risen()
+        return reply
 
     def _begin_parts(self, leader: Link, request: int, order: bytes) -> bool:
         sender = self._senders[request] = OrderSender(request, order)
@@ -246,7 +264,7 @@
             log.warning("order cannot be decoded: {}", error)
         else:
             if isinstance(answer, Success):
-                reply = _reply(call.request, answer.unwrap())
+                reply = _reply(call.request, answer.unwrap(), self._host.applied_index)
         link.send(reply)
 
     async def _serve_read(self, link: Link, call: ForwardRead) -> None:
@@ -265,20 +283,21 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _reply(request: int, answer: Outcome) -> OrderReply:
+def _reply(request: int, answer: Outcome, applied_index: int) -> OrderReply:
     match answer:
         case Accepted(version=version):
-            return OrderReply(request, OrderOutcome.ACCEPTED, version)
+            return OrderReply(request, OrderOutcome.ACCEPTED, version, applied_index=applied_index)
         case Conflict(current=current):
-            return OrderReply(request, OrderOutcome.CONFLICT, current)
+            return OrderReply(request, OrderOutcome.CONFLICT, current, applied_index=applied_index)
         case Invalid(faults=faults):
-            return OrderReply(request, OrderOutcome.INVALID, 0, tuple(str(fault) for fault in faults))
+            texts = tuple(str(fault) for fault in faults)
+            return OrderReply(request, OrderOutcome.INVALID, 0, texts, applied_index=applied_index)
         case Outdated():
-            return OrderReply(request, OrderOutcome.UNAVAILABLE)
+            return OrderReply(request, OrderOutcome.UNAVAILABLE, outdated=True, applied_index=applied_index)
 
 
 def _definite_only(reply: OrderReply) -> Result[OrderReply, Unavailable]:
-    if reply.outcome is OrderOutcome.UNAVAILABLE:
+    if reply.outcome is OrderOutcome.UNAVAILABLE and not reply.outdated:
         return Failure(Unavailable.LOST)
     return Success(reply)
 
--- a/brackenladder/simulation/checks.py
+++ b/brackenladder/simulation/checks.py
@@ -137,6 +137,43 @@
         raise Violation("wrong-content", f"{read} of order {order.number} for {order.version}")
 
 
+def check_overtaken_evacuations(history: History) -> None:
+    """No evacuation order may take effect after an opposite one that was sent later and acknowledged."""
+    for (zone, index), seen in history.evacuations.items():
+        evacuated = seen.evacuated
+        orders = [order for order in _evacuation_orders(history, zone) if order.invoked_at <= seen.at]
+        opposite = [
+            order
+            for order in orders
+            if order.acknowledged and order.applied_index < index and _begins(order) != evacuated
+        ]
+        possible = [
+            order
+            for order in orders
+            if _begins(order) == evacuated and not any(_sent_after(later, order) for later in opposite)
+        ]
+        if not possible:
+            detail = f"zone {zone} at {index}: {evacuated}, after {[order.number for order in opposite][-2:]}"
+            raise Violation("evacuation-undone", detail)
+
+
+def _evacuation_orders(history: History, zone: str) -> list[OrderRecord]:
+    return [
+        order
+        for order in history.orders
+        if isinstance(order.order, BeginEvacuation | FinishEvacuation) and order.order.zone == zone
+    ]
+
+
+def _begins(order: OrderRecord) -> bool:
+    return isinstance(order.order, BeginEvacuation)
+
+
+def _sent_after(later: OrderRecord, order: OrderRecord) -> bool:
+    done = order.last_sent_before
+    return done is not None and done < later.invoked_at
+
+
 def check_evacuations(history: History, evacuated: frozenset[str]) -> None:
     """Checks the zones evacuated at the end against the orders, treating each zone as a register."""
     by_zone: defaultdict[str, list[OrderRecord]] = defaultdict(list)
@@ -162,7 +199,7 @@
         for order in orders
         if not any(_follows(later, order) for later in acknowledged if later is not order)
     ]
-    states = {isinstance(order.order, BeginEvacuation) for order in last}
+    states = {_begins(order) for order in last}
     return states if acknowledged else states | {False}
 
 
--- a/brackenladder/simulation/fault_actions.py
+++ b/brackenladder/simulation/fault_actions.py
@@ -140,6 +140,24 @@
     await faults.freeze(machine, random.choice((random.uniform(0.3, 3.0), random.uniform(10.0, 22.0))))
 
 
+async def freeze_called(faults: Faults, random: Random, _machine: ControlMachine) -> None:
+    """Freezes a process that an operator is about to call, unless it leads.
+
+    The process stands still for longer than the operator waits, but mostly not so long that its links close.
+    """
+    machine = await faults.world.next_call()
+    while machine is faults.world.leader():
+        machine = await faults.world.next_call()
+    await faults.freeze(machine, random.choice((random.uniform(1.2, 1.6), random.uniform(1.2, 4.0))))
+
+
+async def hold_up_request(faults: Faults, random: Random, _machine: ControlMachine) -> None:
+    """Cuts operators off from a machine while a request is on its way there."""
+    machine = await faults.world.next_request()
+    names = [operator.name for operator in faults.world.operators]
+    await faults.cut(machine, names, random.uniform(2.0, 7.0), random.choice(("both", "in")))
+
+
 async def reset_links(faults: Faults, random: Random, machine: ControlMachine) -> None:
     """Resets all links of a machine."""
     faults.reset_links(machine)
--- a/brackenladder/simulation/history.py
+++ b/brackenladder/simulation/history.py
@@ -35,6 +35,14 @@
     answered_by: str = ""
     answered_at: int = 0  # time at which the node decided on its reply
     calls: int = 0
+    sent_to: str = ""  # the machine of the latest call
+    applied_index: int = 0  # of an acknowledged order: an index by which it was applied
+    given_up_at: int | None = None  # time at which the operator stopped sending it without an answer
+
+    @property
+    def last_sent_before(self) -> int | None:
+        """The time at which the operator was done with it; None if it never was."""
+        return self.given_up_at if self.ended_at is None else self.ended_at
 
     @property
     def acknowledged(self) -> bool:
@@ -71,6 +79,14 @@
     received_at: int
 
 
+@frozen
+class ZoneSeen:
+    """The state of a zone after an accepted evacuation order, and when a node was first seen to have it."""
+
+    evacuated: bool
+    at: int
+
+
 @define
 class History:
     """The orders, reads, acknowledgements to servers and gateway states recorded in a run."""
@@ -79,6 +95,8 @@
     reads: list[ReadRecord] = field(factory=list)
     acks: list[ServerAck] = field(factory=list)
     views: list[ViewSeen] = field(factory=list)
+    # By the zone and the log index of an accepted evacuation order for it.
+    evacuations: dict[tuple[str, int], ZoneSeen] = field(factory=dict)
 
     def order(self, number: int) -> OrderRecord | None:
         """Returns the order with this number; None for 0, which means no order."""
--- a/brackenladder/simulation/live_checks.py
+++ b/brackenladder/simulation/live_checks.py
@@ -7,7 +7,7 @@
 
 from brackenladder.registry.records import ServerState
 from brackenladder.simulation.errors import Violation
-from brackenladder.simulation.history import History, ServerAck
+from brackenladder.simulation.history import History, ServerAck, ZoneSeen
 from brackenladder.simulation.isolation import Isolation
 from brackenladder.simulation.machines import ControlMachine, GatewayMachine, ViewSeen, leading_machine
 from brackenladder.simulation.scenario import SECOND
@@ -63,6 +63,7 @@
 
     def check(self) -> None:
         """Checks that gateways and nodes are up to date. Called periodically."""
+        self._note_evacuations()
         self._check_configurations()
         self._check_caught_up()
 
@@ -71,6 +72,14 @@
         if self.failure is None:
             self.failure = Violation(rule, f"at {self._loop.microseconds / SECOND:.3f} s: {detail}")
 
+    def _note_evacuations(self) -> None:
+        for machine in self._machines:
+            if machine.node is not None:
+                catalog = machine.node.catalog
+                for zone, index in catalog.zone_indexes.items():
+                    seen = ZoneSeen(zone in catalog.evacuated, self._loop.microseconds)
+                    self._history.evacuations.setdefault((zone, index), seen)
+
     def _check_drain_known(self, ack: ServerAck) -> None:
         """A drain acknowledged by an isolated node must be known to a node with a majority."""
         isolated = self._isolation.isolated_for
--- a/brackenladder/simulation/machines.py
+++ b/brackenladder/simulation/machines.py
@@ -12,6 +12,7 @@
 from brackenladder.consensus.types import Members
 from brackenladder.control_plane.control_node import ControlNode, ReplicaStart
 from brackenladder.control_plane.environment import NodeEnvironment
+from brackenladder.control_plane.fences import NewestIndex
 from brackenladder.control_plane.http_server import Handler
 from brackenladder.control_plane.wire import control_codec, gateway_codec
 from brackenladder.delivery.presence import Presence
@@ -23,6 +24,7 @@
 from brackenladder.registry.gateways import GatewayState
 from brackenladder.registry.records import ServerState
 from brackenladder.registry.remembered_servers import HealthAnswer, RememberedServer
+from brackenladder.simulation.caller_connections import SimulatedListener
 from brackenladder.simulation.disk import Disk, SimulatedRestartFile, SimulatedWriter
 from brackenladder.simulation.documents import order_of
 from brackenladder.simulation.network import SimulatedNetwork
@@ -37,19 +39,6 @@
 ZONES = {"north-1": "north", "south-1": "south", "east-1": "east", "north-2": "north", "south-2": "south"}
 
 
-class UnusedListener:
-    """A listener without connections: actors call the node's services directly."""
-
-    def __init__(self, _handler: Handler) -> None:
-        pass
-
-    async def listen(self, address: str) -> None:
-        """See `Listener`."""
-
-    async def close(self, grace_seconds: float) -> None:
-        """See `Listener`."""
-
-
 class UnansweredChecks:
     """Stands in for active health checks: a remembered server gets an empty answer."""
 
@@ -92,6 +81,7 @@
         self.endpoint = network.add_endpoint(self.name, self.region, site.megabits)
         self.node: ControlNode | None = None
         self.process: Process | None = None
+        self.listener: SimulatedListener | None = None  # for operators; None: not bound
         self.starts = 0
         self._network = network
         self._loop: VirtualEventLoop = network.loop
@@ -140,7 +130,7 @@
 
     def _start(self, genesis: Members | None, process: Process) -> None:
         self._writer = SimulatedWriter(self.disk, process)
-        environment = NodeEnvironment(UnusedListener, SimulatedRestartFile(self.disk), UnansweredChecks)
+        environment = NodeEnvironment(self._make_listener, SimulatedRestartFile(self.disk), UnansweredChecks)
         node = self.node_type(
             self._platform(),
             ReplicaStart(self.disk.replica_id, self.disk.load(), genesis),
@@ -154,6 +144,14 @@
         self.node = node
         self._loop.create_task(node.start())
 
+    def _make_listener(self, _handler: Handler, newest_index: NewestIndex) -> SimulatedListener:
+        """A listener; callers use the node's services directly, on connections of the control listener."""
+        return SimulatedListener(newest_index, self._listener_bound)
+
+    def _listener_bound(self, address: str, listener: SimulatedListener) -> None:
+        if address == self.control_address:
+            self.listener = listener
+
     def kill(self) -> None:
         """Kills the process. Its connections are closed by the system, so that its peers notice at once."""
         if self._writer is not None:
@@ -183,6 +181,7 @@
             self.process.end()
         self.process = self.endpoint.process = None
         self.node = None
+        self.listener = None
         self._writer = None
 
     def _platform(self) -> Platform:
--- a/brackenladder/simulation/mutants/mutant.py
+++ b/brackenladder/simulation/mutants/mutant.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, contextmanager
+from contextlib import AbstractContextManager, ExitStack, contextmanager
 from typing import Any
 
 from attrs import frozen
@@ -46,3 +46,12 @@
     finally:
         for name, value in before.items():
             setattr(owner, name, value)
+
+
+@contextmanager
+def combined(*faults: Fault) -> Iterator[None]:
+    """Plants several faults within the context."""
+    with ExitStack() as planted:
+        for fault in faults:
+            planted.enter_context(fault)
+        yield
--- a/brackenladder/simulation/mutants/orders.py
+++ b/brackenladder/simulation/mutants/orders.py
@@ -11,11 +11,12 @@
 from brackenladder.catalog import catalog as catalog_module
 from brackenladder.catalog.accepted_orders import AcceptedOrders
 from brackenladder.catalog.catalog import Catalog
-from brackenladder.catalog.orders import Accepted, decode_order, encode_order
+from brackenladder.catalog.orders import UNFENCED, Accepted, decode_order
 from brackenladder.control_plane.consensus_host import ConsensusHost
 from brackenladder.control_plane.forwarding import ReplyTable
 from brackenladder.control_plane.orders import OrderService, _reply
-from brackenladder.simulation.mutants.mutant import LOST_ORDER_RULES, Fault, Mutant, replaced
+from brackenladder.simulation.caller_connections import SimulatedListener
+from brackenladder.simulation.mutants.mutant import LOST_ORDER_RULES, Fault, Mutant, combined, replaced
 
 
 def _acknowledged_before_commit() -> Fault:
@@ -37,7 +38,7 @@
     async def check_on_own_state(self: OrderService, order: bytes) -> Any:
         outcome = self._host.catalog.check(decode_order(order))
         if not isinstance(outcome, Accepted):
-            return Success(_reply(0, outcome))
+            return Success(_reply(0, outcome, 0))
         return await submit_once(self, order)
 
     return replaced(OrderService, _submit_once=check_on_own_state)
@@ -89,10 +90,37 @@
 
 
 def _evacuation_not_fenced() -> Fault:
-    async def submit_without_fence(self: OrderService, order: Any) -> Any:
-        return await self._submit_once(encode_order(order))
+    submit = OrderService.submit_evacuation
 
-    return replaced(OrderService, _submit_fenced=submit_without_fence)
+    async def submit_without_fence(self: OrderService, order: Any, fence: int) -> Any:
+        return await submit(self, order, UNFENCED)
+
+    return combined(
+        replaced(OrderService, submit_evacuation=submit_without_fence),
+        replaced(SimulatedListener, close_outdated=lambda self, index: None),
+    )
+
+
+def _evacuation_fenced_on_arrival() -> Fault:
+    submit = OrderService.submit_evacuation
+
+    async def submit_with_the_newest_index(self: OrderService, order: Any, fence: int) -> Any:
+        return await submit(self, order, self.newest_index())
+
+    return combined(
+        replaced(OrderService, submit_evacuation=submit_with_the_newest_index),
+        replaced(SimulatedListener, close_outdated=lambda self, index: None),
+    )
+
+
+def _fenced_when_accepted() -> Fault:
+    accept = SimulatedListener.accept
+
+    def accept_with_the_newest_index(self: SimulatedListener, connection: Any) -> None:
+        self._fence.found_empty()
+        accept(self, connection)
+
+    return replaced(SimulatedListener, accept=accept_with_the_newest_index)
 
 
 ORDERS_MUTANTS = (
@@ -155,8 +183,22 @@
     Mutant(
         name="evacuation-not-fenced",
         description="a delayed evacuation order takes effect after later ones",
-        profile="isolation",
-        rules=frozenset({"evacuation"}),
+        profile="overtaken",
+        rules=frozenset({"evacuation", "evacuation-undone"}),
         plant=_evacuation_not_fenced,
     ),
+    Mutant(
+        name="evacuation-fenced-on-arrival",
+        description="an evacuation order may undo those that were acknowledged before it arrived",
+        profile="overtaken",
+        rules=frozenset({"evacuation", "evacuation-undone"}),
+        plant=_evacuation_fenced_on_arrival,
+    ),
+    Mutant(
+        name="fenced-when-accepted",
+        description="a connection counts as made when the process accepts it",
+        profile="overtaken",
+        rules=frozenset({"evacuation", "evacuation-undone"}),
+        plant=_fenced_when_accepted,
+    ),
 )
--- a/brackenladder/simulation/network.py
+++ b/brackenladder/simulation/network.py
@@ -51,6 +51,14 @@
         return self.process is not None and self.process.state is ProcessState.FROZEN
 
 
+class HostEvent(Event):
+    """An event that the host of the receiver notices at once, whether or not its process is frozen."""
+
+    def reach_host(self) -> None:
+        """Called when the event arrives; `happen` is called once the process runs."""
+        raise NotImplementedError
+
+
 class SimulatedNetwork(MemoryNetwork):
     """A `MemoryNetwork` whose events take time. Each endpoint runs at most one process at a time."""
 
@@ -123,6 +131,8 @@
         process = self.endpoints[event.receiver].process
         if process is not None:
             self.delivered += 1
+            if isinstance(event, HostEvent):
+                event.reach_host()
             process.when_running(lambda: process.run(event.happen))
 
     # -- faults
--- a/brackenladder/simulation/operators.py
+++ b/brackenladder/simulation/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -19,7 +20,8 @@
 )
 from brackenladder.control_plane.control_node import ControlNode
 from brackenladder.control_plane.messages import OrderOutcome, OrderReply
-from brackenladder.simulation.calls import Call, make_call
+from brackenladder.simulation.caller_connections import CallerConnection
+from brackenladder.simulation.calls import Answer, Call, make_call
 from brackenladder.simulation.documents import invalid, read_back, replacement, update
 from brackenladder.simulation.history import History, OrderRecord, Outcome, ReadRecord
 from brackenladder.simulation.machines import ZONES, ControlMachine
@@ -32,6 +34,9 @@
 EVACUATION_SECONDS = 5.0  # time for which an evacuation order is retried
 ORDER_BYTES = 300
 BITS_PER_BYTE = 8
+MAX_REDIRECTS = 2
+KEPT_SHARE = 0.5  # share of the connections that are kept for a later call after an answer
+LATEST_CLOSE_SECONDS = 12.0  # a call that was given up closes its connection within this time
 
 OUTCOMES = {
     OrderOutcome.ACCEPTED: Outcome.ACKNOWLEDGED,
@@ -49,9 +54,12 @@
     updates: float = 0.3  # fraction of the configurations sent as an update
     invalid: float = 0.1  # fraction of the configurations that are invalid
     evacuations: float = 0.15
+    evacuated_zones: int = len(ZONES)  # number of zones that are evacuated
+    abandoned: float = 0.0  # fraction of the evacuation orders that are given up if their first call fails
     reads: float = 0.15
     repeats: float = 0.1  # share of actions that send an answered order again
     answers_lost: float = 0.1
+    late_closes: float = 0.3  # fraction of the calls without an answer whose connection is closed late
     max_configuration_bytes: int = 2_000  # maximum size of a configuration
     retry_seconds: float = 12.0  # time for which a configuration without a definite answer is retried
 
@@ -62,6 +70,12 @@
     def order_decided(self) -> None:
         """Handles an order that a node has acknowledged and is about to reply to."""
 
+    def call_begins(self, machine: ControlMachine) -> None:
+        """Handles a call that an operator is about to make to a machine."""
+
+    def request_sent(self, machine: ControlMachine) -> None:
+        """Handles an operator's request that is about to leave for a machine."""
+
     def fail(self, rule: str, detail: str) -> None:
         """Reports a broken rule."""
 
@@ -88,6 +102,7 @@
         self._random = random
         self._observer = observer
         self._known_version = 0
+        self._kept: dict[str, CallerConnection] = {}  # idle connections, by the name of the machine
         self._zone_locks = {zone: asyncio.Lock() for zone in ZONES}
         network.add_endpoint(name, "north", 1000.0).process = Process(name)
 
@@ -104,8 +119,8 @@
     async def read(self) -> ReadRecord | None:
         """Reads the configuration back from one node."""
         invoked_at = self._now()
-        call = self._call(self._choose_machine(), _fetch)
-        document = await make_call(call, ORDER_BYTES, ANSWER_TIMEOUT_SECONDS)
+        call: Call[bytes | None] = self._call(self._choose_machine(), _fetch)
+        document = await self._ask(call, ORDER_BYTES, ANSWER_TIMEOUT_SECONDS)
         if document is None:
             return None
         version, order = read_back(document)
@@ -152,10 +167,12 @@
         return self._record(order, version, valid)
 
     async def _evacuate(self) -> None:
-        zone = self._random.choice(tuple(ZONES))
+        zone = self._random.choice(tuple(ZONES)[: self.operator_settings.evacuated_zones])
         async with self._zone_locks[zone]:
             order: Order = BeginEvacuation(zone) if self._random.random() < 0.5 else FinishEvacuation(zone)
-            await self._submit_until_answered(self._record(order, 0, True), EVACUATION_SECONDS)
+            abandoned = self._random.random() < self.operator_settings.abandoned
+            retry_seconds = 0.0 if abandoned else EVACUATION_SECONDS
+            await self._submit_until_answered(self._record(order, 0, True), retry_seconds)
 
     def _record(self, order: Order, version: int, valid: bool) -> OrderRecord:
         number = len(self._history.orders) + 1
@@ -167,15 +184,18 @@
         """Sends an order to one node after the other until there is a definite answer."""
         until = self._now() + int(retry_seconds * MICROSECONDS)
         pause = FIRST_PAUSE_SECONDS
+        await self._send(record)
         while record.ended_at is None and self._now() < until:
+            await asyncio.sleep(pause * self._random.uniform(0.5, 1.0))
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
             await self._send(record)
-            if record.ended_at is None:
-                await asyncio.sleep(pause * self._random.uniform(0.5, 1.0))
-                pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+        if record.ended_at is None:
+            record.given_up_at = self._now()
 
     async def _send(self, record: OrderRecord) -> None:
         record.calls += 1
-        machine = self._choose_machine()
+        machine = self._choose_machine(record.sent_to)
+        record.sent_to = machine.name
         reply, call = await self._submit(machine, record.order)
         outcome = OUTCOMES.get(reply.outcome) if reply is not None else None
         if reply is None or outcome is None:
@@ -183,6 +203,7 @@
         record.outcome = outcome
         record.ended_at = self._now()
         record.reply_version = reply.version
+        record.applied_index = reply.applied_index
         record.answered_by = machine.name
         record.answered_at = call.answered_at
         if outcome is not Outcome.INVALID:
@@ -191,15 +212,21 @@
     async def _submit(
         self, machine: ControlMachine, order: Order
     ) -> tuple[OrderReply | None, Call[OrderReply]]:
+        """Sends an order to one node, and again if the node redirects the call to itself."""
         size = ORDER_BYTES + len(encode_order(order))
-        call = self._call(machine, lambda node: self._decide(node, order))
-        call.answer_lost = self._random.random() < self.operator_settings.answers_lost
         transfer = size * BITS_PER_BYTE / (machine.endpoint.megabits * MICROSECONDS)
-        return await make_call(call, size, ANSWER_TIMEOUT_SECONDS + 4 * transfer), call
-
-    async def _decide(self, node: ControlNode, order: Order) -> OrderReply:
+        for _ in range(1 + MAX_REDIRECTS):
+            call: Call[OrderReply] = self._call(machine, None)
+            call.work = partial(self._decide, order, call)
+            call.answer_lost = self._random.random() < self.operator_settings.answers_lost
+            reply = await self._ask(call, size, ANSWER_TIMEOUT_SECONDS + 4 * transfer)
+            if reply is None or not reply.outdated:
+                break
+        return reply, call
+
+    async def _decide(self, order: Order, call: Call[OrderReply], node: ControlNode) -> OrderReply:
         """Decides an order; runs in the node's process."""
-        reply = await _submit(node, order)
+        reply = await _submit(node, order, call.fence)
         if reply.outcome is OrderOutcome.ACCEPTED:
             self._observer.order_decided()
         return reply
@@ -223,20 +250,43 @@
 
     # -- calls
 
+    async def _ask(self, call: Call[Answer], size: int, timeout_seconds: float) -> Answer | None:
+        """Makes a call on a kept or a new connection; returns None if no answer comes."""
+        self._observer.call_begins(call.machine)
+        connection = self._kept.pop(call.machine.name, None)
+        if connection is None or not connection.usable:
+            connection = CallerConnection(self._network, self.name, call.machine, self._random)
+            try:
+                async with asyncio.timeout(timeout_seconds):
+                    await connection.open()
+            except TimeoutError:
+                return None
+        call.connection = connection
+        keeps = self._random.random() < KEPT_SHARE
+        late = self._random.random() < self.operator_settings.late_closes
+        delay = self._random.uniform(0.0, LATEST_CLOSE_SECONDS) if late else 0.0
+        self._observer.request_sent(call.machine)
+        answer = await make_call(call, size, timeout_seconds, keeps, delay)
+        if answer is not None and keeps:
+            self._kept[call.machine.name] = connection
+        return answer
+
     def _call(self, machine: ControlMachine, work: object) -> Call:  # type: ignore[type-arg]
         answer: asyncio.Future[object] = asyncio.get_running_loop().create_future()
         return Call(self._network, self.name, machine, work, answer)  # type: ignore[arg-type]
 
-    def _choose_machine(self) -> ControlMachine:
-        return self._random.choice(self._machines)
+    def _choose_machine(self, other_than: str = "") -> ControlMachine:
+        """Returns any machine; after a call without an answer, one other than that call's."""
+        machines = [machine for machine in self._machines if machine.name != other_than]
+        return self._random.choice(machines or self._machines)
 
     def _now(self) -> int:
         return self._network.loop.microseconds
 
 
-async def _submit(node: ControlNode, order: Order) -> OrderReply:
+async def _submit(node: ControlNode, order: Order, fence: int) -> OrderReply:
     if isinstance(order, BeginEvacuation | FinishEvacuation):
-        return await node.orders.submit_evacuation(order)
+        return await node.orders.submit_evacuation(order, fence)
     return await node.orders.submit(encode_order(order))
 
 
--- a/brackenladder/simulation/run.py
+++ b/brackenladder/simulation/run.py
@@ -12,7 +12,11 @@
 from attrs import frozen
 
 from brackenladder.invariants import VIOLATIONS
-from brackenladder.simulation.checks import check_evacuations, check_history
+from brackenladder.simulation.checks import (
+    check_evacuations,
+    check_history,
+    check_overtaken_evacuations,
+)
 from brackenladder.simulation.contact_checks import check_contact
 from brackenladder.simulation.errors import SimulationError, Violation
 from brackenladder.simulation.faults import Faults
@@ -115,6 +119,7 @@
     world.raise_failure()
     await _wait_for_convergence(world)
     check_history(world.history)
+    check_overtaken_evacuations(world.history)
     check_evacuations(world.history, world.gateways[0].subscriber.view.evacuated)
     check_contact(world.history, world.isolation, world.machines)
 
--- a/brackenladder/simulation/world.py
+++ b/brackenladder/simulation/world.py
@@ -103,6 +103,8 @@
         ]
         self._tasks: list[asyncio.Task[None]] = []
         self._decision_waiters: list[asyncio.Future[None]] = []  # waiters for the next acknowledged order
+        self._call_waiters: list[asyncio.Future[ControlMachine]] = []  # for the next call that begins
+        self._request_waiters: list[asyncio.Future[ControlMachine]] = []  # for the next request that is sent
 
     @property
     def now(self) -> int:
@@ -207,6 +209,26 @@
             if not decision.done():
                 decision.set_result(None)
 
+    def call_begins(self, machine: ControlMachine) -> None:
+        """Handles a call that an operator is about to make to a machine."""
+        _wake_all(self._call_waiters, machine)
+
+    def request_sent(self, machine: ControlMachine) -> None:
+        """Handles an operator's request that is about to leave for a machine."""
+        _wake_all(self._request_waiters, machine)
+
+    async def next_call(self) -> ControlMachine:
+        """Waits until an operator is about to make a call, and returns the machine that it calls."""
+        waiter: asyncio.Future[ControlMachine] = self.loop.create_future()
+        self._call_waiters.append(waiter)
+        return await waiter
+
+    async def next_request(self) -> ControlMachine:
+        """Waits until an operator's request leaves, and returns the machine that it is sent to."""
+        waiter: asyncio.Future[ControlMachine] = self.loop.create_future()
+        self._request_waiters.append(waiter)
+        return await waiter
+
     async def next_decision(self) -> None:
         """Waits until a node acknowledges an order."""
         decision: asyncio.Future[None] = self.loop.create_future()
@@ -225,3 +247,10 @@
         leader = self.leader()
         if leader is not None and leader.node is not None:
             self.coverage.terms.add(leader.node.host.replica.term)
+
+
+def _wake_all(waiters: list[asyncio.Future[ControlMachine]], machine: ControlMachine) -> None:
+    for waiter in waiters:
+        if not waiter.done():
+            waiter.set_result(machine)
+    waiters.clear()
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -324,19 +324,19 @@
         self.assertEqual(self.read_back(), full_configuration())
 
     def test_outdated_order_changes_nothing(self) -> None:
-        self.assert_accepted(BeginEvacuation("a", seen_revision=0), 0)
-        self.assert_accepted(FinishEvacuation("a", seen_revision=1), 0)
-        self.assertEqual(self.assert_unchanged_by(BeginEvacuation("a", seen_revision=1)), Outdated())
-        self.assertEqual(self.catalog.check(BeginEvacuation("a", seen_revision=1)), Outdated())
-        self.assert_accepted(BeginEvacuation("a", seen_revision=2), 0)
+        self.assert_accepted(BeginEvacuation("a", seen_index=0), 0)
+        self.assert_accepted(FinishEvacuation("a", seen_index=1), 0)
+        self.assertEqual(self.assert_unchanged_by(BeginEvacuation("a", seen_index=1)), Outdated())
+        self.assertEqual(self.catalog.check(BeginEvacuation("a", seen_index=1)), Outdated())
+        self.assert_accepted(BeginEvacuation("a", seen_index=2), 0)
 
     def test_outdated_order_without_effect_is_accepted(self) -> None:
-        self.assert_accepted(BeginEvacuation("a", seen_revision=0), 0)
-        self.assertEqual(self.assert_unchanged_by(BeginEvacuation("a", seen_revision=0)), Accepted(0))
+        self.assert_accepted(BeginEvacuation("a", seen_index=0), 0)
+        self.assertEqual(self.assert_unchanged_by(BeginEvacuation("a", seen_index=0)), Accepted(0))
 
     def test_change_of_another_zone_outdates_nothing(self) -> None:
-        self.assert_accepted(BeginEvacuation("a", seen_revision=0), 0)
-        self.assert_accepted(BeginEvacuation("b", seen_revision=0), 0)
+        self.assert_accepted(BeginEvacuation("a", seen_index=0), 0)
+        self.assert_accepted(BeginEvacuation("b", seen_index=0), 0)
         self.assertEqual(self.catalog.evacuated, {"a", "b"})
 
     def test_evacuations_change_the_revision(self) -> None:
@@ -386,12 +386,12 @@
     def test_snapshot_of_an_earlier_version(self) -> None:
         self.catalog.restore(msgpack.packb([1, 5, b"", ["a"], b""]))
         self.assertEqual((self.catalog.evacuated, self.catalog.revision), ({"a"}, 5))
-        self.assert_accepted(FinishEvacuation("a", seen_revision=5), 0)
+        self.assert_accepted(FinishEvacuation("a", seen_index=5), 0)
 
     def test_outdated_orders_are_detected_after_restore(self) -> None:
-        self.assert_accepted(BeginEvacuation("a", seen_revision=0), 0)
-        self.assert_accepted(FinishEvacuation("a", seen_revision=1), 0)
-        self.assertEqual(self.restored().check(BeginEvacuation("a", seen_revision=0)), Outdated())
+        self.assert_accepted(BeginEvacuation("a", seen_index=0), 0)
+        self.assert_accepted(FinishEvacuation("a", seen_index=1), 0)
+        self.assertEqual(self.restored().check(BeginEvacuation("a", seen_index=0)), Outdated())
 
     def test_restore_replaces_the_state(self) -> None:
         snapshot = Catalog().snapshot()
--- a/tests/control_plane/test_contact_first.py
+++ b/tests/control_plane/test_contact_first.py
@@ -125,34 +125,49 @@
 
         run_in_world(scenario)
 
-    def test_cancelled_evacuation_is_not_applied(self) -> None:
+    def test_overtaken_evacuation_is_not_applied(self) -> None:
         async def scenario(world: World) -> None:
             leader = world.leader()
-            assert leader is not None
-            follower = next(machine for machine in world.machines if machine is not leader)
-            node = follower.node
-            assert node is not None and leader.node is not None
-            call = world.loop.create_task(node.orders.submit_evacuation(BeginEvacuation(ZONE)))
-            await asyncio.sleep(0.01)  # the round trip to the leader takes 0.07 s
-            call.cancel()
-            await asyncio.sleep(2)
-            self.assertEqual(leader.node.catalog.evacuated, frozenset())
+            assert leader is not None and leader.node is not None
+            for machine in world.machines:
+                assert machine.node is not None
+                orders = machine.node.orders
+                fence = orders.newest_index()
+                started = await orders.submit_evacuation(BeginEvacuation(ZONE), fence)
+                self.assertEqual(started.outcome, OrderOutcome.ACCEPTED)
+                for cancelled_after in (None, 0.0, 0.01, 0.08):
+                    call = world.loop.create_task(orders.submit_evacuation(FinishEvacuation(ZONE), fence))
+                    if cancelled_after is not None:
+                        await asyncio.sleep(cancelled_after)
+                        call.cancel()
+                    else:
+                        overtaken = await call
+                        self.assertEqual(overtaken.outcome, OrderOutcome.UNAVAILABLE)
+                        self.assertTrue(overtaken.outdated)
+                    await asyncio.sleep(2)
+                    self.assertEqual(leader.node.catalog.evacuated, {ZONE})
+                finished = await orders.submit_evacuation(FinishEvacuation(ZONE), orders.newest_index())
+                self.assertEqual(finished.outcome, OrderOutcome.ACCEPTED)
+                self.assertEqual(leader.node.catalog.evacuated, frozenset())
 
         run_in_world(scenario)
 
-    def test_outdated_evacuation_is_unavailable_and_may_be_repeated(self) -> None:
+    def test_outdated_evacuation_may_be_repeated_at_any_node(self) -> None:
+        """A node that lags learns from the leader's reply how far the log was applied."""
+
         async def scenario(world: World) -> None:
             leader = world.leader()
             assert leader is not None and leader.node is not None
-            orders = leader.node.orders
-            started = await orders.submit_evacuation(BeginEvacuation(ZONE))
-            self.assertEqual(started.outcome, OrderOutcome.ACCEPTED)
-            outdated = await orders.submit(encode_order(FinishEvacuation(ZONE, seen_revision=0)))
-            self.assertEqual(outdated.outcome, OrderOutcome.UNAVAILABLE)
-            self.assertEqual(leader.node.catalog.evacuated, {ZONE})
-            finished = await orders.submit_evacuation(FinishEvacuation(ZONE))
-            self.assertEqual(finished.outcome, OrderOutcome.ACCEPTED)
-            self.assertEqual(leader.node.catalog.evacuated, frozenset())
+            for machine in world.machines:
+                assert machine.node is not None
+                newest = leader.node.orders.newest_index()
+                started = await leader.node.orders.submit_evacuation(BeginEvacuation(ZONE), newest)
+                self.assertEqual(started.outcome, OrderOutcome.ACCEPTED)
+                orders = machine.node.orders  # has not heard of the commit yet, unless it leads
+                finished = await orders.submit_evacuation(FinishEvacuation(ZONE), 0)
+                self.assertTrue(finished.outdated)
+                finished = await orders.submit_evacuation(FinishEvacuation(ZONE), orders.newest_index())
+                self.assertEqual(finished.outcome, OrderOutcome.ACCEPTED)
 
         run_in_world(scenario)
 
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -22,7 +22,7 @@
     "learner-counted-early",
     "stale-leader",
     "read-own-state",
-    "evacuation-not-fenced",
+    "fenced-when-accepted",
     "acknowledged-before-durable",
     "snapshot-within-command",
     "taken-not-in-snapshot",
@@ -41,6 +41,9 @@
     def test_orders(self) -> None:
         self.check("orders")
 
+    def test_overtaken(self) -> None:
+        self.check("overtaken")
+
     def test_members(self) -> None:
         self.check("members")
 
