Catalog: an evacuation order that changes nothing outdates earlier ones too (EVAC)

What callers could see: an operator gives up taking a zone back without an answer and has the zone's evacuation acknowledged again; the order that was given up arrives afterwards and takes the zone back. Cause: only a change of the zone moved the index that orders are fenced against; the second evacuation changed nothing. Change: every accepted order for a zone moves that index; the revision that gateways get rises with changes only.

--- a/brackenladder/catalog/catalog.py
+++ b/brackenladder/catalog/catalog.py
@@ -62,7 +62,7 @@
     content: Document | None = None  # `document` in decoded form; never modified in place
     document: bytes = b""
     evacuated: frozenset[str] = frozenset()
-    # Log index of each zone's last change; sorted.
+    # Log index of each zone's last accepted evacuation order, whether or not it changed anything; sorted.
     zone_indexes: tuple[tuple[str, int], ...] = ()
 
     @property
@@ -133,18 +133,20 @@
             return Outdated()
         zones = self._evacuated_by(order)
         changed = zones != self._state.evacuated
-        if changed:
-            indexes = {**self.zone_indexes, order.zone: index}
-            self._state = evolve(
-                self._state,
-                revision=index,
-                evacuated=zones,
-                zone_indexes=tuple(sorted(indexes.items())),
-            )
+        indexes = {**self.zone_indexes, order.zone: index}
+        self._state = evolve(
+            self._state,
+            revision=index if changed else self._state.revision,
+            evacuated=zones,
+            zone_indexes=tuple(sorted(indexes.items())),
+        )
         return Accepted(self._state.version)
 
     def _is_outdated(self, order: EvacuationOrder) -> bool:
-        """Whether the order would undo a change of its zone that was made after the order's `seen_index`."""
+        """Whether the order would undo one for its zone that was accepted after the order's `seen_index`.
+
+        That one may have changed nothing, but it was acknowledged after the late order had been given up.
+        """
         accepted_at = self.zone_indexes.get(order.zone, 0)
         return accepted_at > order.seen_index and self._evacuated_by(order) != self._state.evacuated
 
--- a/brackenladder/simulation/mutants/orders.py
+++ b/brackenladder/simulation/mutants/orders.py
@@ -123,6 +123,19 @@
     return replaced(SimulatedListener, accept=accept_with_the_newest_index)
 
 
+def _fence_without_unchanged_zones() -> Fault:
+    evacuate = Catalog._evacuate
+
+    def evacuate_without_fencing(self: Catalog, index: int, order: Any) -> Any:
+        before = self._state
+        outcome = evacuate(self, index, order)
+        if self._state.evacuated == before.evacuated:
+            self._state = before
+        return outcome
+
+    return replaced(Catalog, _evacuate=evacuate_without_fencing)
+
+
 ORDERS_MUTANTS = (
     Mutant(
         name="acknowledged-before-commit",
@@ -201,4 +214,11 @@
         rules=frozenset({"evacuation", "evacuation-undone"}),
         plant=_fenced_when_accepted,
     ),
+    Mutant(
+        name="unchanged-zone-not-fenced",
+        description="an acknowledged evacuation order that changes nothing does not outdate earlier ones",
+        profile="overtaken",
+        rules=frozenset({"evacuation", "evacuation-undone"}),
+        plant=_fence_without_unchanged_zones,
+    ),
 )
--- a/tests/control_plane/test_late_orders.py
+++ b/tests/control_plane/test_late_orders.py
@@ -104,6 +104,15 @@
                 self.assertEqual(status, HTTPStatus.TEMPORARY_REDIRECT)
                 self.assert_evacuated({ZONE})
 
+    async def test_given_up_order_arrives_after_one_that_changed_nothing(self) -> None:
+        """Guards against an order that was given up and undid a later one of no effect (EVAC)."""
+        await self.acknowledge(self.nodes[0], BEGIN)
+        held = await self.connect(self.nodes[1])
+        await self.acknowledge(self.nodes[2], BEGIN)
+        status, _ = await held.order(FINISH)
+        self.assertEqual(status, HTTPStatus.TEMPORARY_REDIRECT)
+        self.assert_evacuated({ZONE})
+
     async def test_current_order_is_acknowledged_when_it_is_sent_again(self) -> None:
         for number in self.nodes:
             with self.subTest(number):
@@ -144,6 +153,13 @@
         self.assertEqual((await held.order(FINISH))[0], 0)
         self.assert_evacuated({ZONE})
 
+    async def test_given_up_order_arrives_after_one_that_changed_nothing(self) -> None:
+        held = await self.connect(self.nodes[1])
+        await self.acknowledge(self.nodes[2], BEGIN)
+        await self.acknowledge(self.nodes[2], BEGIN)
+        await held.closed()
+        self.assert_evacuated({ZONE})
+
     async def test_current_order_is_acknowledged_when_it_is_sent_again(self) -> None:
         await self.acknowledge(self.nodes[0], BEGIN)
         again = await self.connect(self.nodes[1])
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -23,6 +23,7 @@
     "stale-leader",
     "read-own-state",
     "fenced-when-accepted",
+    "unchanged-zone-not-fenced",
     "acknowledged-before-durable",
     "snapshot-within-command",
     "taken-not-in-snapshot",
