Gateway: a server that timed out or was replaced has not announced its end (ORDER)

What callers could see: a part of a body without a length as a complete answer, if its server's crash was noticed before the end of the connection arrived, or if another server already listened at its address. Cause: a server that the gateway no longer knew counted as one that leaves in order. Change: only a server that drains or has deregistered leaves in order; a timed-out one does not. Another server at the address proves that the first one is gone. Two of the three cases added to tests/gateway/test_gateway_unstated_ends.py guard against it; the third is the server that deregistered.

--- a/brackenladder/delivery/view.py
+++ b/brackenladder/delivery/view.py
@@ -51,6 +51,13 @@
         """The announced end of a server, on this host's clock in microseconds; 0: none was announced."""
         return self._registry.ends_at(server_id)
 
+    def announced_its_end(self, server_id: str) -> bool:
+        """Whether a server drains or has deregistered."""
+        known = self._servers.get(server_id)
+        if known is not None:
+            return known.state is ServerState.DRAINING
+        return self._registry.has_deregistered(server_id)
+
     def subscribe(self, on_change: Callable[[ViewChange], None]) -> Callable[[], None]:
         """Call `on_change` after each change; the returned function unsubscribes it."""
         self._listeners.append(on_change)
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -97,13 +97,12 @@
 
         The connections and listening sockets of a process that dies are closed together. A server that drains
         may have closed its listening socket on purpose, unless it will be terminated at an announced time,
-        whatever it is running.
+        whatever it is running. Another server at the same address has taken its place.
         """
-        known = self.view.servers.get(server_id)
-        leaves = known is None or known.state is not ServerState.READY
-        if leaves and not self.view.ends_at(server_id):
+        if self.view.announced_its_end(server_id) and not self.view.ends_at(server_id):
             return False
-        return await self.connections.refuses(address)
+        replaced = any(one.address == address and one.id != server_id for one in self.view.servers.values())
+        return replaced or await self.connections.refuses(address)
 
     def close_idle(self, server: int) -> None:
         """Close the idle connections to a server."""
--- a/brackenladder/registry/registry.py
+++ b/brackenladder/registry/registry.py
@@ -149,6 +149,11 @@
         entry = self._entries.get(server_id)
         return NEVER if entry is None else entry.ends_at
 
+    def has_deregistered(self, server_id: str) -> bool:
+        """Whether a server has deregistered, and not just timed out."""
+        entry = self._entries.get(server_id)
+        return entry is not None and entry.deregistered
+
     def age(self, now: int, server_id: str) -> int:
         """Microseconds since the last known heartbeat of a server to any node; 0 for an unknown server."""
         entry = self._entries.get(server_id)
--- a/tests/gateway/test_gateway_unstated_ends.py
+++ b/tests/gateway/test_gateway_unstated_ends.py
@@ -120,6 +120,12 @@
         stand_in = next(one for one in self.stand_ins if one.name == request.server)
         stand_in.stop_listening()
 
+    def report_gone(self, name: str, expired: bool) -> None:
+        """Report that a server has timed out (`expired`) or deregistered."""
+        stand_in = next(one for one in self.stand_ins if one.name == name)
+        record = ServerRecord(name, SERVICE, stand_in.address, "za", 16, ServerState.GONE, 2, expired=expired)
+        self.view.merge_servers(microseconds(), [record])
+
     def announce(self, names: Iterable[str], remaining: int = -1) -> None:
         """Report these servers as draining; they end after `remaining` microseconds, if it is not -1."""
         records = [
@@ -170,6 +176,39 @@
         got = await self.ask(post("/stream/x"))
         self.assertEqual((got.status, got.body, got.whole), (200, event(1), True))
 
+    async def test_a_server_whose_crash_is_noticed_has_not_announced_its_end(self) -> None:
+        async def start_and_time_out(request: Received) -> None:
+            await stream_start(request)
+            self.report_gone(request.server, expired=True)
+
+        self.play(self.crash_after(event(1), start_and_time_out, awaits_client=True))
+        got = await self.ask(post("/stream/x"))
+        self.assertEqual((got.status, got.whole), (200, False))
+
+    async def test_a_server_that_has_deregistered_may_have_closed_its_listener(self) -> None:
+        async def start_and_deregister(request: Received) -> None:
+            await stream_start(request)
+            self.report_gone(request.server, expired=False)
+
+        self.play(self.crash_after(event(1), start_and_deregister))
+        got = await self.ask(post("/stream/x"))
+        self.assertEqual((got.status, got.body, got.whole), (200, event(1), True))
+
+    async def test_a_server_that_was_replaced_at_its_address_has_crashed(self) -> None:
+        async def start_and_be_replaced(request: Received) -> None:
+            await stream_start(request)
+            request.write(event(1))
+            await request.client_read.wait()
+            successor = next(one for one in self.stand_ins if one.name == request.server)
+            record = ServerRecord("new", SERVICE, successor.address, "za", 16, ServerState.READY, 1)
+            self.view.merge_servers(microseconds(), [record])
+            request.writer.write_eof()  # the address still accepts connections
+            await request.client_closed()
+
+        self.play(start_and_be_replaced)
+        got = await self.ask(post("/stream/x"))
+        self.assertEqual((got.status, got.whole), (200, False))
+
     async def test_a_server_that_is_terminated_is_not_expected_to_finish(self) -> None:
         async def start_and_announce(request: Received) -> None:
             await stream_start(request)
