Simulation: streams without a length whose servers crash within and between events

Profile exchange excused every part of a body without a length whose server crashed, and drew no such streams, so it could not find ORDER. Now streams come without a length too, events in two parts, and only two cases are excused: a server that leaves, and one whose next incarnation listens within the gateway's connect timeout.

--- a/brackenladder/simulation/exchange/behaviour.py
+++ b/brackenladder/simulation/exchange/behaviour.py
@@ -43,6 +43,7 @@
 HEALTHY_WEIGHTS = {
     AnswerKind.WHOLE: 50.0,
     AnswerKind.CHUNKED: 15.0,
+    AnswerKind.UNFRAMED: 6.0,
     AnswerKind.LAST: 3.0,
     AnswerKind.REJECTED: 4.0,
     AnswerKind.INTERIM: 3.0,
@@ -67,6 +68,7 @@
     AnswerKind.DROPPED,
     AnswerKind.SILENT,
     AnswerKind.SURPLUS,
+    AnswerKind.UNFRAMED,
 }
 
 
@@ -111,6 +113,7 @@
         AnswerKind.CUT,
         AnswerKind.RESET,
         AnswerKind.SURPLUS,
+        AnswerKind.UNFRAMED,
     ):
         return Answer(answer_kind, _stream(run, answer_kind, random, event_count))
     work = random.choice((0, 2_000, 20_000, 60_000)) + random.randrange(3_000)
@@ -120,7 +123,9 @@
 
 def _stream(run: Run, answer_kind: AnswerKind, random: Random, event_count: int) -> tuple[Step, ...]:
     run.status = 200
-    head = _head(run, "200 OK", ("Content-Type: text/event-stream", "Transfer-Encoding: chunked"))
+    unframed = answer_kind is AnswerKind.UNFRAMED
+    framing = "Connection: close" if unframed else "Transfer-Encoding: chunked"
+    head = _head(run, "200 OK", ("Content-Type: text/event-stream", framing))
     steps = [Step(random.randrange(30_000), head)]
     numbers = range(run.after_event + 1, event_count + 1)
     events = [encode_event(run, number, event_count) for number in numbers]
@@ -128,7 +133,12 @@
     stalls_at = random.choice(numbers) if numbers and random.random() < 0.1 else 0
     for number, event in zip(numbers, events, strict=True):
         pause = 1_500_000 if number == stalls_at else random.randrange(5_000, 90_000)
-        steps.append(Step(pause, b"%x\r\n%b\r\n" % (len(event), event)))
+        if unframed:
+            steps += _event_in_parts(random, pause, event)
+        else:
+            steps.append(Step(pause, b"%x\r\n%b\r\n" % (len(event), event)))
+    if unframed:
+        return tuple(steps)
     if answer_kind in (AnswerKind.CUT, AnswerKind.RESET):
         return _cut_steps(steps, random)
     steps.append(Step(0, b"0\r\n\r\n"))
@@ -137,6 +147,11 @@
     return tuple(steps)
 
 
+def _event_in_parts(random: Random, pause: int, event: bytes) -> tuple[Step, Step]:
+    middle = random.randrange(1, len(event))
+    return Step(pause, event[:middle]), Step(random.randrange(30_000), event[middle:])
+
+
 def encode_event(run: Run, number: int, event_count: int) -> bytes:
     """Encodes one event of a stream."""
     return b"id: %d\ndata: %b piece %d of %d\n\n" % (number, run.signature.encode(), number, event_count)
--- a/brackenladder/simulation/exchange/checks.py
+++ b/brackenladder/simulation/exchange/checks.py
@@ -6,15 +6,18 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from brackenladder.gateway.connections import CONNECT_TIMEOUT_SECONDS
 from brackenladder.simulation.errors import Violation
 from brackenladder.simulation.exchange.behaviour import encode_event
 from brackenladder.simulation.exchange.history import History, Request, RequestOutcome, Run
-from brackenladder.simulation.exchange.site import HOMED, NOT_RUN_STATUSES, ZONES
+from brackenladder.simulation.exchange.site import HOMED, NOT_RUN_STATUSES, SECOND, ZONES
 
 SLACK = 500_000  # microseconds past a limit that the deployment's rules allow
 STREAM_SLACK = 800_000  # SLACK for streams, which may go on for 0.25 s after the client's deadline
 DEADLINE_SLACK_MS = 500
 CONFIG_SLACK = 200_000  # microseconds within which a connected gateway applies an update
+# Microseconds in which a gateway connects to a server to see whether it still listens.
+CONNECT_TIME = int(CONNECT_TIMEOUT_SECONDS * SECOND)
 
 
 class Undisturbed(Protocol):
@@ -108,20 +111,32 @@
         return
     if request.route.streaming:
         _check_stream(request, run, runs)
-    elif run.unframed and run.crashed and run.answer.startswith(request.answer):
-        return  # without a stated length, a body ends with its connection, so a part looks complete
+    elif _may_end_early(run) and run.answer.startswith(request.answer):
+        return
     elif request.answer != run.answer or run.cut:
         raise Violation(
             "mixed", f"{request.id} gets {len(request.answer)} of {len(run.answer)} bytes as whole"
         )
 
 
+def _may_end_early(run: Run) -> bool:
+    """Whether a part of the answer may look complete: a server ended without stating a length.
+
+    A gateway can't tell the end of a server that leaves from that of one that has closed its listener and
+    then finished, and it finds no sign of the end of one whose next incarnation listens at once.
+    """
+    replaced_at_once = 0 < run.replaced_at < run.ended_at + CONNECT_TIME
+    return run.unframed and run.crashed and (run.leaving or replaced_at_once)
+
+
 def _check_stream(request: Request, first: Run, runs: list[Run]) -> None:
     """Each event must come once and in order. Only a resumable stream may be continued by another run."""
     rest = request.answer
     current = first
     for number in range(1, request.event_count + 1):
         sources = [run for run in runs if rest.startswith(encode_event(run, number, request.event_count))]
+        if not sources and not rest and _may_end_early(current):
+            return
         if not sources:
             raise Violation(
                 "order", f"{request.id} has no piece {number} of {request.event_count} at {rest[:60]!r}"
--- a/brackenladder/simulation/exchange/faults.py
+++ b/brackenladder/simulation/exchange/faults.py
@@ -43,7 +43,7 @@
         server.start(_next_service(random), announced=False)
         await asyncio.sleep(detection_delay - downtime)
     world.checks.server_closed(server_id)
-    server.report_gone(server_id, service)
+    server.report_gone(server_id, service, deregistered=False)
     if downtime < detection_delay:
         if not server.draining_since:  # else another fault drains it, and it must not report ready again
             server.announce()
--- a/brackenladder/simulation/exchange/history.py
+++ b/brackenladder/simulation/exchange/history.py
@@ -94,6 +94,8 @@
     complete: bool = False  # the server has sent all of the answer
     cut: bool = False  # the server broke off the answer, or a fault reset its connection
     crashed: bool = False  # the server crashed during the run
+    leaving: bool = False  # the server that crashed had announced that it drains
+    replaced_at: int = 0  # when the server's next incarnation started at the same address; 0: never
     unframed: bool = False  # the answer states no length and ends with the connection
     ended_at: int = 0
 
--- a/brackenladder/simulation/exchange/servers.py
+++ b/brackenladder/simulation/exchange/servers.py
@@ -76,6 +76,9 @@
 
     def start(self, service: str | None = None, announced: bool = True) -> None:
         """Starts a new incarnation, perhaps of another service, and with `announced` reports it as ready."""
+        for run in self.history.runs:
+            if run.server == self.id and not run.replaced_at:
+                run.replaced_at = self.streams.loop.microseconds
         self.incarnation += 1
         self.service = service or self.service
         self.draining_since = 0
@@ -103,15 +106,18 @@
         for run in self.history.runs:
             if run.server != self.id:
                 continue
+            run.leaving = self.draining_since > 0
             run.crashed = not run.ended_at or run.ended_at > now - SEND_BUFFER_TIME
             if not run.ended_at:
                 run.cut = True
                 run.ended_at = now
 
-    def report_gone(self, server_id: str, service: str) -> None:
-        """Reports to the control side that an incarnation has gone."""
+    def report_gone(self, server_id: str, service: str, deregistered: bool = True) -> None:
+        """Reports to the control side that an incarnation has gone: that it deregistered, or timed out."""
         address = f"{self.ip}:{SERVER_PORT}"
-        record = ServerRecord(server_id, service, address, self.zone, SLOTS, ServerState.GONE, 1)
+        record = ServerRecord(
+            server_id, service, address, self.zone, SLOTS, ServerState.GONE, 1, expired=not deregistered
+        )
         self._control.update_server(record)
 
     def drain(self) -> None:
@@ -130,6 +136,7 @@
             connection = self.random.choice(self.connections)
             if connection.run is not None:
                 connection.run.cut = True
+            connection.lose_sent_answer()
             connection.end.reset_by_network()
 
     def _report(self, state: ServerState) -> None:
@@ -163,6 +170,12 @@
         """Whether no request is being read or run."""
         return self.run is None and not self._read
 
+    def lose_sent_answer(self) -> None:
+        """Notes that the answer of the latest run is lost if it may still be on its way."""
+        run = self._latest_run
+        if run is not None and run.ended_at > self._loop.microseconds - SEND_BUFFER_TIME:
+            run.crashed = True
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See `asyncio.Protocol`."""
         assert isinstance(transport, StreamEnd)
--- a/brackenladder/simulation/mutants/exchange.py
+++ b/brackenladder/simulation/mutants/exchange.py
@@ -14,7 +14,7 @@
 from brackenladder.gateway import upstream as upstream_module
 from brackenladder.gateway.carried_ids import CarriedIds
 from brackenladder.gateway.clients import ClientProtocol
-from brackenladder.gateway.events import split_events
+from brackenladder.gateway.events import EventParser, split_events
 from brackenladder.gateway.exchange import Exchange
 from brackenladder.gateway.framing import AnswerFraming
 from brackenladder.gateway.outcomes import outcome_of
@@ -22,7 +22,7 @@
 from brackenladder.gateway.resume import EventOrder
 from brackenladder.gateway.server import Gateway
 from brackenladder.gateway.server_protocol import ServerProtocol
-from brackenladder.gateway.upstream import ServerAttempt
+from brackenladder.gateway.upstream import ServerAttempt, ServiceUpstream
 from brackenladder.interface import Outcome
 from brackenladder.placement.traits import CallTraits
 from brackenladder.simulation.mutants.mutant import Fault, Mutant, replaced
@@ -57,6 +57,20 @@
     return plant()
 
 
+def _rest_counts_as_event() -> Fault:
+    """An event that is incomplete at the end of a stream without a length is passed on as a whole one."""
+    return replaced(EventParser, holds_partial_event=property(lambda self: False))
+
+
+def _unstated_end_believed() -> Fault:
+    """A body without a length is complete however its server ended."""
+
+    async def never_crashed(self: Any, _server_id: str, _address: str) -> bool:
+        return False
+
+    return replaced(ServiceUpstream, seems_crashed=never_crashed)
+
+
 _finish = ServerAttempt._finish
 
 
@@ -257,6 +271,18 @@
     _mutant(
         "client-forgotten", "work for a client that has left is not cancelled", {"gone"}, _client_forgotten
     ),
+    _mutant(
+        "rest-counts-as-event",
+        "half an event at an end that nobody stated is passed on",
+        {"order"},
+        _rest_counts_as_event,
+    ),
+    _mutant(
+        "unstated-end-believed",
+        "the end of a body without a length is believed although its server crashed",
+        {"order", "mixed"},
+        _unstated_end_believed,
+    ),
     _mutant("events-again", "events of a resumed stream are repeated", {"order"}, _events_again),
     _mutant("resumed-anyway", "any broken stream is resumed", {"twice", "order"}, _resumed_anyway),
     _mutant("whole-deadline", "servers are told more time than is left", {"deadline"}, _whole_deadline),
