Soak: overtaken orders, streams without a length, all servers of a region crash

The soak held links, but no order arrived after later ones had been acknowledged, and no crash met a stream without a length. Now an operator takes an evacuated zone back and evacuates it again, and a copy of the order that took it back arrives afterwards, on a connection from before, whose end follows up to 3 s later. Half of the streams have no length, their events come in two parts, and crashed servers close their connections in order, as the kernel does. Operators follow redirects. A stand-in server no longer writes a copy of an answer into a body without a length.

--- a/brackenladder/rehearsal/standins/model_server.py
+++ b/brackenladder/rehearsal/standins/model_server.py
@@ -157,9 +157,8 @@
 
     async def _stream(self, request: web.BaseRequest, request_id: str, prompt: Prompt) -> web.StreamResponse:
         await self._prefill(prompt)
-        answer = web.StreamResponse(headers=self._headers(request_id))
+        answer = self.new_stream(self._headers(request_id))
         answer.content_type = "text/event-stream"
-        answer.enable_chunked_encoding()
         with suppress(ConnectionError):  # the caller has closed the connection
             await self._send_events(request, answer, prompt.events)
         return answer
@@ -171,11 +170,21 @@
                 await asyncio.sleep(self._pace())
             if not answer.prepared:
                 await answer.prepare(request)
-            await answer.write(b"id: %d\ndata: piece %d of %d\n\n" % (number, number, last))
+            await self.write_event(answer, b"id: %d\ndata: piece %d of %d\n\n" % (number, number, last))
         if not answer.prepared:
             await answer.prepare(request)
         await answer.write_eof()
 
+    def new_stream(self, headers: dict[str, str]) -> web.StreamResponse:
+        """The response of a stream; overridden to send streams without a length."""
+        answer = web.StreamResponse(headers=headers)
+        answer.enable_chunked_encoding()
+        return answer
+
+    async def write_event(self, answer: web.StreamResponse, event: bytes) -> None:
+        """Writes one event; overridden to write it in parts."""
+        await answer.write(event)
+
     def event_numbers(self, first: int, last: int) -> Iterable[int]:
         """The numbers of a stream's events; overridden to inject wrong streams."""
         return range(first, last + 1)
--- a/brackenladder/soak/operators.py
+++ b/brackenladder/soak/operators.py
@@ -17,12 +17,14 @@
 from brackenladder.soak.configuration import Document, changed, initial, invalid
 from brackenladder.soak.connection import Reply, call
 from brackenladder.soak.events import MICROSECONDS, Evacuated, Ordered, ReadBack, Record, now
+from brackenladder.soak.held_order import HeldOrder
 
 CALL_SECONDS = 3.0  # timeout of one call
 PATIENCE_SECONDS = 12.0  # time over which a configuration order without a definite answer is retried
 EVACUATION_SECONDS = 5.0  # AckMs in seconds: how long an unacknowledged evacuation is retried
 FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS = 0.1, 1.0
 MEAN_PAUSE_SECONDS = 0.7  # mean pause between two actions of one operator
+MAX_REDIRECTS = 2  # evacuation orders are redirected to the node that was called
 LOST_SHARE = 0.15  # share of answers that are dropped
 LOST_AFTER_SECONDS = 0.5  # longest time until the connection of a dropped answer is closed
 READ_SHARE, REPEAT_SHARE, INVALID_SHARE, UPDATE_SHARE = 0.2, 0.25, 0.1, 0.5
@@ -45,17 +47,22 @@
     numbers: count[int] = field(factory=lambda: count(1))
 
     async def call(self, method: str, path: str, body: bytes = b"", base: int | None = None) -> Reply | None:
-        """Makes one call to a random node; returns None if no answer comes."""
-        lost = self.lose_answers and self.random.random() < LOST_SHARE
-        return await call(
-            self.random.choice(self.nodes),
-            method,
-            path,
-            body,
-            {} if base is None else {BASE_VERSION_HEADER: str(base)},
-            CALL_SECONDS,
-            lost_after=self.random.uniform(0.0, LOST_AFTER_SECONDS) if lost else None,
-        )
+        """Makes one call to a random node, again if redirected there; returns None if no answer comes."""
+        node = self.random.choice(self.nodes)
+        for _ in range(1 + MAX_REDIRECTS):
+            lost = self.lose_answers and self.random.random() < LOST_SHARE
+            reply = await call(
+                node,
+                method,
+                path,
+                body,
+                {} if base is None else {BASE_VERSION_HEADER: str(base)},
+                CALL_SECONDS,
+                lost_after=self.random.uniform(0.0, LOST_AFTER_SECONDS) if lost else None,
+            )
+            if reply is None or reply.status != HTTPStatus.TEMPORARY_REDIRECT:
+                break
+        return reply
 
     async def retry_until_clear(
         self, path: str, clear: Container[int], patience: float, body: bytes = b"", base: int | None = None
@@ -79,6 +86,18 @@
         self.record(Evacuated(zone, begin, invoked, now(), done))
         return done
 
+    async def overtake(self, zone: str) -> HeldOrder | None:
+        """Takes an evacuated zone back and evacuates it again.
+
+        Returns a copy of the order that took it back, which has not arrived anywhere; None if none was
+        written or the zone was not evacuated again.
+        """
+        path = f"/-/Evacuations.Finish/{zone}"
+        held = await HeldOrder.write(self.random.choice(self.nodes), path, self.random)
+        if await self.evacuate(zone, begin=False) and await self.evacuate(zone, begin=True):
+            return held
+        return None
+
 
 class Operator:
     """An operator that bases its changes on the newest configuration it knows."""
--- a/brackenladder/soak/schedule.py
+++ b/brackenladder/soak/schedule.py
@@ -33,6 +33,7 @@
     HOLD_ONE_WAY = "hold-one-way"
     RESET = "reset"  # reset the links of a node
     SERVER = "server"
+    SERVERS_CRASH = "servers-crash"  # all servers of a region
     SERVERS_PAUSE = "servers-pause"
     LOSE_ACKNOWLEDGEMENTS = "lose-acknowledgements"
     SERVERS_FULL = "servers-full"  # servers reject requests, repeat answers and send unproven rejections
@@ -47,6 +48,7 @@
     Kind.RELOAD: (0.0, 0.0),
     Kind.REMOVE: (6.0, 12.0),
     Kind.SERVER: (2.0, 6.0),
+    Kind.SERVERS_CRASH: (2.0, 4.0),
     Kind.SERVERS_PAUSE: (0.5, 3.0),
     Kind.LOSE_ACKNOWLEDGEMENTS: (0.5, 3.0),
     Kind.SERVERS_FULL: (1.0, 5.0),
@@ -64,7 +66,7 @@
     Kind.SERVER,
     Kind.SERVERS_FULL,
 )
-STORM_KINDS = (*Kind, Kind.KILL, Kind.PAUSE, Kind.REMOVE)
+STORM_KINDS = (*Kind, Kind.KILL, Kind.PAUSE, Kind.REMOVE, Kind.SERVERS_CRASH, Kind.SERVERS_CRASH)
 
 
 @frozen
@@ -138,7 +140,7 @@
                 return (random.choice(self._servers),)
             case Kind.EVACUATE:
                 return (random.choice(tuple(ZONES)),)
-            case Kind.SERVERS_PAUSE | Kind.LOSE_ACKNOWLEDGEMENTS | Kind.SERVERS_FULL:
+            case Kind.SERVERS_CRASH | Kind.SERVERS_PAUSE | Kind.LOSE_ACKNOWLEDGEMENTS | Kind.SERVERS_FULL:
                 return (f"servers-{region}",)
             case Kind.REMOVE if random.random() < WHOLE_REGION_SHARE:
                 return tuple(one.name for one in self._gateways if one.region == region)
--- a/brackenladder/soak/servers.py
+++ b/brackenladder/soak/servers.py
@@ -29,6 +29,7 @@
 
 COLD_SECONDS = 2.0  # warm-up time after a restart
 LONGEST_STAY_SECONDS = 6.0  # longest time that a leaving server stays beyond DrainMs
+LONGEST_CRASH_GAP_SECONDS = 0.2  # between two crashes, when all servers of a region crash
 FINISH_SECONDS = 10.0  # time limit for running requests when a server stops
 
 
@@ -42,6 +43,9 @@
     cut: float = 0.0  # share of the repeated answers that end within their head
 
 
+UNFRAMED_SHARE = 0.5  # share of the streams without a length
+PART_SHARE = 0.5  # time between the two parts of an event, as a share of that between two events
+
 HEAD_END = b"\r\n\r\n"
 NO_FAULTS = AnswerFaults()
 FULL = AnswerFaults(rejected=0.6, unproven=0.05, repeated=0.5, cut=0.3)
@@ -54,6 +58,16 @@
 )
 
 
+class UnframedResponse(web.StreamResponse):
+    """A response without a length or chunks, which ends with its connection."""
+
+    _length_check = False
+
+    def __init__(self, headers: dict[str, str]) -> None:
+        super().__init__(headers=headers)
+        self.force_close()
+
+
 class Leave(Enum):
     """How a server leaves."""
 
@@ -79,7 +93,7 @@
             return await super()._serve(request)
         copy = self._held_copies.pop(transport, b"")
         response = await self._answer_or_reject(request)
-        if copy:
+        if copy and not isinstance(response, UnframedResponse):  # its body would include the copy
             transport.write(copy)
         if isinstance(response, web.Response) and self._random.random() < self.faults.repeated:
             self._held_copies[transport] = self._copy(response)
@@ -105,6 +119,31 @@
             return web.Response(status=status, headers=self._headers(request_id))
         return response
 
+    def new_stream(self, headers: dict[str, str]) -> web.StreamResponse:
+        """The response of a stream, for some without a length."""
+        if self._random.random() >= UNFRAMED_SHARE:
+            return super().new_stream(headers)
+        return UnframedResponse(headers=headers | {"Connection": "close"})
+
+    async def write_event(self, answer: web.StreamResponse, event: bytes) -> None:
+        """Writes an event, of a stream without a length in two parts."""
+        if not isinstance(answer, UnframedResponse):
+            await super().write_event(answer, event)
+            return
+        middle = self._random.randrange(1, len(event))
+        await answer.write(event[:middle])
+        await asyncio.sleep(self._pace() * PART_SHARE)
+        await answer.write(event[middle:])
+
+    async def crash(self) -> None:
+        """Ends at once, as when the kernel closes the sockets of a killed process: in order, with a FIN."""
+        if self._listener is not None:
+            self._listener.close()
+        for protocol in self._protocols.connections:
+            if protocol.transport is not None:
+                protocol.transport.close()
+        await self._end(0.0)
+
     def arrived(self, request_id: str, path: str) -> None:
         """Records a request before its body is read."""
         own = self.settings
@@ -165,7 +204,9 @@
             await self._begin(place, cold=False)
 
     def order(self, order: Order) -> Awaitable[None] | None:
-        """Executes `leave` (one server), `full` (all) or `lose` (a share of heartbeat acknowledgements)."""
+        """Executes `leave` (one server), `crash`, `full` (all) or `lose` (a share of acknowledgements)."""
+        if order["do"] == "crash":
+            return self._crash_all(order["away"])
         if order["do"] == "leave":
             return self.leave(order["place"], Leave(order["how"]), order["away"])
         if order["do"] == "full":
@@ -178,6 +219,14 @@
             heartbeats.lost_share = self._lost_share
         return None
 
+    async def _crash_all(self, away: float) -> None:
+        """Crashes all servers that are not leaving, one shortly after the other."""
+        leaves = []
+        for place in tuple(self._servers):
+            leaves.append(asyncio.create_task(self.leave(place, Leave.CRASH, away)))
+            await asyncio.sleep(self._random.uniform(0.0, LONGEST_CRASH_GAP_SECONDS))
+        await asyncio.gather(*leaves)
+
     async def leave(self, place: str, how: Leave, away: float) -> None:
         """Stops a server and starts its replacement after `away` seconds, unless it is already leaving."""
         if place in self._leaving:
--- a/brackenladder/soak/system.py
+++ b/brackenladder/soak/system.py
@@ -85,6 +85,8 @@
                 self._servers_process(step.targets[0]).order(
                     "leave", place=step.targets[0], how=step.leave.value, away=step.seconds
                 )
+            case Kind.SERVERS_CRASH:
+                self.actors[step.targets[0]].order("crash", away=step.seconds)
             case Kind.SERVERS_PAUSE:
                 await self.actors[step.targets[0]].pause(step.seconds)
             case Kind.LOSE_ACKNOWLEDGEMENTS:
@@ -118,7 +120,11 @@
         if zone in self._evacuating:
             return
         self._evacuating.add(zone)
-        await self.context.evacuate(zone, begin=True)
+        held = None
+        if await self.context.evacuate(zone, begin=True):
+            held = await self.context.overtake(zone)
+        if held is not None:
+            await held.release()
         await asyncio.sleep(seconds)
         while not await self.context.evacuate(zone, begin=False, patience=START_SECONDS):
             pass  # retried until acknowledged; each attempt and the whole run have a time limit
