Sockets: one function for unread input; a comment claimed too much

The control side's connections and the single node's listener had the same lines. A comment of the single node said that a process that dies resets its connections; that is not so, and docs/incidents/order.md lists what follows from it as open.

--- a/brackenladder/control_plane/connection.py
+++ b/brackenladder/control_plane/connection.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import termios
 from collections.abc import Callable
-from typing import Any
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from brackenladder.control_plane.fences import ConnectionFence, NewestIndex
+from brackenladder.sockets.unread import has_unread_input
 
 
 class CallerConnection(RequestHandler):
@@ -61,7 +59,7 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Writes the response; from then on the caller may have seen what this node knew before."""
         newest_index = self._newest_index()
-        if self._messages or self._has_unread_input():
+        if self._messages or has_unread_input(self.transport):
             self._fence.request_read_ahead()
         finished = await super().finish_response(request, resp, start_time)
         self._fence.response_written(newest_index)
@@ -74,16 +72,9 @@
     def close_if_outdated(self, index: int) -> None:
         """Closes the connection if it is idle and its next request would have a fence below `index`."""
         idle = self._waiter is not None and not self._waiter.done() and not self._messages
-        if idle and not self._serves_reports and self.fence < index and not self._has_unread_input():
+        if idle and not self._serves_reports and self.fence < index and not has_unread_input(self.transport):
             self.force_close()
 
-    def _has_unread_input(self) -> bool:
-        transport: Any = self.transport
-        if transport is None or transport.is_closing():
-            return False
-        descriptor = transport.get_extra_info("socket").fileno()
-        return any(fcntl.ioctl(descriptor, termios.FIONREAD, b"\0\0\0\0"))
-
 
 class FencedRequest(web.BaseRequest):
     """A request with its fence."""
--- a/brackenladder/http/server_connection.py
+++ b/brackenladder/http/server_connection.py
@@ -176,8 +176,8 @@
         """The server closed its side, which also ends a response without a length.
 
         Otherwise a request that was served would count as one that may have run, and would fail or be
-        repeated. A server process that dies resets its connections, so a truncated response is not taken for
-        a complete one.
+        repeated. The connections of a process that dies may end in the same way, so a response that its crash
+        cut short is taken for a complete one.
         """
         open_ended = self.head_complete and self.length is None and not self.chunked
         if not open_ended or self.complete or (self.exchange is None and self.relay is None):
