Control: an overtaken order that names no host gets 503, not a redirect to a guessed one

aiohttp fills in the machine's own name where a request has no Host header, by a look-up that can block the event loop and a name that the caller may not reach. test_outdated_order_that_names_no_host.

--- a/brackenladder/control_plane/http_server.py
+++ b/brackenladder/control_plane/http_server.py
@@ -51,9 +51,15 @@
 
 
 def written_again(request: web.BaseRequest) -> web.Response:
-    """A 307 response that asks the caller to send the same request to this node once more."""
+    """A 307 response that asks the caller to send the same request to this node once more.
+
+    Without a `Host` header, the address under which the caller reaches this node is not known: 503.
+    """
+    host = request.headers.get("Host")
+    if not host:
+        return unavailable("overtaken by another order")
     response = web.Response(status=HTTPStatus.TEMPORARY_REDIRECT)
-    response.headers["Location"] = f"http://{request.host}{request.raw_path}"
+    response.headers["Location"] = f"http://{host}{request.raw_path}"
     return response
 
 
--- a/tests/control_plane/test_late_orders.py
+++ b/tests/control_plane/test_late_orders.py
@@ -28,11 +28,12 @@
         host, _, port = address.rpartition(":")
         return cls(address, *await asyncio.open_connection(host, int(port)))
 
-    async def order(self, path: str) -> tuple[int, str]:
+    async def order(self, path: str, names_host: bool = True) -> tuple[int, str]:
         """Gives an order; returns the status and location of the response, 0 if there is none."""
+        host = f"Host: {self.address}\r\n" if names_host else ""
         async with asyncio.timeout(PATIENCE):
             try:
-                request = f"POST {path} HTTP/1.1\r\nHost: {self.address}\r\nContent-Length: 0\r\n\r\n"
+                request = f"POST {path} HTTP/1.1\r\n{host}Content-Length: 0\r\n\r\n"
                 self._writer.write(request.encode())
                 head = (await self._reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
                 headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
@@ -123,6 +124,13 @@
                 self.assertEqual(location, f"http://{kept.address}{FINISH}".lower())
                 self.assertEqual((await kept.order(FINISH))[0], HTTPStatus.OK)
 
+    async def test_outdated_order_that_names_no_host(self) -> None:
+        held = await self.connect(self.nodes[1])
+        await self.acknowledge(self.nodes[0], BEGIN)
+        status, location = await held.order(FINISH, names_host=False)
+        self.assertEqual((status, location), (HTTPStatus.SERVICE_UNAVAILABLE, ""))
+        self.assert_evacuated({ZONE})
+
     async def test_orders_on_one_kept_connection_are_acknowledged_at_once(self) -> None:
         for number in self.nodes:
             kept = await self.connect(number)
@@ -160,6 +168,12 @@
         await held.closed()
         self.assert_evacuated({ZONE})
 
+    async def test_outdated_order_that_names_no_host(self) -> None:
+        held = await self.connect(self.nodes[1])
+        await self.acknowledge(self.nodes[0], BEGIN)
+        await held.closed()
+        self.assert_evacuated({ZONE})
+
     async def test_current_order_is_acknowledged_when_it_is_sent_again(self) -> None:
         await self.acknowledge(self.nodes[0], BEGIN)
         again = await self.connect(self.nodes[1])
