--- a/brackenladder/sockets/listener.py
+++ b/brackenladder/sockets/listener.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import errno
+import fcntl
 import select
 import socket
+import termios
 from collections.abc import Callable
 from contextlib import suppress
 from typing import cast
 
 from brackenladder.core.ending import TAKING
-from brackenladder.sockets.unread import has_unread_input
 
 BACKLOG = 512
 MAX_ACCEPTS = 64  # connections accepted in one go
@@ -53,7 +54,10 @@
 
     def has_unread_input(self) -> bool:
         """Whether unread bytes are in the socket: closing now would reset a client that has just sent."""
-        return has_unread_input(self.transport)
+        if self.transport is None or self.transport.is_closing():
+            return False
+        number = self.transport.get_extra_info("socket").fileno()
+        return any(fcntl.ioctl(number, termios.FIONREAD, b"\0\0\0\0"))
 
     def has_unsent_output(self) -> bool:
         """Whether part of a response is still in the write buffer: closing now would cut it off."""
