--- a/brackenladder/gateway/clients.py
+++ b/brackenladder/gateway/clients.py
@@ -14,6 +14,7 @@
 
 from brackenladder.catalog.configuration import Limits
 from brackenladder.gateway.answers import Status, own_answer
+from brackenladder.gateway.promises import ClientPlace
 
 # Bytes of the request line, or of one header field; the configured limit of the whole head is lower.
 MAX_HEAD_FIELD = 65_536
@@ -37,9 +38,12 @@
 class ClientProtocol(RequestHandler):
     """One client connection."""
 
-    __slots__ = ("_arrivals", "_head_seconds", "_head_timer", "_unread_timer")
+    __slots__ = ("_arrivals", "_head_seconds", "_head_timer", "_number", "_requests", "_unread_timer")
 
-    def __init__(self, manager: ClientServer, limits: Limits, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, manager: ClientServer, limits: Limits, loop: asyncio.AbstractEventLoop, number: int
+    ) -> None:
+        """`number`: of the connection, among all that this gateway has accepted."""
         super().__init__(
             manager,
             loop=loop,
@@ -53,6 +57,8 @@
             lingering_time=LINGER_SECONDS,
             auto_decompress=False,
         )
+        self._number = number
+        self._requests = 0  # requests that were begun on this connection
         self._arrivals: deque[float] = deque()  # when each waiting request was read, by the loop's clock
         self._head_seconds = limits.header_timeout_ms / MS_PER_S
         self._head_timer: asyncio.TimerHandle | None = None
@@ -82,6 +88,11 @@
         """
         return self._arrivals.popleft() if self._arrivals else self._loop.time()
 
+    def next_place(self) -> ClientPlace:
+        """The place of the request that is served next."""
+        self._requests += 1
+        return ClientPlace(self._number, self._requests)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timers."""
         self._stop_head_timer()
@@ -152,7 +163,7 @@
 
 
 class ClientRequest(web.BaseRequest):
-    """A request that knows how long it waited behind earlier ones on its connection."""
+    """A request that knows its place on its connection, and how long it waited behind earlier ones."""
 
     def __init__(
         self,
@@ -165,6 +176,7 @@
         loop = asyncio.get_running_loop()
         super().__init__(message, payload, protocol, payload_writer, task, loop)
         assert isinstance(protocol, ClientProtocol)
+        self.place = protocol.next_place()
         self.waited = loop.time() - protocol.next_arrival()  # seconds behind earlier requests
 
 
@@ -174,10 +186,12 @@
     def __init__(self, handler: Handler, limits: Callable[[], Limits]) -> None:
         super().__init__(handler, request_factory=ClientRequest, handler_cancellation=True)
         self._limits = limits
+        self._accepted = 0  # connections accepted so far
 
     def __call__(self) -> RequestHandler:
         """A new connection, with the limits that are configured now."""
-        return ClientProtocol(self, self._limits(), asyncio.get_running_loop())
+        self._accepted += 1
+        return ClientProtocol(self, self._limits(), asyncio.get_running_loop(), self._accepted)
 
     def close_idle(self) -> None:
         """Close the connections on which no request is being read or served."""
--- a/brackenladder/gateway/contracts.py
+++ b/brackenladder/gateway/contracts.py
@@ -36,7 +36,7 @@
 
     @property
     def written(self) -> bool:
-        """Whether any byte of the request was sent."""
+        """Whether the request was written to the server."""
 
     def ended_as(self, outcome: Outcome) -> AttemptRecord:
         """The attempt as a record, once it has ended with this outcome."""
--- a/brackenladder/gateway/exchange.py
+++ b/brackenladder/gateway/exchange.py
@@ -35,7 +35,7 @@
 from brackenladder.gateway.hints import is_idempotent, read_deadline_ms, read_traits
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import may_be_passed_on
-from brackenladder.gateway.promises import AttemptRecord
+from brackenladder.gateway.promises import AttemptRecord, ClientPlace, OwnAnswer
 from brackenladder.gateway.relay import DEADLINE_MARGIN, Relay
 from brackenladder.gateway.start_gate import MAX_HOLD
 from brackenladder.held_calls import HeldCall
@@ -282,7 +282,8 @@
 
     def _reject(self, fault: RequestFault) -> web.Response:
         response = own_answer(FAULT_STATUS[fault])
-        self._record_promise(response, ())
+        if response.status in NOT_RUN_STATUSES:
+            self._record_answer(response, ())
         if fault in (RequestFault.MALFORMED, RequestFault.BODY_TOO_SLOW):
             response.force_close()
         return self.finished(response)
@@ -298,13 +299,14 @@
         if failure is not None and may_be_passed_on(failure.status):
             return self._whole_response(failure)
         response = unserved_answer(ending, call.may_have_run, call.timed_out)
-        self._record_promise(response, call.ended_attempts)
+        self._record_answer(response, call.ended_attempts)
         return self.finished(response)
 
-    def _record_promise(self, response: web.Response, attempts: Sequence[AttemptRecord]) -> None:
-        """Note what the response rests on if its status promises that the request has not run."""
-        if response.status in NOT_RUN_STATUSES:
-            self.context.promises.promised(self.request_id, response.status, attempts, self.context.draining)
+    def _record_answer(self, response: web.Response, attempts: Sequence[AttemptRecord]) -> None:
+        """Note what an answer of the gateway's own rests on."""
+        place = client_place(self.request)
+        answer = OwnAnswer(self.request_id, response.status, attempts, place, self.context.draining)
+        self.context.promises.answered(answer)
 
     def finished(self, response: Response) -> Response:
         """The response, with `Connection: close` if the gateway is draining."""
@@ -318,6 +320,11 @@
     return request.waited if isinstance(request, ClientRequest) else 0.0
 
 
+def client_place(request: web.BaseRequest) -> ClientPlace:
+    """The client's connection, and the place of the request in the order of its requests."""
+    return request.place if isinstance(request, ClientRequest) else ClientPlace()
+
+
 def origin_form(target: str) -> str:
     """The path and query of a request target; empty if it has no path."""
     if target.startswith("/"):
--- a/brackenladder/gateway/promises.py
+++ b/brackenladder/gateway/promises.py
@@ -1,4 +1,7 @@
-"""Records what each promise that a request has not run rests on, for metrics and for one log line each."""
+"""Records what the gateway's own answers rest on: in metrics, and in a log line for each request.
+
+An answer with one of the statuses 408, 421, 429 and 503 promises that the request has not run.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +12,10 @@
 import logbook
 from attrs import frozen
 
+from brackenladder.gateway.answers import NOT_RUN_STATUSES
 from brackenladder.interface import Outcome
 
-LINES_PER_SECOND = 20  # log lines at most; further promises are only counted
+LINES_PER_SECOND = 200  # log lines at most; further answers are only counted
 MICROSECONDS_PER_SECOND = 1_000_000
 
 log = logbook.Logger("promises")
@@ -25,13 +29,21 @@
     REJECTED = "rejected"  # each server that got the request said that it did not run it
 
 
+class Written(Enum):
+    """How much of a request was written to a server."""
+
+    NOTHING = "nothing"
+    START = "start"  # the start of its head, to find out whether the connection is stale
+    ALL = "all"
+
+
 @frozen
 class AttemptRecord:
     """An ended attempt, and the evidence in the server's response."""
 
     server_id: str
     outcome: Outcome
-    written: bool = False
+    written: Written = Written.NOTHING
     status: int = 0  # of the server's response; 0: none was read
     not_executed: bool = False  # the response has `X-Brackenladder-Not-Executed`
     id_repeated: bool = False  # the connection had carried an earlier request with the same id
@@ -42,19 +54,52 @@
         return self.outcome == Outcome.REJECTED
 
     def __str__(self) -> str:
-        parts = [self.server_id, self.outcome.name, f"status {self.status}"]
+        parts = [self.server_id, self.outcome.name, f"written {self.written.value}", f"status {self.status}"]
         parts += ["not-executed"] * self.not_executed + ["id repeated"] * self.id_repeated
         return " ".join(parts)
 
 
+@frozen
+class ClientPlace:
+    """A client connection of this gateway, and the place of a request in the order of its requests."""
+
+    connection: int = 0
+    request: int = 0
+
+
+@frozen
+class OwnAnswer:
+    """An answer of the gateway's own to a request that no server answered."""
+
+    request_id: str
+    status: int
+    attempts: Sequence[AttemptRecord]
+    place: ClientPlace
+    draining: bool  # whether the gateway drains
+
+    @property
+    def is_promise(self) -> bool:
+        """Whether the answer promises that the request has not run."""
+        return self.status in NOT_RUN_STATUSES
+
+    def __str__(self) -> str:
+        begin = f"{'promise' if self.is_promise else 'no promise'} {self.status} for {self.request_id}"
+        basis = basis_of(self.attempts).value if self.is_promise else "in doubt"
+        place = f"client connection {self.place.connection} request {self.place.request}"
+        return "; ".join(
+            [f"{begin}{' (draining)' * self.draining}: {basis}", place, *map(str, self.attempts)]
+        )
+
+
 class PromiseLog:
-    """Counts the promises and rejections of a gateway, and logs the promises that rest on rejections."""
+    """Counts the promises and rejections of a gateway, and logs its own answers by their request's id."""
 
     def __init__(self, now: Callable[[], int]) -> None:
         """`now` is the monotonic clock, in microseconds."""
         self._now = now
         self._promises: Counter[tuple[Basis, bool]] = Counter()  # by basis and whether the gateway drains
         self._rejections: Counter[tuple[int, bool, bool]] = Counter()  # by status and evidence
+        self._unlogged = 0  # answers without a log line
         self._second = 0  # the second in which lines were logged last
         self._lines = 0  # logged in that second
 
@@ -63,15 +108,14 @@
         if attempt.rejected:
             self._rejections[attempt.status, attempt.not_executed, attempt.id_repeated] += 1
 
-    def promised(
-        self, request_id: str, status: int, attempts: Sequence[AttemptRecord], draining: bool
-    ) -> None:
-        """Record that a client was promised, by `status`, that its request has not run."""
-        basis = basis_of(attempts)
-        self._promises[basis, draining] += 1
-        if basis is Basis.REJECTED and self._may_log():
-            ends = "; ".join([str(attempt) for attempt in attempts])
-            log.info("promise {} for {}{}: {}", status, request_id, " (draining)" * draining, ends)
+    def answered(self, answer: OwnAnswer) -> None:
+        """Record an answer of the gateway's own, before it is sent."""
+        if answer.is_promise:
+            self._promises[basis_of(answer.attempts), answer.draining] += 1
+        if self._may_log():
+            log.info("{}", answer)
+        else:
+            self._unlogged += 1
 
     def lines(self) -> Iterator[str]:
         """The counters in the Prometheus text format."""
@@ -85,6 +129,7 @@
             labels = f'status="{status}",not_executed="{_label(not_executed)}"'
             labels += f',id_repeated="{_label(id_repeated)}"'
             yield f"rejections_total{{{labels}}} {count}"
+        yield f"own_answers_unlogged_total {self._unlogged}"
 
     def _may_log(self) -> bool:
         second = self._now() // MICROSECONDS_PER_SECOND
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -21,7 +21,7 @@
 from brackenladder.gateway.headers import CONTENT_TYPE, NOT_EXECUTED, answer_headers
 from brackenladder.gateway.open_answer import OpenAnswer
 from brackenladder.gateway.outcomes import outcome_of
-from brackenladder.gateway.promises import AttemptRecord
+from brackenladder.gateway.promises import AttemptRecord, Written
 from brackenladder.gateway.server_connection import ServerConnection
 from brackenladder.gateway.server_protocol import AnswerBroken
 from brackenladder.interface import Outcome
@@ -162,7 +162,7 @@
         self.expires = expires
         self.done = done
         self.timeout = 0.0
-        self.written = False
+        self.extent = Written.NOTHING
         self.ended = False
         self._stopped: Outcome | None = None
         self._scope: asyncio.Timeout | None = None
@@ -171,6 +171,11 @@
         self._not_executed = False  # the response says that the request has not run
         self._id_repeated = False  # the connection had carried a request with the same id
 
+    @property
+    def written(self) -> bool:
+        """Whether the request was written to the server."""
+        return self.extent is Written.ALL
+
     def start(self, timeout: float) -> None:
         """Hand the attempt to its request's task; it may take `timeout` seconds."""
         self.timeout = timeout
@@ -203,7 +208,7 @@
     def ended_as(self, outcome: Outcome) -> AttemptRecord:
         """The attempt as a record, once it has ended with this outcome."""
         return AttemptRecord(
-            self.record.id, outcome, self.written, self._status, self._not_executed, self._id_repeated
+            self.record.id, outcome, self.extent, self._status, self._not_executed, self._id_repeated
         )
 
     # ---- running the attempt --------------------------------------------------------------------------
@@ -250,6 +255,7 @@
         wait = self.upstream.connections.stale_check_seconds(connection, self.record.address)
         if wait:
             started = data.index(END_OF_HEAD) + len(END_OF_LINE)
+            self.extent = Written.START
             if not await connection.send_head_start(data[:started], wait):
                 connection, started = await self._open_another(connection), 0
             if not self._may_write():
@@ -258,7 +264,7 @@
         _check_server(self.call, self.record, self.upstream.view)
         if not connection.send(data[started:], exchange.request_id, exchange.method == "HEAD"):
             return AttemptEnd(Outcome.NOT_SENT)
-        self.written = True
+        self.extent = Written.ALL
         self._id_repeated = connection.id_repeated
         exchange.sent_to(self.record.id)
         message, payload = await connection.read_head()
--- a/tests/gateway/test_gateway_doubt.py
+++ b/tests/gateway/test_gateway_doubt.py
@@ -41,7 +41,7 @@
         """The status that the client gets if a call expires and its attempt then ends with this outcome."""
         attempt = cast(Any, SimpleNamespace(record=SimpleNamespace(id="i-1"), written=written))
         attempt.stop = lambda _: None
-        attempt.ended_as = lambda outcome: AttemptRecord("i-1", outcome, written)
+        attempt.ended_as = lambda outcome: AttemptRecord("i-1", outcome)
         ending = Failed(Failure.EXPIRED)
         self.call.failed(ending.why)
         self.call.attempt_ended(attempt, AttemptEnd(outcome, answer))
