--- a/brackenladder/gateway/connections.py
+++ b/brackenladder/gateway/connections.py
@@ -75,7 +75,7 @@
         self._stale_check = StaleCheck()
 
     def stale_check_seconds(self, connection: ServerConnection, address: str) -> float:
-        """How many seconds to wait for a reset after sending the start of a request's head; 0: no check."""
+        """How many seconds to wait for a reset after sending the start of a request; 0: no check."""
         return self._stale_check.wait_seconds(address, connection.idle_for, self._loop.time())
 
     def found_stale(self, address: str) -> None:
--- a/brackenladder/gateway/promises.py
+++ b/brackenladder/gateway/promises.py
@@ -33,7 +33,7 @@
     """How much of a request was written to a server."""
 
     NOTHING = "nothing"
-    START = "start"  # the start of its head, to find out whether the connection is stale
+    START = "start"  # its first byte, to find out whether the connection is stale
     ALL = "all"
 
 
--- a/brackenladder/gateway/server_connection.py
+++ b/brackenladder/gateway/server_connection.py
@@ -36,11 +36,12 @@
         """Whether the current response's body has no length, so that only the connection's end ends it."""
         return self.protocol.ends_body
 
-    async def send_head_start(self, start: bytes, wait: float) -> bool:
-        """Write the start of a request's head; False if the connection is lost within `wait` seconds.
+    async def send_start(self, start: bytes, wait: float) -> bool:
+        """Write the first bytes of a request; False if the connection is lost within `wait` seconds.
 
         A server that has dropped the idle connection resets it. If that reset met a whole request, the
-        request might have run and could not be sent elsewhere; an incomplete head cannot have run.
+        request might have run and could not be sent elsewhere. The bytes must be too few to be a request:
+        the server reads them, and then perhaps the connection's end.
         """
         transport = self.protocol.transport
         if transport is None or transport.is_closing():
--- a/brackenladder/gateway/stale_check.py
+++ b/brackenladder/gateway/stale_check.py
@@ -1,6 +1,6 @@
 """Decides which idle connections are checked before use, as the server may have dropped them.
 
-A stale connection answers the first bytes with a reset. The check writes the start of a request's head and
+A stale connection answers the first bytes with a reset. The check writes the first byte of a request and
 waits up to two round trips for that reset. It is made only where a stale connection is likely or the check
 takes little time.
 """
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -34,8 +34,9 @@
 LEAST_CONNECTIONS = 4  # connections allowed to each server, however small this gateway's share is
 CONNECTION_SHARE = 0.8  # the fraction of `MaxConnections` that all gateways together use
 MICROSECONDS_PER_SECOND = 1e6
-END_OF_LINE = b"\r\n"
-END_OF_HEAD = END_OF_LINE * 2
+# Bytes of a request that the check for a stale connection writes: less than a request line, so that they are
+# no request even to a server that takes the connection's end for the end of the head.
+CHECK_BYTES = 1
 
 
 class Records(Protocol):
@@ -251,18 +252,18 @@
         exchange = self.call.exchange
         left = (self.call.server_deadline - self.upstream.now()) // 1000
         data = exchange.compose(self.record.id, max(1, left), self.call.last_event_id)
-        started = 0
+        checked = 0
         wait = self.upstream.connections.stale_check_seconds(connection, self.record.address)
         if wait:
-            started = data.index(END_OF_HEAD) + len(END_OF_LINE)
+            checked = CHECK_BYTES
             self.extent = Written.START
-            if not await connection.send_head_start(data[:started], wait):
-                connection, started = await self._open_another(connection), 0
+            if not await connection.send_start(data[:checked], wait):
+                connection, checked = await self._open_another(connection), 0
             if not self._may_write():
                 return AttemptEnd(Outcome.NOT_SENT)
         _check_homes(self.call, self.record)
         _check_server(self.call, self.record, self.upstream.view)
-        if not connection.send(data[started:], exchange.request_id, exchange.method == "HEAD"):
+        if not connection.send(data[checked:], exchange.request_id, exchange.method == "HEAD"):
             return AttemptEnd(Outcome.NOT_SENT)
         self.extent = Written.ALL
         self._id_repeated = connection.id_repeated
