Simulation: what a reset did to a run is not undone by what its server does later

Cause: a reset of a server's connection marks its run as cut, or as lost if its answer had just been sent. A later crash of the server set the second mark back, and an answer written before the server's process knew of the reset the first. Change: both places only add to the marks.

--- a/brackenladder/simulation/exchange/servers.py
+++ b/brackenladder/simulation/exchange/servers.py
@@ -107,7 +107,7 @@
             if run.server != self.id:
                 continue
             run.leaving = self.draining_since > 0
-            run.crashed = not run.ended_at or run.ended_at > now - SEND_BUFFER_TIME
+            run.crashed |= not run.ended_at or run.ended_at > now - SEND_BUFFER_TIME
             if not run.ended_at:
                 run.cut = True
                 run.ended_at = now
@@ -296,7 +296,7 @@
 
     def _written(self, run: Run, answer: Answer) -> None:
         answer_kind = answer.answer_kind
-        run.cut = answer_kind in (
+        run.cut |= answer_kind in (
             AnswerKind.CUT,
             AnswerKind.RESET,
             AnswerKind.DROPPED,
