--- a/brackenladder/gateway/stale_check.py
+++ b/brackenladder/gateway/stale_check.py
@@ -13,6 +13,9 @@
 MOST_WAIT_SECONDS = 0.01  # the longest wait for a reset if the round trip is short
 # Over longer round trips, checks are made only after a stale connection was found.
 LONG_ROUND_TRIP_SECONDS = 0.025
+# Bytes of a request that a check writes: less than a request line, so that they are no request even to a
+# server that takes the connection's end for the end of the head.
+CHECK_BYTES = 1
 # Seconds after a stale connection was found in which checks over long round trips are made.
 SUSPICION_SECONDS = 20.0
 
@@ -45,3 +48,8 @@
         if round_trip <= LONG_ROUND_TRIP_SECONDS:
             return min(wait, MOST_WAIT_SECONDS)
         return wait if now - self._found_stale_at <= SUSPICION_SECONDS else 0.0
+
+
+def start_to_check(request: bytes) -> bytes:
+    """The bytes of a request that a check writes, which its server does not take for a request."""
+    return request[:CHECK_BYTES]
--- a/brackenladder/gateway/upstream.py
+++ b/brackenladder/gateway/upstream.py
@@ -24,6 +24,7 @@
 from brackenladder.gateway.promises import AttemptRecord, Written
 from brackenladder.gateway.server_connection import ServerConnection
 from brackenladder.gateway.server_protocol import AnswerBroken
+from brackenladder.gateway.stale_check import start_to_check
 from brackenladder.interface import Outcome
 from brackenladder.invariants import VIOLATIONS, Invariant
 from brackenladder.placement.traits import CallTraits
@@ -34,9 +35,6 @@
 LEAST_CONNECTIONS = 4  # connections allowed to each server, however small this gateway's share is
 CONNECTION_SHARE = 0.8  # the fraction of `MaxConnections` that all gateways together use
 MICROSECONDS_PER_SECOND = 1e6
-# Bytes of a request that the check for a stale connection writes: less than a request line, so that they are
-# no request even to a server that takes the connection's end for the end of the head.
-CHECK_BYTES = 1
 
 
 class Records(Protocol):
@@ -255,9 +253,10 @@
         checked = 0
         wait = self.upstream.connections.stale_check_seconds(connection, self.record.address)
         if wait:
-            checked = CHECK_BYTES
+            start = start_to_check(data)
+            checked = len(start)
             self.extent = Written.START
-            if not await connection.send_start(data[:checked], wait):
+            if not await connection.send_start(start, wait):
                 connection, checked = await self._open_another(connection), 0
             if not self._may_write():
                 return AttemptEnd(Outcome.NOT_SENT)
--- a/brackenladder/simulation/mutants/exchange.py
+++ b/brackenladder/simulation/mutants/exchange.py
@@ -28,6 +28,8 @@
 from brackenladder.simulation.mutants.mutant import Fault, Mutant, replaced
 
 MISDIRECTED = 421
+END_OF_LINE = b"\r\n"
+END_OF_HEAD = END_OF_LINE * 2
 
 
 def _any_answer_taken() -> Fault:
@@ -240,6 +242,15 @@
     return replaced(AnswerFraming, _read_head=read_any_head)
 
 
+def _check_writes_head() -> Fault:
+    """The check for a stale connection writes a request's head but for its last line end."""
+
+    def head_but_its_end(request: bytes) -> bytes:
+        return request[: request.index(END_OF_HEAD) + len(END_OF_LINE)]
+
+    return replaced(upstream_module, start_to_check=head_but_its_end)
+
+
 EXCHANGE_MUTANTS = (
     _mutant(
         "any-answer-taken",
@@ -311,4 +322,10 @@
         {"refused", "twice", "mixed"},
         _heads_joined,
     ),
+    _mutant(
+        "check-writes-head",
+        "the check for a stale connection writes a head, which a server takes for a request",
+        {"refused", "twice"},
+        _check_writes_head,
+    ),
 )
