--- a/brackenladder/simulation/exchange/behaviour.py
+++ b/brackenladder/simulation/exchange/behaviour.py
@@ -23,7 +23,9 @@
     INTERIM = auto()  # preceded by one or two 1xx responses
     LAST = auto()  # the connection is closed after the response
     REJECTED = auto()  # the server states that it has not executed the request
+    REJECTED_LATE = auto()  # rejected when its deadline has passed in the server's queue
     FAILED = auto()  # status 500
+    TIMED_OUT = auto()  # status 504 at the deadline; it may have run
     PROMISED = (
         auto()
     )  # runs, and has a status for requests that have not run, without the header that says so
@@ -48,6 +50,8 @@
     AnswerKind.REJECTED: 4.0,
     AnswerKind.INTERIM: 3.0,
     AnswerKind.FAILED: 2.0,
+    AnswerKind.TIMED_OUT: 0.5,
+    AnswerKind.REJECTED_LATE: 0.5,
     AnswerKind.SECOND: 1.0,
     AnswerKind.SURPLUS: 1.0,
     AnswerKind.RESET: 1.0,
@@ -58,18 +62,30 @@
     AnswerKind.WHOLE: 15.0,
     AnswerKind.CHUNKED: 8.0,
 }
-STREAM_ANSWER_KINDS = {
-    AnswerKind.CHUNKED,
-    AnswerKind.REJECTED,
-    AnswerKind.FAILED,
-    AnswerKind.PROMISED,
-    AnswerKind.CUT,
-    AnswerKind.RESET,
-    AnswerKind.DROPPED,
-    AnswerKind.SILENT,
-    AnswerKind.SURPLUS,
-    AnswerKind.UNFRAMED,
-}
+# Kinds that an event stream takes: its head, then event after event.
+STREAMED_KINDS = frozenset(
+    (
+        AnswerKind.CHUNKED,
+        AnswerKind.INTERIM,
+        AnswerKind.LAST,
+        AnswerKind.CUT,
+        AnswerKind.RESET,
+        AnswerKind.SECOND,
+        AnswerKind.SURPLUS,
+        AnswerKind.STALE,
+        AnswerKind.NAMELESS,
+        AnswerKind.UNFRAMED,
+        AnswerKind.UNFRAMED_RESET,
+    )
+)
+UNFRAMED_KINDS = frozenset((AnswerKind.UNFRAMED, AnswerKind.UNFRAMED_RESET))
+# Kinds of a request for a stream that are written as a whole; a stream has no length.
+UNSTREAMED_KINDS = frozenset(AnswerKind) - STREAMED_KINDS - {AnswerKind.WHOLE}
+STREAM_ANSWER_KINDS = STREAMED_KINDS | UNSTREAMED_KINDS
+REJECTED_KINDS = frozenset((AnswerKind.REJECTED, AnswerKind.REJECTED_LATE))
+DEADLINE_KINDS = frozenset((AnswerKind.REJECTED_LATE, AnswerKind.TIMED_OUT))
+INTERIM_HEADS = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+DEADLINE_SLACK = 20_000  # microseconds around the deadline in which a server answers that it has passed
 
 
 @frozen
@@ -108,24 +124,21 @@
     `event_count`: number of events of a stream, or 0 for other responses; `last_answer`: the previous
     response on the same connection.
     """
-    if event_count and answer_kind in (
-        AnswerKind.CHUNKED,
-        AnswerKind.CUT,
-        AnswerKind.RESET,
-        AnswerKind.SURPLUS,
-        AnswerKind.UNFRAMED,
-    ):
-        return Answer(answer_kind, _stream(run, answer_kind, random, event_count))
+    if event_count and answer_kind in STREAMED_KINDS:
+        return Answer(answer_kind, _stream(run, answer_kind, random, event_count, last_answer))
     work = random.choice((0, 2_000, 20_000, 60_000)) + random.randrange(3_000)
+    if answer_kind in DEADLINE_KINDS:
+        work = max(0, run.deadline_ms * 1000 + random.randint(-DEADLINE_SLACK, DEADLINE_SLACK))
     data = _bytes(run, answer_kind, random, last_answer)
     return Answer(answer_kind, _portions(random, work, data))
 
 
-def _stream(run: Run, answer_kind: AnswerKind, random: Random, event_count: int) -> tuple[Step, ...]:
+def _stream(
+    run: Run, answer_kind: AnswerKind, random: Random, event_count: int, last_answer: bytes
+) -> tuple[Step, ...]:
     run.status = 200
-    unframed = answer_kind is AnswerKind.UNFRAMED
-    framing = "Connection: close" if unframed else "Transfer-Encoding: chunked"
-    head = _head(run, "200 OK", ("Content-Type: text/event-stream", framing))
+    unframed = answer_kind in UNFRAMED_KINDS
+    head = _before(answer_kind, last_answer) + _stream_head(run, answer_kind)
     steps = [Step(random.randrange(30_000), head)]
     numbers = range(run.after_event + 1, event_count + 1)
     events = [encode_event(run, number, event_count) for number in numbers]
@@ -137,16 +150,31 @@
             steps += _event_in_parts(random, pause, event)
         else:
             steps.append(Step(pause, b"%x\r\n%b\r\n" % (len(event), event)))
+    if answer_kind in (AnswerKind.CUT, AnswerKind.RESET, AnswerKind.UNFRAMED_RESET):
+        return _cut_steps(steps, random)
     if unframed:
         return tuple(steps)
-    if answer_kind in (AnswerKind.CUT, AnswerKind.RESET):
-        return _cut_steps(steps, random)
     steps.append(Step(0, b"0\r\n\r\n"))
     if answer_kind is AnswerKind.SURPLUS:
         steps.append(Step(0, b"more"))
+    if answer_kind is AnswerKind.SECOND:
+        steps.append(Step(0, b"".join(step.data for step in steps)))
     return tuple(steps)
 
 
+def _stream_head(run: Run, answer_kind: AnswerKind) -> bytes:
+    framing = ["Connection: close" if answer_kind in UNFRAMED_KINDS else "Transfer-Encoding: chunked"]
+    if answer_kind is AnswerKind.LAST:
+        framing.append("Connection: close")
+    named = answer_kind is not AnswerKind.NAMELESS
+    return _head(run, "200 OK", ("Content-Type: text/event-stream", *framing), named)
+
+
+def _before(answer_kind: AnswerKind, last_answer: bytes) -> bytes:
+    """What a server sends before the answer to the request."""
+    return {AnswerKind.INTERIM: INTERIM_HEADS, AnswerKind.STALE: last_answer}.get(answer_kind, b"")
+
+
 def _event_in_parts(random: Random, pause: int, event: bytes) -> tuple[Step, Step]:
     middle = random.randrange(1, len(event))
     return Step(pause, event[:middle]), Step(random.randrange(30_000), event[middle:])
@@ -160,16 +188,17 @@
 def _cut_steps(steps: list[Step], random: Random) -> tuple[Step, ...]:
     kept = steps[: random.randint(1, len(steps))]
     last = kept[-1]
-    return (*kept[:-1], Step(last.pause, last.data[: random.randrange(1, len(last.data))]))
+    return (*kept[:-1], Step(last.pause, last.data[: random.randrange(len(last.data))]))
 
 
 def _bytes(run: Run, answer_kind: AnswerKind, random: Random, last_answer: bytes) -> bytes:
-    if answer_kind is AnswerKind.REJECTED:
+    if answer_kind in REJECTED_KINDS:
         run.executed, run.status = False, random.choice(NOT_RUN_STATUSES)
         extra = ("X-Brackenladder-Not-Executed: true",)
         return _head(run, f"{run.status} Rejected", extra, last=("Content-Length: 0",))
-    if answer_kind in (AnswerKind.FAILED, AnswerKind.PROMISED):
-        run.status = 500 if answer_kind is AnswerKind.FAILED else random.choice(NOT_RUN_STATUSES)
+    if answer_kind in (AnswerKind.FAILED, AnswerKind.TIMED_OUT, AnswerKind.PROMISED):
+        failures = {AnswerKind.FAILED: 500, AnswerKind.TIMED_OUT: 504}
+        run.status = failures.get(answer_kind) or random.choice(NOT_RUN_STATUSES)
         return _head(run, f"{run.status} Trouble", ("Content-Length: 0",))
     if answer_kind is AnswerKind.GARBLED:
         return random.choice((b"\x16\x03\x01\x00\x00", b"HTTP/1.1 banana\r\n\r\n", b"SSH-2.0-x\r\n"))
@@ -178,12 +207,8 @@
     complete = _framed(run, answer_kind)
     if answer_kind in (AnswerKind.CUT, AnswerKind.RESET):
         return complete[: random.randrange(1, len(complete))]
-    before = {
-        AnswerKind.INTERIM: b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
-        AnswerKind.STALE: last_answer,
-    }
     after = {AnswerKind.SECOND: complete, AnswerKind.SURPLUS: b"HTTP/1.1 2"}
-    return before.get(answer_kind, b"") + complete + after.get(answer_kind, b"")
+    return _before(answer_kind, last_answer) + complete + after.get(answer_kind, b"")
 
 
 def _framed(run: Run, answer_kind: AnswerKind) -> bytes:
@@ -192,7 +217,7 @@
         half = len(body) // 2
         chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in (body[:half], body[half:]) if part)
         return _head(run, "200 OK", ("Transfer-Encoding: chunked",)) + chunks + b"0\r\n\r\n"
-    if answer_kind in (AnswerKind.UNFRAMED, AnswerKind.UNFRAMED_RESET):
+    if answer_kind in UNFRAMED_KINDS:
         return _head(run, "200 OK", ("Connection: close",)) + body
     extra = ("Connection: close",) if answer_kind is AnswerKind.LAST else ()
     head = _head(
--- a/brackenladder/simulation/exchange/servers.py
+++ b/brackenladder/simulation/exchange/servers.py
@@ -7,6 +7,7 @@
 
 from brackenladder.registry.records import ServerRecord, ServerState
 from brackenladder.simulation.exchange.behaviour import (
+    UNFRAMED_KINDS,
     Answer,
     AnswerKind,
     Step,
@@ -247,7 +248,7 @@
             answer_kind = draw_answer_kind(random, server.misbehaves, bool(event_count))
             if random.random() < server.rejects_share:
                 answer_kind = AnswerKind.REJECTED
-            run.unframed = answer_kind in (AnswerKind.UNFRAMED, AnswerKind.UNFRAMED_RESET)
+            run.unframed = answer_kind in UNFRAMED_KINDS
             answer = make_answer(run, answer_kind, random, event_count, self._last_answer)
         copy = self._take_held_copy(run.request_id)
         if copy:
