--- a/brackenladder/simulation/mutants/exchange.py
+++ b/brackenladder/simulation/mutants/exchange.py
@@ -325,7 +325,7 @@
     _mutant(
         "check-writes-head",
         "the check for a stale connection writes a head, which a server takes for a request",
-        {"refused", "twice"},
+        {"refused", "twice", "attempts"},
         _check_writes_head,
     ),
 )
