--- a/tests/gateway/test_promise_evidence.py
+++ b/tests/gateway/test_promise_evidence.py
@@ -93,3 +93,18 @@
                 self.assertNotIn(got.status, NOT_RUN_STATUSES)
                 if got.status == 200:
                     self.assertEqual(got.body, b"ran")
+
+    async def test_a_surplus_rejection_cut_anywhere_proves_nothing_about_a_request_that_failed(self) -> None:
+        # Incident REFUSED again: a server's own 500, before the first event of a stream, counts as run.
+        surplus = LATE_ID_REJECTION
+        for cut in range(1, len(surplus)):
+
+            async def fail(request: Received, start: bytes = surplus[:cut]) -> None:
+                request.write(start + answer(request.id, b"", "500 Internal Server Error"))
+                await request.writer.drain()
+                request.writer.close()
+
+            with self.subTest(cut=cut, start=surplus[:cut][-30:]):
+                self.play(fail)
+                got = await self.ask(post("/stream/x", f"r{cut}"))
+                self.assertNotIn(got.status, NOT_RUN_STATUSES)
