--- a/brackenladder/soak/events.py
+++ b/brackenladder/soak/events.py
@@ -94,7 +94,10 @@
 
 @frozen
 class Handled(Event):
-    """A server started to run a request, or refused it with the status `refusal`."""
+    """A server started to run a request, or refused it with the status `refusal`.
+
+    A request that it ended without saying that it has not run counts as started.
+    """
 
     at: int
     request: str
--- a/brackenladder/soak/servers.py
+++ b/brackenladder/soak/servers.py
@@ -13,18 +13,28 @@
 from weakref import WeakKeyDictionary
 
 from aiohttp import web
-from attrs import evolve, frozen
+from attrs import evolve
 
 from brackenladder.local_site.layout import HEARTBEAT_MS
 from brackenladder.platform_settings import DEFAULT_BOUNDS
 from brackenladder.rehearsal.standins.heartbeats import FAREWELL_SECONDS, RETRY_SECONDS, Heartbeats
+from brackenladder.rehearsal.standins.model_clients import DEADLINE
 from brackenladder.rehearsal.standins.model_server import (
-    NOT_EXECUTED,
+    EXPECTED_INSTANCE,
+    KEEP_ALIVE_SECONDS,
     REQUEST_ID,
     ModelServer,
     ServerSettings,
 )
+from brackenladder.soak.answer_faults import (
+    FULL,
+    NO_FAULTS,
+    REJECTION_STATUSES,
+    UNPROVEN_STATUSES,
+    encode_response,
+)
 from brackenladder.soak.events import Arrived, Handled, LeaveAcknowledged, Order, Record, Trouble, now
+from brackenladder.soak.partial_heads import END_OF_HEAD, PartialHead, PartialHeadServer
 from brackenladder.soak.site import SoakLayout
 
 COLD_SECONDS = 2.0  # warm-up time after a restart
@@ -33,30 +43,11 @@
 FINISH_SECONDS = 10.0  # time limit for running requests when a server stops
 
 
-@frozen
-class AnswerFaults:
-    """How servers treat requests while they are full: shares of all requests, from 0 to 1."""
-
-    rejected: float = 0.0  # rejected, with the header that says that they have not run
-    unproven: float = 0.0  # run, and answered with a status of a rejection, but without that header
-    repeated: float = 0.0  # answered a second time, just before the next answer on the connection
-    cut: float = 0.0  # share of the repeated answers that end within their head
-
-
+MILLISECONDS = 1000
+REJECTED_AT_DEADLINE_SHARE = 0.5  # of the requests whose deadline passes at a server
 UNFRAMED_SHARE = 0.5  # share of the streams without a length
 PART_SHARE = 0.5  # time between the two parts of an event, as a share of that between two events
 
-HEAD_END = b"\r\n\r\n"
-NO_FAULTS = AnswerFaults()
-FULL = AnswerFaults(rejected=0.6, unproven=0.05, repeated=0.5, cut=0.3)
-REJECTION_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
-UNPROVEN_STATUSES = (
-    HTTPStatus.REQUEST_TIMEOUT,
-    HTTPStatus.MISDIRECTED_REQUEST,
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-)
-
 
 class UnframedResponse(web.StreamResponse):
     """A response without a length or chunks, which ends with its connection."""
@@ -85,6 +76,9 @@
         self._cold_until = cold_until
         self.faults = NO_FAULTS
         self._random = Random(settings.id)
+        self._protocols = PartialHeadServer(
+            self._handle, self._take_partial_head, access_log=None, keepalive_timeout=KEEP_ALIVE_SECONDS
+        )
         self._held_copies: WeakKeyDictionary[Any, bytes] = WeakKeyDictionary()  # by connection
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -104,13 +98,44 @@
         copy = encode_response(response)
         if self._random.random() >= self.faults.cut:
             return copy
-        return copy[: self._random.randrange(1, copy.index(HEAD_END))]
+        return copy[: self._random.randrange(1, copy.index(END_OF_HEAD))]
 
     async def _answer_or_reject(self, request: web.BaseRequest) -> web.StreamResponse:
-        if self._random.random() < self.faults.rejected:
-            request_id = request.headers.get(REQUEST_ID, "")
-            return self._refused(request_id, self._random.choice(REJECTION_STATUSES))
-        return await super()._serve(request)
+        request_id = request.headers.get(REQUEST_ID, "")
+        faults = self.faults
+        shares = (faults.rejected, faults.failed, faults.expired)
+        drawn = self._random.choices(
+            (self._reject, self._fail, self._expire, None), (*shares, 1.0 - sum(shares))
+        )
+        return await super()._serve(request) if drawn[0] is None else await drawn[0](request, request_id)
+
+    async def _reject(self, _request: web.BaseRequest, request_id: str) -> web.Response:
+        """Rejects a request: it has not run."""
+        return self._refused(request_id, self._random.choice(REJECTION_STATUSES))
+
+    async def _fail(self, _request: web.BaseRequest, request_id: str) -> web.Response:
+        """Ends a request before its work begins, without saying that it has not run."""
+        self.ended_unproven(request_id)
+        return web.Response(status=HTTPStatus.INTERNAL_SERVER_ERROR, headers=self._headers(request_id))
+
+    async def _expire(self, request: web.BaseRequest, request_id: str) -> web.Response:
+        """Holds a request until its deadline has passed, as in a long queue."""
+        await asyncio.sleep(int(request.headers.get(DEADLINE, "0")) / MILLISECONDS)
+        if self._random.random() < REJECTED_AT_DEADLINE_SHARE:
+            return self._refused(request_id, HTTPStatus.SERVICE_UNAVAILABLE)
+        self.ended_unproven(request_id)
+        return web.Response(status=HTTPStatus.GATEWAY_TIMEOUT, headers=self._headers(request_id))
+
+    def _take_partial_head(self, head: PartialHead) -> None:
+        """Begins a request whose head ended with its connection, if it is meant for this server."""
+        if head.headers.get(EXPECTED_INSTANCE.lower()) == self.settings.id:
+            request_id = head.headers.get(REQUEST_ID.lower(), "")
+            self.arrived(request_id, head.path)
+            self.ended_unproven(request_id)
+
+    def ended_unproven(self, request_id: str) -> None:
+        """Records a request that ended without a word that it has not run, so that it counts as run."""
+        self._record(Handled(now(), request_id, self.settings.id))
 
     async def _answer(self, request_id: str) -> web.Response:
         response = await super()._answer(request_id)
@@ -291,14 +316,3 @@
             return acknowledged
         await server.crash()
         return False
-
-
-def encode_response(response: web.Response) -> bytes:
-    """The bytes of a response with its body, as they are sent on a connection; the request id comes late."""
-    body = response.body if isinstance(response.body, bytes) else b""
-    headers = dict(response.headers)
-    headers.pop("Content-Length", None)
-    names = sorted(headers, key=lambda name: (name != NOT_EXECUTED, name == REQUEST_ID))
-    lines = [f"HTTP/1.1 {response.status} {response.reason}"]
-    lines += [f"{name}: {headers[name]}" for name in names]
-    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body
--- a/tests/soak/test_soak_servers.py
+++ b/tests/soak/test_soak_servers.py
@@ -8,17 +8,23 @@
 from unittest import IsolatedAsyncioTestCase
 
 from brackenladder.rehearsal.nodes import free_port, unused_loopback_host
-from brackenladder.rehearsal.standins.model_server import NOT_EXECUTED, REQUEST_ID, ServerSettings
-from brackenladder.soak.connection import Connection, Head
-from brackenladder.soak.events import Event, Handled
-from brackenladder.soak.servers import (
-    HEAD_END,
+from brackenladder.rehearsal.standins.model_clients import DEADLINE
+from brackenladder.rehearsal.standins.model_server import (
+    EXPECTED_INSTANCE,
+    NOT_EXECUTED,
+    REQUEST_ID,
+    ServerSettings,
+)
+from brackenladder.soak.answer_faults import (
     NO_FAULTS,
     UNPROVEN_STATUSES,
     AnswerFaults,
-    RecordingServer,
     encode_response,
 )
+from brackenladder.soak.connection import Connection, Head
+from brackenladder.soak.events import Arrived, Event, Handled
+from brackenladder.soak.partial_heads import END_OF_HEAD
+from brackenladder.soak.servers import RecordingServer
 
 TIMEOUT = 20.0  # seconds; reached only on failure
 
@@ -87,4 +93,52 @@
         self.assertGreater(len(copies), 1)
         for copy in copies:
             self.assertTrue(whole.startswith(copy))
-            self.assertNotIn(HEAD_END, copy)
+            self.assertNotIn(END_OF_HEAD, copy)
+
+    async def test_a_request_that_fails_before_it_begins_counts_as_run(self) -> None:
+        self.server.faults = AnswerFaults(failed=1.0)
+        await self.ask("r1")
+        head = await self.answer()
+        self.assertEqual(head.status, 500)
+        self.assertNotIn(NOT_EXECUTED.lower(), head.headers)
+        self.assertEqual(self.refusals(), [0])
+
+    async def test_a_request_held_until_its_deadline_is_rejected_or_counts_as_run(self) -> None:
+        self.server.faults = AnswerFaults(expired=1.0)
+        expected = []
+        for number in range(12):
+            headers = {"Host": "h", REQUEST_ID: f"r{number}", DEADLINE: "20"}
+            await self.connection.send("POST", "/pay/1", headers, b"{}")
+            head = await self.answer()
+            rejected = NOT_EXECUTED.lower() in head.headers
+            self.assertEqual(head.status, 503 if rejected else 504)
+            expected.append(503 if rejected else 0)
+        self.assertEqual(self.refusals(), expected)
+        self.assertEqual(set(expected), {0, 503})
+
+    async def send_and_close(self, data: bytes) -> None:
+        """Sends bytes on a connection of their own, and waits until the server has closed it."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        writer.write_eof()
+        async with asyncio.timeout(TIMEOUT):
+            await reader.read()
+        writer.close()
+
+    async def test_a_head_that_ends_with_its_connection_counts_as_run(self) -> None:
+        lines = [
+            "POST /pay/1 HTTP/1.1",
+            "Host: h",
+            f"{REQUEST_ID}: r1",
+            f"{EXPECTED_INSTANCE}: cards-1.1",
+            "",
+        ]
+        await self.send_and_close("\r\n".join(lines).encode())
+        self.assertEqual(self.refusals(), [0])
+        self.assertEqual([event.request for event in self.events if isinstance(event, Arrived)], ["r1"])
+
+    async def test_less_than_a_head_that_names_the_server_is_no_request(self) -> None:
+        for part in (b"P", b"POST /pay/1 HTTP/1.1\r\nHost: h\r\n", b"POST /pay/1 HTT"):
+            await self.send_and_close(part)
+        self.assertEqual(self.events, [])
