--- a/brackenladder/simulation/exchange/servers.py
+++ b/brackenladder/simulation/exchange/servers.py
@@ -31,9 +31,6 @@
 SEND_BUFFER_TIME = SECOND  # microseconds for which an answer may remain in the server's send buffer
 EARLY_SHARE = 0.2  # fraction of the requests with an incomplete body that a server begins early
 END_OF_LINE = b"\r\n"
-# Fraction of the server starts after which the end of a connection is taken for the end of a request's head,
-# as Python's own HTTP server does.
-LENIENT_SHARE = 0.5
 IDLE_SECONDS = 2.0  # idle time after which a server closes a connection, as its `Keep-Alive` header states
 
 
@@ -60,7 +57,6 @@
         self.misbehaves = False  # whether the server answers in faulty ways
         self.rejects_share = 0.0  # fraction of the requests that it rejects because it is full
         self.repeats_answers = False  # whether it sends some answers a second time, late
-        self.takes_end_for_head_end = False  # whether a head may end with its connection
         self.draining_since = 0
         self.disturbances = Disturbances()
         self.connections: list[ServerConnection] = []
@@ -88,7 +84,6 @@
         self.incarnation += 1
         self.service = service or self.service
         self.draining_since = 0
-        self.takes_end_for_head_end = self.random.random() < LENIENT_SHARE
         self.process = Process(self.id)
         self._listener = self.streams.listen(self.ip, SERVER_PORT, self._connected, self.process)
         if announced:
@@ -212,9 +207,12 @@
         self._next()
 
     def eof_received(self) -> None:
-        """Begins, and breaks off, a request whose head ends with the connection, as some servers do."""
+        """Begins, and breaks off, a request whose head ends with the connection.
+
+        Python's own HTTP server takes the end of a connection for the end of a head.
+        """
         head = self._read
-        if self.run is not None or not self.server.takes_end_for_head_end or not head.endswith(END_OF_LINE):
+        if self.run is not None or not head.endswith(END_OF_LINE):
             return
         if header_of(head, "x-brackenladder-expected-instance") != self.id:
             return
--- a/tests/simulation/test_exchange.py
+++ b/tests/simulation/test_exchange.py
@@ -28,7 +28,6 @@
 SCHEDULES = 4
 TRIES = 20
 RARE = {
-    "check-writes-head",
     "server-not-named",
     "rest-counts-as-event",
     "unstated-end-believed",
