Simulation: REFUSED binds for every request, and Resumable changes between configurations

The judge's gaps: REFUSED was checked only for requests that may not run twice, though the gateway's promise binds for all; no configuration changed Resumable. A stream that is resumed although no configuration in force since its start allows it breaks TWICE.

--- a/brackenladder/simulation/exchange/checks.py
+++ b/brackenladder/simulation/exchange/checks.py
@@ -44,6 +44,7 @@
         _check_end(request, latest, undisturbed)
         if request.outcome is RequestOutcome.ANSWERED:
             _check_answer(request, own, by_signature)
+        _check_resumption(history, request, own, undisturbed)
 
 
 def _check_run(history: History, request: Request, run: Run, undisturbed: Undisturbed) -> None:
@@ -81,10 +82,21 @@
             raise Violation("attempts", f"{request.id} runs at {sorted(servers)}, {most} are allowed")
 
 
-def _check_refusals(request: Request, runs: list[Run]) -> None:
-    """A try that was refused must not have run before its client sent the request again."""
-    if request.route.idempotent:
+def _check_resumption(history: History, request: Request, runs: list[Run], undisturbed: Undisturbed) -> None:
+    """A stream is resumed only where a configuration in force from its start to the resumption allows it."""
+    resumptions = [run.arrived_at for run in runs if run.executed and run.after_event]
+    if not resumptions or not undisturbed(request.gateway, request.started_at, resumptions[-1]):
         return
+    allowed = history.in_force(request.started_at - CONFIG_SLACK, resumptions[-1])
+    if not any(configuration.resumes(request.route) for configuration in allowed):
+        raise Violation("twice", f"{request.id} is resumed, which no configuration in force allows")
+
+
+def _check_refusals(request: Request, runs: list[Run]) -> None:
+    """A try that was refused must not have run before its client sent the request again.
+
+    The promise binds the gateway for all requests, also for those that may run more than once.
+    """
     for refusal in request.refusals:
         for run in runs:
             if run.executed and run.arrived_at < refusal.retried_at:
@@ -94,7 +106,7 @@
 
 def _check_answer(request: Request, runs: list[Run], by_signature: dict[str, Run]) -> None:
     executed = [run for run in runs if run.executed]
-    if request.status in NOT_RUN_STATUSES and executed and not request.route.idempotent:
+    if request.status in NOT_RUN_STATUSES and executed:
         raise Violation("refused", f"{request.id} gets {request.status}, and ran at {executed[0].server}")
     if not request.signature:
         if 200 <= request.status < 300:
--- a/brackenladder/simulation/exchange/faults.py
+++ b/brackenladder/simulation/exchange/faults.py
@@ -13,6 +13,7 @@
 
 FaultAction = Callable[[World, Random], Awaitable[None]]
 QUOTA_SECONDS = 0.1  # the period of a processor quota, as cgroups have by default
+RESUMABLE_SHARE = 0.7  # fraction of the configurations that let the streams of a route be resumed
 REUSE_SECONDS = 0.5  # seconds from the end of a server until its address is reused
 
 
@@ -87,12 +88,13 @@
 
 
 async def configure(world: World, random: Random) -> None:
-    """Changes home regions and attempts of routes, sometimes several times in quick succession."""
+    """Changes homes, attempts and `Resumable` of routes, sometimes several times in quick succession."""
     for _ in range(random.choice((1, 1, 4))):
         world.count_fault("configure")
         version = world.control.configuration.version + 1
         homes = random.choice(((), ("north",), ("south",), ("north", "south")))
-        world.control.configure(Configuration(version, homes, random.randint(1, 3)))
+        resumable = random.random() < RESUMABLE_SHARE
+        world.control.configure(Configuration(version, homes, random.randint(1, 3), resumable))
         await asyncio.sleep(random.uniform(0.02, 0.4))
 
 
--- a/brackenladder/simulation/exchange/site.py
+++ b/brackenladder/simulation/exchange/site.py
@@ -43,7 +43,7 @@
 
     @property
     def idempotent(self) -> bool:
-        """Whether the route's requests may run more than once."""
+        """Whether the route's requests may run more than once, in some configurations at least."""
         return self.kind == "safe" or self.resumable
 
     @property
@@ -71,11 +71,16 @@
     version: int
     homes: tuple[str, ...] = ()  # home regions of the route `HOMED`
     most_attempts: int = 2  # `MaxAttempts` of the route "safe"
+    resumable: bool = True  # `Resumable` of the route "resumable"
 
     def attempts_of(self, route: RouteTemplate) -> int:
         """Returns `MaxAttempts` of a route."""
         return self.most_attempts if route.name == "safe" else route.max_attempts
 
+    def resumes(self, route: RouteTemplate) -> bool:
+        """Whether a route's streams may be resumed."""
+        return route.resumable and self.resumable
+
     def document(self) -> bytes:
         """Returns the configuration document."""
         limits = {
@@ -105,7 +110,7 @@
             "Backend": route.service,
             "MaxAttempts": self.attempts_of(route),
             "Sticky": False,
-            "Resumable": route.resumable,
+            "Resumable": self.resumes(route),
             "HomeRegions": list(self.homes) if route.name == HOMED else [],
         }
 
