--- a/tests/gateway/gateway_loopback.py
+++ b/tests/gateway/gateway_loopback.py
@@ -6,8 +6,9 @@
 import socket
 import time
 import unittest
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from random import Random
+from types import MappingProxyType
 
 from attrs import Factory, define, evolve, frozen
 
@@ -308,6 +309,7 @@
     """Starts a gateway and a few stand-in servers of one service for each test."""
 
     servers = 2
+    server_zones: Mapping[str, str] = MappingProxyType({})  # of the servers that are not in zone `za`
     routes: tuple[Route, ...] = ROUTES
     limits = Limits()
     max_connections = 100
@@ -357,7 +359,10 @@
         self.view.set_catalog(self.view.revision + 1, configuration, frozenset())
 
     def list_servers(self, state: ServerState = ServerState.READY, seq: int = 1) -> None:
-        records = [ServerRecord(s.name, SERVICE, s.address, "za", 16, state, seq) for s in self.stand_ins]
+        records = [
+            ServerRecord(s.name, SERVICE, s.address, self.server_zones.get(s.name, "za"), 16, state, seq)
+            for s in self.stand_ins
+        ]
         self.view.merge_servers(microseconds(), records)
 
     async def client(self) -> RawClient:
--- a/tests/gateway/test_later_attempts.py
+++ b/tests/gateway/test_later_attempts.py
@@ -25,14 +25,9 @@
 
 class LaterAttempts(GatewayTest):
     servers = 3
+    server_zones = ZONES
     routes = (SAFE, RESUMABLE)
 
-    def list_servers(self, state: ServerState = ServerState.READY, seq: int = 1) -> None:
-        records = [
-            ServerRecord(s.name, SERVICE, s.address, ZONES[s.name], 16, state, seq) for s in self.stand_ins
-        ]
-        self.view.merge_servers(microseconds(), records)
-
     def end(self, server: str, state: ServerState) -> None:
         address = next(one.address for one in self.stand_ins if one.name == server)
         record = ServerRecord(server, SERVICE, address, ZONES[server], 16, state, 2)
--- a/tests/gateway/test_newest_route.py
+++ b/tests/gateway/test_newest_route.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, ClassVar
 from unittest.mock import patch
 
 from attrs import evolve
@@ -35,15 +35,12 @@
 
 
 class NewestRoute(GatewayTest):
+    server_zones: ClassVar = {"s1": "zb"}
     routes = (SAFE, RESUMABLE)
 
     def list_servers(self, state: ServerState = ServerState.READY, seq: int = 1) -> None:
         self.platform = evolve(self.platform, zones={"za": HERE, "zb": THERE})
-        zones = {"s0": "za", "s1": "zb"}
-        records = [
-            ServerRecord(s.name, SERVICE, s.address, zones[s.name], 16, state, seq) for s in self.stand_ins
-        ]
-        self.view.merge_servers(microseconds(), records)
+        super().list_servers(state, seq)
 
     def change(self, **changes: Any) -> None:
         """Change these fields of all routes."""
--- a/tests/simulation/test_exchange.py
+++ b/tests/simulation/test_exchange.py
@@ -6,21 +6,13 @@
 from unittest import TestCase
 
 from brackenladder.simulation.campaign import detect_mutant
-from brackenladder.simulation.errors import Violation
 from brackenladder.simulation.exchange.answer_reader import AnswerReader, NoAnswer
 from brackenladder.simulation.exchange.behaviour import AnswerKind
-from brackenladder.simulation.exchange.checks import check_history
 from brackenladder.simulation.exchange.history import (
     RECOVERY_TIME,
-    ConfigurationEvent,
     Disturbances,
-    History,
-    Request,
-    RequestOutcome,
-    Run,
 )
 from brackenladder.simulation.exchange.run import NAME, run_schedule
-from brackenladder.simulation.exchange.site import ROUTES, Configuration
 from brackenladder.simulation.mutants.exchange import EXCHANGE_MUTANTS
 from brackenladder.simulation.mutants.mutant import Mutant
 from brackenladder.simulation.schedules import DESCRIPTIONS
@@ -58,82 +50,6 @@
         self.assertEqual(run_schedule(6).rule, "")
 
 
-class RefusalTest(TestCase):
-    """Refused tries of a request and their runs, as the checks of a run see them."""
-
-    def rule_of(
-        self, *arrived_at: int, executed: bool = True, status: int = 200, idempotent: bool = False
-    ) -> str:
-        """The broken rule if a request is refused at 2 s, tried again at 3 s, and runs at these times."""
-        route = next(one for one in ROUTES if one.idempotent is idempotent and not one.streaming)
-        request = Request("q1", route, "POST", "/x", b"", 0, 4_000, 0, started_at=1_000_000)
-        request.outcome, request.status, request.ended_at = RequestOutcome.ANSWERED, 503, 2_000_000
-        request.begin_again(3_000_000, 0)
-        request.outcome, request.status, request.ended_at = RequestOutcome.ANSWERED, status, 3_500_000
-        history = History(requests={"q1": request})
-        history.configurations.append(ConfigurationEvent(0, Configuration(1)))
-        for number, at in enumerate(arrived_at, start=1):
-            run = Run(
-                number, "q1", f"s{number}.1", route.service, "north", "north-1", at, "POST", "/x", b"", 0, 0
-            )
-            run.executed, run.status = executed, 200
-            history.runs.append(run)
-            request.signature = run.signature if status == 200 else ""
-        try:
-            check_history(history, lambda *_: False)
-        except Violation as violation:
-            return violation.rule
-        return ""
-
-    def test_the_run_of_the_latest_try(self) -> None:
-        self.assertEqual(self.rule_of(3_100_000), "")
-
-    def test_a_refused_try_that_ran(self) -> None:
-        self.assertEqual(self.rule_of(1_500_000, status=503), "refused")
-        self.assertEqual(self.rule_of(2_500_000, status=502), "refused")
-        self.assertEqual(self.rule_of(3_100_000, status=503), "refused")
-
-    def test_a_refused_try_that_ran_of_a_request_that_may_run_again(self) -> None:
-        self.assertEqual(self.rule_of(1_500_000, status=503, idempotent=True), "refused")
-        self.assertEqual(self.rule_of(3_100_000, status=503, idempotent=True), "refused")
-
-    def test_a_refused_try_that_runs_later(self) -> None:
-        self.assertEqual(self.rule_of(3_100_000, 3_200_000), "twice")
-
-    def test_a_rejected_arrival_is_no_run(self) -> None:
-        self.assertEqual(self.rule_of(1_500_000, 3_100_000, executed=False, status=503), "")
-
-
-class ResumptionTest(TestCase):
-    """A stream resumed at 2.5 s that began at 2 s, under configurations with and without `Resumable`."""
-
-    def rule_of(self, *configurations: tuple[int, bool]) -> str:
-        """The broken rule if configurations with this `Resumable` come into force at these times."""
-        route = next(one for one in ROUTES if one.resumable)
-        request = Request("q1", route, "POST", "/x", b"", 0, 4_000, 1, started_at=2_000_000)
-        request.outcome, request.ended_at = RequestOutcome.GIVEN_UP, 2_600_000
-        history = History(requests={"q1": request})
-        for version, (at, resumable) in enumerate(configurations, start=1):
-            event = ConfigurationEvent(at, Configuration(version, resumable=resumable))
-            history.configurations.append(event)
-        for number, (at, after_event) in enumerate(((2_100_000, 0), (2_500_000, 1)), start=1):
-            run = Run(number, "q1", f"s{number}.1", "api", "north", "north-1", at, "POST", "/x", b"", 0, 0)
-            run.after_event = after_event
-            history.runs.append(run)
-        try:
-            check_history(history, lambda *_: True)
-        except Violation as violation:
-            return violation.rule
-        return ""
-
-    def test_no_configuration_in_force_allows_it(self) -> None:
-        self.assertEqual(self.rule_of((0, True), (1_000_000, False)), "twice")
-
-    def test_a_configuration_in_force_allows_it(self) -> None:
-        self.assertEqual(self.rule_of((0, False), (1_000_000, True)), "")
-        self.assertEqual(self.rule_of((0, False), (2_200_000, True)), "")
-
-
 class MutantTest(TestCase):
     def test_number_of_mutants(self) -> None:
         self.assertGreaterEqual(len(EXCHANGE_MUTANTS), LEAST_MUTANTS)
