Test: early answers that don't wait for a deadline get a long one

Traced: the test's own deadline of 500 ms passed before the fourth of its paced pieces had been sent, and 408 is right then; with pieces 0.2 s apart the old test fails the same way, the new one passes. Only the two cases that are answered at their deadline keep the short one. No status is added to any case.

--- a/tests/gateway/test_client_answer_order.py
+++ b/tests/gateway/test_client_answer_order.py
@@ -18,6 +18,8 @@
 LARGEST_BODY = 1000  # bytes
 READ_SECONDS = 2.0  # for whatever comes after the expected answers; longer than a close lingers
 PIECE_PAUSE_SECONDS = 0.02
+LONG_DEADLINE_MS = 60_000  # of a request whose answer does not wait for its deadline
+SHORT_DEADLINE_MS = 500  # of a request that is answered at its deadline, as its body does not come whole
 
 
 @frozen
@@ -30,9 +32,12 @@
     statuses: tuple[int, ...]
 
 
-def head(path: str, *extra: str, request_id: str | None = "early") -> bytes:
+def head(
+    path: str, *extra: str, request_id: str | None = "early", deadline_ms: int = LONG_DEADLINE_MS
+) -> bytes:
     """The head of a request, without a body's length unless `extra` gives one."""
-    lines = [f"POST {path} HTTP/1.1", "Host: shop.example", "X-Brackenladder-Request-Deadline-Ms: 500"]
+    lines = [f"POST {path} HTTP/1.1", "Host: shop.example"]
+    lines.append(f"X-Brackenladder-Request-Deadline-Ms: {deadline_ms}")
     if request_id is not None:
         lines.append(f"X-Brackenladder-Request-Id: {request_id}")
     return "\r\n".join([*lines, *extra]).encode() + b"\r\n\r\n"
@@ -53,10 +58,14 @@
     EarlyAnswer("no route, chunked body", head("/none/x", CHUNKED), CHUNKS, (404,)),
     EarlyAnswer("no route, broken chunks", head("/none/x", CHUNKED), BROKEN_CHUNKS, (404, 400)),
     EarlyAnswer("no id, counted body", head("/plain/x", COUNTED, request_id=None), PIECES, (400,)),
-    EarlyAnswer("broken chunks", head("/plain/x", CHUNKED), BROKEN_CHUNKS, (400, 408)),
+    EarlyAnswer(
+        "broken chunks", head("/plain/x", CHUNKED, deadline_ms=SHORT_DEADLINE_MS), BROKEN_CHUNKS, (400, 408)
+    ),
     EarlyAnswer("too long by its length", head("/plain/x", "Content-Length: 2000"), (b"x" * 2000,), (413,)),
     EarlyAnswer("too long in chunks", head("/plain/x", CHUNKED), (*TOO_LONG, b"0\r\n\r\n"), (413,)),
-    EarlyAnswer("body too slow", head("/plain/x", COUNTED), PIECES[:1], (408,)),
+    EarlyAnswer(
+        "body too slow", head("/plain/x", COUNTED, deadline_ms=SHORT_DEADLINE_MS), PIECES[:1], (408,)
+    ),
 )
 
 
