Test: silent clients fill the listener's places before the first of them may be closed

Traced: the listener may close a silent connection that is 50 ms old (FRESH) for a new one, and HTTP's front does so from its 36th on. The test opened its connections one after another through the event loop; where that takes over 50 ms, the number stays at 36 for good.

The demand is the same: all places but one at most are taken before the first request, which is now asserted too. No product code changes.

--- a/tests/rules/test_rules.py
+++ b/tests/rules/test_rules.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections import Counter
 from random import Random
@@ -32,6 +33,7 @@
 from brackenladder.http.server_connection import Connection as HttpConnection
 from brackenladder.policy.limit import GradientController
 from brackenladder.rpc.upstream import Link
+from brackenladder.sockets.listener import FRESH
 
 DRAIN = 0.25  # seconds after which a draining server may get no new call
 SLACK = 2.0  # seconds beyond a call's budget that a busy machine may take
@@ -282,14 +284,33 @@
     play(scene)
 
 
+async def fill_with_silent_clients(stage: Stage) -> list[socket.socket]:
+    """Connections without a request on all of the listener's places, but for one at most.
+
+    The listener may close a silent connection for the next one after `FRESH` seconds. They are therefore
+    opened at one go, and anew if the listener accepted them more slowly than that.
+    """
+    listener = stage.listener
+    silent: list[socket.socket] = []
+    async with asyncio.timeout(PATIENCE):
+        while len(listener.connections) < listener.max_connections - 1:
+            for client in silent:
+                client.close()
+            await until(lambda: not listener.connections)
+            address = ("127.0.0.1", stage.port)
+            silent = [socket.create_connection(address) for _ in range(listener.max_connections + 5)]
+            await asyncio.sleep(FRESH / 2)
+    return silent
+
+
 def test_silent_clients_on_all_connections_make_room_for_others(transport: str) -> None:
     """Rule 1: otherwise the kernel would accept a connection, and nobody would read the call on it."""
 
     async def scene() -> None:
         stage = await Stage(transport, Server(), sockets=128).start()
         limit = stage.listener.max_connections
-        silent = [await asyncio.open_connection("127.0.0.1", stage.port) for _ in range(limit + 5)]
-        await until(lambda: len(stage.listener.connections) >= limit - 1)
+        silent = await fill_with_silent_clients(stage)
+        assert len(stage.listener.connections) >= limit - 1
         for klass in CLASSES:
             # HTTP refuses requests on its last connections, and closes two silent ones for each new one.
             async with asyncio.timeout(PATIENCE):
