--- a/brackenladder/soak/answer_faults.py
+++ b/brackenladder/soak/answer_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from http import HTTPStatus
 
 from aiohttp import web
@@ -16,6 +17,22 @@
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
 )
+# Bytes that form no answer, though some of them say that a request has not run.
+GARBLED_ANSWERS = (
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+    b"HTTP/1.1 999\r\n\r\n",
+    f"503 Service Unavailable\r\n{NOT_EXECUTED}: true\r\n\r\n".encode(),
+    f"{NOT_EXECUTED}: true\r\nContent-Length: 0\r\n\r\n".encode(),
+    f"HTTP/1.1 503 Service Unavailable\r\n{NOT_EXECUTED}: true\r\nContent-Length: 0\r\n\r\n".encode(),
+)
+
+
+class BreakOff(Enum):
+    """How a server ends a request without a whole answer."""
+
+    RESET = "reset"
+    GARBLED = "garbled"  # bytes that form no answer, then the end of the connection
+    CUT = "cut"  # an answer without its last bytes, then the end of the connection
 
 
 @frozen
@@ -28,10 +45,23 @@
     unproven: float = 0.0  # run, and answered with a status of a rejection, but without that header
     repeated: float = 0.0  # answered a second time, just before the next answer on the connection
     cut: float = 0.0  # share of the repeated answers that end within their head
+    broken_off: float = 0.0  # ended before they began, without a whole answer
+    closing: float = 0.0  # answered with `Connection: close`
+    connections_reset: float = 0.0  # share of the new connections that are reset at once
 
 
 NO_FAULTS = AnswerFaults()
-FULL = AnswerFaults(rejected=0.55, failed=0.05, expired=0.03, unproven=0.05, repeated=0.5, cut=0.3)
+FULL = AnswerFaults(
+    rejected=0.5,
+    failed=0.05,
+    expired=0.03,
+    unproven=0.05,
+    repeated=0.5,
+    cut=0.3,
+    broken_off=0.06,
+    closing=0.1,
+    connections_reset=0.1,
+)
 
 
 def encode_response(response: web.Response) -> bytes:
--- a/brackenladder/soak/partial_heads.py
+++ b/brackenladder/soak/partial_heads.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -28,7 +30,17 @@
     headers: dict[str, str]  # names in lower case
 
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER value that makes a close send a reset
+
 TakePartialHead = Callable[[PartialHead], None]
+AdmitConnection = Callable[[], bool]
+
+
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Reset a connection."""
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
 
 
 def partial_head(received: bytes) -> PartialHead | None:
@@ -42,15 +54,22 @@
 
 
 class PartialHeadHandler(RequestHandler):
-    """A server connection that reports a head which ends with it."""
+    """A server connection that reports a head which ends with it, and is reset at once if not admitted."""
 
-    __slots__ = ("_received", "_take")
+    __slots__ = ("_admitted", "_received", "_take")
 
-    def __init__(self, manager: web.Server, take: TakePartialHead, **arguments: Any) -> None:
+    def __init__(self, manager: web.Server, take: TakePartialHead, admitted: bool, **arguments: Any) -> None:
         super().__init__(manager, loop=asyncio.get_running_loop(), **arguments)
         self._take = take
+        self._admitted = admitted
         self._received = b""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Reset the connection if it is not admitted."""
+        super().connection_made(transport)
+        if not self._admitted and isinstance(transport, asyncio.WriteTransport):
+            reset(transport)
+
     def data_received(self, data: bytes) -> None:
         """Keep the latest input, and pass it on."""
         self._received = (self._received + data)[-LONGEST_HEAD:]
@@ -65,13 +84,14 @@
 
 
 class PartialHeadServer(web.Server):
-    """Creates connections that report heads which end with them."""
+    """Creates connections that report heads which end with them; `admit` is asked for each of them."""
 
-    def __init__(self, handler: Any, take: TakePartialHead, **arguments: Any) -> None:
+    def __init__(self, handler: Any, take: TakePartialHead, admit: AdmitConnection, **arguments: Any) -> None:
         super().__init__(handler, handler_cancellation=True)
         self._take = take
+        self._admit = admit
         self._arguments = arguments
 
     def __call__(self) -> RequestHandler:
         """A new connection."""
-        return PartialHeadHandler(self, self._take, **self._arguments)
+        return PartialHeadHandler(self, self._take, self._admit(), **self._arguments)
--- a/brackenladder/soak/servers.py
+++ b/brackenladder/soak/servers.py
@@ -28,13 +28,15 @@
 )
 from brackenladder.soak.answer_faults import (
     FULL,
+    GARBLED_ANSWERS,
     NO_FAULTS,
     REJECTION_STATUSES,
     UNPROVEN_STATUSES,
+    BreakOff,
     encode_response,
 )
 from brackenladder.soak.events import Arrived, Handled, LeaveAcknowledged, Order, Record, Trouble, now
-from brackenladder.soak.partial_heads import END_OF_HEAD, PartialHead, PartialHeadServer
+from brackenladder.soak.partial_heads import END_OF_HEAD, PartialHead, PartialHeadServer, reset
 from brackenladder.soak.site import SoakLayout
 
 COLD_SECONDS = 2.0  # warm-up time after a restart
@@ -77,7 +79,11 @@
         self.faults = NO_FAULTS
         self._random = Random(settings.id)
         self._protocols = PartialHeadServer(
-            self._handle, self._take_partial_head, access_log=None, keepalive_timeout=KEEP_ALIVE_SECONDS
+            self._handle,
+            self._take_partial_head,
+            self._admits_connection,
+            access_log=None,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
         )
         self._held_copies: WeakKeyDictionary[Any, bytes] = WeakKeyDictionary()  # by connection
 
@@ -103,9 +109,9 @@
     async def _answer_or_reject(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers.get(REQUEST_ID, "")
         faults = self.faults
-        shares = (faults.rejected, faults.failed, faults.expired)
+        shares = (faults.rejected, faults.failed, faults.expired, faults.broken_off)
         drawn = self._random.choices(
-            (self._reject, self._fail, self._expire, None), (*shares, 1.0 - sum(shares))
+            (self._reject, self._fail, self._expire, self._break_off, None), (*shares, 1.0 - sum(shares))
         )
         return await super()._serve(request) if drawn[0] is None else await drawn[0](request, request_id)
 
@@ -126,6 +132,36 @@
         self.ended_unproven(request_id)
         return web.Response(status=HTTPStatus.GATEWAY_TIMEOUT, headers=self._headers(request_id))
 
+    async def _break_off(self, request: web.BaseRequest, request_id: str) -> web.Response:
+        """Ends a request before its work begins, without a whole answer."""
+        self.ended_unproven(request_id)
+        response = web.Response(headers=self._headers(request_id), body=b"{}")
+        transport = request.transport
+        if transport is not None:
+            self._end_connection(transport, encode_response(response))
+        return response  # is not sent: the connection is closing
+
+    def _end_connection(self, transport: asyncio.Transport, whole: bytes) -> None:
+        match self._random.choice(tuple(BreakOff)):
+            case BreakOff.RESET:
+                reset(transport)
+                return
+            case BreakOff.GARBLED:
+                transport.write(self._random.choice(GARBLED_ANSWERS))
+            case BreakOff.CUT:
+                transport.write(whole[: self._random.randrange(1, len(whole))])
+        transport.close()
+
+    def _admits_connection(self) -> bool:
+        """Whether a new connection stays open; the others are reset, as beyond `MaxConnections`."""
+        return self._random.random() >= self.faults.connections_reset
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        headers = super()._headers(request_id)
+        if self._random.random() < self.faults.closing:
+            headers["Connection"] = "close"
+        return headers
+
     def _take_partial_head(self, head: PartialHead) -> None:
         """Begins a request whose head ended with its connection, if it is meant for this server."""
         if head.headers.get(EXPECTED_INSTANCE.lower()) == self.settings.id:
--- a/tests/soak/test_soak_servers.py
+++ b/tests/soak/test_soak_servers.py
@@ -7,6 +7,8 @@
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 
+from aiohttp import web
+
 from brackenladder.rehearsal.nodes import free_port, unused_loopback_host
 from brackenladder.rehearsal.standins.model_clients import DEADLINE
 from brackenladder.rehearsal.standins.model_server import (
@@ -16,9 +18,11 @@
     ServerSettings,
 )
 from brackenladder.soak.answer_faults import (
+    GARBLED_ANSWERS,
     NO_FAULTS,
     UNPROVEN_STATUSES,
     AnswerFaults,
+    BreakOff,
     encode_response,
 )
 from brackenladder.soak.connection import Connection, Head
@@ -27,6 +31,13 @@
 from brackenladder.soak.servers import RecordingServer
 
 TIMEOUT = 20.0  # seconds; reached only on failure
+LARGEST_ANSWER = 65_536  # bytes
+
+
+def request(request_id: str) -> bytes:
+    """A request with an empty body."""
+    lines = ["POST /pay/1 HTTP/1.1", "Host: h", f"{REQUEST_ID}: {request_id}", "Content-Length: 0", "", ""]
+    return "\r\n".join(lines).encode()
 
 
 class FullServerTest(IsolatedAsyncioTestCase):
@@ -116,6 +127,49 @@
         self.assertEqual(self.refusals(), expected)
         self.assertEqual(set(expected), {0, 503})
 
+    async def received_until_closed(self, data: bytes) -> bytes:
+        """Sends bytes on a connection of their own, and returns what comes before its end, or `reset`."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        received = b""
+        try:
+            async with asyncio.timeout(TIMEOUT):
+                while part := await reader.read(LARGEST_ANSWER):
+                    received += part
+        except ConnectionResetError:
+            received = b"reset"
+        writer.close()
+        return received
+
+    async def test_a_request_may_end_without_a_whole_answer_and_counts_as_run(self) -> None:
+        self.server.faults = AnswerFaults(broken_off=1.0)
+        seen = set()
+        for number in range(60):
+            request_id = f"r{number}"
+            received = await self.received_until_closed(request(request_id))
+            whole = encode_response(web.Response(headers=self.server._headers(request_id), body=b"{}"))
+            if received == b"reset":
+                seen.add(BreakOff.RESET)
+            elif received in GARBLED_ANSWERS:
+                seen.add(BreakOff.GARBLED)
+            else:
+                self.assertTrue(whole.startswith(received) and len(received) < len(whole), received)
+                seen.add(BreakOff.CUT)
+        self.assertEqual(seen, set(BreakOff))
+        self.assertEqual(self.refusals(), [0] * 60)
+
+    async def test_an_answer_may_announce_that_its_connection_closes(self) -> None:
+        self.server.faults = AnswerFaults(closing=1.0)
+        await self.ask("r1")
+        head = await self.answer()
+        self.assertEqual((head.status, head.headers["connection"]), (200, "close"))
+
+    async def test_a_connection_beyond_the_limit_is_reset_before_its_request_arrives(self) -> None:
+        self.server.faults = AnswerFaults(connections_reset=1.0)
+        self.assertEqual(await self.received_until_closed(b""), b"reset")
+        self.assertEqual(self.events, [])
+
     async def send_and_close(self, data: bytes) -> None:
         """Sends bytes on a connection of their own, and waits until the server has closed it."""
         host, _, port = self.address.rpartition(":")
