Soak: servers end at short notice, and events of streams come late as after a preemption

Two more liberties of PROTOCOL that the soak did not play: a server that says RemainingMs and is gone then, whatever it is running (in storms, as such an end is not planned work), and a stream that pauses 1.5 s within itself, so that a resumable one is taken up elsewhere.

--- a/brackenladder/rehearsal/standins/heartbeats.py
+++ b/brackenladder/rehearsal/standins/heartbeats.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import suppress
 from http import HTTPStatus
+from time import monotonic
 from zlib import crc32
 
 import aiohttp
@@ -12,6 +13,7 @@
 from brackenladder.rehearsal.standins.model_server import ModelServer
 
 CALL_SECONDS = 1.0
+MILLISECONDS = 1000
 RETRY_SECONDS = 0.05  # pause between two tries of a heartbeat that is not acknowledged
 FAREWELL_SECONDS = 5.0  # time limit for getting a drain or a deregistration acknowledged
 
@@ -28,6 +30,7 @@
         self._session: aiohttp.ClientSession
         self._task: asyncio.Task[None] | None = None
         self._due = asyncio.Event()
+        self._ends_at: float | None = None  # when the server ends, whatever it is running
 
     async def start(self) -> None:
         """Opens the HTTP session and starts the task that sends heartbeats until `stop`."""
@@ -35,9 +38,14 @@
         self._session = aiohttp.ClientSession(timeout=timeout)
         self._task = asyncio.create_task(self._run())
 
-    async def drain(self) -> None:
-        """Announces that the server drains; returns once that is acknowledged."""
+    async def drain(self, remaining_ms: int | None = None) -> None:
+        """Announces that the server drains; returns once that is acknowledged.
+
+        `remaining_ms`: the time after which the server ends, whatever it is running; None if it waits.
+        """
         self._server.draining = True
+        if remaining_ms is not None:
+            self._ends_at = monotonic() + remaining_ms / MILLISECONDS
         async with asyncio.timeout(FAREWELL_SECONDS):
             while not await self._beat():
                 await asyncio.sleep(RETRY_SECONDS)
@@ -81,6 +89,8 @@
             "ColdRemainingMs": self._server.cold_remaining_ms(),
             "Seq": self._seq,
         }
+        if self._ends_at is not None:
+            beat["RemainingMs"] = max(0, round((self._ends_at - monotonic()) * MILLISECONDS))
         if settings.engine:
             beat |= {"Stage": "both", "Models": [self._server.model_entry()]}
         return await self._call(f"/-/Instances.Heartbeat/{settings.id}", beat)
--- a/brackenladder/soak/answer_faults.py
+++ b/brackenladder/soak/answer_faults.py
@@ -46,6 +46,7 @@
     repeated: float = 0.0  # answered a second time, just before the next answer on the connection
     cut: float = 0.0  # share of the repeated answers that end within their head
     broken_off: float = 0.0  # ended before they began, without a whole answer
+    stalled: float = 0.0  # share of a stream's events that come late, as if it had been preempted
     closing: float = 0.0  # answered with `Connection: close`
     connections_reset: float = 0.0  # share of the new connections that are reset at once
 
@@ -59,6 +60,7 @@
     repeated=0.5,
     cut=0.3,
     broken_off=0.06,
+    stalled=0.02,
     closing=0.1,
     connections_reset=0.1,
 )
--- a/brackenladder/soak/servers.py
+++ b/brackenladder/soak/servers.py
@@ -48,6 +48,8 @@
 MILLISECONDS = 1000
 REJECTED_AT_DEADLINE_SHARE = 0.5  # of the requests whose deadline passes at a server
 UNFRAMED_SHARE = 0.5  # share of the streams without a length
+STALL_SECONDS = 1.5  # how much later an event of a preempted stream comes
+NOTICE_SECONDS = 2.0  # from the announcement of a server's end at short notice to its end
 PART_SHARE = 0.5  # time between the two parts of an event, as a share of that between two events
 
 
@@ -67,6 +69,7 @@
     CRASH = "crash"
     DRAIN = "drain"
     DEREGISTER_FIRST = "deregister-first"
+    SHORT_NOTICE = "short-notice"  # drains with `RemainingMs`, then ends whatever it is running
 
 
 class RecordingServer(ModelServer):
@@ -187,7 +190,9 @@
         return UnframedResponse(headers=headers | {"Connection": "close"})
 
     async def write_event(self, answer: web.StreamResponse, event: bytes) -> None:
-        """Writes an event, of a stream without a length in two parts."""
+        """Writes an event, of a stream without a length in two parts; now and then it comes late."""
+        if self._random.random() < self.faults.stalled:
+            await asyncio.sleep(STALL_SECONDS)
         if not isinstance(answer, UnframedResponse):
             await super().write_event(answer, event)
             return
@@ -295,9 +300,7 @@
         self._leaving.add(place)
         began, name = now(), self._settings[place].id
         try:
-            in_order = await (
-                self._crash(place) if how is Leave.CRASH else self._leave_gracefully(place, how)
-            )
+            in_order = await self._end_server(place, how)
             self._record(Trouble(began, now(), f"server-{how.value}", (name,), planned=in_order))
             await asyncio.sleep(max(away, DEFAULT_BOUNDS.reuse_after_s))
             number = int(name.partition(".")[2]) + 1
@@ -323,11 +326,29 @@
         await heartbeats.start()
         self._servers[place], self._heartbeats[place] = server, heartbeats
 
+    async def _end_server(self, place: str, how: Leave) -> bool:
+        """Ends a server; returns whether it left as planned work does."""
+        if how is Leave.CRASH:
+            return await self._crash(place)
+        if how is Leave.SHORT_NOTICE:
+            return await self._end_at_short_notice(place)
+        return await self._leave_gracefully(place, how)
+
     async def _crash(self, place: str) -> bool:
         await self._heartbeats.pop(place).stop()
         await self._servers.pop(place).crash()
         return False
 
+    async def _end_at_short_notice(self, place: str) -> bool:
+        """Announces the time that the server has left, and ends it then, acknowledged or not."""
+        name = self._servers[place].settings.id
+        with suppress(TimeoutError):
+            async with asyncio.timeout(NOTICE_SECONDS):
+                await self._heartbeats[place].drain(round(NOTICE_SECONDS * MILLISECONDS))
+                self._record(LeaveAcknowledged(now(), name))
+                await asyncio.sleep(NOTICE_SECONDS)
+        return await self._crash(place)
+
     async def _leave_gracefully(self, place: str, how: Leave) -> bool:
         """Announces the leave, waits a little over DrainMs, stops the server.
 
--- a/tests/soak/test_soak_servers.py
+++ b/tests/soak/test_soak_servers.py
@@ -6,6 +6,7 @@
 import socket
 from random import Random
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import AsyncMock, Mock, patch
 
 from aiohttp import web
 
@@ -28,7 +29,7 @@
 from brackenladder.soak.connection import Connection, Head
 from brackenladder.soak.events import Arrived, Event, Handled
 from brackenladder.soak.partial_heads import END_OF_HEAD
-from brackenladder.soak.servers import RecordingServer
+from brackenladder.soak.servers import STALL_SECONDS, RecordingServer
 
 TIMEOUT = 20.0  # seconds; reached only on failure
 LARGEST_ANSWER = 65_536  # bytes
@@ -159,6 +160,19 @@
         self.assertEqual(seen, set(BreakOff))
         self.assertEqual(self.refusals(), [0] * 60)
 
+    async def test_an_event_of_a_stream_may_come_late(self) -> None:
+        pauses: list[float] = []
+
+        async def record_pause(seconds: float) -> None:
+            pauses.append(seconds)
+
+        self.server.faults = AnswerFaults(stalled=1.0)
+        stream = Mock(write=AsyncMock())
+        with patch("brackenladder.soak.servers.asyncio.sleep", record_pause):
+            await self.server.write_event(stream, b"id: 1\n\n")
+        self.assertEqual(pauses, [STALL_SECONDS])
+        stream.write.assert_awaited_once_with(b"id: 1\n\n")
+
     async def test_an_answer_may_announce_that_its_connection_closes(self) -> None:
         self.server.faults = AnswerFaults(closing=1.0)
         await self.ask("r1")
