Test: the server outside the homes is the only one that takes requests

With the check of homes patched away both servers may be chosen, and the test asks that it is s0. Its other server now drains, so that only s0 can be.

--- a/tests/gateway/test_newest_route.py
+++ b/tests/gateway/test_newest_route.py
@@ -46,6 +46,13 @@
         """Change these fields of all routes."""
         self.configure(tuple([evolve(route, **changes) for route in self.routes]))
 
+    def drain(self, name: str) -> None:
+        """Report a server as draining."""
+        record = next(record for record in self.view.servers.values() if record.id == name)
+        self.view.merge_servers(
+            microseconds(), [evolve(record, state=ServerState.DRAINING, seq=record.seq + 1)]
+        )
+
     def served_by(self) -> list[str]:
         return [request.server for request in self.script.requests]
 
@@ -135,6 +142,7 @@
 
     async def test_a_server_outside_the_homes_violates_the_invariant(self) -> None:
         self.change(homes=(THERE,))
+        self.drain("s1")  # so that the request goes to the server outside the homes
         with VIOLATIONS.restoring_counts(), patch.object(CallTraits, "permits", lambda *_: True):
             before = VIOLATIONS.violations().get(Invariant.SERVER_KEEPS_HOMES, 0)
             self.assertEqual((await self.ask(post("/safe/x"))).status, 200)
