--- a/tests/soak/test_soak_actors.py
+++ b/tests/soak/test_soak_actors.py
@@ -16,8 +16,8 @@
 from brackenladder.soak.configuration import PLAIN_HOST
 from brackenladder.soak.connection import AnswerError, Connection, ConnectionEnded, call
 from brackenladder.soak.events import Arrived, Event, Handled, Outcome, Resolved, Tried
+from brackenladder.soak.recording_server import RecordingServer
 from brackenladder.soak.relay import Relay
-from brackenladder.soak.servers import RecordingServer
 from brackenladder.soak.site import ENGINE, SoakLayout
 
 TIMEOUT = 20.0  # seconds; reached only on failure
--- a/tests/soak/test_soak_leaves.py
+++ b/tests/soak/test_soak_leaves.py
@@ -15,7 +15,8 @@
 from brackenladder.rehearsal.nodes import free_port, unused_loopback_host
 from brackenladder.soak.connection import Connection
 from brackenladder.soak.events import Event, LeaveAcknowledged, Trouble
-from brackenladder.soak.servers import NOTICE_SECONDS, Leave, LossyHeartbeats, RecordingServer, ServerGroup
+from brackenladder.soak.recording_server import RecordingServer
+from brackenladder.soak.servers import NOTICE_SECONDS, Leave, LossyHeartbeats, ServerGroup
 from brackenladder.soak.site import SoakLayout
 
 TIMEOUT = 20.0  # seconds; reached only on failure
--- a/tests/soak/test_soak_servers.py
+++ b/tests/soak/test_soak_servers.py
@@ -29,7 +29,7 @@
 from brackenladder.soak.connection import Connection, Head
 from brackenladder.soak.events import Arrived, Event, Handled
 from brackenladder.soak.partial_heads import END_OF_HEAD
-from brackenladder.soak.servers import STALL_SECONDS, RecordingServer
+from brackenladder.soak.recording_server import STALL_SECONDS, RecordingServer
 
 TIMEOUT = 20.0  # seconds; reached only on failure
 LARGEST_ANSWER = 65_536  # bytes
@@ -168,7 +168,7 @@
 
         self.server.faults = AnswerFaults(stalled=1.0)
         stream = Mock(write=AsyncMock())
-        with patch("brackenladder.soak.servers.asyncio.sleep", record_pause):
+        with patch("brackenladder.soak.recording_server.asyncio.sleep", record_pause):
             await self.server.write_event(stream, b"id: 1\n\n")
         self.assertEqual(pauses, [STALL_SECONDS])
         stream.write.assert_awaited_once_with(b"id: 1\n\n")
