Simulation: a request that gets 421 does not arrive at a server that drains

Traced: s4.1 crashed, s4.2 started at its address and drained before the gateways knew that s4.1 was gone. q132 named s4.1, and s4.2 answered 421 and did not run it (Run: status 421, executed False).

The checks during a run now skip what was answered so and did not run; a request that ran, or was rejected with another status, breaks the rule as before (ClosedServerTest, five cases).

--- a/brackenladder/simulation/exchange/checks.py
+++ b/brackenladder/simulation/exchange/checks.py
@@ -10,7 +10,7 @@
 from brackenladder.simulation.errors import Violation
 from brackenladder.simulation.exchange.behaviour import encode_event
 from brackenladder.simulation.exchange.history import History, Request, RequestOutcome, Run
-from brackenladder.simulation.exchange.site import HOMED, NOT_RUN_STATUSES, SECOND, ZONES
+from brackenladder.simulation.exchange.site import HOMED, MISDIRECTED, NOT_RUN_STATUSES, SECOND, ZONES
 
 SLACK = 500_000  # microseconds past a limit that the deployment's rules allow
 STREAM_SLACK = 800_000  # SLACK for streams, which may go on for 0.25 s after the client's deadline
@@ -239,6 +239,8 @@
             self._check(run, self._evacuated.get(run.zone), "evacuated")
 
     def _check(self, run: Run, since: int | None, rule: str) -> None:
+        if run.status == MISDIRECTED and not run.executed:  # meant for the server that was there before
+            return
         if since is None or run.arrived_at <= since + CONFIG_SLACK:
             return
         if self._undisturbed(run.gateway, since - CONFIG_SLACK, run.arrived_at, run.server):
--- a/tests/simulation/test_exchange_checks.py
+++ b/tests/simulation/test_exchange_checks.py
@@ -5,7 +5,7 @@
 from unittest import TestCase
 
 from brackenladder.simulation.errors import Violation
-from brackenladder.simulation.exchange.checks import check_history
+from brackenladder.simulation.exchange.checks import CONFIG_SLACK, LiveChecks, check_history
 from brackenladder.simulation.exchange.history import (
     ConfigurationEvent,
     History,
@@ -13,7 +13,7 @@
     RequestOutcome,
     Run,
 )
-from brackenladder.simulation.exchange.site import ROUTES, Configuration
+from brackenladder.simulation.exchange.site import MISDIRECTED, ROUTES, Configuration
 
 
 def broken_rule(history: History, undisturbed: bool) -> str:
@@ -91,3 +91,36 @@
     def test_a_configuration_in_force_allows_it(self) -> None:
         self.assertEqual(self.rule_of((0, False), (1_000_000, True)), "")
         self.assertEqual(self.rule_of((0, False), (2_200_000, True)), "")
+
+
+class ClosedServerTest(TestCase):
+    """A request at a server that must get no more, as the checks during a run see it."""
+
+    CLOSED_AT = 2_000_000
+
+    def rule_of(self, executed: bool, status: int, late: int) -> str:
+        """The broken rule if a request arrives `late` microseconds after gateways were told of the drain."""
+        history = History()
+        checks = LiveChecks(history, lambda: self.CLOSED_AT, lambda *_: True)
+        checks.server_closed("s1.2")
+        arrived_at = self.CLOSED_AT + late
+        run = Run(1, "q1", "s1.2", "api", "north", "north-1", arrived_at, "POST", "/x", b"", 0, 0)
+        run.executed, run.status = executed, status
+        history.runs.append(run)
+        checks.check()
+        return checks.failure.rule if checks.failure else ""
+
+    def test_a_request_that_runs_breaks_the_rule(self) -> None:
+        self.assertEqual(self.rule_of(True, 200, CONFIG_SLACK + 1), "drain")
+
+    def test_a_request_that_is_rejected_breaks_the_rule(self) -> None:
+        self.assertEqual(self.rule_of(False, 503, CONFIG_SLACK + 1), "drain")
+
+    def test_a_request_that_arrives_in_time_does_not(self) -> None:
+        self.assertEqual(self.rule_of(True, 200, CONFIG_SLACK), "")
+
+    def test_a_request_meant_for_another_server_does_not(self) -> None:
+        self.assertEqual(self.rule_of(False, MISDIRECTED, CONFIG_SLACK + 1), "")
+
+    def test_the_status_alone_is_no_excuse(self) -> None:
+        self.assertEqual(self.rule_of(True, MISDIRECTED, CONFIG_SLACK + 1), "drain")
