--- a/brackenladder/soak/schedule.py
+++ b/brackenladder/soak/schedule.py
@@ -38,6 +38,7 @@
     LOSE_ACKNOWLEDGEMENTS = "lose-acknowledgements"
     SERVERS_FULL = "servers-full"  # servers reject requests, repeat answers and send unproven rejections
     EVACUATE = "evacuate"
+    EVACUATE_IN_SERIES = "evacuate-in-series"  # evacuate a zone and take it back, again and again
 
 
 LINKS = frozenset({Kind.HOLD, Kind.HOLD_ONE_WAY, Kind.RESET})
@@ -53,6 +54,7 @@
     Kind.LOSE_ACKNOWLEDGEMENTS: (0.5, 3.0),
     Kind.SERVERS_FULL: (1.0, 5.0),
     Kind.EVACUATE: (6.0, 10.0),
+    Kind.EVACUATE_IN_SERIES: (1.0, 4.0),
     **dict.fromkeys(LINKS, (0.3, 6.0)),
 }
 PLANNED_LEAVES = (Leave.DRAIN, Leave.DRAIN, Leave.DEREGISTER_FIRST)
@@ -62,6 +64,7 @@
     Kind.RELOAD,
     Kind.REMOVE,
     Kind.EVACUATE,
+    Kind.EVACUATE_IN_SERIES,
     Kind.SERVER,
     Kind.SERVER,
     Kind.SERVERS_FULL,
@@ -138,7 +141,7 @@
         match kind:
             case Kind.SERVER:
                 return (random.choice(self._servers),)
-            case Kind.EVACUATE:
+            case Kind.EVACUATE | Kind.EVACUATE_IN_SERIES:
                 return (random.choice(tuple(ZONES)),)
             case Kind.SERVERS_CRASH | Kind.SERVERS_PAUSE | Kind.LOSE_ACKNOWLEDGEMENTS | Kind.SERVERS_FULL:
                 return (f"servers-{region}",)
--- a/brackenladder/soak/system.py
+++ b/brackenladder/soak/system.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from random import Random
+from time import monotonic
 
 from brackenladder.operator_client.control_client import ControlClient
 from brackenladder.soak.connection import call
@@ -99,6 +100,8 @@
                 self.actors[step.targets[0]].order("full", on=False)
             case Kind.EVACUATE:
                 await self._evacuate(step.targets[0], step.seconds)
+            case Kind.EVACUATE_IN_SERIES:
+                await self._evacuate_in_series(step.targets[0], step.seconds)
             case Kind.HOLD | Kind.HOLD_ONE_WAY | Kind.RESET:
                 await self._disturb_links(step)
             case _:
@@ -126,6 +129,20 @@
         if held is not None:
             await held.release()
         await asyncio.sleep(seconds)
+        await self._take_back(zone)
+
+    async def _evacuate_in_series(self, zone: str, seconds: float) -> None:
+        """Evacuates a zone and takes it back, one order right after the other."""
+        if zone in self._evacuating:
+            return
+        self._evacuating.add(zone)
+        until = monotonic() + seconds
+        while monotonic() < until:
+            await self.context.evacuate(zone, begin=True)
+            await self.context.evacuate(zone, begin=False)
+        await self._take_back(zone)
+
+    async def _take_back(self, zone: str) -> None:
         while not await self.context.evacuate(zone, begin=False, patience=START_SECONDS):
             pass  # retried until acknowledged; each attempt and the whole run have a time limit
         self._evacuating.discard(zone)
