Review: drop the case of memory that an earlier one shows

review/earlier/2 shows the same fault: bodies of MaxBodyBytes in a burst take gateways over MemoryMb.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -146,13 +146,6 @@
         """Wait for its end and return the status."""
         return await self._process.wait()
 
-    def memory_mb(self) -> float:
-        """Its resident memory in MB; 0 once it has ended."""
-        with suppress(OSError, StopIteration):
-            lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
-            return int(next(line.split()[1] for line in lines if line.startswith("VmRSS"))) / 1024
-        return 0.0
-
 
 class Deployment:
     """Three control nodes, some gateways, and stand-in servers."""
@@ -255,21 +248,10 @@
         for process in self._processes:
             await process.ended()
 
-    async def restart_gateway(self, number: int, after_s: float) -> None:
-        """Kill a gateway and start it again, as the platform does."""
-        self.gateways[number].signal(signal.SIGKILL)
-        await self.gateways[number].ended()
-        await asyncio.sleep(after_s)
-        ip = self.gateway_ips[number]
-        self.gateways[number] = await self._start_role("gateway", "front", number, ip, first=False)
-
-    async def _start_role(
-        self, role: str, machine_class: str, number: int, ip: str, first: bool = True
-    ) -> Process:
+    async def _start_role(self, role: str, machine_class: str, number: int, ip: str) -> Process:
         name = f"{machine_class}-{number + 1}"
         path = self.folder / f"{name}.toml"
-        text = self._settings(role, machine_class, name, self.zones[number % 3], ip)
-        path.write_text(text if first else text.replace("Bootstrap = true", "Bootstrap = false"))
+        path.write_text(self._settings(role, machine_class, name, self.zones[number % 3], ip))
         roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         arguments = shlex.split(roles[role]["run"])
         arguments[0] = sys.executable if arguments[0] == "python3" else arguments[0]
@@ -280,7 +262,7 @@
         control = role == "control"
         data = self.folder / f"{name}-data"
         if control:
-            data.mkdir(exist_ok=True)
+            data.mkdir()
         listen = {"Front": FRONT, "Ready": READY}
         if control:
             listen = {"Control": CONTROL, "Directory": DIRECTORY}
